--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+PYTHON ?= python3.11
+BIN = .venv/bin
+
+.PHONY: demo test lint bench clean
+
+.venv/installed: pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[test,bench]'
+	touch $@
+
+demo: .venv/installed
+	$(BIN)/python -m berylnotch.standins.demo
+
+test: .venv/installed
+	$(BIN)/python -m pytest
+
+lint: .venv/installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+clean:
+	rm -rf .venv var
--- /dev/null
+++ b/berylnotch/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Queueing, fairness and shedding of requests."""
--- /dev/null
+++ b/berylnotch/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs."""
--- /dev/null
+++ b/berylnotch/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: elections, leases, membership, snapshots."""
--- /dev/null
+++ b/berylnotch/control/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated control state: commands, events and the state they build."""
--- /dev/null
+++ b/berylnotch/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Shells that run the state machines: controller and router."""
--- /dev/null
+++ b/berylnotch/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' text: services, targets, organisations, routes."""
--- /dev/null
+++ b/berylnotch/gateways/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each system outside: engines, services, platform."""
--- /dev/null
+++ b/berylnotch/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' keys: hashing, lookup and freshness."""
--- /dev/null
+++ b/berylnotch/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Claims that let a non-idempotent request run at most once."""
--- /dev/null
+++ b/berylnotch/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs and targets may get new work."""
--- /dev/null
+++ b/berylnotch/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Fenced orders to engines: weights, adapters, roles."""
--- /dev/null
+++ b/berylnotch/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a target by prefix affinity, load and cost."""
--- /dev/null
+++ b/berylnotch/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Token limits of organisations over all VMs."""
--- /dev/null
+++ b/berylnotch/server/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers."""
--- /dev/null
+++ b/berylnotch/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Sequence, end marker, resume and cancel of streamed answers."""
--- /dev/null
+++ b/berylnotch/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated framed messages between the system's processes."""
--- /dev/null
+++ b/berylnotch/util/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers without knowledge of routing: hashing, logs, metrics, INI reading."""
