--- /dev/null
+++ b/berylnotch/consensus/core.py
@@ -0,0 +1,115 @@
+"""State of a replica that every role shares."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+from berylnotch.consensus.log import Log
+from berylnotch.consensus.members import find, voters
+from berylnotch.consensus.state import HardState, Outgoing
+
+if TYPE_CHECKING:
+    import random
+
+    from berylnotch.consensus.messages import Members
+    from berylnotch.consensus.settings import ConsensusSettings
+    from berylnotch.consensus.state import Recovered, Snapshot
+
+
+class State(Enum):
+    """What a replica does in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class Core:
+    """Term, vote, log and timers of one replica, and its unsent messages.
+
+    Parameters
+    ----------
+    settings : ConsensusSettings
+        Timing and sizes.
+    recovered : Recovered
+        What the data folder held.
+    rng : random.Random
+        Source of the election timeouts.
+    now : float
+        Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        settings: ConsensusSettings,
+        recovered: Recovered,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        snapshot = recovered.snapshot
+        self.settings = settings
+        self.identity = recovered.identity
+        self.hard_state = recovered.hard_state
+        self.is_hard_state_saved = True
+        self.log = Log(snapshot, recovered.entries)
+        self.commit = snapshot.last_index if snapshot else 0
+        self.applied = self.commit
+        self.installed: Snapshot | None = None
+        self.state = State.FOLLOWER
+        self.leader = ""
+        # A replica that restarts may have answered a leader just before, and
+        # the leader's lease rests on that answer: it counts as heard now.
+        self.heard_at = now
+        self.election_at = now
+        #: Time of the newest call.
+        self.now = now
+        self._rng = rng
+        self._outbox: list[Outgoing] = []
+        self.restart_election_timer(now)
+
+    @property
+    def term(self) -> int:
+        """Newest term seen."""
+        return self.hard_state.term
+
+    @property
+    def members(self) -> Members:
+        """Newest membership in the log."""
+        return self.log.members
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica votes by its own log."""
+        return self.identity in voters(self.members)
+
+    def restart_election_timer(self, now: float) -> None:
+        """Draw a new election timeout."""
+        low, high = self.settings.election_min_s, self.settings.election_max_s
+        self.election_at = now + self._rng.uniform(low, high)
+
+    def set_hard_state(self, term: int, voted_for: str) -> None:
+        """Change term and vote; they are saved before any message leaves."""
+        self.hard_state = HardState(term, voted_for)
+        self.is_hard_state_saved = False
+
+    def send(self, replica: str, message: Any) -> None:
+        """Queue a message; it is dropped if the replica's address is unknown."""
+        member = find(self.members, replica)
+        address = member.address if member else ""
+        self._outbox.append(Outgoing(replica, address, message))
+
+    def take_outbox(self) -> tuple[Outgoing, ...]:
+        """Return the queued messages and forget them."""
+        messages = tuple(self._outbox)
+        self._outbox.clear()
+        return messages
+
+    def hears_leader(self, now: float) -> bool:
+        """Whether a leader was heard within the shortest election timeout."""
+        return now - self.heard_at < self.settings.election_min_s
+
+    def advance_commit(self, index: int) -> None:
+        """Raise the commit index, never past the log's end."""
+        self.commit = max(self.commit, min(index, self.log.last_index))
--- a/berylnotch/consensus/messages.py
+++ b/berylnotch/consensus/messages.py
@@ -67,13 +67,17 @@
 
 @frozen
 class VoteRequest:
-    """Candidate's request for a vote; ``pre`` asks without a new term."""
+    """Candidate's request for a vote; ``pre`` asks without a new term.
+
+    ``transfer`` tells that the leader gave up its lease for this candidate.
+    """
 
     term: int
     candidate: str
     last_index: int
     last_term: int
     pre: bool = False
+    transfer: bool = False
 
 
 @frozen
@@ -140,3 +144,11 @@
     offset: int
     done: bool
     round: int
+
+
+@frozen
+class TimeoutNow:
+    """Leader's request to stand for election at once; its lease is over."""
+
+    term: int
+    leader: str
--- a/berylnotch/transport/berylnotch.capnp
+++ b/berylnotch/transport/berylnotch.capnp
@@ -75,6 +75,7 @@
     whyRequest @68 :WhyRequest;
     whyLine @69 :WhyLine;
     whyReply @70 :WhyReply;
+    timeoutNow @71 :TimeoutNow;
   }
 }
 
@@ -123,6 +124,7 @@
   lastIndex @2 :Int64;
   lastTerm @3 :Int64;
   pre @4 :Bool;
+  transfer @5 :Bool;
 }
 
 struct VoteReply {
@@ -550,3 +552,8 @@
   lines @3 :List(WhyLine);
   outcome @4 :Text;
 }
+
+struct TimeoutNow {
+  term @0 :Int64;
+  leader @1 :Text;
+}
