consensus: faults driven by hypothesis, answers find unknown replicas

Requests carry the sender's address, since a new learner does not yet know the members and its answers had nowhere to go.

--- a/berylnotch/consensus/core.py
+++ b/berylnotch/consensus/core.py
@@ -59,6 +59,7 @@
         self.installed: Snapshot | None = None
         self.state = State.FOLLOWER
         self.leader = ""
+        self.leader_address = ""
         # A replica that restarts may have answered a leader just before, and
         # the leader's lease rests on that answer: it counts as heard now.
         self.heard_at = now
@@ -94,10 +95,19 @@
         self.hard_state = HardState(term, voted_for)
         self.is_hard_state_saved = False
 
-    def send(self, replica: str, message: Any) -> None:
-        """Queue a message; it is dropped if the replica's address is unknown."""
+    @property
+    def address(self) -> str:
+        """Own address by the log, or empty if not a member."""
+        return self.address_of(self.identity)
+
+    def address_of(self, replica: str) -> str:
+        """Return a member's address, or empty if it is not a member."""
         member = find(self.members, replica)
-        address = member.address if member else ""
+        return member.address if member else ""
+
+    def send(self, replica: str, message: Any, address: str = "") -> None:
+        """Queue a message; ``address`` is for a replica that is not a member."""
+        address = self.address_of(replica) or address
         self._outbox.append(Outgoing(replica, address, message))
 
     def take_outbox(self) -> tuple[Outgoing, ...]:
--- a/berylnotch/consensus/election.py
+++ b/berylnotch/consensus/election.py
@@ -76,6 +76,7 @@
             core.log.last_term,
             pre,
             self._transfer,
+            core.address,
         )
         for replica in sorted(voters(core.members) - {core.identity}):
             core.send(replica, request)
--- a/berylnotch/consensus/leading.py
+++ b/berylnotch/consensus/leading.py
@@ -195,6 +195,7 @@
             core.commit,
             self._rounds.number,
             entries,
+            core.address,
         )
         core.send(replica, request)
         progress.is_waiting = True
@@ -214,7 +215,9 @@
         # A replica that needs a snapshot cannot check any held entry; every
         # log agrees on index 0, so this only renews lease and timers.
         core = self._core
-        request = AppendRequest(core.term, core.identity, 0, 0, 0, self._rounds.number)
+        request = AppendRequest(
+            core.term, core.identity, 0, 0, 0, self._rounds.number, (), core.address
+        )
         core.send(replica, request)
 
     def _send_part(self, replica: str, progress: Progress) -> None:
@@ -230,6 +233,7 @@
             snapshot.data[progress.offset : end],
             end >= len(snapshot.data),
             self._rounds.number,
+            core.address,
         )
         core.send(replica, request)
         progress.is_waiting = True
--- a/berylnotch/consensus/messages.py
+++ b/berylnotch/consensus/messages.py
@@ -70,6 +70,7 @@
     """Candidate's request for a vote; ``pre`` asks without a new term.
 
     ``transfer`` tells that the leader gave up its lease for this candidate.
+    ``address`` is where the answer goes if the candidate is not yet known.
     """
 
     term: int
@@ -78,6 +79,7 @@
     last_term: int
     pre: bool = False
     transfer: bool = False
+    address: str = ""
 
 
 @frozen
@@ -96,7 +98,8 @@
 
     ``round`` numbers the leader's heartbeat rounds. A reply repeats it, so
     that the leader counts a lease from when the round was sent, not from when
-    the answer came.
+    the answer came. ``address`` is the leader's, for replicas that do not yet
+    know the members.
     """
 
     term: int
@@ -106,6 +109,7 @@
     commit: int
     round: int
     entries: tuple[Entry, ...] = ()
+    address: str = ""
 
 
 @frozen
@@ -132,6 +136,7 @@
     data: bytes
     done: bool
     round: int
+    address: str = ""
 
 
 @frozen
--- a/berylnotch/consensus/replica.py
+++ b/berylnotch/consensus/replica.py
@@ -9,7 +9,7 @@
 from berylnotch.consensus.election import Election
 from berylnotch.consensus.errors import MembershipError, NotLeaderError
 from berylnotch.consensus.leading import Leader
-from berylnotch.consensus.members import find, voters
+from berylnotch.consensus.members import voters
 from berylnotch.consensus.messages import (
     AppendReply,
     AppendRequest,
@@ -81,8 +81,8 @@
     @property
     def leader_address(self) -> str:
         """Address of the leader, or empty if unknown."""
-        member = find(self._core.members, self._core.leader)
-        return member.address if member else ""
+        core = self._core
+        return core.address_of(core.leader) or core.leader_address
 
     @property
     def is_leader(self) -> bool:
@@ -299,6 +299,7 @@
         self._leader = None
         core.state = State.FOLLOWER
         core.leader = leader
+        core.leader_address = ""
 
     def _start_pre_vote(self, now: float) -> None:
         core = self._core
@@ -326,15 +327,16 @@
             reply = election.answer_pre_vote(core, now, request)
             if self._leader is not None:
                 reply = VoteReply(core.term, core.identity, False, pre=True)
-            core.send(request.candidate, reply)
+            core.send(request.candidate, reply, request.address)
             return
         is_held = core.hears_leader(now) or self._leader is not None
         if is_held and not request.transfer:
-            core.send(request.candidate, VoteReply(core.term, core.identity, False))
-            return
-        if request.term > core.term:
-            self._become_follower(now, request.term, "")
-        core.send(request.candidate, election.answer_vote(core, now, request))
+            reply = VoteReply(core.term, core.identity, False)
+        else:
+            if request.term > core.term:
+                self._become_follower(now, request.term, "")
+            reply = election.answer_vote(core, now, request)
+        core.send(request.candidate, reply, request.address)
 
     def _step_vote_reply(self, now: float, reply: VoteReply) -> None:
         if reply.term > self.term and not (reply.pre and reply.granted):
@@ -348,18 +350,18 @@
     ) -> None:
         core = self._core
         if request.term < core.term:
-            core.send(
-                request.leader,
-                AppendReply(core.term, core.identity, False, 0, request.round),
-            )
+            reply = AppendReply(core.term, core.identity, False, 0, request.round)
+            core.send(request.leader, reply, request.address)
             return
         self._become_follower(now, request.term, request.leader)
+        core.leader_address = request.address
         core.heard_at = now
         core.restart_election_timer(now)
         if isinstance(request, AppendRequest):
-            core.send(request.leader, following.append(core, request))
+            reply = following.append(core, request)
         else:
-            core.send(request.leader, self._receiver.receive(request))
+            reply = self._receiver.receive(request)
+        core.send(request.leader, reply, request.address)
 
     def _step_follower(self, now: float, reply: AppendReply | SnapshotReply) -> None:
         if reply.term > self.term:
--- a/berylnotch/transport/berylnotch.capnp
+++ b/berylnotch/transport/berylnotch.capnp
@@ -125,6 +125,7 @@
   lastTerm @3 :Int64;
   pre @4 :Bool;
   transfer @5 :Bool;
+  address @6 :Text;
 }
 
 struct VoteReply {
@@ -142,6 +143,7 @@
   commit @4 :Int64;
   round @5 :Int64;
   entries @6 :List(Entry);
+  address @7 :Text;
 }
 
 struct AppendReply {
@@ -162,6 +164,7 @@
   data @6 :Data;
   done @7 :Bool;
   round @8 :Int64;
+  address @9 :Text;
 }
 
 struct SnapshotReply {
--- /dev/null
+++ b/tests/test_consensus/test_properties.py
@@ -0,0 +1,106 @@
+"""The replica under faults, driven by hypothesis."""
+
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from tests.test_consensus.faults import FaultyGroup
+
+vms = st.integers(0, 4)
+clocks = st.tuples(st.integers(0, 1000), st.floats(0.95, 1.05))
+
+
+class FaultyReplicas(RuleBasedStateMachine):
+    """Any faults in any order, then all of them end."""
+
+    group = None
+
+    def vm(self, number):
+        return list(self.group.vms.values())[number % self.group.size]
+
+    @initialize(size=st.sampled_from([3, 4, 5]), clocks=st.tuples(*[clocks] * 5))
+    def start(self, size, clocks):
+        self.group = FaultyGroup(size, clocks[:size])
+        self.group.run(3.0, 0)
+
+    @rule(
+        seconds=st.sampled_from([0.1, 0.3, 1.0, 3.0]),
+        loss=st.sampled_from([0.0, 0.1, 0.4]),
+        seed=st.integers(0, 1000),
+    )
+    def run(self, seconds, loss, seed):
+        self.group.loss = loss
+        self.group.run(seconds, seed)
+
+    @rule(count=st.integers(1, 12), everywhere=st.booleans())
+    def propose(self, count, everywhere):
+        for vm in self.group.vms.values():
+            if vm.runs and (everywhere or vm.replica.is_leader):
+                for _ in range(count):
+                    payload = f"{vm.name} {len(self.group.proposed)}".encode()
+                    self.group.propose(vm, payload)
+
+    @rule(number=vms)
+    def cut_off(self, number):
+        self.group.cut ^= {self.vm(number).name}
+
+    @rule()
+    def cut_off_leader(self):
+        leaders = [vm for vm in self.group.vms.values() if vm.replica.is_leader]
+        self.group.cut ^= {vm.name for vm in leaders}
+
+    @rule(number=vms)
+    def pause_or_resume(self, number):
+        vm = self.vm(number)
+        vm.is_paused = vm.is_up and not vm.is_paused
+
+    @rule(number=vms)
+    def crash_or_restart(self, number):
+        vm = self.vm(number)
+        if vm.is_up:
+            self.group.crash(vm)
+        else:
+            vm.restart(self.group.now)
+
+    @rule(number=vms, kept=st.floats(0, 1))
+    def crash_in_next_save(self, number, kept):
+        self.vm(number).torn_save = kept
+
+    @rule(number=vms)
+    def wipe(self, number):
+        self.group.wipe(self.vm(number))
+
+    @rule(number=vms)
+    def compact(self, number):
+        vm = self.vm(number)
+        if vm.is_up:
+            vm.node.compact()
+
+    @rule(choice=st.integers(0, 20))
+    def change_members(self, choice):
+        for vm in self.group.vms.values():
+            if vm.runs and vm.replica.is_leader:
+                self.group.change_members(vm, choice)
+
+    @precondition(lambda self: self.group)
+    @invariant()
+    def holds(self):
+        self.group.check()
+
+    def teardown(self):
+        if self.group:
+            self.group.heal()
+
+
+FaultyReplicas.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=30, deadline=None, derandomize=True
+)
+TestFaultyReplicas = FaultyReplicas.TestCase
