consensus: requests name the replica they are for

The property test found it (a learner stayed at index 0). Ruled out: dropping the old member at once, since a repair adds before it removes.

--- a/berylnotch/consensus/election.py
+++ b/berylnotch/consensus/election.py
@@ -69,16 +69,17 @@
 
     def _ask(self, term: int, pre: bool) -> None:
         core = self._core
-        request = VoteRequest(
-            term,
-            core.identity,
-            core.log.last_index,
-            core.log.last_term,
-            pre,
-            self._transfer,
-            core.address,
-        )
         for replica in sorted(voters(core.members) - {core.identity}):
+            request = VoteRequest(
+                term,
+                core.identity,
+                core.log.last_index,
+                core.log.last_term,
+                pre,
+                self._transfer,
+                core.address,
+                replica,
+            )
             core.send(replica, request)
 
 
--- a/berylnotch/consensus/leading.py
+++ b/berylnotch/consensus/leading.py
@@ -170,7 +170,7 @@
         for replica, progress in self._progress.items():
             if progress.snapshot is not None:
                 self._send_heartbeat(replica)
-                progress.count_part_round()
+                progress.count_part_round(self._core.log.snapshot)
             else:
                 self._send(replica, progress)
 
@@ -196,6 +196,7 @@
             self._rounds.number,
             entries,
             core.address,
+            replica,
         )
         core.send(replica, request)
         progress.is_waiting = True
@@ -215,8 +216,9 @@
         # A replica that needs a snapshot cannot check any held entry; every
         # log agrees on index 0, so this only renews lease and timers.
         core = self._core
+        number = self._rounds.number
         request = AppendRequest(
-            core.term, core.identity, 0, 0, 0, self._rounds.number, (), core.address
+            core.term, core.identity, 0, 0, 0, number, (), core.address, replica
         )
         core.send(replica, request)
 
@@ -234,6 +236,7 @@
             end >= len(snapshot.data),
             self._rounds.number,
             core.address,
+            replica,
         )
         core.send(replica, request)
         progress.is_waiting = True
--- a/berylnotch/consensus/messages.py
+++ b/berylnotch/consensus/messages.py
@@ -71,6 +71,8 @@
 
     ``transfer`` tells that the leader gave up its lease for this candidate.
     ``address`` is where the answer goes if the candidate is not yet known.
+    ``replica`` is whom it is for: after a disk was wiped, another replica may
+    listen at the same address.
     """
 
     term: int
@@ -80,6 +82,7 @@
     pre: bool = False
     transfer: bool = False
     address: str = ""
+    replica: str = ""
 
 
 @frozen
@@ -99,7 +102,7 @@
     ``round`` numbers the leader's heartbeat rounds. A reply repeats it, so
     that the leader counts a lease from when the round was sent, not from when
     the answer came. ``address`` is the leader's, for replicas that do not yet
-    know the members.
+    know the members. ``replica`` is whom it is for.
     """
 
     term: int
@@ -110,6 +113,7 @@
     round: int
     entries: tuple[Entry, ...] = ()
     address: str = ""
+    replica: str = ""
 
 
 @frozen
@@ -137,6 +141,7 @@
     done: bool
     round: int
     address: str = ""
+    replica: str = ""
 
 
 @frozen
--- a/berylnotch/consensus/progress.py
+++ b/berylnotch/consensus/progress.py
@@ -18,6 +18,9 @@
 #: Rounds after which an unanswered part of a snapshot is sent again.
 PART_ROUNDS = 5
 
+#: Rounds after which an older snapshot is no longer offered.
+MAX_PART_ROUNDS = 50
+
 #: Time in seconds that stands for "never".
 NEVER = float("-inf")
 
@@ -105,19 +108,26 @@
         """Go on with the part that the replica lacks."""
         if offset != self.offset:
             self.offset = min(offset, len(self.snapshot.data))
+            self._part_rounds = 0
             self.is_waiting = False
 
-    def count_part_round(self) -> None:
-        """Count a round without an answer to a part; send it again in the end."""
+    def count_part_round(self, newest: Snapshot) -> None:
+        """Count a round without an answer to a part.
+
+        The part is sent again after some rounds. After many, an older snapshot
+        is given up for the newest, so that a lost replica holds no memory.
+        """
         self._part_rounds += 1
-        if self._part_rounds >= PART_ROUNDS:
-            self._part_rounds = 0
+        if self._part_rounds % PART_ROUNDS == 0:
             self.is_waiting = False
+        if self._part_rounds >= MAX_PART_ROUNDS and self.snapshot is not newest:
+            self.start_snapshot(newest)
 
     def start_snapshot(self, snapshot: Snapshot) -> None:
         """Begin to send a snapshot."""
         self.snapshot = snapshot
         self.offset = 0
+        self._part_rounds = 0
         self.is_waiting = False
 
     def finish_snapshot(self, index: int) -> None:
--- a/berylnotch/consensus/replica.py
+++ b/berylnotch/consensus/replica.py
@@ -152,8 +152,11 @@
             self._start_pre_vote(now)
 
     def step(self, now: float, message: Any) -> None:
-        """Take a message of another replica."""
+        """Take a message of another replica; one for someone else is dropped."""
         self._check_lease(now)
+        if isinstance(message, VoteRequest | AppendRequest | SnapshotRequest):
+            if message.replica != self.identity:
+                return
         if isinstance(message, VoteRequest):
             self._step_vote_request(now, message)
         elif isinstance(message, VoteReply):
--- a/berylnotch/transport/berylnotch.capnp
+++ b/berylnotch/transport/berylnotch.capnp
@@ -126,6 +126,7 @@
   pre @4 :Bool;
   transfer @5 :Bool;
   address @6 :Text;
+  replica @7 :Text;
 }
 
 struct VoteReply {
@@ -144,6 +145,7 @@
   round @5 :Int64;
   entries @6 :List(Entry);
   address @7 :Text;
+  replica @8 :Text;
 }
 
 struct AppendReply {
@@ -165,6 +167,7 @@
   done @7 :Bool;
   round @8 :Int64;
   address @9 :Text;
+  replica @10 :Text;
 }
 
 struct SnapshotReply {
