consensus: a replica whose removal is uncommitted may stand for election

Cause: a leader that had written its own removal and lost its term did not stand again, while its longer log made it refuse the others, so four voters with one disk lost had no leader for ever. The property test found it. Change: a voter of the membership at the commit index may stand too; votes are still counted by the newest membership.

--- a/berylnotch/consensus/core.py
+++ b/berylnotch/consensus/core.py
@@ -82,8 +82,14 @@
 
     @property
     def is_voter(self) -> bool:
-        """Whether this replica votes by its own log."""
-        return self.identity in voters(self.members)
+        """Whether this replica may stand for election.
+
+        One whose removal is not yet committed still may: only its log may hold
+        the removal, and then the others cannot elect a leader without it.
+        """
+        if self.identity in voters(self.members):
+            return True
+        return self.identity in voters(self.log.members_at(self.commit))
 
     def restart_election_timer(self, now: float) -> None:
         """Draw a new election timeout."""
