--- a/berylnotch/consensus/leading.py
+++ b/berylnotch/consensus/leading.py
@@ -84,10 +84,10 @@
     def propose_members(self, members: Members) -> int:
         """Append a membership change; return its index."""
         core = self._core
-        if core.log.members_index > core.commit:
-            raise MembershipError("another membership change is not yet committed")
         if core.commit < self._first_index:
             raise MembershipError("this leader has not yet committed an entry")
+        if core.log.members_index > core.commit:
+            raise MembershipError("another membership change is not yet committed")
         check_change(core.members, members)
         index = self._append(EntryKind.MEMBERS, encode_members(members))
         self._follow_members()
--- /dev/null
+++ b/tests/test_consensus/test_election.py
@@ -0,0 +1,226 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from berylnotch.consensus.bootstrap import bootstrap, first_ready
+from berylnotch.consensus.errors import BootstrapError, NotLeaderError, OverloadedError
+from berylnotch.consensus.messages import (
+    AppendReply,
+    Entry,
+    EntryKind,
+    VoteReply,
+    VoteRequest,
+)
+from berylnotch.consensus.replica import Replica
+from berylnotch.consensus.settings import ConsensusSettings
+from berylnotch.consensus.state import HardState, Recovered
+from berylnotch.errors import ConfigurationError
+from tests.test_consensus.group import SETTINGS, Group, MemoryDisk, Node, members_of
+
+IDS = ("a/1", "b/1", "c/1")
+
+
+@pytest.fixture
+def group():
+    return Group(*IDS)
+
+
+@pytest.fixture
+def state():
+    return bootstrap(Recovered("a/1"), members_of(*IDS))
+
+
+def others(identity):
+    return [i for i in IDS if i != identity]
+
+
+def ask(node, now, candidate, term, pre=False):
+    """Return the only answer to a vote request with a long log."""
+    request = VoteRequest(term, candidate, 99, 99, pre, replica="a/1")
+    node.replica.step(now, request)
+    (outgoing,) = node.run()
+    return outgoing.message
+
+
+def test_vote_is_durable_before_its_reply(state):
+    node = Node(MemoryDisk(state), 0.0)
+    node.replica.step(5.0, VoteRequest(7, "b/1", 9, 6, replica="a/1"))
+    ready = node.replica.ready()
+    assert ready.messages[0].message == VoteReply(7, "a/1", True)
+    assert ready.hard_state == HardState(7, "b/1")
+    node.disk.save(ready)
+    node.start(6.0)
+    assert not ask(node, 9.0, "c/1", 7).granted
+    assert ask(node, 9.0, "b/1", 7).granted
+
+
+def test_candidate_counts_own_vote_only_once_saved():
+    members = members_of("a/1")
+    replica = Replica(
+        SETTINGS, bootstrap(Recovered("a/1"), members), random.Random(0), 0.0
+    )
+    replica.tick(5.0)
+    ready = replica.ready()
+    assert ready.hard_state == HardState(2, "a/1")
+    assert not replica.is_leader
+    replica.advance(ready)
+    assert replica.is_leader
+
+
+def test_own_entry_counts_only_once_saved():
+    replica = Replica(
+        SETTINGS,
+        bootstrap(Recovered("a/1"), members_of("a/1")),
+        random.Random(0),
+        0.0,
+    )
+    replica.tick(5.0)
+    replica.advance(replica.ready())
+    ready = replica.ready()
+    assert (replica.last_index, replica.commit) == (2, 0)
+    replica.advance(ready)
+    assert replica.commit == 2
+
+
+def test_voter_refuses_after_restart_until_no_lease_can_rest_on_it(state):
+    node = Node(MemoryDisk(state), 10.0)
+    assert not ask(node, 10.9, "b/1", 7).granted
+    assert not ask(node, 10.9, "b/1", 7, pre=True).granted
+    assert node.replica.term == 1
+    assert ask(node, 11.1, "b/1", 7).granted
+
+
+def test_voter_refuses_shorter_log(state):
+    node = Node(MemoryDisk(state), 0.0)
+    node.replica.step(5.0, VoteRequest(7, "b/1", 9, 0, replica="a/1"))
+    (outgoing,) = node.run()
+    assert outgoing.message == VoteReply(7, "a/1", False)
+
+
+def test_lease_runs_from_sending_time(group):
+    leader = group.elect()
+    group.advance(0.5)
+    sent_at = group.now = group.now + 0.11
+    group[leader].tick(sent_at)
+    group.collect()
+    sent, group.pending = group.pending, []
+    group.now = sent_at + 0.4
+    for item in sent:
+        group.step(item)
+    group.collect()
+    for item in group.pending:
+        group.step(item)
+    assert group[leader].lease_age_s(group.now) == pytest.approx(0.4)
+    assert group[leader].has_lease(sent_at + 0.79)
+    assert not group[leader].has_lease(sent_at + 0.81)
+
+
+def test_resumed_leader_has_no_lease_before_any_timer_ran(group):
+    leader = group.elect()
+    group.advance(0.5)
+    assert group[leader].has_lease(group.now)
+    assert not group[leader].has_lease(group.now + 3)
+    with pytest.raises(NotLeaderError):
+        group[leader].propose(group.now + 3, b"x")
+    assert not group[leader].is_leader
+
+
+def test_leader_that_hears_no_majority_steps_down(group):
+    leader = group.elect()
+    group.cut.update(others(leader))
+    group.advance(1.0)
+    assert not group[leader].is_leader
+
+
+def test_no_lease_before_an_entry_of_the_own_term_is_committed(group):
+    leader = group.elect()
+    group.cut.add(leader)
+    for _ in range(100):
+        group.advance(0.05)
+        for identity in others(leader):
+            replica = group[identity]
+            if replica.has_lease(group.now):
+                assert replica.commit == replica.last_index
+                return
+    raise AssertionError("no leader")
+
+
+def test_returning_replica_does_not_unseat_the_leader(group):
+    leader = group.elect()
+    term = group[leader].term
+    group.cut.add(others(leader)[0])
+    group.advance(10)
+    group.cut.clear()
+    group.advance(5)
+    assert group.leaders == [leader]
+    assert group[leader].term == term
+
+
+def test_old_entries_commit_only_with_one_of_the_own_term():
+    old = (
+        *bootstrap(Recovered("a/1"), members_of(*IDS)).entries,
+        Entry(2, 2, EntryKind.COMMAND, b"old"),
+    )
+    node = Node(MemoryDisk(Recovered("a/1", HardState(3), None, old)), 0.0)
+    replica = node.replica
+    replica.tick(5.0)
+    node.run()
+    replica.step(5.0, VoteReply(4, "b/1", True, pre=True))
+    node.run()
+    replica.step(5.0, VoteReply(4, "b/1", True))
+    node.run()
+    assert replica.is_leader
+    replica.step(5.1, AppendReply(4, "b/1", True, 2, 1))
+    assert replica.commit == 0
+    replica.step(5.1, AppendReply(4, "b/1", True, 3, 1))
+    assert replica.commit == 3
+
+
+def test_transfer_hands_over_at_once(group):
+    leader = group.elect()
+    group.propose(leader, b"x")
+    assert group[leader].transfer(group.now)
+    assert not group[leader].has_lease(group.now)
+    group.deliver()
+    (new,) = [i for i in IDS if group[i].is_leader]
+    assert new != leader
+
+
+def test_wiped_disk_does_not_vote_as_before(group):
+    leader = group.elect()
+    first, second = others(leader)
+    group.cut.add(leader)
+    del group.nodes[first]
+    group.add("wiped/1")
+    request = VoteRequest(9, second, 99, 99, replica=first)
+    group["wiped/1"].step(group.now + 5, request)
+    assert group.nodes["wiped/1"].run() == []
+    group.advance(10)
+    assert not group[second].is_leader
+
+
+def test_proposals_are_bounded():
+    settings = ConsensusSettings(max_uncommitted_entries=3)
+    group = Group(*IDS, settings=settings)
+    leader = group.elect()
+    group.cut.update(others(leader))
+    for _ in range(3):
+        group[leader].propose(group.now, b"x")
+    with pytest.raises(OverloadedError):
+        group[leader].propose(group.now, b"x")
+
+
+def test_bootstrap_is_idempotent_and_only_for_empty_folders(state):
+    assert bootstrap(state, members_of(*IDS)) == state
+    assert first_ready(state).entries == state.entries
+    with pytest.raises(BootstrapError, match="already holds"):
+        bootstrap(state, members_of("a/1"))
+    with pytest.raises(BootstrapError, match="not a voter"):
+        bootstrap(Recovered("d/1"), members_of(*IDS))
+
+
+def test_settings_check_the_order_of_times():
+    with pytest.raises(ConfigurationError, match="lease_s < election_min_s"):
+        ConsensusSettings(lease_s=1.0)
--- /dev/null
+++ b/tests/test_consensus/test_members.py
@@ -0,0 +1,163 @@
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from berylnotch.consensus.errors import MembershipError
+from berylnotch.consensus.members import check_change, voters
+from berylnotch.consensus.messages import Members, Role
+from tests.test_consensus.group import Group, member, members_of
+
+IDS = ("a/1", "b/1", "c/1")
+
+
+@pytest.fixture
+def group():
+    return Group(*IDS)
+
+
+def others(identity):
+    return [i for i in IDS if i != identity]
+
+
+def with_learner(members, identity):
+    return Members((*members.members, member(identity, Role.LEARNER)))
+
+
+def promoted(members, identity):
+    return Members(
+        tuple(
+            attrs.evolve(m, role=Role.VOTER) if m.replica == identity else m
+            for m in members.members
+        )
+    )
+
+
+def without(members, identity):
+    return Members(tuple(m for m in members.members if m.replica != identity))
+
+
+def change(group, leader, new):
+    group[leader].propose_members(group.now, new)
+    group.deliver()
+    assert group[leader].members_index <= group[leader].commit
+
+
+@pytest.mark.parametrize(
+    ("new", "reason"),
+    [
+        (members_of("a/1"), "one member at a time"),
+        (members_of(*IDS), "one member at a time"),
+        (members_of(*IDS, "d/1"), "learner first"),
+        (members_of(*IDS, "a/1"), "twice"),
+    ],
+)
+def test_unsafe_changes_are_refused(new, reason):
+    with pytest.raises(MembershipError, match=reason):
+        check_change(members_of(*IDS), new)
+
+
+def test_a_group_keeps_a_voter():
+    with pytest.raises(MembershipError, match="needs a voter"):
+        check_change(members_of("a/1"), Members())
+
+
+def test_one_change_at_a_time(group):
+    leader = group.elect()
+    members = group[leader].members
+    group.add("d/1")
+    group[leader].propose_members(group.now, with_learner(members, "d/1"))
+    with pytest.raises(MembershipError, match="not yet committed"):
+        group[leader].propose_members(group.now, group[leader].members)
+
+
+def test_no_change_before_the_leader_committed_an_entry(group):
+    group.advance(0.9)
+    while not any(group[i].is_leader for i in IDS):
+        group.now += 0.05
+        for identity in IDS:
+            group[identity].tick(group.now)
+        while not any(group[i].is_leader for i in IDS):
+            group.collect()
+            if not group.pending:
+                break
+            group.step(group.pending.pop(0))
+    (leader,) = [i for i in IDS if group[i].is_leader]
+    new = without(group[leader].members, others(leader)[0])
+    with pytest.raises(MembershipError, match="not yet committed an entry"):
+        group[leader].propose_members(group.now, new)
+
+
+def test_repair_survives_a_second_failure(group):
+    leader = group.elect()
+    lost, last = others(leader)
+    group.propose(leader, *[b"%d" % i for i in range(40)])
+    group.cut.add(lost)
+    group.add("d/1")
+    members = group[leader].members
+    group[leader].propose_members(group.now, with_learner(members, "d/1"))
+    group.cut.add("d/1")
+    group.deliver()
+    with pytest.raises(MembershipError, match="not caught up"):
+        group[leader].propose_members(group.now, promoted(group[leader].members, "d/1"))
+    group.cut.remove("d/1")
+    group.advance(0.5)
+    assert group[leader].is_caught_up("d/1")
+    change(group, leader, promoted(group[leader].members, "d/1"))
+    change(group, leader, without(group[leader].members, lost))
+    group.cut.add(leader)
+    new = group.elect()
+    group.propose(new, b"after")
+    group.advance(0.5)
+    expected = [b"%d" % i for i in range(40)] + [b"after"]
+    assert group.nodes["d/1"].applied == expected
+    assert group.nodes[last].applied == expected
+
+
+def test_learner_does_not_count(group):
+    leader = group.elect()
+    group.add("d/1")
+    change(group, leader, with_learner(group[leader].members, "d/1"))
+    group.cut.update(others(leader))
+    group[leader].propose(group.now, b"x")
+    group.deliver()
+    assert group[leader].commit < group[leader].last_index
+    group.advance(1.0)
+    assert not group[leader].is_leader
+
+
+def test_removed_replica_does_not_disrupt(group):
+    leader = group.elect()
+    removed = others(leader)[0]
+    group.cut.add(removed)
+    change(group, leader, without(group[leader].members, removed))
+    term = group[leader].term
+    group.cut.clear()
+    group.advance(10)
+    assert group.leaders == [leader]
+    assert group[leader].term == term
+
+
+def test_leader_that_removed_itself_steps_down(group):
+    leader = group.elect()
+    group[leader].propose_members(group.now, without(group[leader].members, leader))
+    group.deliver()
+    assert not group[leader].is_leader
+    new = group.elect()
+    assert new != leader
+    assert leader not in voters(group[new].members)
+
+
+def test_leader_whose_own_removal_is_uncommitted_may_lead_again():
+    ids = (*IDS, "d/1")
+    group = Group(*ids)
+    leader = group.elect()
+    lost = next(i for i in ids if i != leader)
+    group.cut.update(ids)
+    group.cut.remove(leader)
+    group[leader].propose_members(group.now, without(group[leader].members, leader))
+    group.advance(2.0)
+    group.cut = {lost}
+    new = group.elect()
+    assert new != leader
+    assert leader not in voters(group[new].members)
--- /dev/null
+++ b/tests/test_consensus/test_snapshots.py
@@ -0,0 +1,93 @@
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from berylnotch.consensus.messages import SnapshotRequest
+from tests.test_consensus.group import Group
+
+IDS = ("a/1", "b/1", "c/1")
+
+
+@pytest.fixture
+def lagging():
+    """Return a group, its leader, and a follower that needs a snapshot."""
+    group = Group(*IDS)
+    leader = group.elect()
+    follower = next(i for i in IDS if i != leader)
+    group.cut.add(follower)
+    group.propose(leader, *[b"%d" % i for i in range(60)])
+    group.advance(0.2)
+    group.nodes[leader].compact()
+    return group, leader, follower
+
+
+def test_follower_catches_up_from_parts(lagging):
+    group, leader, follower = lagging
+    group.cut.clear()
+    group.advance(2)
+    assert group.nodes[follower].applied == group.nodes[leader].applied
+    group.nodes[follower].start(group.now)
+    group.advance(2)
+    assert group.nodes[follower].applied == group.nodes[leader].applied
+
+
+def test_parts_go_on_where_they_stopped(lagging):
+    group, leader, follower = lagging
+    group.cut.clear()
+    offsets = []
+    step = group.step
+
+    def lose_the_third(item):
+        message = item[1].message
+        if isinstance(message, SnapshotRequest):
+            offsets.append(message.offset)
+            if len(offsets) == 3:
+                return
+        step(item)
+
+    group.step = lose_the_third
+    group.advance(3)
+    assert group.nodes[follower].applied == group.nodes[leader].applied
+    assert offsets == [0, 64, 128, *range(128, offsets[-1] + 1, 64)]
+
+
+def test_a_lost_replica_does_not_hold_an_old_snapshot(lagging):
+    group, leader, follower = lagging
+    group.advance(0.2)
+    old = group[leader].progress[follower].snapshot
+    group.propose(leader, b"x")
+    group.nodes[leader].compact()
+    group.advance(10)
+    newest = group[leader].progress[follower].snapshot
+    assert old.last_index < newest.last_index
+
+
+def test_kept_entries_spare_a_snapshot(lagging):
+    group, leader, follower = lagging
+    group.cut.clear()
+    group.advance(2)
+    group.cut.add(follower)
+    group.propose(leader, b"x", b"y")
+    group.nodes[leader].compact()
+    group.cut.clear()
+    step = group.step
+    sent = []
+    group.step = lambda item: (sent.append(item[1].message), step(item))
+    group.advance(1)
+    assert group.nodes[follower].applied[-2:] == [b"x", b"y"]
+    assert not [m for m in sent if isinstance(m, SnapshotRequest)]
+
+
+def test_leader_sees_a_replica_that_lost_what_it_acknowledged():
+    group = Group(*IDS)
+    leader = group.elect()
+    follower = next(i for i in IDS if i != leader)
+    older = group.nodes[follower].disk.recovered
+    group.propose(leader, *[b"%d" % i for i in range(20)])
+    group.advance(0.5)
+    assert not group[leader].progress[follower].has_lost_entries
+    group.nodes[follower].disk.recovered = attrs.evolve(older)
+    group.nodes[follower].start(group.now)
+    group.advance(0.5)
+    assert group[leader].progress[follower].has_lost_entries
