--- a/tests/test_consensus/faults.py
+++ b/tests/test_consensus/faults.py
@@ -66,6 +66,7 @@
         self.now = 0.0
         self.size = size
         self.cut = set()
+        self.links = set()
         self.loss = 0.0
         self.in_flight = []
         self.committed = {}
@@ -143,6 +144,8 @@
         target = outgoing.address.split("/")[0]
         if target not in self.vms or vm.name in self.cut or target in self.cut:
             return
+        if frozenset((vm.name, target)) in self.links:
+            return
         copies = 0 if rng.random() < self.loss else 1 + (rng.random() < self.loss)
         for _ in range(copies):
             late = rng.random() < self.loss / 2
@@ -247,7 +250,7 @@
             assert vm.replica.commit >= newest, "the leader lacks an acked entry"
 
     def end_faults(self):
-        self.cut, self.loss = set(), 0.0
+        self.cut, self.links, self.loss = set(), set(), 0.0
         for vm in self.vms.values():
             vm.is_paused, vm.torn_save = False, None
             if not vm.is_up:
--- a/tests/test_consensus/test_properties.py
+++ b/tests/test_consensus/test_properties.py
@@ -54,6 +54,24 @@
         leaders = [vm for vm in self.group.vms.values() if vm.replica.is_leader]
         self.group.cut ^= {vm.name for vm in leaders}
 
+    @rule(first=vms, second=vms, seed=st.integers(0, 1000))
+    def cut_link(self, first, second, seed):
+        self.group.links ^= {frozenset((self.vm(first).name, self.vm(second).name))}
+        self.group.run(2.0, seed)
+
+    @rule(seconds=st.sampled_from([0.5, 1.0, 3.0]), seed=st.integers(0, 1000))
+    def pause_leader(self, seconds, seed):
+        for vm in self.group.vms.values():
+            vm.is_paused = vm.is_paused or vm.replica.is_leader
+        self.group.run(seconds, seed)
+
+    @rule(seed=st.integers(0, 1000))
+    def restart_followers(self, seed):
+        for vm in self.group.vms.values():
+            if vm.runs and not vm.replica.is_leader:
+                vm.restart(self.group.now)
+        self.group.run(0.5, seed)
+
     @rule(number=vms)
     def pause_or_resume(self, number):
         vm = self.vm(number)
--- a/tests/test_consensus/test_snapshots.py
+++ b/tests/test_consensus/test_snapshots.py
@@ -52,6 +52,24 @@
     assert offsets == [0, 64, 128, *range(128, offsets[-1] + 1, 64)]
 
 
+def test_repeated_and_reordered_parts_do_no_harm(lagging):
+    group, leader, follower = lagging
+    group.cut.clear()
+    offsets = []
+    step = group.step
+
+    def deliver_twice(item):
+        step(item)
+        if isinstance(item[1].message, SnapshotRequest):
+            offsets.append(item[1].message.offset)
+            step(item)
+
+    group.step = deliver_twice
+    group.advance(3)
+    assert group.nodes[follower].applied == group.nodes[leader].applied
+    assert offsets == sorted(offsets)
+
+
 def test_a_lost_replica_does_not_hold_an_old_snapshot(lagging):
     group, leader, follower = lagging
     group.advance(0.2)
