--- /dev/null
+++ b/benchmarks/consensus.py
@@ -0,0 +1,212 @@
+"""Measure the replicated log with real files: rate, restart, catching up."""
+
+from __future__ import annotations
+
+import argparse
+import random
+import shutil
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import attrs
+
+from berylnotch.consensus.bootstrap import bootstrap, first_ready
+from berylnotch.consensus.messages import Member, Members, Role
+from berylnotch.consensus.replica import Replica
+from berylnotch.consensus.settings import ConsensusSettings
+from berylnotch.consensus.storage import LogStorage
+from berylnotch.transport.codec import decode, encode
+
+PAYLOAD_BYTES = 200
+NAMES = ("a", "b", "c")
+
+
+@attrs.define
+class Node:
+    """A replica with its files."""
+
+    storage: LogStorage
+    replica: Replica
+    saves: int = 0
+
+
+class Cluster:
+    """Replicas in one process; every message is encoded and decoded.
+
+    All of them sync their files one after the other, so the rate is lower than
+    that of separate VMs.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.settings = ConsensusSettings()
+        self.nodes: dict[str, Node] = {}
+        stored = {name: LogStorage(folder / name, name) for name in NAMES}
+        recovered = {name: storage.start() for name, storage in stored.items()}
+        members = Members(
+            tuple(Member(n, recovered[n].identity, f"{n}:1") for n in NAMES)
+        )
+        for name, storage in stored.items():
+            state = bootstrap(recovered[name], members)
+            storage.save(first_ready(state))
+            self.add(storage, state)
+
+    def add(self, storage: LogStorage, state) -> None:
+        """Run a replica."""
+        now = time.monotonic()
+        rng = random.Random(state.identity)
+        replica = Replica(self.settings, state, rng, now)
+        self.nodes[state.identity] = Node(storage, replica)
+
+    def round(self) -> None:
+        """Let each replica tick, save, send and apply once."""
+        for node in list(self.nodes.values()):
+            node.replica.tick(time.monotonic())
+            ready = node.replica.ready()
+            if ready.must_save:
+                node.storage.save(ready)
+                node.saves += 1
+            for outgoing in ready.messages:
+                target = self.nodes.get(outgoing.replica)
+                if target is not None:
+                    message = decode(encode(outgoing.message))
+                    target.replica.step(time.monotonic(), message)
+            node.replica.advance(ready)
+
+    def elect(self) -> Node:
+        """Run until a leader holds its lease."""
+        while True:
+            self.round()
+            for node in self.nodes.values():
+                if node.replica.has_lease(time.monotonic()):
+                    return node
+
+    def close(self) -> None:
+        """Close all files."""
+        for node in self.nodes.values():
+            node.storage.close()
+
+
+@attrs.frozen
+class Rate:
+    """Committed proposals, and how long each waited."""
+
+    per_s: float
+    p50_ms: float
+    p99_ms: float
+    saves_per_proposal: float
+
+
+def propose(cluster: Cluster, leader: Node, count: int, clients: int) -> Rate:
+    """Commit ``count`` proposals, ``clients`` of them at a time."""
+    waiting: dict[int, float] = {}
+    waits = []
+    proposed = 0
+    saves = leader.saves
+    start = time.monotonic()
+    while len(waits) < count:
+        while len(waiting) < clients and proposed < count:
+            now = time.monotonic()
+            waiting[leader.replica.propose(now, bytes(PAYLOAD_BYTES))] = now
+            proposed += 1
+        cluster.round()
+        now = time.monotonic()
+        for index in [i for i in waiting if i <= leader.replica.applied]:
+            waits.append(now - waiting.pop(index))
+    waits.sort()
+    return Rate(
+        count / (time.monotonic() - start),
+        waits[len(waits) // 2] * 1000,
+        waits[len(waits) * 99 // 100] * 1000,
+        (leader.saves - saves) / count,
+    )
+
+
+def show(label: str, rate: Rate) -> None:
+    """Print one line of the result."""
+    print(
+        f"{label:42} {rate.per_s:8.0f}/s  p50 {rate.p50_ms:6.1f} ms  "
+        f"p99 {rate.p99_ms:6.1f} ms  {rate.saves_per_proposal:.3f} fsync/proposal"
+    )
+
+
+def measure_rates(folder: Path) -> None:
+    """Measure proposals a second for several numbers of clients."""
+    cluster = Cluster(folder)
+    leader = cluster.elect()
+    for clients, count in ((1, 300), (16, 3000), (64, 6000)):
+        show(f"{clients} clients", propose(cluster, leader, count, clients))
+    cluster.close()
+
+
+def measure_restart(folder: Path) -> None:
+    """Measure how long a folder of 10,000 entries takes to read."""
+    cluster = Cluster(folder)
+    leader = cluster.elect()
+    propose(cluster, leader, 10_000, 64)
+    cluster.close()
+    start = time.monotonic()
+    storage = LogStorage(leader.storage.folder, "a")
+    recovered = storage.start()
+    Replica(cluster.settings, recovered, random.Random(0), time.monotonic())
+    spent = time.monotonic() - start
+    storage.close()
+    print(f"restart from {len(recovered.entries):,} entries{'':17} {spent:8.3f} s")
+
+
+def measure_catching_up(folder: Path, snapshot_bytes: int) -> None:
+    """Measure the rate while a learner takes a snapshot, and without it."""
+    cluster = Cluster(folder)
+    leader = cluster.elect()
+    propose(cluster, leader, 5000, 64)
+    snapshot = leader.replica.build_snapshot(bytes(snapshot_bytes))
+    leader.storage.save_snapshot(snapshot)
+    leader.replica.compact(snapshot)
+    show("no learner", propose(cluster, leader, 3000, 64))
+    storage = LogStorage(folder / "d", "d")
+    state = storage.start()
+    cluster.add(storage, state)
+    learner = Member("d", state.identity, "d:1", "", Role.LEARNER)
+    members = Members((*leader.replica.members.members, learner))
+    leader.replica.propose_members(time.monotonic(), members)
+    start = time.monotonic()
+    committed = 0
+    rates = []
+    while committed == 0 or not leader.replica.is_caught_up(state.identity):
+        rates.append(propose(cluster, leader, 200, 64))
+        committed += 200
+    spent = time.monotonic() - start
+    worst = max(rate.p99_ms for rate in rates)
+    print(
+        f"learner takes {snapshot_bytes >> 20} MiB{'':21} {committed / spent:8.0f}/s  "
+        f"for {spent:.2f} s, worst p99 {worst:.1f} ms"
+    )
+    show("learner has caught up", propose(cluster, leader, 3000, 64))
+    cluster.close()
+
+
+def get_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--folder", help="where the data folders go")
+    parser.add_argument("--snapshot-mib", type=int, default=16)
+    return parser
+
+
+def main(argv: list[str]) -> int:
+    """Run all measurements."""
+    args = get_parser().parse_args(argv)
+    folder = Path(tempfile.mkdtemp(dir=args.folder))
+    try:
+        measure_rates(folder / "rates")
+        measure_restart(folder / "restart")
+        measure_catching_up(folder / "learner", args.snapshot_mib << 20)
+    finally:
+        shutil.rmtree(folder)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
