Add authenticated connections between processes and the event loop

Session is free of sockets: challenge, proof by a key derived from the cluster secret for each identity, then frames with a length bound and a tag over direction and number. TLS with a pre-shared key was weighed; Python 3.11's ssl has no such mode, and certificates would be one more thing to renew on VMs that are touched a few times a year.

--- /dev/null
+++ b/berylnotch/transport/identity.py
@@ -0,0 +1,47 @@
+"""Identities of processes and operators, and the keys that prove them."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+#: Prefix of the identity of one of the system's own processes.
+VM_PREFIX = "vm/"
+
+#: Prefix of an operator's identity.
+OPERATOR_PREFIX = "operator/"
+
+#: Fewest bytes of a cluster secret.
+MIN_SECRET_BYTES = 16
+
+
+def identity_key(secret: bytes, identity: str) -> bytes:
+    """Derive the key of one identity from the cluster secret.
+
+    An operator holds only the derived key, so it cannot pose as a VM.
+
+    Parameters
+    ----------
+    secret : bytes
+        Cluster secret, which every process of the system reads from a file.
+    identity : str
+        ``vm/NAME`` or ``operator/NAME``.
+
+    Returns
+    -------
+    bytes
+        32 bytes.
+    """
+    return hmac.digest(secret, b"identity:" + identity.encode(), hashlib.sha256)
+
+
+def operator_name(identity: str) -> str:
+    """Return the operator's name, or an empty string for another identity."""
+    if identity.startswith(OPERATOR_PREFIX):
+        return identity.removeprefix(OPERATOR_PREFIX)
+    return ""
+
+
+def is_vm(identity: str) -> bool:
+    """Return whether the identity is one of the system's own processes."""
+    return identity.startswith(VM_PREFIX)
--- /dev/null
+++ b/berylnotch/transport/session.py
@@ -0,0 +1,202 @@
+"""State of one connection: handshake, framing and authentication of frames.
+
+No socket is used here: bytes go in by `Session.feed`, and bytes to send come
+out of `Session.take_output`.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import secrets
+import struct
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+
+from berylnotch.errors import CodecError
+from berylnotch.transport.codec import MAX_MESSAGE_BYTES, decode, encode
+from berylnotch.transport.errors import FrameError, HandshakeError
+from berylnotch.transport.messages import Challenge, Envelope, Hello, Welcome
+
+#: Returns the key of an identity; an unknown one gets a key all the same.
+KeyLookup = Callable[[str], bytes]
+
+_HEADER = struct.Struct(">I")
+_TAG_BYTES = 16
+_NONCE_BYTES = 16
+#: Longest frame, in bytes, before the other side has proved its identity.
+_MAX_HANDSHAKE_BYTES = 1024
+
+
+class _Phase(Enum):
+    """Progress of the handshake."""
+
+    WAIT_CHALLENGE = "wait-challenge"
+    WAIT_HELLO = "wait-hello"
+    WAIT_WELCOME = "wait-welcome"
+    OPEN = "open"
+
+
+class Session:
+    """One side of an authenticated connection.
+
+    Parameters
+    ----------
+    identity : str
+        Identity of the connecting side; empty on the accepting side until the
+        other side has proved its own.
+    key_of : callable
+        Key of an identity.
+    accepting : bool
+        Whether this side accepted the connection.
+    """
+
+    def __init__(self, identity: str, key_of: KeyLookup, accepting: bool) -> None:
+        self._identity = "" if accepting else identity
+        self._key_of = key_of
+        self._accepting = accepting
+        self._nonce = secrets.token_bytes(_NONCE_BYTES)
+        self._phase = _Phase.WAIT_HELLO if accepting else _Phase.WAIT_CHALLENGE
+        self._input = bytearray()
+        self._output = bytearray()
+        self._session_key = b""
+        self._welcome = b""
+        self._sent = 0
+        self._received = 0
+        if accepting:
+            self._write_plain(Challenge(self._nonce))
+
+    @property
+    def identity(self) -> str:
+        """Proved identity of the connecting side."""
+        return self._identity
+
+    @property
+    def is_open(self) -> bool:
+        """Whether both sides have proved who they are."""
+        return self._phase is _Phase.OPEN
+
+    def take_output(self) -> bytes:
+        """Return the bytes to send since the last call."""
+        output = bytes(self._output)
+        self._output.clear()
+        return output
+
+    def send(self, call: int, reply: bool, message: object) -> None:
+        """Queue a message as one frame.
+
+        Raises
+        ------
+        FrameError
+            If the connection is not open or the message is too long.
+        """
+        if not self.is_open:
+            raise FrameError("the connection is not open yet")
+        data = encode(Envelope(call, reply, encode(message)))
+        if len(data) > MAX_MESSAGE_BYTES:
+            raise FrameError(
+                f"message of {len(data)} bytes, at most {MAX_MESSAGE_BYTES}"
+            )
+        tag = self._tag(self._accepting, self._sent, data)
+        self._sent += 1
+        self._output += _HEADER.pack(len(data) + _TAG_BYTES) + tag + data
+
+    def feed(self, data: bytes) -> list[tuple[Envelope, Any]]:
+        """Take received bytes and return the messages completed by them.
+
+        Raises
+        ------
+        HandshakeError
+            If the other side cannot prove its identity.
+        FrameError
+            If a frame is too long or was altered.
+        """
+        self._input += data
+        messages = []
+        while (frame := self._next_frame()) is not None:
+            if self.is_open:
+                messages.append(self._open_frame(frame))
+            else:
+                self._handshake(frame)
+        return messages
+
+    def _next_frame(self) -> bytes | None:
+        if len(self._input) < _HEADER.size:
+            return None
+        (length,) = _HEADER.unpack_from(self._input)
+        limit = MAX_MESSAGE_BYTES + _TAG_BYTES if self.is_open else _MAX_HANDSHAKE_BYTES
+        if length > limit:
+            raise FrameError(f"frame of {length} bytes, at most {limit}")
+        end = _HEADER.size + length
+        if len(self._input) < end:
+            return None
+        frame = bytes(self._input[_HEADER.size : end])
+        del self._input[:end]
+        return frame
+
+    def _open_frame(self, frame: bytes) -> tuple[Envelope, Any]:
+        tag, data = frame[:_TAG_BYTES], frame[_TAG_BYTES:]
+        expected = self._tag(not self._accepting, self._received, data)
+        if not hmac.compare_digest(tag, expected):
+            raise FrameError("authentication tag of a frame is wrong")
+        self._received += 1
+        try:
+            envelope = decode(data)
+            if not isinstance(envelope, Envelope):
+                raise FrameError("frame without an envelope")
+            return envelope, decode(envelope.body)
+        except CodecError as error:
+            raise FrameError(str(error)) from error
+
+    def _tag(self, from_acceptor: bool, number: int, data: bytes) -> bytes:
+        # Direction and number are covered, so a frame can be neither reflected
+        # nor replayed.
+        prefix = struct.pack(">?Q", from_acceptor, number)
+        digest = hmac.digest(self._session_key, prefix + data, hashlib.sha256)
+        return digest[:_TAG_BYTES]
+
+    def _write_plain(self, message: object) -> None:
+        data = encode(message)
+        self._output += _HEADER.pack(len(data)) + data
+
+    def _handshake(self, frame: bytes) -> None:
+        try:
+            message = decode(frame)
+        except CodecError as error:
+            raise HandshakeError("bytes that are no handshake") from error
+        if self._phase is _Phase.WAIT_CHALLENGE and isinstance(message, Challenge):
+            self._answer_challenge(message)
+        elif self._phase is _Phase.WAIT_HELLO and isinstance(message, Hello):
+            self._answer_hello(message)
+        elif self._phase is _Phase.WAIT_WELCOME and isinstance(message, Welcome):
+            self._check_welcome(message)
+        else:
+            raise HandshakeError(f"unexpected {type(message).__name__}")
+
+    def _answer_challenge(self, message: Challenge) -> None:
+        key = self._key_of(self._identity)
+        proof = self._prove(key, b"hello", message.nonce, self._nonce)
+        self._write_plain(Hello(self._identity, self._nonce, proof))
+        self._welcome = self._prove(key, b"welcome", message.nonce, self._nonce)
+        self._session_key = self._prove(key, b"session", message.nonce, self._nonce)
+        self._phase = _Phase.WAIT_WELCOME
+
+    def _answer_hello(self, message: Hello) -> None:
+        key = self._key_of(message.identity)
+        proof = self._prove(key, b"hello", self._nonce, message.nonce)
+        if not hmac.compare_digest(proof, message.proof):
+            raise HandshakeError(f"wrong proof for {message.identity[:80]!r}")
+        self._identity = message.identity
+        welcome = self._prove(key, b"welcome", self._nonce, message.nonce)
+        self._write_plain(Welcome(welcome))
+        self._session_key = self._prove(key, b"session", self._nonce, message.nonce)
+        self._phase = _Phase.OPEN
+
+    def _check_welcome(self, message: Welcome) -> None:
+        if not hmac.compare_digest(self._welcome, message.proof):
+            raise HandshakeError("the accepting side has another secret")
+        self._phase = _Phase.OPEN
+
+    def _prove(self, key: bytes, label: bytes, acceptor: bytes, connector: bytes):
+        return hmac.digest(key, label + acceptor + connector, hashlib.sha256)
--- /dev/null
+++ b/tests/test_transport/test_peers.py
@@ -0,0 +1,78 @@
+from __future__ import annotations
+
+import socket
+
+import pytest
+
+from berylnotch.control.protocol import ShowReply, ShowRequest
+from berylnotch.errors import TransportError
+from berylnotch.transport.client import Client
+from berylnotch.transport.identity import identity_key
+from berylnotch.transport.peers import Listener, Peers
+from berylnotch.util.address import Address
+from berylnotch.util.loop import Loop
+
+SECRET = b"a secret of enough bytes"
+
+
+def key_of(identity):
+    return identity_key(SECRET, identity)
+
+
+@pytest.fixture
+def loop():
+    loop = Loop("test")
+    loop.start()
+    yield loop
+    loop.close()
+
+
+@pytest.fixture
+def listener(loop):
+    def answer(identity, _message, reply):
+        reply(ShowReply(1, identity))
+
+    listener = Listener(loop, Address("127.0.0.1", 0), key_of, answer)
+    listener.start()
+    yield listener
+    listener.close()
+
+
+def test_call_and_answer(loop, listener):
+    peers = Peers(loop, "vm/r1", key_of)
+    futures = [
+        peers.call(str(listener.address), ShowRequest(), 10.0) for _ in range(20)
+    ]
+    assert {future.result(10).text for future in futures} == {"vm/r1"}
+    peers.close()
+
+
+def test_nobody_listens(loop):
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+        peers = Peers(loop, "vm/r1", key_of)
+        with pytest.raises(TransportError):
+            peers.call(address, ShowRequest(), 10.0).result(10)
+
+
+def test_stranger_changes_nothing(loop, listener):
+    with socket.create_connection(listener.address.pair, 10) as sock:
+        sock.sendall(b"GET / HTTP/1.1\r\n\r\n" * 100)
+        while True:
+            try:
+                if not sock.recv(4096):
+                    break
+            except ConnectionResetError:
+                break
+    peers = Peers(loop, "vm/r1", key_of)
+    assert peers.call(str(listener.address), ShowRequest(), 10.0).result(10)
+    peers.close()
+
+
+def test_client_goes_past_a_dead_controller(listener):
+    addresses = ("127.0.0.1:1", str(listener.address))
+    client = Client(addresses, "operator/asha", key_of("operator/asha"))
+    client.start()
+    assert client.call(ShowRequest()).text == "operator/asha"
+    client.close()
