--- /dev/null
+++ b/berylnotch/server/handover.py
@@ -0,0 +1,105 @@
+"""HTTP server whose connections a request handler can take over."""
+
+from __future__ import annotations
+
+import os
+import socket
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from cheroot import wsgi
+from cheroot.server import HTTPConnection
+
+from berylnotch.util.address import Address
+
+#: Key of the WSGI environment that holds the take-over function.
+DETACH_KEY = "berylnotch.detach"
+
+#: Takes the connection's socket from the server.
+Detach = Callable[[], socket.socket]
+
+WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+#: Threads that read and check requests; streaming uses none of them.
+_WORKERS = 16
+#: Seconds in which a caller has to send the next bytes of a request.
+_READ_TIMEOUT_S = 10
+_BACKLOG = 1024
+_MAX_HEADER_BYTES = 64 * 1024
+
+
+class _Connection(HTTPConnection):
+    """Connection that leaves its socket open once it was taken over."""
+
+    detached = False
+
+    def _close_kernel_socket(self) -> None:
+        if not self.detached:
+            super()._close_kernel_socket()
+
+
+class _Gateway(wsgi.Gateway_10):
+    """WSGI gateway that offers the take-over function."""
+
+    def get_environ(self) -> dict[str, Any]:
+        environ = super().get_environ()
+        environ[DETACH_KEY] = self._detach
+        return environ
+
+    def _detach(self) -> socket.socket:
+        # The server closes its own descriptor without a shutdown, so that the
+        # duplicate keeps the connection.
+        request = self.req
+        request.sent_headers = True
+        request.chunked_write = False
+        request.close_connection = True
+        request.conn.detached = True
+        sock = socket.socket(fileno=os.dup(request.conn.socket.fileno()))
+        sock.setblocking(False)
+        return sock
+
+
+class HttpServer:
+    """HTTP/1.1 server for a WSGI application.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen; port 0 picks a free one.
+    app : callable
+        WSGI application.
+    max_body_bytes : int
+        Longest request body.
+    """
+
+    def __init__(self, address: Address, app: WsgiApp, max_body_bytes: int) -> None:
+        self._server = wsgi.Server(
+            address.pair,
+            app,
+            numthreads=_WORKERS,
+            request_queue_size=_BACKLOG,
+            timeout=_READ_TIMEOUT_S,
+            server_name="berylnotch",
+        )
+        self._server.gateway = _Gateway
+        self._server.ConnectionClass = _Connection
+        self._server.max_request_body_size = max_body_bytes
+        self._server.max_request_header_size = _MAX_HEADER_BYTES
+
+    @property
+    def address(self) -> Address:
+        """Address in use, with the port that was picked."""
+        host, port = self._server.bind_addr
+        return Address(host, port)
+
+    def prepare(self) -> None:
+        """Bind the address."""
+        self._server.prepare()
+
+    def serve(self) -> None:
+        """Serve until `close`."""
+        self._server.serve()
+
+    def close(self) -> None:
+        """Stop accepting, and finish the requests that are being read."""
+        self._server.stop()
--- /dev/null
+++ b/berylnotch/server/upstream.py
@@ -0,0 +1,305 @@
+"""Transfers from targets, by pycurl in the event loop."""
+
+from __future__ import annotations
+
+import selectors
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import pycurl
+from attrs import frozen
+
+from berylnotch.util.loop import Loop, Timer
+
+if TYPE_CHECKING:
+    from berylnotch.gateways.request import UpstreamRequest
+
+#: Bytes of an answer that may wait in this process before curl is paused.
+_MAX_PENDING_BYTES = 64 * 1024
+_MAX_HEAD_BYTES = 64 * 1024
+_CONNECT_TIMEOUT_MS = 1000
+_MAX_IDLE_CONNECTIONS = 512
+
+
+@frozen
+class AnswerHead:
+    """Status and headers of a target's answer; names in lower case."""
+
+    status: int
+    headers: dict[str, str]
+
+
+@frozen
+class TransferEnd:
+    """How a transfer ended.
+
+    Parameters
+    ----------
+    error : str
+        Empty if the answer is complete as far as HTTP can tell.
+    sent : bool
+        Whether any byte of the request may have reached the target.
+    """
+
+    error: str
+    sent: bool
+
+
+class Transfer:
+    """One request to a target and its answer.
+
+    Parameters
+    ----------
+    on_head, on_body, on_end : callable
+        Called in the loop's thread, outside curl's callbacks, in that order.
+    """
+
+    def __init__(
+        self,
+        on_head: Callable[[AnswerHead], None],
+        on_body: Callable[[bytes], None],
+        on_end: Callable[[TransferEnd], None],
+    ) -> None:
+        self.curl = pycurl.Curl()
+        self._on_head = on_head
+        self._on_body = on_body
+        self._on_end = on_end
+        self._head_lines: list[bytes] = []
+        self._head_bytes = 0
+        self._head_done = False
+        self._pending: list[bytes] = []
+        self._pending_bytes = 0
+        self._end: TransferEnd | None = None
+        self._paused = False
+        self._curl_paused = False
+        self._scheduled = False
+        self.cancelled = False
+
+
+class Upstreams:
+    """All transfers of a process.
+
+    Parameters
+    ----------
+    loop : Loop
+        Loop that serves the sockets.
+    """
+
+    def __init__(self, loop: Loop) -> None:
+        self._loop = loop
+        self._multi = pycurl.CurlMulti()
+        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._on_socket)
+        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._on_timer)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, _MAX_IDLE_CONNECTIONS)
+        self._timer: Timer | None = None
+        self._transfers: dict[pycurl.Curl, Transfer] = {}
+        self._callbacks: dict[int, Callable[[int], None]] = {}
+
+    @property
+    def active(self) -> int:
+        """Transfers that have not ended."""
+        return len(self._transfers)
+
+    def close(self) -> None:
+        """Cancel all transfers."""
+        for transfer in tuple(self._transfers.values()):
+            self.cancel(transfer)
+        self._multi.close()
+
+    def start(
+        self,
+        request: UpstreamRequest,
+        on_head: Callable[[AnswerHead], None],
+        on_body: Callable[[bytes], None],
+        on_end: Callable[[TransferEnd], None],
+    ) -> Transfer:
+        """Send a request; the callbacks tell of its answer."""
+        transfer = Transfer(on_head, on_body, on_end)
+        _configure(transfer.curl, request)
+        transfer.curl.setopt(
+            pycurl.HEADERFUNCTION, lambda line: self._on_header(transfer, line)
+        )
+        transfer.curl.setopt(
+            pycurl.WRITEFUNCTION, lambda data: self._on_write(transfer, data)
+        )
+        self._transfers[transfer.curl] = transfer
+        self._multi.add_handle(transfer.curl)
+        return transfer
+
+    def pause(self, transfer: Transfer) -> None:
+        """Deliver no more of the answer until `resume`."""
+        transfer._paused = True
+
+    def resume(self, transfer: Transfer) -> None:
+        """Go on after `pause`."""
+        transfer._paused = False
+        self._schedule(transfer)
+
+    def cancel(self, transfer: Transfer) -> None:
+        """End a transfer; its connection is closed and no callback follows."""
+        if transfer.cancelled:
+            return
+        transfer.cancelled = True
+        self._release(transfer)
+
+    def _release(self, transfer: Transfer) -> None:
+        if self._transfers.pop(transfer.curl, None) is not None:
+            self._multi.remove_handle(transfer.curl)
+            transfer.curl.close()
+
+    def _on_header(self, transfer: Transfer, line: bytes) -> int:
+        transfer._head_bytes += len(line)
+        if transfer._head_bytes > _MAX_HEAD_BYTES:
+            return 0
+        if line.startswith(b"HTTP/"):
+            transfer._head_lines = []
+        transfer._head_lines.append(line)
+        return len(line)
+
+    def _on_write(self, transfer: Transfer, data: bytes) -> int:
+        if transfer._pending_bytes > _MAX_PENDING_BYTES:
+            transfer._curl_paused = True
+            return pycurl.WRITEFUNC_PAUSE
+        transfer._pending.append(data)
+        transfer._pending_bytes += len(data)
+        self._schedule(transfer)
+        return len(data)
+
+    def _schedule(self, transfer: Transfer) -> None:
+        # curl forbids most calls from its callbacks, so delivery comes after.
+        if not transfer._scheduled:
+            transfer._scheduled = True
+            self._loop.call_soon(lambda: self._deliver(transfer))
+
+    def _deliver(self, transfer: Transfer) -> None:
+        transfer._scheduled = False
+        if transfer.cancelled or transfer._paused:
+            return
+        if not transfer._head_done and (transfer._pending or _is_complete(transfer)):
+            transfer._head_done = True
+            transfer._on_head(_parse_head(transfer._head_lines))
+        if transfer._pending and not transfer.cancelled and not transfer._paused:
+            data = b"".join(transfer._pending)
+            transfer._pending.clear()
+            transfer._pending_bytes = 0
+            transfer._on_body(data)
+        self._unpause_curl(transfer)
+        self._deliver_end(transfer)
+
+    def _unpause_curl(self, transfer: Transfer) -> None:
+        if transfer.cancelled or transfer._pending or not transfer._curl_paused:
+            return
+        transfer._curl_paused = False
+        if transfer.curl in self._transfers:
+            transfer.curl.pause(pycurl.PAUSE_CONT)
+            self._act(pycurl.SOCKET_TIMEOUT, 0)
+
+    def _deliver_end(self, transfer: Transfer) -> None:
+        if transfer.cancelled or transfer._pending or transfer._end is None:
+            return
+        if transfer._paused:
+            return
+        transfer.cancelled = True
+        transfer._on_end(transfer._end)
+
+    def _on_socket(self, event: int, fd: int, _multi: object, _data: object) -> None:
+        if event == pycurl.POLL_REMOVE:
+            callback = self._callbacks.pop(fd, None)
+            if callback is not None:
+                self._loop.watch(fd, 0, callback)
+            return
+        events = 0
+        if event in (pycurl.POLL_IN, pycurl.POLL_INOUT):
+            events |= selectors.EVENT_READ
+        if event in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
+            events |= selectors.EVENT_WRITE
+        callback = self._callbacks.get(fd)
+        if callback is None:
+            callback = self._make_callback(fd)
+            self._callbacks[fd] = callback
+        self._loop.watch(fd, events, callback)
+
+    def _make_callback(self, fd: int) -> Callable[[int], None]:
+        def on_ready(events: int) -> None:
+            mask = 0
+            if events & selectors.EVENT_READ:
+                mask |= pycurl.CSELECT_IN
+            if events & selectors.EVENT_WRITE:
+                mask |= pycurl.CSELECT_OUT
+            self._act(fd, mask)
+
+        return on_ready
+
+    def _on_timer(self, timeout_ms: int) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if timeout_ms >= 0:
+            self._timer = self._loop.call_later(
+                timeout_ms / 1000, lambda: self._act(pycurl.SOCKET_TIMEOUT, 0)
+            )
+
+    def _act(self, fd: int, mask: int) -> None:
+        self._multi.socket_action(fd, mask)
+        while True:
+            queued, done, failed = self._multi.info_read()
+            for curl in done:
+                self._complete(curl, "")
+            for curl, code, message in failed:
+                self._complete(curl, message or f"curl error {code}")
+            if not queued:
+                return
+
+    def _complete(self, curl: pycurl.Curl, error: str) -> None:
+        transfer = self._transfers.get(curl)
+        if transfer is None:
+            return
+        sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
+        transfer._end = TransferEnd(error, sent)
+        self._release(transfer)
+        self._schedule(transfer)
+
+
+def _is_complete(transfer: Transfer) -> bool:
+    return transfer._end is not None and not transfer._end.error
+
+
+def _configure(curl: pycurl.Curl, request: UpstreamRequest) -> None:
+    curl.setopt(pycurl.URL, request.url)
+    curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+    curl.setopt(pycurl.CONNECTTIMEOUT_MS, _CONNECT_TIMEOUT_MS)
+    curl.setopt(pycurl.TIMEOUT_MS, max(int(request.timeout_s * 1000), 1))
+    curl.setopt(pycurl.TCP_NODELAY, 1)
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.NOPROXY, "*")
+    curl.setopt(pycurl.FOLLOWLOCATION, 0)
+    curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP | pycurl.PROTO_HTTPS)
+    if not request.idempotent:
+        # curl repeats a request by itself if a kept connection turns out dead.
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+        curl.setopt(pycurl.FORBID_REUSE, 1)
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        curl.setopt(pycurl.POST, 1)
+        curl.setopt(pycurl.POSTFIELDSIZE_LARGE, len(request.body))
+        curl.setopt(pycurl.POSTFIELDS, request.body)
+    if request.method == "HEAD":
+        curl.setopt(pycurl.NOBODY, 1)
+    curl.setopt(pycurl.CUSTOMREQUEST, request.method)
+    lines = [f"{header.name}: {header.value}" for header in request.headers]
+    # An empty value stops curl from adding these headers by itself.
+    lines += ["Expect:", "User-Agent: berylnotch"]
+    curl.setopt(pycurl.HTTPHEADER, lines)
+
+
+def _parse_head(lines: list[bytes]) -> AnswerHead:
+    status = 0
+    headers: dict[str, str] = {}
+    for line in lines:
+        text = line.decode("latin-1").strip()
+        if text.startswith("HTTP/"):
+            parts = text.split(" ", 2)
+            status = int(parts[1]) if len(parts) > 1 and parts[1].isdigit() else 0
+        elif ":" in text:
+            name, _, value = text.partition(":")
+            headers[name.strip().lower()] = value.strip()
+    return AnswerHead(status, headers)
