placement: first working rank

A property test first asked that losing any engine moves only the prefixes whose best engine it was. That does not hold for two homes: the next engine joins the home set and may win at a deeper level.

--- /dev/null
+++ b/berylnotch/placement/rank.py
@@ -0,0 +1,103 @@
+"""Ranking of targets for one request."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+from berylnotch.placement.model import Candidate, Query, Ranked
+from berylnotch.placement.rendezvous import top
+
+if TYPE_CHECKING:
+    from berylnotch.placement.hints import CacheHints
+    from berylnotch.placement.settings import PlacementSettings
+
+
+def rank(
+    settings: PlacementSettings,
+    query: Query,
+    candidates: Sequence[Candidate],
+    hints: CacheHints | None = None,
+) -> tuple[Ranked, ...]:
+    """Order the usable candidates by expected time to the first token.
+
+    Parameters
+    ----------
+    settings : PlacementSettings
+        Costs and widths.
+    query : Query
+        The request.
+    candidates : sequence of Candidate
+        Targets of the service.
+    hints : CacheHints, optional
+        What cache events told; without it only affinity counts.
+
+    Returns
+    -------
+    tuple of Ranked
+        Best first; the same on every router for the same input. Targets that
+        drain, are ejected or excluded, or serve other weights are left out.
+    """
+    usable = [c for c in candidates if _is_allowed(query, c)]
+    expected = expected_pieces(settings, query, [c.name for c in usable])
+    ranked = [
+        _score(settings, query, candidate, expected.get(candidate.name, 0), hints)
+        for candidate in usable
+    ]
+    ranked.sort(key=lambda item: (item.score_ms, item.name))
+    return tuple(ranked)
+
+
+def expected_pieces(
+    settings: PlacementSettings, query: Query, names: Sequence[str]
+) -> dict[str, int]:
+    """Return the leading pieces that affinity expects at each home.
+
+    The first piece selects some engines, and each deeper level selects half of
+    those, so a prompt's homes are among the homes of everything it extends.
+    """
+    members = list(names)
+    width = query.homes or settings.home_engines
+    expected: dict[str, int] = {}
+    for depth in level_depths(len(query.chain)):
+        members = top(query.chain[depth - 1], members, width)
+        expected.update(dict.fromkeys(members, depth))
+        width = max(1, width // 2)
+    return expected
+
+
+def level_depths(pieces: int) -> tuple[int, ...]:
+    """Return the depths at which affinity is decided: 1, 2, 4, ... and all."""
+    depths = [1 << bit for bit in range(pieces.bit_length()) if 1 << bit <= pieces]
+    if depths and depths[-1] != pieces:
+        depths.append(pieces)
+    return tuple(depths)
+
+
+def _is_allowed(query: Query, candidate: Candidate) -> bool:
+    if not candidate.is_usable or candidate.name in query.exclude:
+        return False
+    return not query.weights or candidate.weights == query.weights
+
+
+def _score(
+    settings: PlacementSettings,
+    query: Query,
+    candidate: Candidate,
+    expected: int,
+    hints: CacheHints | None,
+) -> Ranked:
+    cached, source = expected, "affinity"
+    if hints is not None:
+        seen = hints.cached_pieces(candidate.name, candidate.incarnation, query.chain)
+        if seen is not None:
+            cached, source = seen, "events"
+    wait_ms = 1000.0 * candidate.queue_wait_s
+    compute_ms = max(0, query.prompt_pieces - cached) * settings.recompute_ms
+    near = candidate.failure_domain == query.failure_domain
+    score_ms = wait_ms + compute_ms + (0.0 if near else settings.far_ms)
+    reason = (
+        f"wait={wait_ms:.0f}ms compute={compute_ms:.0f}ms "
+        f"cached={cached}/{query.prompt_pieces} by={source} near={near}"
+    )
+    return Ranked(candidate.name, score_ms, reason, cached)
