--- a/berylnotch/control/protocol.py
+++ b/berylnotch/control/protocol.py
@@ -316,3 +316,27 @@
     revision: int
     lines: tuple[WhyLine, ...] = ()
     outcome: str = ""
+
+
+@frozen
+class VouchRequest:
+    """Follower's question how far the log is known to be committed."""
+
+
+@frozen
+class VouchReply:
+    """Leader's answer.
+
+    Whoever has applied ``commit`` holds a state that was current ``age_ms``
+    before this answer; negative if the leader has no lease.
+    """
+
+    commit: int
+    age_ms: int
+
+
+@frozen
+class MemberChangeReply:
+    """Members after the change."""
+
+    members: Members
--- /dev/null
+++ b/berylnotch/daemon/controller/routers.py
@@ -0,0 +1,92 @@
+"""Which routers the leader hears, and the life states it proposes for them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from berylnotch.control.commands import LifeState, SetLifeState, Subject
+from berylnotch.control.protocol import GrantRequest, RouterLine
+
+if TYPE_CHECKING:
+    from berylnotch.control.state import ControlState
+
+#: Source named in life states that come from heartbeats.
+SOURCE = "heartbeat"
+
+#: Seconds without a heartbeat after which a router counts as lost.
+LOST_AFTER_S = 5.0
+
+
+@frozen
+class _Heard:
+    """The newest heartbeat of a router."""
+
+    at: float
+    request: GrantRequest
+
+
+class Routers:
+    """Heartbeats of all routers, kept by the leader only.
+
+    Parameters
+    ----------
+    now : float
+        When this leader took over, in monotonic seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._since = now
+        self._heard: dict[str, _Heard] = {}
+
+    def hear(self, now: float, request: GrantRequest) -> None:
+        """Take a heartbeat."""
+        self._heard[request.vm] = _Heard(now, request)
+
+    def changes(self, now: float, state: ControlState) -> tuple[SetLifeState, ...]:
+        """Return the life states that the log does not hold yet."""
+        found = []
+        for vm, heard in self._heard.items():
+            observed = _observed(now, heard)
+            if state.life_record(Subject.VM, vm) != (observed.incarnation, observed.state):
+                found.append(observed)
+        found.extend(self._never_heard(now, state))
+        return tuple(found)
+
+    def lines(self, now: float) -> tuple[RouterLine, ...]:
+        """Return the routers for operators."""
+        return tuple(
+            RouterLine(
+                vm,
+                heard.request.incarnation,
+                heard.request.http_address,
+                heard.request.failure_domain,
+                _observed(now, heard).state.value,
+                int((now - heard.at) * 1000),
+            )
+            for vm, heard in sorted(self._heard.items())
+        )
+
+    def _never_heard(
+        self, now: float, state: ControlState
+    ) -> tuple[SetLifeState, ...]:
+        # A router that was lost together with the previous leader is not in
+        # this leader's memory, but its claims must not stay open.
+        if now - self._since < LOST_AFTER_S:
+            return ()
+        return tuple(
+            SetLifeState(Subject.VM, vm, incarnation, LifeState.LOST, SOURCE)
+            for vm, incarnation in state.live_vms()
+            if vm not in self._heard
+        )
+
+
+def _observed(now: float, heard: _Heard) -> SetLifeState:
+    request = heard.request
+    state = LifeState.LIVE
+    if request.leaving:
+        state = LifeState.LEAVING
+    if now - heard.at > LOST_AFTER_S:
+        state = LifeState.LOST
+    return SetLifeState(Subject.VM, request.vm, request.incarnation, state, SOURCE)
--- /dev/null
+++ b/berylnotch/server/errors.py
@@ -0,0 +1,39 @@
+"""Refusals of callers' requests."""
+
+from __future__ import annotations
+
+from berylnotch.errors import RequestError
+from berylnotch.streams.actions import RunMark
+
+
+class Refusal(RequestError):
+    """A request that is answered with an error.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    code : str
+        Reason for programs, such as ``rate_limited``.
+    message : str
+        Reason for people.
+    mark : RunMark, default=RunMark.NOT_RUN
+        Whether a target ran the request.
+    retry_after_s : float, default=0.0
+        When to come back; 0 if a repeat would be refused as well.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        code: str,
+        message: str,
+        mark: RunMark = RunMark.NOT_RUN,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.message = message
+        self.mark = mark
+        self.retry_after_s = retry_after_s
--- /dev/null
+++ b/berylnotch/settings/controller.py
@@ -0,0 +1,137 @@
+"""Settings of a controller."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from attrs import Factory, frozen
+
+from berylnotch.consensus.messages import Member
+from berylnotch.consensus.settings import ConsensusSettings
+from berylnotch.fleet import values
+from berylnotch.quota.settings import QuotaSettings
+from berylnotch.settings.base import (
+    ControllerAddress,
+    ProcessSetting,
+    listen_address,
+    path,
+    read_file,
+    read_secret,
+)
+
+#: Settings of a controller's file.
+TABLE = (
+    ProcessSetting(
+        "controller", "name", values.name, "a name", "how operators see this controller"
+    ),
+    ProcessSetting(
+        "controller",
+        "failure-domain",
+        values.name,
+        "a name",
+        "where this controller runs, as shown by status",
+    ),
+    ProcessSetting(
+        "controller",
+        "listen",
+        listen_address,
+        "IP:port",
+        "address for routers, controllers and operators",
+    ),
+    ProcessSetting(
+        "controller",
+        "data-folder",
+        path,
+        "a folder on a disk that lasts",
+        "where the log and snapshots are kept",
+    ),
+    ProcessSetting(
+        "controller",
+        "secret-file",
+        path,
+        "a file with at least 16 bytes",
+        "which processes and operators may connect",
+    ),
+    ProcessSetting(
+        "controller",
+        "freshness-lease",
+        values.duration(0.5, 30.0),
+        "0.5 s to 30 s",
+        "how long a key counts as valid without news from the leader",
+        "2 s",
+    ),
+    ProcessSetting(
+        "controller",
+        "claim-retention",
+        values.duration(60.0, 3600.0 * 24),
+        "1 min to 1440 min",
+        "how long a repeat of a non-idempotent request gets the stored answer",
+        "1440 min",
+    ),
+)
+
+
+@frozen
+class ControllerSettings:
+    """Settings of one controller process.
+
+    Parameters
+    ----------
+    name : str
+        Name of the controller.
+    failure_domain : str
+        Failure domain of its VM.
+    listen : str
+        ``IP:port`` to listen on.
+    data_folder : Path
+        Folder of the log and snapshots.
+    secret : bytes
+        Cluster secret.
+    freshness_lease_s : float
+        How long a vouch of the leader counts.
+    claim_retention_s : float
+        How long closed claims are kept.
+    controllers : tuple of ControllerAddress
+        Controllers by name.
+    consensus : ConsensusSettings
+        Settings of the replicated log.
+    quota : QuotaSettings
+        Settings of grants.
+    """
+
+    name: str
+    failure_domain: str
+    listen: str
+    data_folder: Path
+    secret: bytes
+    freshness_lease_s: float = 2.0
+    claim_retention_s: float = 86400.0
+    controllers: tuple[ControllerAddress, ...] = ()
+    consensus: ConsensusSettings = Factory(ConsensusSettings)
+    quota: QuotaSettings = Factory(QuotaSettings)
+
+    def as_member(self, replica: str, address: str) -> Member:
+        """Return this controller as a member of the group."""
+        return Member(self.name, replica, address, self.failure_domain)
+
+
+def read_controller(file: str) -> ControllerSettings:
+    """Read a controller's settings file.
+
+    Raises
+    ------
+    ConfigurationError
+        If the file or the secret is wrong.
+    """
+    content = read_file(file, TABLE)
+    found = content.values
+    return ControllerSettings(
+        name=found["name"],
+        failure_domain=found["failure_domain"],
+        listen=found["listen"],
+        data_folder=found["data_folder"],
+        secret=read_secret(found["secret_file"]),
+        freshness_lease_s=found["freshness_lease"],
+        claim_retention_s=found["claim_retention"],
+        controllers=content.controllers,
+    )
--- /dev/null
+++ b/berylnotch/settings/router.py
@@ -0,0 +1,176 @@
+"""Settings of a router."""
+
+from __future__ import annotations
+
+from attrs import Factory, frozen
+
+from berylnotch.admission.settings import AdmissionSettings
+from berylnotch.fleet import values
+from berylnotch.membership.settings import MembershipSettings
+from berylnotch.placement.settings import PlacementSettings
+from berylnotch.quota.settings import QuotaSettings
+from berylnotch.settings.base import (
+    ControllerAddress,
+    ProcessSetting,
+    listen_address,
+    path,
+    read_file,
+    read_secret,
+)
+from berylnotch.streams.inputs import ExchangeSettings
+
+#: Settings of a router's file.
+TABLE = (
+    ProcessSetting(
+        "router",
+        "name",
+        values.name,
+        "the name of a [vm ...] in the operators' text",
+        "which entry VM this router is",
+    ),
+    ProcessSetting(
+        "router",
+        "failure-domain",
+        values.name,
+        "a name",
+        "which targets count as near",
+    ),
+    ProcessSetting(
+        "router", "http", listen_address, "IP:port", "address for callers"
+    ),
+    ProcessSetting(
+        "router",
+        "listen",
+        listen_address,
+        "IP:port",
+        "address for other routers and operators",
+    ),
+    ProcessSetting(
+        "router",
+        "metrics",
+        listen_address,
+        "IP:port",
+        "address of the metrics page; keep it from callers",
+        "127.0.0.1:0",
+    ),
+    ProcessSetting(
+        "router",
+        "secret-file",
+        path,
+        "a file with at least 16 bytes",
+        "which processes and operators may connect",
+    ),
+    ProcessSetting(
+        "router",
+        "freshness-lease",
+        values.duration(0.5, 30.0),
+        "0.5 s to 30 s",
+        "how long a key counts as valid without news from the leader",
+        "2 s",
+    ),
+    ProcessSetting(
+        "router",
+        "max-body",
+        values.quantity("KiB", 1, 65536),
+        "KiB, 1 to 65536",
+        "longest request body",
+        "8192 KiB",
+    ),
+    ProcessSetting(
+        "router",
+        "target-credential-file",
+        str,
+        "a file, or nothing",
+        "credential that targets ask from the router",
+        "",
+    ),
+    ProcessSetting(
+        "router",
+        "stop-limit",
+        values.duration(1.0, 3600.0),
+        "1 s to 60 min",
+        "how long a planned stop waits for running requests",
+        "10 min",
+    ),
+)
+
+
+@frozen
+class RouterSettings:
+    """Settings of one router process.
+
+    Parameters
+    ----------
+    name : str
+        Name of the entry VM.
+    failure_domain : str
+        Failure domain of the VM.
+    http : str
+        ``IP:port`` for callers.
+    listen : str
+        ``IP:port`` for other routers and operators.
+    metrics : str
+        ``IP:port`` of the metrics page.
+    secret : bytes
+        Cluster secret.
+    controllers, routers : tuple of ControllerAddress
+        Where the control state comes from, in order of preference.
+    freshness_lease_s : float
+        How long a vouch of the leader counts.
+    max_body_bytes : int
+        Longest request body.
+    target_credential : str
+        Credential sent to targets; empty for none.
+    stop_limit_s : float
+        Longest planned stop.
+    """
+
+    name: str
+    failure_domain: str
+    http: str
+    listen: str
+    secret: bytes
+    metrics: str = "127.0.0.1:0"
+    controllers: tuple[ControllerAddress, ...] = ()
+    routers: tuple[ControllerAddress, ...] = ()
+    freshness_lease_s: float = 2.0
+    max_body_bytes: int = 8 * 1024 * 1024
+    target_credential: str = ""
+    stop_limit_s: float = 600.0
+    admission: AdmissionSettings = Factory(AdmissionSettings)
+    membership: MembershipSettings = Factory(MembershipSettings)
+    placement: PlacementSettings = Factory(PlacementSettings)
+    quota: QuotaSettings = Factory(QuotaSettings)
+    exchange: ExchangeSettings = Factory(ExchangeSettings)
+
+
+def read_router(file: str) -> RouterSettings:
+    """Read a router's settings file.
+
+    Raises
+    ------
+    ConfigurationError
+        If the file or the secret is wrong.
+    """
+    content = read_file(file, TABLE)
+    found = content.values
+    return RouterSettings(
+        name=found["name"],
+        failure_domain=found["failure_domain"],
+        http=found["http"],
+        listen=found["listen"],
+        metrics=found["metrics"],
+        secret=read_secret(found["secret_file"]),
+        controllers=content.controllers,
+        routers=content.routers,
+        freshness_lease_s=found["freshness_lease"],
+        max_body_bytes=found["max_body"] * 1024,
+        target_credential=_read_credential(found["target_credential_file"]),
+        stop_limit_s=found["stop_limit"],
+    )
+
+
+def _read_credential(file: str) -> str:
+    if not file:
+        return ""
+    return read_secret(path(file)).decode("ascii")
--- a/berylnotch/transport/berylnotch.capnp
+++ b/berylnotch/transport/berylnotch.capnp
@@ -75,6 +75,9 @@
     whyRequest @68 :WhyRequest;
     whyLine @69 :WhyLine;
     whyReply @70 :WhyReply;
+    vouchRequest @71 :VouchRequest;
+    vouchReply @72 :VouchReply;
+    memberChangeReply @73 :MemberChangeReply;
   }
 }
 
@@ -550,3 +553,15 @@
   lines @3 :List(WhyLine);
   outcome @4 :Text;
 }
+
+struct VouchRequest {
+}
+
+struct VouchReply {
+  commit @0 :Int64;
+  ageMs @1 :Int64;
+}
+
+struct MemberChangeReply {
+  members @0 :Members;
+}
