quota: first working owner, router's grants and fair queue

One bucket per organisation at the owner, loans to routers with a lifetime, one exchange in flight per router so that each request tells all that the router may still charge. A new owner starts at level zero and lends nothing until grants of an earlier owner are over. Grant.tokens is the whole amount that the router may charge from the reported one on, so that a late reply cannot renew tokens that the owner has written off.

FairQueue: start-time fair queueing by organisation, weight from share and fleet-wide priority; an organisation may hold at most the places that are free, so that others find some.

--- a/berylnotch/admission/__init__.py
+++ b/berylnotch/admission/__init__.py
@@ -1,1 +1,17 @@
-"""Queueing, fairness and shedding of requests."""
+"""Admission of requests: fair queueing between organisations, and shedding."""
+
+from __future__ import annotations
+
+from berylnotch.admission.errors import AdmissionError
+from berylnotch.admission.queue import FairQueue
+from berylnotch.admission.settings import AdmissionSettings
+from berylnotch.admission.ticket import Refusal, RefusalReason, Ticket
+
+__all__ = [
+    "AdmissionError",
+    "AdmissionSettings",
+    "FairQueue",
+    "Refusal",
+    "RefusalReason",
+    "Ticket",
+]
--- /dev/null
+++ b/berylnotch/admission/ticket.py
@@ -0,0 +1,56 @@
+"""A waiting request, and the refusal of one."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from attrs import field, frozen
+from attrs.validators import ge, gt
+
+
+@frozen
+class Ticket:
+    """A request that waits to be sent to a target.
+
+    Parameters
+    ----------
+    identity : str
+        Request id; unique among the waiting requests.
+    organisation : str
+        Whose key came with the request.
+    share : float
+        Weight of the organisation.
+    cost : float
+        Expected work in tokens.
+    deadline : float
+        Monotonic time after which the caller does not want the answer.
+    enqueued : float
+        Monotonic time of arrival.
+    priority : int, default=4
+        From the organisation's grants, 0 (best) to 9.
+    """
+
+    identity: str
+    organisation: str
+    share: float = field(validator=gt(0))
+    cost: float = field(validator=gt(0))
+    deadline: float
+    enqueued: float
+    priority: int = field(default=4, validator=ge(0))
+
+
+class RefusalReason(Enum):
+    """Why a request was not queued."""
+
+    QUEUE_FULL = "queue-full"
+    ORGANISATION_FULL = "organisation-full"
+    WAIT_TOO_LONG = "wait-too-long"
+    DEADLINE_PASSED = "deadline-passed"
+
+
+@frozen
+class Refusal:
+    """A request was refused before any byte went to a target."""
+
+    reason: RefusalReason
+    retry_after_ms: int
--- a/berylnotch/control/protocol.py
+++ b/berylnotch/control/protocol.py
@@ -40,7 +40,12 @@
 
 @frozen
 class QuotaAsk:
-    """One organisation's line of a `GrantRequest`, in tokens."""
+    """One organisation's line of a `GrantRequest`, in tokens.
+
+    ``held`` may still be charged, ``spent`` counts since the router started,
+    ``want`` is asked for on top of ``held``, and with less than ``waiting`` of
+    it no waiting work can go on.
+    """
 
     organisation: str
     want: int
@@ -64,7 +69,12 @@
 
 @frozen
 class Grant:
-    """Tokens that a router may charge until the lifetime is over."""
+    """Tokens that a router may charge until the lifetime is over.
+
+    ``tokens`` replaces what the request reported as held, and the lifetime
+    counts from when the request was sent. ``retry_after_ms`` is positive only
+    if the organisation has used up its rate and burst.
+    """
 
     organisation: str
     tokens: int
--- /dev/null
+++ b/berylnotch/quota/settings.py
@@ -0,0 +1,48 @@
+"""Settings of the organisations' limits."""
+
+from __future__ import annotations
+
+from attrs import field, frozen
+from attrs.validators import ge, gt
+
+
+@frozen
+class QuotaSettings:
+    """How tokens are lent to routers.
+
+    Parameters
+    ----------
+    lifetime_s : float, default=2.0
+        Lifetime of a grant, counted by the router from when it sent the
+        request. Longer bridges longer gaps in contact with the owner; a new
+        owner grants nothing for this long.
+    drift : float, default=0.01
+        Largest relative difference in speed between two VMs' monotonic clocks;
+        the owner waits longer than the routers by this fraction.
+    ask_interval_s : float, default=0.2
+        Time between two requests of a router, while no request waits.
+    horizon_s : float, default=0.6
+        Time for which a router holds tokens in advance, at its present use.
+        Longer saves messages and leaves less for other routers.
+    wait_s : float, default=5.0
+        Longest wait for tokens that an organisation is expected to bear. The
+        owner lets an organisation be refused only beyond it.
+    grace_s : float, default=15.0
+        Time after a change of owner in which no organisation is refused for
+        lack of tokens, since the new owner cannot know its earlier use.
+    usage_window_s : float, default=10.0
+        Time constant of the average use behind the priority.
+    """
+
+    lifetime_s: float = field(default=2.0, validator=gt(0))
+    drift: float = field(default=0.01, validator=ge(0))
+    ask_interval_s: float = field(default=0.2, validator=gt(0))
+    horizon_s: float = field(default=0.6, validator=gt(0))
+    wait_s: float = field(default=5.0, validator=ge(0))
+    grace_s: float = field(default=15.0, validator=ge(0))
+    usage_window_s: float = field(default=10.0, validator=gt(0))
+
+    @property
+    def owner_lifetime_s(self) -> float:
+        """Time after an answer until its tokens cannot be charged any more."""
+        return self.lifetime_s * (1 + self.drift)
--- /dev/null
+++ b/berylnotch/quota/usage.py
@@ -0,0 +1,68 @@
+"""Average use of tokens over time, and the priority derived from it."""
+
+from __future__ import annotations
+
+import math
+
+#: Priority of an organisation that uses less than its share allows.
+BEST_PRIORITY = 0
+
+#: Priority of an organisation that uses far more than its share allows.
+WORST_PRIORITY = 9
+
+#: Priority of an organisation that uses exactly its share.
+EVEN_PRIORITY = 4
+
+#: Priority steps for each doubling of the use.
+STEPS_PER_DOUBLING = 2
+
+
+class UsageAverage:
+    """Exponentially decaying average of tokens a second.
+
+    Parameters
+    ----------
+    window_s : float
+        Time constant of the decay.
+    now : float
+        Time of creation.
+    """
+
+    def __init__(self, window_s: float, now: float) -> None:
+        self._window_s = window_s
+        self._tokens = 0.0
+        self._updated = now
+
+    def add(self, now: float, tokens: float) -> None:
+        """Count tokens used at ``now``."""
+        self._decay(now)
+        self._tokens += tokens
+
+    def per_s(self, now: float) -> float:
+        """Return the average use in tokens a second."""
+        self._decay(now)
+        return self._tokens / self._window_s
+
+    def _decay(self, now: float) -> None:
+        elapsed = now - self._updated
+        if elapsed <= 0:
+            return
+        self._tokens *= math.exp(-elapsed / self._window_s)
+        self._updated = now
+
+
+def usage_priority(use: float, share: float, total_use: float, total: float) -> int:
+    """Return the priority of an organisation, 0 (best) to 9.
+
+    Parameters
+    ----------
+    use, share : float
+        Use of the organisation and its weight.
+    total_use, total : float
+        Use and weight of all organisations together that use anything.
+    """
+    if use <= 0 or total_use <= 0:
+        return BEST_PRIORITY
+    ratio = (use / share) / (total_use / total)
+    step = round(EVEN_PRIORITY + STEPS_PER_DOUBLING * math.log2(ratio))
+    return max(BEST_PRIORITY, min(WORST_PRIORITY, step))
--- /dev/null
+++ b/tests/test_admission/test_queue.py
@@ -0,0 +1,76 @@
+"""Order, bounds and removal in the fair queue."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from berylnotch.admission import (
+    AdmissionSettings,
+    FairQueue,
+    RefusalReason,
+    Ticket,
+)
+
+_numbers = itertools.count()
+
+
+def ticket(organisation="clinic", cost=1.0, share=1.0, deadline=100.0, priority=4):
+    identity = f"request-{next(_numbers)}"
+    return Ticket(identity, organisation, share, cost, deadline, 0.0, priority)
+
+
+def drain(queue, count):
+    return [queue.pop(0.0, lambda _: True).organisation for _ in range(count)]
+
+
+@pytest.fixture
+def queue():
+    return FairQueue(AdmissionSettings(max_tickets=100))
+
+
+def test_small_organisation_does_not_wait_for_a_large_backlog(queue):
+    for _ in range(40):
+        queue.offer(0.0, ticket("university"))
+    queue.offer(0.0, ticket("clinic"))
+    assert "clinic" in drain(queue, 2)
+
+
+def test_service_follows_the_shares(queue):
+    for _ in range(20):
+        queue.offer(0.0, ticket("large", share=3.0))
+        queue.offer(0.0, ticket("small", share=1.0))
+    served = drain(queue, 16)
+    assert served.count("large") == 12
+
+
+def test_worse_priority_counts_for_less(queue):
+    for _ in range(20):
+        queue.offer(0.0, ticket("heavy", priority=6))
+        queue.offer(0.0, ticket("light", priority=4))
+    served = drain(queue, 18)
+    assert served.count("light") == 12
+
+
+def test_large_organisation_leaves_places_for_others(queue):
+    refusals = [queue.offer(0.0, ticket("university")) for _ in range(100)]
+    assert refusals[-1].reason is RefusalReason.ORGANISATION_FULL
+    assert queue.offer(0.0, ticket("clinic")) is None
+
+
+def test_next_organisation_is_served_if_the_first_does_not_fit(queue):
+    queue.offer(0.0, ticket("university"))
+    queue.offer(0.0, ticket("clinic"))
+    assert queue.pop(0.0, lambda t: t.organisation == "clinic") is not None
+    assert len(queue) == 1
+
+
+def test_expired_and_cancelled_requests_are_never_served(queue):
+    soon, given_up = ticket(deadline=1.0), ticket()
+    queue.offer(0.0, soon)
+    queue.offer(0.0, given_up)
+    assert queue.expire(1.0) == (soon,)
+    assert queue.cancel(given_up)
+    assert not queue.cancel(given_up)
+    assert queue.pop(1.0, lambda _: True) is None
--- /dev/null
+++ b/tests/test_quota/fakes.py
@@ -0,0 +1,34 @@
+"""Small stand-ins for the tests of the limits."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from berylnotch.control.protocol import GrantReply, GrantRequest
+from berylnotch.quota import LocalQuota
+
+
+@frozen
+class Limits:
+    rate: float
+    burst: float
+    share: float = 1.0
+
+
+def request(quota: LocalQuota, now: float, vm: str = "vm-a") -> GrantRequest:
+    asks = quota.asks(now)
+    return GrantRequest(
+        vm=vm,
+        incarnation="1",
+        http_address="",
+        failure_domain="",
+        leaving=False,
+        sequence=quota.sequence,
+        asks=asks,
+    )
+
+
+def exchange(owner, quota, now, organisations, vm="vm-a") -> GrantReply:
+    reply = owner.grant(now, request(quota, now, vm), organisations)
+    quota.receive(now, reply)
+    return reply
--- /dev/null
+++ b/tests/test_quota/test_grants.py
@@ -0,0 +1,88 @@
+"""Owner and routers together, without faults."""
+
+from __future__ import annotations
+
+import pytest
+
+from berylnotch.quota import LocalQuota, QuotaOwner, QuotaSettings
+from tests.test_quota.fakes import Limits, exchange, request
+
+SETTINGS = QuotaSettings()
+STEADY = SETTINGS.owner_lifetime_s
+LIMITS = {"clinic": Limits(rate=100, burst=1000)}
+
+
+@pytest.fixture
+def owner():
+    return QuotaOwner(SETTINGS, term=1, now=0.0)
+
+
+@pytest.fixture
+def router():
+    return LocalQuota(SETTINGS)
+
+
+def test_new_owner_grants_nothing_until_older_grants_are_over(owner, router):
+    router.want("clinic", 10)
+    exchange(owner, router, STEADY - 0.01, LIMITS)
+    assert router.balance(STEADY, "clinic") == 0
+    exchange(owner, router, STEADY + 1, LIMITS)
+    assert router.balance(STEADY + 1, "clinic") == 10
+
+
+def test_charge_needs_held_tokens(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 50)
+    exchange(owner, router, now, LIMITS)
+    assert not router.charge(now, "clinic", 51)
+    assert router.charge(now, "clinic", 50)
+    assert not router.charge(now, "clinic", 1)
+
+
+def test_held_tokens_end_with_the_lifetime(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 50)
+    exchange(owner, router, now, LIMITS)
+    assert router.balance(now + SETTINGS.lifetime_s, "clinic") == 0
+
+
+def test_unused_tokens_go_back(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 50)
+    exchange(owner, router, now, LIMITS)
+    assert owner.level(now, "clinic") == 950
+    router.want("clinic", 0)
+    exchange(owner, router, now, LIMITS)
+    assert owner.level(now, "clinic") == 1000
+
+
+def test_reply_of_an_abandoned_exchange_is_left_out(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 50)
+    late = owner.grant(now, request(router, now), LIMITS)
+    exchange(owner, router, now, LIMITS)
+    assert not router.receive(now, late)
+    assert router.balance(now, "clinic") == 50
+    assert owner.level(now, "clinic") == 950
+
+
+def test_organisation_far_over_its_rate_is_told_when_to_come_back(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 5000)
+    exchange(owner, router, now, LIMITS)
+    assert router.retry_after_ms("clinic") == 40_000
+
+
+def test_two_waiting_routers_get_whole_amounts_in_turn(owner):
+    now = STEADY + 20
+    first, second = LocalQuota(SETTINGS), LocalQuota(SETTINGS)
+    first.want("clinic", 800)
+    second.want("clinic", 800)
+    exchange(owner, first, now, LIMITS, "vm-a")
+    exchange(owner, second, now, LIMITS, "vm-b")
+    assert first.charge(now, "clinic", 800)
+    first.want("clinic", 100, first=1)
+    exchange(owner, first, now + 0.5, LIMITS, "vm-a")
+    assert first.balance(now + 0.5, "clinic") == 0
+    exchange(owner, second, now + 6.5, LIMITS, "vm-b")
+    assert second.charge(now + 6.5, "clinic", 800)
