--- /dev/null
+++ b/berylnotch/streams/answers.py
@@ -0,0 +1,76 @@
+"""Answer of one attempt: a stream of events or a whole body."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from berylnotch.streams.errors import AnswerTooLargeError
+from berylnotch.streams.inputs import ExchangeSettings, ResponseHead
+from berylnotch.streams.scanner import EventScanner
+from berylnotch.streams.sequence import EventSequence, Numbered
+
+#: Last event of a stream.
+END_MARKER = b"data: [DONE]\n\n"
+
+
+class StreamAnswer:
+    """Events of one attempt, continued in the exchange's sequence."""
+
+    __slots__ = ("_scanner", "_sequence")
+
+    def __init__(self, settings: ExchangeSettings, sequence: EventSequence) -> None:
+        self._scanner = EventScanner(settings.max_event_bytes)
+        self._sequence = sequence
+
+    @property
+    def ended(self) -> bool:
+        """Whether the end marker has been seen."""
+        return self._scanner.ended
+
+    @property
+    def buffered(self) -> int:
+        """Bytes of the event that isn't whole yet."""
+        return self._scanner.buffered
+
+    def feed(self, data: bytes) -> Numbered:
+        """Return the new events of a chunk; raises `StreamError`."""
+        result = self._scanner.feed(data)
+        if not result.events:
+            return Numbered(b"", 0)
+        return self._sequence.take(result.complete, result.events)
+
+
+class WholeAnswer:
+    """Body of one attempt, buffered until it is complete."""
+
+    __slots__ = ("_length", "_max_bytes", "_parts", "head")
+
+    def __init__(self, settings: ExchangeSettings, head: ResponseHead) -> None:
+        self.head = head
+        self._max_bytes = settings.max_answer_bytes
+        self._parts: list[bytes] = []
+        self._length = 0
+
+    @property
+    def buffered(self) -> int:
+        """Bytes buffered."""
+        return self._length
+
+    def feed(self, data: bytes) -> None:
+        """Buffer a chunk; raises `AnswerTooLargeError`."""
+        self._length += len(data)
+        if self._length > self._max_bytes:
+            raise AnswerTooLargeError(f"answer exceeds {self._max_bytes} bytes")
+        self._parts.append(data)
+
+    def body(self) -> bytes:
+        """Return the body so far."""
+        return b"".join(self._parts)
+
+
+@frozen
+class KeptAnswer:
+    """A complete answer with an error status, for want of a better one."""
+
+    head: ResponseHead
+    body: bytes
--- /dev/null
+++ b/berylnotch/streams/scanner.py
@@ -0,0 +1,119 @@
+"""Whole server-sent events out of a byte stream, found by scanning."""
+
+from __future__ import annotations
+
+import re
+
+from attrs import frozen
+
+from berylnotch.streams.errors import EventTooLongError
+
+#: Longest event accepted, in bytes.
+MAX_EVENT_BYTES = 1024 * 1024
+
+_BOUNDARY = b"\n\n"
+_END_TEXT = b"[DONE]"
+_END_EVENT = re.compile(rb"(?:\A|(?<=\n))data: ?\[DONE\]\n\n")
+_EXTRA_BLANK_LINES = re.compile(rb"\n{3,}")
+
+
+@frozen(slots=True)
+class ScanResult:
+    """What one chunk of bytes completed.
+
+    Attributes
+    ----------
+    complete : bytes
+        Whole events with line feeds as line ends, without the end marker.
+    events : int
+        Number of events in ``complete``.
+    ended : bool
+        Whether the end marker has been seen, in this chunk or an earlier one.
+    """
+
+    complete: bytes
+    events: int
+    ended: bool
+
+
+class EventScanner:
+    """Cuts a byte stream into whole events.
+
+    The events of a stream don't depend on how it was cut into chunks. Bytes
+    after the end marker are dropped.
+
+    Parameters
+    ----------
+    max_event_bytes : int, default=MAX_EVENT_BYTES
+        Bound of the buffer for an event that isn't whole yet.
+    """
+
+    __slots__ = ("_ended", "_held_return", "_max_event_bytes", "_tail")
+
+    def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
+        self._max_event_bytes = max_event_bytes
+        self._tail = b""
+        self._held_return = False
+        self._ended = False
+
+    @property
+    def buffered(self) -> int:
+        """Bytes of the event that isn't whole yet."""
+        return len(self._tail)
+
+    @property
+    def ended(self) -> bool:
+        """Whether the end marker has been seen."""
+        return self._ended
+
+    def feed(self, data: bytes) -> ScanResult:
+        """Take a chunk and return the events that it completes.
+
+        Raises
+        ------
+        EventTooLongError
+            If an event exceeds the bound.
+        """
+        if self._ended:
+            return ScanResult(b"", 0, True)
+        if self._held_return or b"\r" in data:
+            data = self._normalise(data)
+        data = self._tail + data
+        if data[:1] == b"\n":
+            data = data.lstrip(b"\n")
+        cut = data.rfind(_BOUNDARY) + 2
+        if cut < 2:
+            self._keep(data)
+            return ScanResult(b"", 0, False)
+        complete = data[:cut]
+        self._keep(data[cut:])
+        if b"\n\n\n" in complete:
+            complete = _EXTRA_BLANK_LINES.sub(_BOUNDARY, complete)
+        if _END_TEXT in complete:
+            complete = self._cut_at_end(complete)
+        return ScanResult(complete, complete.count(_BOUNDARY), self._ended)
+
+    def _keep(self, tail: bytes) -> None:
+        if len(tail) > self._max_event_bytes:
+            raise EventTooLongError(f"event exceeds {self._max_event_bytes} bytes")
+        self._tail = tail
+
+    def _normalise(self, data: bytes) -> bytes:
+        if self._held_return:
+            data = b"\r" + data
+        # A return at the end may be the first half of a line end.
+        self._held_return = data.endswith(b"\r")
+        if self._held_return:
+            data = data[:-1]
+        return data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+
+    def _cut_at_end(self, complete: bytes) -> bytes:
+        match = _END_EVENT.search(complete)
+        if match is None:
+            return complete
+        self._ended = True
+        self._tail = b""
+        before = complete[: match.start()]
+        # Other fields of the end marker's event, such as its id, go with it.
+        cut = before.rfind(_BOUNDARY)
+        return before[: cut + 2] if cut >= 0 else b""
