control: first working state

Views and states share one code path: the state changes its own view by the events it emits, so that a router cannot build another result from the same events.

--- /dev/null
+++ b/berylnotch/control/times.py
@@ -0,0 +1,16 @@
+"""Times for people."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+
+
+def format_ms(at_ms: int) -> str:
+    """Return a Unix time in milliseconds as ``YYYY-MM-DDTHH:MM:SSZ``."""
+    if at_ms <= 0:
+        return "-"
+    try:
+        moment = datetime.fromtimestamp(at_ms // 1000, UTC)
+    except (OverflowError, ValueError, OSError):
+        return f"{at_ms} ms"
+    return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
--- a/berylnotch/fleet/__init__.py
+++ b/berylnotch/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' text: services, targets, organisations, routes."""
+"""The operators' text: services, targets, organisations and routes."""
--- /dev/null
+++ b/berylnotch/keys/errors.py
@@ -0,0 +1,9 @@
+"""Errors of callers' keys."""
+
+from __future__ import annotations
+
+from berylnotch.errors import ControlError
+
+
+class KeyExistsError(ControlError):
+    """The key or its id is held already, or was withdrawn."""
--- /dev/null
+++ b/berylnotch/orders/book.py
@@ -0,0 +1,75 @@
+"""Rollouts and the newest order to each engine."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+
+from attrs import evolve
+
+from berylnotch.control.records import OrderRecord, RolloutRecord
+
+
+class OrderBook:
+    """What engines shall hold and what they were ordered to do."""
+
+    def __init__(self) -> None:
+        self._rollouts: dict[str, RolloutRecord] = {}
+        self._orders: dict[str, OrderRecord] = {}
+
+    @property
+    def rollouts(self) -> Mapping[str, RolloutRecord]:
+        """Newest rollout of each service."""
+        return self._rollouts
+
+    @property
+    def orders(self) -> Mapping[str, OrderRecord]:
+        """Newest order to each engine."""
+        return self._orders
+
+    def start(self, rollout: RolloutRecord) -> None:
+        """Replace a service's rollout; earlier failures no longer count."""
+        self._rollouts[rollout.service] = rollout
+        for target, order in self._orders.items():
+            if order.service == rollout.service:
+                self._orders[target] = evolve(order, failures=0)
+
+    def is_running(self, target: str) -> bool:
+        """Tell whether an engine has an order without a result."""
+        order = self._orders.get(target)
+        return order is not None and not order.finished_ms
+
+    def issue(self, order: OrderRecord) -> None:
+        """Note a new order; the engine must have none that runs."""
+        before = self._orders.get(order.target)
+        repeats = before is not None and before.version == order.version
+        failures = before.failures if repeats else 0
+        self._orders[order.target] = evolve(order, failures=failures)
+
+    def finish(self, target: str, at_ms: int, ok: bool, detail: str) -> None:
+        """Note the result of an engine's running order."""
+        order = self._orders[target]
+        failures = 0 if ok else order.failures + 1
+        self._orders[target] = evolve(
+            order,
+            finished_ms=max(1, at_ms),
+            ok=ok,
+            failures=failures,
+            detail=detail,
+        )
+
+    def prune(self, services: Mapping, targets: Mapping) -> None:
+        """Forget what belongs to services and targets that are gone."""
+        self._rollouts = {k: v for k, v in self._rollouts.items() if k in services}
+        self._orders = {k: v for k, v in self._orders.items() if k in targets}
+
+    def records(self) -> Iterator[object]:
+        """Yield everything for a snapshot."""
+        yield from self._rollouts.values()
+        yield from self._orders.values()
+
+    def restore(self, record: RolloutRecord | OrderRecord) -> None:
+        """Take a record of a snapshot over."""
+        if isinstance(record, RolloutRecord):
+            self._rollouts[record.service] = record
+        else:
+            self._orders[record.target] = record
--- /dev/null
+++ b/berylnotch/orders/state.py
@@ -0,0 +1,44 @@
+"""The scheduler's picture of the fleet, taken from the control state."""
+
+from __future__ import annotations
+
+from berylnotch.control.commands import LifeState, Subject
+from berylnotch.control.view import View
+from berylnotch.fleet.model import ServiceKind, Target
+from berylnotch.orders.book import OrderBook
+from berylnotch.orders.scheduler import Engine, OrderState
+
+
+def order_state(view: View, book: OrderBook) -> OrderState:
+    """Return the state that `next_orders` works on."""
+    fleet = view.fleet
+    services = fleet.services.values()
+    return OrderState(
+        engines=tuple(
+            engine(view, book, target)
+            for target in fleet.targets.values()
+            if fleet.services[target.service].kind is ServiceKind.LANGUAGE
+        ),
+        versions={name: rollout.version for name, rollout in book.rollouts.items()},
+        dependencies={item.name: item.requires + item.optional for item in services},
+        newest_issue_ms=max(
+            (order.issued_ms for order in book.orders.values()), default=0
+        ),
+        loads_per_min=fleet.weight_loads_per_min,
+    )
+
+
+def engine(view: View, book: OrderBook, target: Target) -> Engine:
+    """Return one engine."""
+    order = book.orders.get(target.name)
+    return Engine(
+        name=target.name,
+        service=target.service,
+        version=view.weights(target.name),
+        is_live=view.life_state(Subject.TARGET, target.name) is LifeState.LIVE,
+        is_draining=view.is_draining(Subject.TARGET, target.name),
+        is_ordered=book.is_running(target.name),
+        checks_orders=target.checks_orders,
+        failures=order.failures if order else 0,
+        finished_ms=order.finished_ms if order else 0,
+    )
--- a/berylnotch/transport/berylnotch.capnp
+++ b/berylnotch/transport/berylnotch.capnp
@@ -75,6 +75,12 @@
     whyRequest @68 :WhyRequest;
     whyLine @69 :WhyLine;
     whyReply @70 :WhyReply;
+    viewHeader @71 :ViewHeader;
+    keyBlock @72 :KeyBlock;
+    stateHeader @73 :StateHeader;
+    keyTimes @74 :KeyTimes;
+    rolloutRecord @75 :RolloutRecord;
+    orderRecord @76 :OrderRecord;
   }
 }
 
@@ -550,3 +556,47 @@
   lines @3 :List(WhyLine);
   outcome @4 :Text;
 }
+
+struct ViewHeader {
+  version @0 :Int64;
+  revision @1 :Int64;
+}
+
+struct KeyBlock {
+  organisation @0 :Text;
+  keyIds @1 :List(Text);
+  keyHashes @2 :Data;
+}
+
+struct StateHeader {
+  index @0 :Int64;
+  atMs @1 :Int64;
+  textOperator @2 :Text;
+  textAtMs @3 :Int64;
+  viewRecords @4 :Int64;
+}
+
+struct KeyTimes {
+  keyIds @0 :List(Text);
+  givenMs @1 :List(Int64);
+}
+
+struct RolloutRecord {
+  service @0 :Text;
+  version @1 :Text;
+  index @2 :Int64;
+  operator @3 :Text;
+  atMs @4 :Int64;
+}
+
+struct OrderRecord {
+  target @0 :Text;
+  service @1 :Text;
+  version @2 :Text;
+  fence @3 :Int64;
+  issuedMs @4 :Int64;
+  finishedMs @5 :Int64;
+  ok @6 :Bool;
+  failures @7 :Int64;
+  detail @8 :Text;
+}
--- a/berylnotch/transport/codec.py
+++ b/berylnotch/transport/codec.py
@@ -16,13 +16,13 @@
 import capnp
 
 from berylnotch.consensus import messages as consensus
-from berylnotch.control import commands, events, protocol
+from berylnotch.control import commands, events, protocol, records
 from berylnotch.errors import CodecError
 from berylnotch.transport import messages as connection
 
 T = TypeVar("T")
 
-_MODULES = (connection, consensus, commands, events, protocol)
+_MODULES = (connection, consensus, commands, events, protocol, records)
 
 #: Largest encoded message, in bytes.
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
