--- a/berylnotch/daemon/router/heartbeat.py
+++ b/berylnotch/daemon/router/heartbeat.py
@@ -64,7 +64,6 @@
         self._incarnation = incarnation
         self._http_address = ""
         self._leaving = False
-        self._sequence = 0
         self._busy = False
         self._sent_at = 0.0
         self._urgent = False
@@ -101,18 +100,18 @@
         self._urgent = False
         self._busy = True
         self._sent_at = now = time.monotonic()
-        self._sequence += 1
+        asks = self._quota.asks(now)
         request = GrantRequest(
             self._settings.name,
             self._incarnation,
             self._http_address,
             self._settings.failure_domain,
             self._leaving,
-            self._sequence,
-            self._quota.asks(now),
+            self._quota.sequence,
+            asks,
         )
         future = self._peers.call(self._target(), request, _TIMEOUT_S)
-        future.add_done_callback(lambda done: self._answered(now, bool(request.asks), done))
+        future.add_done_callback(lambda done: self._answered(now, bool(asks), done))
 
     def _target(self) -> str:
         address = self._hint or self._leader_address()
--- a/berylnotch/server/upstream.py
+++ b/berylnotch/server/upstream.py
@@ -12,7 +12,7 @@
 from berylnotch.util.loop import Loop, Timer
 
 if TYPE_CHECKING:
-    from berylnotch.gateways.request import UpstreamRequest
+    from berylnotch.gateways.http import UpstreamRequest
 
 #: Bytes of an answer that may wait in this process before curl is paused.
 _MAX_PENDING_BYTES = 64 * 1024
@@ -21,12 +21,8 @@
 _MAX_IDLE_CONNECTIONS = 512
 
 
-@frozen
-class AnswerHead:
-    """Status and headers of a target's answer; names in lower case."""
-
-    status: int
-    headers: dict[str, str]
+#: Takes the lines of an answer's head, the status line first.
+OnHead = Callable[[tuple[bytes, ...]], None]
 
 
 @frozen
@@ -56,7 +52,7 @@
 
     def __init__(
         self,
-        on_head: Callable[[AnswerHead], None],
+        on_head: OnHead,
         on_body: Callable[[bytes], None],
         on_end: Callable[[TransferEnd], None],
     ) -> None:
@@ -109,13 +105,21 @@
     def start(
         self,
         request: UpstreamRequest,
-        on_head: Callable[[AnswerHead], None],
+        idempotent: bool,
+        on_head: OnHead,
         on_body: Callable[[bytes], None],
         on_end: Callable[[TransferEnd], None],
     ) -> Transfer:
-        """Send a request; the callbacks tell of its answer."""
+        """Send a request; the callbacks tell of its answer.
+
+        A request that is not idempotent gets a connection of its own.
+        """
         transfer = Transfer(on_head, on_body, on_end)
         _configure(transfer.curl, request)
+        if not idempotent:
+            # curl repeats a request by itself if a kept connection turns out dead.
+            transfer.curl.setopt(pycurl.FRESH_CONNECT, 1)
+            transfer.curl.setopt(pycurl.FORBID_REUSE, 1)
         transfer.curl.setopt(
             pycurl.HEADERFUNCTION, lambda line: self._on_header(transfer, line)
         )
@@ -151,6 +155,8 @@
         transfer._head_bytes += len(line)
         if transfer._head_bytes > _MAX_HEAD_BYTES:
             return 0
+        if line in (b"\r\n", b"\n"):
+            return len(line)
         if line.startswith(b"HTTP/"):
             transfer._head_lines = []
         transfer._head_lines.append(line)
@@ -177,7 +183,7 @@
             return
         if not transfer._head_done and (transfer._pending or _is_complete(transfer)):
             transfer._head_done = True
-            transfer._on_head(_parse_head(transfer._head_lines))
+            transfer._on_head(tuple(transfer._head_lines))
         if transfer._pending and not transfer.cancelled and not transfer._paused:
             data = b"".join(transfer._pending)
             transfer._pending.clear()
@@ -274,10 +280,6 @@
     curl.setopt(pycurl.NOPROXY, "*")
     curl.setopt(pycurl.FOLLOWLOCATION, 0)
     curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP | pycurl.PROTO_HTTPS)
-    if not request.idempotent:
-        # curl repeats a request by itself if a kept connection turns out dead.
-        curl.setopt(pycurl.FRESH_CONNECT, 1)
-        curl.setopt(pycurl.FORBID_REUSE, 1)
     if request.body or request.method in ("POST", "PUT", "PATCH"):
         curl.setopt(pycurl.POST, 1)
         curl.setopt(pycurl.POSTFIELDSIZE_LARGE, len(request.body))
@@ -289,17 +291,3 @@
     # An empty value stops curl from adding these headers by itself.
     lines += ["Expect:", "User-Agent: berylnotch"]
     curl.setopt(pycurl.HTTPHEADER, lines)
-
-
-def _parse_head(lines: list[bytes]) -> AnswerHead:
-    status = 0
-    headers: dict[str, str] = {}
-    for line in lines:
-        text = line.decode("latin-1").strip()
-        if text.startswith("HTTP/"):
-            parts = text.split(" ", 2)
-            status = int(parts[1]) if len(parts) > 1 and parts[1].isdigit() else 0
-        elif ":" in text:
-            name, _, value = text.partition(":")
-            headers[name.strip().lower()] = value.strip()
-    return AnswerHead(status, headers)
