--- /dev/null
+++ b/berylnotch/server/attempts.py
@@ -0,0 +1,188 @@
+"""Choice of a target for an attempt, and the request that goes there."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from attrs import evolve, frozen
+
+from berylnotch.control.protocol import WhyLine, WhyReply
+from berylnotch.fleet.model import ServiceKind
+from berylnotch.gateways.engine import (
+    EngineAddress,
+    GenerationRequest,
+    build_generation,
+)
+from berylnotch.gateways.plain import PlainRequest, build_plain
+from berylnotch.placement.model import Candidate, Query
+from berylnotch.placement.rank import rank
+
+if TYPE_CHECKING:
+    from berylnotch.fleet.model import Target
+    from berylnotch.gateways.http import UpstreamRequest
+    from berylnotch.placement.model import Ranked
+    from berylnotch.server.context import Context
+    from berylnotch.server.job import Job
+    from berylnotch.streams.actions import StartAttempt
+
+#: Expected work of a request at a plain service, in seconds.
+_PLAIN_WORK_S = 0.01
+#: Paths of an engine, by whether the request is a chat.
+_PATHS = {True: "/v1/chat/completions", False: "/v1/completions"}
+
+
+@frozen
+class Choice:
+    """A chosen target and the work that it is expected to take."""
+
+    target: Target
+    weights: str
+    work_s: float
+
+
+class Attempts:
+    """Chooses targets and builds what they are sent.
+
+    Parameters
+    ----------
+    context : Context
+        Shared state.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    def free_slots(self, now: float, service: str) -> int:
+        """Return how many more requests the targets of a service take at once."""
+        candidates = self._candidates(now, service)
+        return sum(max(c.capacity - c.in_flight, 0) for c in candidates if c.is_usable)
+
+    def can_serve(self, now: float, service: str) -> bool:
+        """Return whether a service and all it requires have a usable target."""
+        fleet = self._context.view.fleet
+        found = fleet.services.get(service)
+        if found is None:
+            return False
+        if not any(c.is_usable for c in self._candidates(now, service)):
+            return False
+        return all(self.can_serve(now, name) for name in found.requires)
+
+    def missing_dependency(self, now: float, service: str) -> str:
+        """Return a required service that cannot serve, or an empty string."""
+        found = self._context.view.fleet.services[service]
+        broken = (name for name in found.requires if not self.can_serve(now, name))
+        return next(broken, "")
+
+    def choose(self, job: Job, action: StartAttempt) -> Choice | None:
+        """Choose a target, or return None if none can take the attempt."""
+        now = time.monotonic()
+        candidates = self._candidates(now, job.service.name)
+        if action.weights:
+            candidates = tuple(self._assume(c, action.weights) for c in candidates)
+        query = self._query(job, action, exclude=action.exclude)
+        ranked = rank(self._context.settings.placement, query, candidates)
+        if not ranked and action.exclude:
+            # A target that failed before is better than none.
+            query = evolve(query, exclude=frozenset())
+            ranked = rank(self._context.settings.placement, query, candidates)
+        ranked = _with_free_slot_first(ranked, candidates)
+        self._record(job, ranked)
+        if not ranked:
+            return None
+        best = ranked[0]
+        target = self._context.view.fleet.targets[best.name]
+        weights = self._context.view.weights(best.name)
+        return Choice(target, weights, self._work_s(job, best))
+
+    def build(
+        self, job: Job, target: Target, action: StartAttempt, timeout_s: float
+    ) -> UpstreamRequest:
+        """Build the request to a target.
+
+        Raises
+        ------
+        ForbiddenRequestError
+            If the caller's request may not be passed on.
+        """
+        address = EngineAddress(
+            target.address, self._context.settings.target_credential
+        )
+        if job.language is not None:
+            generation = self._generation(job)
+            resume = action.resume_after
+            return build_generation(address, generation, timeout_s, resume)
+        plain = PlainRequest(
+            method=job.request.method,
+            path=job.request.path,
+            query=job.request.query,
+            headers=job.request.headers,
+            body=job.request.body,
+            request_id=job.request.request_id,
+            caller_key=job.key,
+        )
+        return build_plain(address, plain, timeout_s)
+
+    def _candidates(self, now: float, service: str) -> tuple[Candidate, ...]:
+        return self._context.health.candidates(now, self._context.view, service)
+
+    def _assume(self, candidate: Candidate, weights: str) -> Candidate:
+        # An engine that never had an order says its version in its answers,
+        # which the exchange checks.
+        if self._context.view.has_weights(candidate.name):
+            return candidate
+        return evolve(candidate, weights=weights)
+
+    def _query(
+        self, job: Job, action: StartAttempt, exclude: frozenset[str]
+    ) -> Query:
+        settings = self._context.settings
+        pieces = 0
+        if job.language is not None:
+            pieces = -(-len(job.language.prompt) // settings.placement.piece_bytes)
+        return Query(
+            chain=job.chain,
+            prompt_pieces=pieces,
+            failure_domain=settings.failure_domain,
+            exclude=exclude,
+            weights=action.weights,
+        )
+
+    def _generation(self, job: Job) -> GenerationRequest:
+        name = job.organisation_name
+        return GenerationRequest(
+            path=_PATHS[job.request.path.endswith("/chat/completions")],
+            body=job.request.body,
+            request_id=job.request.request_id,
+            cache_scope=name,
+            stream=job.is_stream,
+            priority=self._context.quota.priority(name),
+            caller_key=job.key,
+        )
+
+    def _work_s(self, job: Job, best: Ranked) -> float:
+        if job.service.kind is not ServiceKind.LANGUAGE or job.language is None:
+            return _PLAIN_WORK_S
+        settings = self._context.settings.placement
+        cached = best.cached_pieces * settings.piece_tokens
+        tokens = max(job.language.prompt_tokens - cached, 0)
+        return tokens / settings.prefill_tokens_per_s
+
+    def _record(self, job: Job, ranked: tuple[Ranked, ...]) -> None:
+        lines = tuple(
+            WhyLine(item.name, position == 0, item.score_ms, item.reason)
+            for position, item in enumerate(ranked[:16])
+        )
+        revision = self._context.view.revision
+        self._context.decisions.record(
+            WhyReply(job.request.request_id, job.organisation_name, revision, lines)
+        )
+
+
+def _with_free_slot_first(
+    ranked: tuple[Ranked, ...], candidates: tuple[Candidate, ...]
+) -> tuple[Ranked, ...]:
+    full = {c.name for c in candidates if c.capacity and c.in_flight >= c.capacity}
+    if not full:
+        return ranked
+    return tuple(sorted(ranked, key=lambda item: item.name in full))
--- a/berylnotch/server/delivery.py
+++ b/berylnotch/server/delivery.py
@@ -10,6 +10,7 @@
 
 from berylnotch.gateways.engine import completion_tokens
 from berylnotch.server import responses
+from berylnotch.server.job import Unpaid
 from berylnotch.streams.actions import RunMark, SendBytes, SendHead
 from berylnotch.util.metrics import Label
 
@@ -67,8 +68,9 @@
 
     def send(self, job: Job, action: SendBytes) -> None:
         """Write bytes once their tokens are charged."""
-        if job.unpaid or not self._charge(job, action):
-            self._owe(job, action)
+        unpaid = Unpaid(action, _tokens(job, action))
+        if job.unpaid or not self._charge(job, unpaid):
+            self._owe(job, unpaid)
             return
         self._write(job, action)
 
@@ -83,7 +85,6 @@
     def drop_unpaid(self, job: Job) -> None:
         """Forget bytes that will not be delivered."""
         job.unpaid.clear()
-        job.unpaid_tokens = 0
         self._settle(job)
 
     def retry(self) -> None:
@@ -91,35 +92,35 @@
         for job in tuple(self._owing.values()):
             self._pay(job)
 
-    def _charge(self, job: Job, action: SendBytes) -> bool:
-        tokens = _tokens(job, action)
-        if job.organisation is None or not tokens:
+    def _charge(self, job: Job, unpaid: Unpaid) -> bool:
+        """Charge as much as the organisation has; return whether that is all."""
+        if job.organisation is None or not unpaid.tokens:
             return True
         now = time.monotonic()
-        if not self._context.quota.charge(now, job.organisation.name, tokens):
-            return False
-        job.charged_tokens += tokens
-        return True
-
-    def _owe(self, job: Job, action: SendBytes) -> None:
-        job.unpaid.append(action)
-        job.unpaid_tokens += _tokens(job, action)
+        quota, name = self._context.quota, job.organisation.name
+        tokens = min(unpaid.tokens, quota.balance(now, name))
+        if tokens and quota.charge(now, name, tokens):
+            unpaid.tokens -= tokens
+            job.charged_tokens += tokens
+        return not unpaid.tokens
+
+    def _owe(self, job: Job, unpaid: Unpaid) -> None:
+        job.unpaid.append(unpaid)
         self._owing[job.request.request_id] = job
-        self._needs.add(
-            job.organisation_name, job.request.request_id, job.unpaid_tokens
-        )
+        self._need(job)
         self._pause(job)
 
+    def _need(self, job: Job) -> None:
+        tokens = sum(unpaid.tokens for unpaid in job.unpaid)
+        # Any part of them helps, so that one token is enough to go on.
+        self._needs.add(job.organisation_name, job.request.request_id, tokens, 1)
+
     def _pay(self, job: Job) -> None:
         while job.unpaid:
             if not self._charge(job, job.unpaid[0]):
-                self._needs.add(
-                    job.organisation_name, job.request.request_id, job.unpaid_tokens
-                )
+                self._need(job)
                 return
-            action = job.unpaid.pop(0)
-            job.unpaid_tokens -= _tokens(job, action)
-            self._write(job, action)
+            self._write(job, job.unpaid.pop(0).action)
         self._settle(job)
         if job.finish is not None:
             job.finish()
--- a/berylnotch/server/job.py
+++ b/berylnotch/server/job.py
@@ -14,7 +14,7 @@
     from berylnotch.server.caller import Caller
     from berylnotch.server.intake import CallerRequest, LanguageCall
     from berylnotch.server.upstream import Transfer
-    from berylnotch.streams.actions import SendBytes
+    from berylnotch.streams.actions import Action, SendBytes
     from berylnotch.streams.exchange import Exchange
     from berylnotch.streams.inputs import ResponseHead
     from berylnotch.util.loop import Timer
@@ -31,6 +31,14 @@
     head: ResponseHead | None = None
 
 
+@define(eq=False)
+class Unpaid:
+    """Bytes that wait until their tokens are charged."""
+
+    action: SendBytes
+    tokens: int
+
+
 @define(eq=False)
 class Job:
     """State of one request from admission to the last byte.
@@ -85,14 +93,13 @@
     ticket: Ticket | None = None
     attempt: Attempt | None = None
     timer: Timer | None = None
-    unpaid: list[SendBytes] = field(factory=list)
-    unpaid_tokens: int = 0
+    unpaid: list[Unpaid] = field(factory=list)
     chunked: bool = False
     charged_tokens: int = 0
     first_byte_at: float = 0.0
     last_event_at: float = 0.0
     claim_attempt: str = ""
-    on_answer: Callable[[int, str, bytes], None] | None = None
+    held: list[Action] = field(factory=list)
     finish: Callable[[], None] | None = None
     is_over: bool = False
     is_poison: bool = False
--- a/berylnotch/server/needs.py
+++ b/berylnotch/server/needs.py
@@ -5,10 +5,20 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from attrs import frozen
+
 if TYPE_CHECKING:
     from berylnotch.quota.local import LocalQuota
 
 
+@frozen
+class _Need:
+    """All tokens that a request waits for, and the fewest that help it."""
+
+    tokens: int
+    first: int
+
+
 class TokenNeeds:
     """Keeps the quota informed of the waiting work.
 
@@ -23,11 +33,25 @@
     def __init__(self, quota: LocalQuota, hurry: Callable[[], None]) -> None:
         self._quota = quota
         self._hurry = hurry
-        self._needs: dict[str, dict[str, int]] = {}
+        self._needs: dict[str, dict[str, _Need]] = {}
+
+    def add(
+        self, organisation: str, request_id: str, tokens: int, first: int
+    ) -> None:
+        """Set what one request waits for.
 
-    def add(self, organisation: str, request_id: str, tokens: int) -> None:
-        """Set what one request waits for."""
-        self._needs.setdefault(organisation, {})[request_id] = tokens
+        Parameters
+        ----------
+        organisation : str
+            Whose request it is.
+        request_id : str
+            The request.
+        tokens : int
+            All that it waits for.
+        first : int
+            Fewest tokens with which it can go on.
+        """
+        self._needs.setdefault(organisation, {})[request_id] = _Need(tokens, first)
         self._tell(organisation)
         self._hurry()
 
@@ -42,7 +66,8 @@
 
     def waiting(self, organisation: str) -> int:
         """Return the tokens for which an organisation's requests wait."""
-        return sum(self._needs.get(organisation, {}).values())
+        needs = self._needs.get(organisation, {}).values()
+        return sum(need.tokens for need in needs)
 
     def organisations(self) -> tuple[str, ...]:
         """Return the organisations with waiting work."""
@@ -50,4 +75,5 @@
 
     def _tell(self, organisation: str) -> None:
         needs = self._needs[organisation].values()
-        self._quota.want(organisation, sum(needs), min(needs, default=0))
+        first = min((need.first for need in needs), default=0)
+        self._quota.want(organisation, sum(need.tokens for need in needs), first)
--- a/berylnotch/transport/berylnotch.capnp
+++ b/berylnotch/transport/berylnotch.capnp
@@ -84,6 +84,7 @@
     keyTimes @77 :KeyTimes;
     rolloutRecord @78 :RolloutRecord;
     orderRecord @79 :OrderRecord;
+    timeoutNow @80 :TimeoutNow;
   }
 }
 
@@ -132,6 +133,7 @@
   lastIndex @2 :Int64;
   lastTerm @3 :Int64;
   pre @4 :Bool;
+  transfer @5 :Bool;
 }
 
 struct VoteReply {
@@ -615,3 +617,8 @@
   failures @7 :Int64;
   detail @8 :Text;
 }
+
+struct TimeoutNow {
+  term @0 :Int64;
+  leader @1 :Text;
+}
