Serve the whole path end to end as separate processes

Three controllers, two routers, two engines, an order desk on loopback: text applied, key given, streamed and plain calls served, a non-idempotent call run once and replayed, key withdrawn, clean stops.

The router runs control, streams and callers' sockets in one loop; a thread of the HTTP server only reads and checks a request and then hands its socket over, so that no thread waits for an engine.

--- /dev/null
+++ b/berylnotch/cmd/daemon.py
@@ -0,0 +1,126 @@
+"""The daemon ``berylnotchd``."""
+
+from __future__ import annotations
+
+import argparse
+import signal
+import sys
+import threading
+from collections.abc import Sequence
+from pathlib import Path
+
+from loguru import logger
+
+from berylnotch import __version__
+from berylnotch.daemon.controller.controller import Controller
+from berylnotch.daemon.router.router import Router
+from berylnotch.errors import BerylnotchError, ConfigurationError
+from berylnotch.settings import read_controller, read_router, read_secret
+from berylnotch.transport.identity import OPERATOR_PREFIX, identity_key
+from berylnotch.util.logs import set_up_logs
+
+#: Exit codes.
+EXIT_OK = 0
+EXIT_FAILURE = 1
+EXIT_BAD_INPUT = 2
+
+
+def get_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="berylnotchd", description="Router and controller of berylnotch."
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    parser.add_argument(
+        "--log-level", default="INFO", choices=["DEBUG", "INFO", "WARNING", "ERROR"]
+    )
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    controller = commands.add_parser(
+        "controller", help="run a controller, on a VM with a disk"
+    )
+    controller.add_argument("--settings", required=True, metavar="FILE")
+    router = commands.add_parser("router", help="run a router, on an entry VM")
+    router.add_argument("--settings", required=True, metavar="FILE")
+    key = commands.add_parser(
+        "operator-key", help="print the key of an operator, for its key file"
+    )
+    key.add_argument("--secret-file", required=True, metavar="FILE")
+    key.add_argument("--name", required=True, metavar="OPERATOR")
+    return parser
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the daemon and return its exit code."""
+    args = get_parser().parse_args(argv)
+    try:
+        if args.command == "controller":
+            return _run_controller(args)
+        if args.command == "router":
+            return _run_router(args)
+        return _print_operator_key(args)
+    except ConfigurationError as error:
+        print(f"berylnotchd: {error}", file=sys.stderr)
+        return EXIT_BAD_INPUT
+    except BerylnotchError as error:
+        print(f"berylnotchd: {error}", file=sys.stderr)
+        return EXIT_FAILURE
+
+
+def run() -> None:
+    """Run the daemon as a program."""
+    sys.exit(main())
+
+
+def _run_controller(args: argparse.Namespace) -> int:
+    settings = read_controller(args.settings)
+    set_up_logs(f"controller/{settings.name}", args.log_level)
+    stop = _stop_event()
+    failed = threading.Event()
+
+    def on_failure() -> None:
+        failed.set()
+        stop.set()
+
+    controller = Controller(settings, on_failure)
+    controller.start()
+    print(f"listening {controller.address}", flush=True)
+    stop.wait()
+    controller.close()
+    return EXIT_FAILURE if failed.is_set() else EXIT_OK
+
+
+def _run_router(args: argparse.Namespace) -> int:
+    settings = read_router(args.settings)
+    set_up_logs(f"router/{settings.name}", args.log_level)
+    stop = _stop_event()
+    router = Router(settings)
+    router.start()
+    print(f"listening {router.http_address}", flush=True)
+    stop.wait()
+    router.drain()
+    router.close()
+    return EXIT_OK
+
+
+def _print_operator_key(args: argparse.Namespace) -> int:
+    secret = read_secret(Path(args.secret_file))
+    print(identity_key(secret, OPERATOR_PREFIX + args.name).hex())
+    return EXIT_OK
+
+
+def _stop_event() -> threading.Event:
+    """Return an event that SIGTERM and SIGINT set; a second signal does no more."""
+    stop = threading.Event()
+
+    def on_signal(number: int, _frame: object) -> None:
+        if not stop.is_set():
+            logger.info("event=stop_asked signal={}", signal.Signals(number).name)
+        stop.set()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    return stop
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/berylnotch/daemon/controller/controller.py
@@ -0,0 +1,107 @@
+"""Assembly of a controller process."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from berylnotch.consensus.replica import Replica
+from berylnotch.consensus.storage import LogStorage
+from berylnotch.daemon.controller.core import Core
+from berylnotch.transport.identity import VM_PREFIX, identity_key
+from berylnotch.transport.peers import Listener, Peers
+from berylnotch.util.address import parse_address
+from berylnotch.util.loop import Loop
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from berylnotch.consensus.state import Recovered
+    from berylnotch.settings.controller import ControllerSettings
+    from berylnotch.util.address import Address
+
+
+class Controller:
+    """A controller: durable log, core thread and network.
+
+    Parameters
+    ----------
+    settings : ControllerSettings
+        Settings of the process.
+    on_failure : callable
+        Called, in another thread, if the controller cannot go on.
+    """
+
+    def __init__(
+        self, settings: ControllerSettings, on_failure: Callable[[], None]
+    ) -> None:
+        self._settings = settings
+        self._on_failure = on_failure
+        self._loop = Loop("network")
+        self._listener: Listener | None = None
+        self._peers: Peers | None = None
+        self._core: Core | None = None
+
+    @property
+    def address(self) -> Address:
+        """Address in use."""
+        return self._listener.address
+
+    def start(self) -> None:
+        """Read the data folder and begin to serve.
+
+        Raises
+        ------
+        StorageError
+            If the data folder is damaged.
+        """
+        settings = self._settings
+        storage = LogStorage(
+            settings.data_folder, settings.name, settings.consensus.keep_entries
+        )
+        recovered = storage.start()
+        self._loop.start()
+        identity = VM_PREFIX + settings.name
+        self._peers = Peers(self._loop, identity, self._key_of)
+        self._listener = Listener(
+            self._loop, parse_address(settings.listen), self._key_of, self._submit
+        )
+        self._core = Core(
+            settings,
+            storage,
+            recovered,
+            self._peers,
+            self._make_replica,
+            str(self._listener.address),
+            self._on_failure,
+        )
+        self._core.start()
+        self._listener.start()
+        logger.info(
+            "event=controller_started name={} replica={} address={}",
+            settings.name,
+            recovered.identity,
+            self._listener.address,
+        )
+
+    def close(self) -> None:
+        """Stop: no more messages, then the core, then the connections."""
+        self._listener.close()
+        self._core.close()
+        self._peers.close()
+        self._loop.close()
+        logger.info("event=controller_stopped name={}", self._settings.name)
+
+    def _key_of(self, identity: str) -> bytes:
+        return identity_key(self._settings.secret, identity)
+
+    def _make_replica(self, recovered: Recovered) -> Replica:
+        return Replica(
+            self._settings.consensus, recovered, random.Random(), time.monotonic()
+        )
+
+    def _submit(self, identity: str, message: object, reply: object) -> None:
+        self._core.submit(identity, message, reply)
--- a/berylnotch/daemon/controller/core.py
+++ b/berylnotch/daemon/controller/core.py
@@ -5,12 +5,12 @@
 import queue
 import time
 from collections.abc import Callable
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor, wait
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
-from berylnotch.consensus.bootstrap import bootstrap
+from berylnotch.consensus.bootstrap import bootstrap, first_ready
 from berylnotch.consensus.messages import (
     AppendReply,
     AppendRequest,
@@ -40,6 +40,7 @@
 from berylnotch.daemon.controller import reads
 from berylnotch.daemon.controller.inbound import Inbound, Vouched, ignore
 from berylnotch.daemon.controller.leader import Leader
+from berylnotch.daemon.controller.members import MemberChanges
 from berylnotch.daemon.controller.proposals import Proposals
 from berylnotch.daemon.controller.syncing import SyncServer
 from berylnotch.daemon.controller.vouching import Vouching
@@ -87,6 +88,10 @@
         Connections to the other controllers.
     make_replica : callable
         Builds the replica from recovered state.
+    address : str
+        ``IP:port`` under which other processes reach this one.
+    on_failure : callable
+        Called if the thread ends by an error.
     """
 
     def __init__(
@@ -96,8 +101,12 @@
         recovered: Recovered,
         peers: Peers,
         make_replica: Callable[[Recovered], Replica],
+        address: str,
+        on_failure: Callable[[], None],
     ) -> None:
         self._settings = settings
+        self._on_failure = on_failure
+        self._address = address
         self._storage = storage
         self._recovered = recovered
         self._peers = peers
@@ -110,6 +119,7 @@
         self._proposals = Proposals()
         self._syncs = SyncServer(self._state, self._age_ms, self._leader_address)
         self._leader = Leader(settings, self._state, self.propose_command)
+        self._member_changes = MemberChanges(peers, self._deliver_call)
         self._inbox: queue.SimpleQueue[Inbound | None] = queue.SimpleQueue()
         self._executor = ThreadPoolExecutor(1, thread_name_prefix="core")
         self._finished: Future[None] | None = None
@@ -138,7 +148,7 @@
         """Finish the current batch and stop."""
         self._inbox.put(None)
         if self._finished is not None:
-            self._finished.result()
+            wait([self._finished])
         self._executor.shutdown()
         self._storage.close()
 
@@ -170,8 +180,9 @@
             try:
                 self._run_batch()
             except Exception:
-                # Without its log a replica must not go on.
+                # A replica that cannot save or apply must not go on.
                 logger.exception("event=core_failed")
+                self._on_failure()
                 raise
 
     def _run_batch(self) -> None:
@@ -214,6 +225,8 @@
         message = inbound.message
         if isinstance(message, Vouched):
             self._vouching.take(message, self._replica.applied)
+        elif not inbound.identity:
+            message()
         elif not is_vm(inbound.identity):
             self._dispatch_operator(inbound)
         elif isinstance(message, _CONSENSUS):
@@ -244,12 +257,12 @@
         elif not self._replica.has_lease(time.monotonic()):
             inbound.reply(NotLeader(self._leader_address()))
         elif isinstance(message, MemberChangeRequest):
-            self._leader.members.ask(message, inbound.reply)
+            self._member_changes.ask(message, inbound.reply)
         else:
             inbound.reply(reads.answer(self, message))
 
     def _join(self, reply: Callable[[object], None]) -> None:
-        member = self._settings.as_member(self._replica.identity)
+        member = self._settings.as_member(self._replica.identity, self._address)
         reply(JoinReply(member, bool(self.members())))
 
     def _bootstrap(
@@ -257,7 +270,7 @@
     ) -> None:
         if not self.members():
             recovered = bootstrap(self._recovered, message.members)
-            self._storage.save_bootstrap(recovered)
+            self._storage.save(first_ready(recovered))
             self._recovered = recovered
             self._replica = self._make_replica(recovered)
             logger.info("event=bootstrap members={}", len(message.members.members))
@@ -297,8 +310,10 @@
         if self._replica.has_lease(now):
             self._leader.become(now, self._replica.term)
             self._leader.tick(now)
+            self._member_changes.tick(now, self._replica)
         else:
             self._leader.resign()
+            self._member_changes.fail(NotLeader(self._leader_address()))
             if not self._replica.is_leader:
                 self._proposals.fail_all(NotLeader(self._leader_address()))
 
@@ -323,5 +338,8 @@
         own = self._lease_age_ms()
         return own if own >= 0 else self._vouching.age_ms(now)
 
+    def _deliver_call(self, call: Callable[[], None]) -> None:
+        self._inbox.put(Inbound("", call, ignore))
+
     def _deliver(self, vouched: Vouched) -> None:
         self._inbox.put(Inbound("", vouched, ignore))
--- /dev/null
+++ b/berylnotch/daemon/controller/reads.py
@@ -0,0 +1,138 @@
+"""Answers of the leader to operators."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+from berylnotch.control.commands import (
+    ApplyText,
+    GiveKey,
+    SetDrain,
+    SettleClaim,
+    StartRollout,
+    Subject,
+    WithdrawKey,
+)
+from berylnotch.control.protocol import (
+    AuditReply,
+    AuditRequest,
+    ClaimReply,
+    ClaimRequest,
+    ControllerLine,
+    KeysReply,
+    KeysRequest,
+    OrganisationLine,
+    Refused,
+    ShowReply,
+    ShowRequest,
+    StatusReply,
+    StatusRequest,
+    TargetLine,
+)
+from berylnotch.errors import ControlError
+
+if TYPE_CHECKING:
+    from berylnotch.consensus.messages import Member
+    from berylnotch.daemon.controller.core import Core
+    from berylnotch.fleet.model import Organisation, Target
+
+#: Most audit records in one answer.
+_MAX_AUDIT = 1000
+
+_OPERATOR_COMMANDS = (
+    ApplyText,
+    GiveKey,
+    WithdrawKey,
+    SetDrain,
+    SettleClaim,
+    StartRollout,
+)
+
+
+def check_operator_command(operator: str, command: Any) -> Any:
+    """Return the command if this operator may propose it.
+
+    Raises
+    ------
+    ControlError
+        If it is no operator's command or names another operator.
+    """
+    if not isinstance(command, _OPERATOR_COMMANDS):
+        raise ControlError(f"{type(command).__name__} is no command of operators")
+    if command.operator != operator:
+        raise ControlError(f"the command names {command.operator!r} as operator")
+    if not command.change_id:
+        raise ControlError("the command has no change id")
+    return command
+
+
+def answer(core: Core, message: Any) -> object:
+    """Answer an operator's question; this controller leads."""
+    state = core.state
+    if isinstance(message, ShowRequest):
+        return ShowReply(state.revision, state.text)
+    if isinstance(message, AuditRequest):
+        limit = min(max(message.limit, 1), _MAX_AUDIT)
+        return AuditReply(state.audit(message.after_index, limit))
+    if isinstance(message, KeysRequest):
+        return KeysReply(state.keys(message.organisation))
+    if isinstance(message, ClaimRequest):
+        return ClaimReply(state.claim(message.organisation, message.idempotency_key))
+    if isinstance(message, StatusRequest):
+        return _status(core, time.monotonic())
+    return Refused(f"{type(message).__name__} is not served here")
+
+
+def _status(core: Core, now: float) -> StatusReply:
+    replica, fleet = core.replica, core.state.fleet
+    return StatusReply(
+        term=replica.term,
+        leader=replica.leader,
+        commit=replica.commit,
+        revision=core.state.revision,
+        controllers=tuple(_controller(core, now, m) for m in core.members()),
+        routers=core.leader.router_lines(now),
+        targets=tuple(_target(core, t) for t in fleet.targets.values()),
+        organisations=tuple(
+            _organisation(core, now, o) for o in fleet.organisations.values()
+        ),
+    )
+
+
+def _controller(core: Core, now: float, member: Member) -> ControllerLine:
+    replica = core.replica
+    if member.replica == replica.identity:
+        return ControllerLine(member, True, replica.last_index, 0)
+    progress = replica.progress.get(member.replica)
+    if progress is None:
+        return ControllerLine(member, False, 0, -1)
+    heard_ms = int((now - progress.heard_at) * 1000)
+    return ControllerLine(member, False, progress.match, heard_ms)
+
+
+def _target(core: Core, target: Target) -> TargetLine:
+    view = core.state.view
+    return TargetLine(
+        target.name,
+        target.service,
+        target.address,
+        target.failure_domain,
+        view.life_state(Subject.TARGET, target.name).value,
+        view.is_draining(Subject.TARGET, target.name),
+        view.weights(target.name),
+    )
+
+
+def _organisation(
+    core: Core, now: float, organisation: Organisation
+) -> OrganisationLine:
+    owner, name = core.leader.owner, organisation.name
+    return OrganisationLine(
+        name,
+        organisation.rate,
+        organisation.burst,
+        organisation.share,
+        int(owner.level(now, name)) if owner else 0,
+        int(owner.used_per_s(now, name)) if owner else 0,
+    )
--- a/berylnotch/daemon/controller/routers.py
+++ b/berylnotch/daemon/controller/routers.py
@@ -48,11 +48,10 @@
         """Return the life states that the log does not hold yet."""
         found = []
         for vm, heard in self._heard.items():
+            if vm not in state.fleet.vms:
+                continue
             observed = _observed(now, heard)
-            if state.life_record(Subject.VM, vm) != (
-                observed.incarnation,
-                observed.state,
-            ):
+            if not _is_known(state, observed):
                 found.append(observed)
         found.extend(self._never_heard(now, state))
         return tuple(found)
@@ -82,9 +81,7 @@
             if vm in self._heard or report is None or report.state is LifeState.LOST:
                 continue
             found.append(
-                SetLifeState(
-                    Subject.VM, vm, report.incarnation, LifeState.LOST, SOURCE
-                )
+                SetLifeState(Subject.VM, vm, report.incarnation, LifeState.LOST, SOURCE)
             )
         return found
 
--- /dev/null
+++ b/berylnotch/daemon/router/router.py
@@ -0,0 +1,222 @@
+"""Assembly of a router process."""
+
+from __future__ import annotations
+
+import secrets
+import threading
+import time
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import TYPE_CHECKING, Any
+
+from loguru import logger
+from werkzeug import Response
+
+from berylnotch.control.protocol import Refused, SyncRequest, WhyRequest
+from berylnotch.control.view import View
+from berylnotch.daemon.controller.syncing import SyncServer
+from berylnotch.daemon.router.follower import Follower
+from berylnotch.daemon.router.heartbeat import Heartbeat
+from berylnotch.daemon.router.proposer import Proposer
+from berylnotch.keys.freshness import Freshness
+from berylnotch.membership.crashes import CrashGuard
+from berylnotch.membership.targets import TargetHealth
+from berylnotch.quota.local import LocalQuota
+from berylnotch.server.app import App
+from berylnotch.server.context import Context
+from berylnotch.server.engine import RequestPath
+from berylnotch.server.handover import HttpServer
+from berylnotch.server.upstream import Upstreams
+from berylnotch.transport.identity import (
+    CALLER_KEY_NAME,
+    STREAM_KEY_NAME,
+    VM_PREFIX,
+    identity_key,
+    is_vm,
+)
+from berylnotch.transport.peers import Listener, Peers
+from berylnotch.util.address import parse_address
+from berylnotch.util.loop import Loop
+from berylnotch.util.metrics import Metrics
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from berylnotch.settings.router import RouterSettings
+    from berylnotch.util.address import Address
+
+_TICK_S = 0.1
+_POLL_S = 0.1
+
+
+class Router:
+    """A router: one loop for control, streams and callers' sockets.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+        Settings of the process.
+    """
+
+    def __init__(self, settings: RouterSettings) -> None:
+        self._settings = settings
+        self._incarnation = secrets.token_hex(6)
+        self._loop = Loop("router")
+        self._view = View()
+        self._freshness = Freshness(settings.freshness_lease_s)
+        self._quota = LocalQuota(settings.quota)
+        self._metrics = Metrics()
+        self._executor = ThreadPoolExecutor(2, thread_name_prefix="http")
+        self._served: list[Future[None]] = []
+        self._stopping = threading.Event()
+
+    @property
+    def http_address(self) -> Address:
+        """Address for callers."""
+        return self._http.address
+
+    @property
+    def address(self) -> Address:
+        """Address for other routers and operators."""
+        return self._listener.address
+
+    def start(self) -> None:
+        """Begin to follow the control state and to serve callers."""
+        settings = self._settings
+        self._loop.start()
+        identity = VM_PREFIX + settings.name
+        self._peers = Peers(self._loop, identity, self._key_of)
+        self._follower = self._make_follower()
+        self._heartbeat = Heartbeat(
+            self._loop,
+            self._peers,
+            settings,
+            self._quota,
+            lambda: self._follower.leader_address,
+            lambda: self._path.on_grant(),
+            self._incarnation,
+        )
+        self._context = self._make_context()
+        stream_secret = identity_key(settings.secret, STREAM_KEY_NAME)
+        self._path = RequestPath(self._context, stream_secret)
+        key_secret = identity_key(settings.secret, CALLER_KEY_NAME)
+        app = App(self._context, self._path, key_secret, stream_secret)
+        self._syncs = SyncServer(
+            self._view, self._freshness.age_ms, lambda: self._follower.leader_address
+        )
+        self._listener = Listener(
+            self._loop, parse_address(settings.listen), self._key_of, self._handle
+        )
+        self._http = self._serve(settings.http, app, settings.max_body_bytes)
+        self._metrics_http = self._serve(settings.metrics, self._serve_metrics, 0)
+        self._listener.start()
+        self._loop.call_soon(self._path.start)
+        self._loop.call_every(_TICK_S, lambda: self._syncs.tick(time.monotonic()))
+        self._follower.start()
+        self._heartbeat.start(str(self._http.address))
+        logger.info(
+            "event=router_started name={} http={} listen={} metrics={}",
+            settings.name,
+            self._http.address,
+            self._listener.address,
+            self._metrics_http.address,
+        )
+
+    def drain(self) -> None:
+        """Stop gracefully: leave the address answers, then finish all requests.
+
+        It returns when no request runs any more, or at the limit of the
+        settings.
+        """
+        self._heartbeat.set_leaving()
+        keep_s = self._view.fleet.address_keep_s
+        logger.info("event=router_leaving keep_s={}", keep_s)
+        # Callers that got this address before may still connect.
+        self._stopping.wait(keep_s)
+        limit = time.monotonic() + self._settings.stop_limit_s
+        while self._path.running and time.monotonic() < limit:
+            self._stopping.wait(_POLL_S)
+        logger.info("event=router_drained running={}", self._path.running)
+
+    def close(self) -> None:
+        """Stop at once."""
+        self._http.close()
+        self._metrics_http.close()
+        for served in self._served:
+            served.result()
+        self._executor.shutdown()
+        self._follower.close()
+        self._heartbeat.close()
+        self._listener.close()
+        self._peers.close()
+        self._loop.call_soon(self._context.upstreams.close)
+        self._loop.close()
+        logger.info("event=router_stopped name={}", self._settings.name)
+
+    def _make_follower(self) -> Follower:
+        settings = self._settings
+        controllers = [c.address for c in settings.controllers]
+        # Routers begin at different controllers, so that none serves them all.
+        shift = sum(settings.name.encode()) % max(len(controllers), 1)
+        sources = controllers[shift:] + controllers[:shift]
+        own = settings.listen
+        sources += [r.address for r in settings.routers if r.address != own]
+        return Follower(
+            self._loop,
+            self._peers,
+            tuple(sources),
+            self._view,
+            self._freshness,
+            settings.name,
+            self._incarnation,
+            self._on_view_change,
+        )
+
+    def _make_context(self) -> Context:
+        settings = self._settings
+        proposer = Proposer(
+            self._loop, self._peers, settings, lambda: self._follower.leader_address
+        )
+        return Context(
+            loop=self._loop,
+            settings=settings,
+            view=self._view,
+            freshness=self._freshness,
+            quota=self._quota,
+            health=TargetHealth(settings.membership),
+            guard=CrashGuard(settings.membership),
+            upstreams=Upstreams(self._loop),
+            proposer=proposer,
+            metrics=self._metrics,
+            incarnation=self._incarnation,
+            hurry=self._heartbeat.hurry,
+        )
+
+    def _serve(self, address: str, app: Any, max_body_bytes: int) -> HttpServer:
+        server = HttpServer(parse_address(address), app, max_body_bytes)
+        server.prepare()
+        self._served.append(self._executor.submit(server.serve))
+        return server
+
+    def _serve_metrics(self, environ: dict[str, Any], start_response: Any) -> Any:
+        self._metrics.gauge("berylnotch_requests_running", self._path.running)
+        self._metrics.gauge("berylnotch_revision", self._view.revision)
+        text = self._metrics.render()
+        response = Response(text, content_type="text/plain; version=0.0.4")
+        return response(environ, start_response)
+
+    def _on_view_change(self) -> None:
+        self._path.on_view_change()
+        self._syncs.tick(time.monotonic())
+
+    def _handle(
+        self, identity: str, message: Any, reply: Callable[[object], None]
+    ) -> None:
+        if isinstance(message, SyncRequest) and is_vm(identity):
+            self._syncs.ask(time.monotonic(), message, reply)
+        elif isinstance(message, WhyRequest):
+            reply(self._context.decisions.find(message.request_id))
+        else:
+            reply(Refused(f"{type(message).__name__} is not served by routers"))
+
+    def _key_of(self, identity: str) -> bytes:
+        return identity_key(self._settings.secret, identity)
--- a/berylnotch/membership/addresses.py
+++ b/berylnotch/membership/addresses.py
@@ -45,15 +45,16 @@
     settings : MembershipSettings
         Number of addresses and how long they are kept.
     """
-    if view.fleet is None:
-        return AddressAnswer((), settings.answer_keep_s)
-    live = [vm for vm in view.fleet.vms if _is_live(view, vm.name)]
-    vms = live or list(view.fleet.vms)
+    known = list(view.fleet.vms.values())
+    live = [vm for vm in known if _is_live(view, vm.name)]
+    vms = live or known
     key = name_hash(organisation)
     vms.sort(key=lambda vm: (-weight(key, name_hash(vm.name)), vm.name))
     chosen = vms[: settings.answer_vms]
     chosen.sort(key=lambda vm: vm.failure_domain != failure_domain)
-    return AddressAnswer(tuple(vm.address for vm in chosen), settings.answer_keep_s)
+    return AddressAnswer(
+        tuple(vm.address for vm in chosen), int(view.fleet.address_keep_s)
+    )
 
 
 def _is_live(view: View, name: str) -> bool:
--- a/berylnotch/membership/targets.py
+++ b/berylnotch/membership/targets.py
@@ -121,9 +121,7 @@
 
     def candidates(self, now: float, view: View, service: str) -> tuple[Candidate, ...]:
         """Build the candidates of a service, in the order of the text."""
-        if view.fleet is None:
-            return ()
-        targets = [t for t in view.fleet.targets if t.service == service]
+        targets = view.fleet.targets_of(service)
         ejected = self._ejected(now, [t.name for t in targets])
         return tuple(self._candidate(now, view, t, ejected) for t in targets)
 
--- a/berylnotch/server/attempts.py
+++ b/berylnotch/server/attempts.py
@@ -133,9 +133,7 @@
             return candidate
         return evolve(candidate, weights=weights)
 
-    def _query(
-        self, job: Job, action: StartAttempt, exclude: frozenset[str]
-    ) -> Query:
+    def _query(self, job: Job, action: StartAttempt, exclude: frozenset[str]) -> Query:
         settings = self._context.settings
         pieces = 0
         if job.language is not None:
--- a/berylnotch/server/engine.py
+++ b/berylnotch/server/engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 import time
 from typing import TYPE_CHECKING
 
@@ -22,8 +23,8 @@
 from berylnotch.streams.inputs import ExchangeRequest, PauseReason
 from berylnotch.streams.reference import (
     FINGERPRINT_BYTES,
+    STREAM_ID_BYTES,
     StreamPosition,
-    new_stream_id,
     sign_base,
 )
 from berylnotch.util.metrics import Label
@@ -55,7 +56,9 @@
         self._needs = TokenNeeds(context.quota, context.hurry)
         self._attempts = Attempts(context)
         self._claims = Claims(context)
-        self._runner = Runner(context, self._attempts, self._claims, self._over)
+        self._runner = Runner(
+            context, self._attempts, self._claims, self._over, self._check_freshness
+        )
         self._delivery = Delivery(
             context,
             self._needs,
@@ -187,7 +190,7 @@
 
     def _sign_base(self, job: Job, weights: str) -> str:
         position = StreamPosition(
-            stream=new_stream_id(),
+            stream=secrets.token_bytes(STREAM_ID_BYTES),
             organisation=job.organisation_name,
             fingerprint=job.fingerprint[:FINGERPRINT_BYTES],
             weights=weights,
@@ -238,9 +241,7 @@
         job.is_over = True
         self._context.jobs.discard(job)
         # Freed slots are used after the present call, which may be in a queue.
-        self._context.loop.call_soon(
-            lambda: self._queueing.pump(job.service.name)
-        )
+        self._context.loop.call_soon(lambda: self._queueing.pump(job.service.name))
 
     def _tick(self) -> None:
         self._check_freshness()
--- a/berylnotch/server/intake.py
+++ b/berylnotch/server/intake.py
@@ -98,7 +98,7 @@
             f"Idempotency-Key has at most {MAX_IDEMPOTENCY_KEY} characters",
         )
     return CallerRequest(
-        request_id=_request_id(request),
+        request_id=request_id(request),
         method=request.method,
         path=request.path,
         query=request.query_string.decode("latin-1"),
@@ -142,7 +142,8 @@
     return fields
 
 
-def _request_id(request: Request) -> str:
+def request_id(request: Request) -> str:
+    """Return the id that the caller chose, if it is usable, or a new one."""
     given = request.headers.get("X-Request-Id", "")
     if given and len(given) <= _MAX_REQUEST_ID and given.isascii():
         if all(char.isalnum() or char in "-_." for char in given):
--- a/berylnotch/server/job.py
+++ b/berylnotch/server/job.py
@@ -82,7 +82,6 @@
     language: LanguageCall | None
     fingerprint: bytes
     chain: tuple[bytes, ...]
-    chain_weights: str
     arrived_at: float
     deadline: float
     idempotent: bool
--- a/berylnotch/server/needs.py
+++ b/berylnotch/server/needs.py
@@ -35,9 +35,7 @@
         self._hurry = hurry
         self._needs: dict[str, dict[str, _Need]] = {}
 
-    def add(
-        self, organisation: str, request_id: str, tokens: int, first: int
-    ) -> None:
+    def add(self, organisation: str, request_id: str, tokens: int, first: int) -> None:
         """Set what one request waits for.
 
         Parameters
--- a/berylnotch/server/responses.py
+++ b/berylnotch/server/responses.py
@@ -89,5 +89,6 @@
     headers[RUN_HEADER] = RunMark.RAN.value
     return headers
 
+
 #: Seconds after which a caller may come back when a short outage is the cause.
 SHORT_RETRY_S = 1.0
--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -59,6 +59,8 @@
         Outcomes of non-idempotent requests.
     on_over : callable
         Called with each job when it is over.
+    check_freshness : callable
+        Pauses all keyed jobs if keys cannot be verified any more.
     """
 
     def __init__(
@@ -67,8 +69,10 @@
         attempts: Attempts,
         claims: Claims,
         on_over: Callable[[Job], None],
+        check_freshness: Callable[[], None],
     ) -> None:
         self._context = context
+        self._check_freshness = check_freshness
         self._attempts = attempts
         self._claims = claims
         self._on_over = on_over
@@ -153,9 +157,7 @@
         dispatch = self._context.health.begin(now, name, choice.work_s)
         attempt = Attempt(action.number, name, dispatch)
         job.attempt = attempt
-        actions = job.exchange.attempt_started(
-            now, action.number, name, choice.weights
-        )
+        actions = job.exchange.attempt_started(now, action.number, name, choice.weights)
         attempt.transfer = self._context.upstreams.start(
             request,
             job.idempotent,
@@ -186,8 +188,8 @@
     def _on_body(self, job: Job, attempt: Attempt, data: bytes) -> None:
         now = time.monotonic()
         self._context.health.first_token(attempt.dispatch)
-        if job.key_hash and not self._context.freshness.is_fresh(now):
-            self.pause(job, PauseReason.KEY)
+        # A stopped and continued process may find this before its timers.
+        self._check_freshness()
         self.perform(job, job.exchange.body(now, attempt.number, data))
         if job.caller.is_full:
             self.pause(job, PauseReason.CALLER)
--- /dev/null
+++ b/berylnotch/standins/fleet.py
@@ -0,0 +1,213 @@
+"""A small fleet on loopback: controllers, routers and stand-ins as processes."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from berylnotch.consensus.messages import Members
+from berylnotch.control.commands import (
+    ApplyText,
+    GiveKey,
+    Result,
+    Status,
+    WithdrawKey,
+)
+from berylnotch.control.protocol import (
+    BootstrapRequest,
+    JoinRequest,
+    ProposeRequest,
+    StatusRequest,
+)
+from berylnotch.keys.keyring import NewKey, hash_key, new_key
+from berylnotch.standins.process import Child
+from berylnotch.transport.client import Client
+from berylnotch.transport.codec import encode
+from berylnotch.transport.identity import (
+    CALLER_KEY_NAME,
+    OPERATOR_PREFIX,
+    identity_key,
+)
+
+#: Operator that the fleet's client acts as.
+OPERATOR = "asha"
+_DAEMON = "berylnotch.cmd.daemon"
+#: Seconds for a condition to come true.
+WAIT_LIMIT_S = 30.0
+_POLL_S = 0.05
+
+
+class ConditionError(Exception):
+    """A condition did not come true in time."""
+
+
+def wait_for(condition: Callable[[], object], what: str) -> object:
+    """Wait until ``condition`` returns something true, and return that."""
+    deadline = time.monotonic() + WAIT_LIMIT_S
+    while time.monotonic() < deadline:
+        found = condition()
+        if found:
+            return found
+        time.sleep(_POLL_S)
+    raise ConditionError(f"waited {WAIT_LIMIT_S:.0f} s in vain: {what}")
+
+
+class LocalFleet:
+    """Processes of one fleet under one folder.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder for settings, data and logs.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._secret = secrets.token_hex(32).encode()
+        self._children: dict[str, Child] = {}
+        self._listen: dict[str, str] = {}
+        self._client: Client | None = None
+        folder.mkdir(parents=True, exist_ok=True)
+        self.secret_file.write_bytes(self._secret)
+
+    @property
+    def secret_file(self) -> Path:
+        """File with the cluster secret."""
+        return self._folder / "secret"
+
+    @property
+    def secret(self) -> bytes:
+        """Cluster secret."""
+        return self._secret
+
+    @property
+    def folder(self) -> Path:
+        """Folder of the fleet."""
+        return self._folder
+
+    @property
+    def children(self) -> dict[str, Child]:
+        """Processes by name."""
+        return self._children
+
+    @property
+    def controllers(self) -> dict[str, str]:
+        """Addresses of the controllers by name."""
+        return {n: a for n, a in self._listen.items() if n.startswith("c")}
+
+    @property
+    def client(self) -> Client:
+        """Client of the controllers, as the operator `OPERATOR`."""
+        if self._client is None:
+            identity = OPERATOR_PREFIX + OPERATOR
+            key = identity_key(self._secret, identity)
+            self._client = Client(
+                tuple(self.controllers.values()), identity, key, timeout_s=30.0
+            )
+            self._client.start()
+        return self._client
+
+    def data_folder(self, name: str) -> Path:
+        """Return the data folder of a controller."""
+        return self._folder / f"{name}-data"
+
+    def start_controllers(self, names: tuple[str, ...], domains: tuple[str, ...]):
+        """Start controllers and form a group of them."""
+        for name, domain in zip(names, domains, strict=True):
+            self.start_controller(name, domain)
+        self.bootstrap(names)
+
+    def start_controller(self, name: str, domain: str) -> Child:
+        """Start one controller; a restarted one keeps its address."""
+        settings = self._folder / f"{name}.ini"
+        listen = self._listen.get(name, "127.0.0.1:0")
+        settings.write_text(
+            f"[controller]\nname = {name}\nfailure-domain = {domain}\n"
+            f"listen = {listen}\ndata-folder = {self.data_folder(name)}\n"
+            f"secret-file = {self.secret_file}\n",
+            encoding="utf-8",
+        )
+        child = self._start(name, (_DAEMON, "controller", "--settings", str(settings)))
+        self._listen[name] = child.address
+        return child
+
+    def bootstrap(self, names: tuple[str, ...]) -> None:
+        """Form a group of new controllers."""
+        replies = [
+            self.client.call_at(self._listen[name], JoinRequest()) for name in names
+        ]
+        members = Members(tuple(reply.member for reply in replies))
+        for name in names:
+            self.client.call_at(self._listen[name], BootstrapRequest(members))
+
+    def start_router(
+        self, name: str, domain: str, listen: str = "127.0.0.1:0", http: str = ""
+    ) -> Child:
+        """Start one router; ``http`` is the address for callers."""
+        settings = self._folder / f"{name}.ini"
+        controllers = "".join(f"{n} = {a}\n" for n, a in self.controllers.items())
+        http = http or self._listen.get(name, "127.0.0.1:0")
+        settings.write_text(
+            f"[router]\nname = {name}\nfailure-domain = {domain}\nhttp = {http}\n"
+            f"listen = {listen}\nsecret-file = {self.secret_file}\n"
+            f"[controllers]\n{controllers}",
+            encoding="utf-8",
+        )
+        child = self._start(name, (_DAEMON, "router", "--settings", str(settings)))
+        self._listen[name] = child.address
+        return child
+
+    def start_engine(self, name: str, *arguments: str) -> Child:
+        """Start a stand-in for a model engine."""
+        module = "berylnotch.standins.engine"
+        return self._start(name, (module, "--port", "0", "--name", name, *arguments))
+
+    def start_plain(self, name: str, *arguments: str) -> Child:
+        """Start a stand-in for a plain service."""
+        module = "berylnotch.standins.plain"
+        return self._start(name, (module, "--port", "0", *arguments))
+
+    def propose(self, command: object) -> Result:
+        """Propose an operator's command and return its result."""
+        return self.client.call(ProposeRequest(encode(command))).result
+
+    def apply(self, text: str, base_revision: int) -> Result:
+        """Put an operators' text in force."""
+        change_id = secrets.token_hex(8)
+        return self.propose(ApplyText(change_id, OPERATOR, base_revision, text))
+
+    def give_key(self, organisation: str) -> NewKey:
+        """Give an organisation a new key."""
+        key = new_key()
+        key_hash = hash_key(identity_key(self._secret, CALLER_KEY_NAME), key.key)
+        change_id = secrets.token_hex(8)
+        command = GiveKey(change_id, OPERATOR, key.key_id, organisation, key_hash)
+        result = self.propose(command)
+        if result.status is not Status.OK:
+            raise ConditionError(result.message)
+        return key
+
+    def withdraw_key(self, key_id: str) -> Result:
+        """Withdraw a key."""
+        return self.propose(WithdrawKey(secrets.token_hex(8), OPERATOR, key_id))
+
+    def close(self) -> None:
+        """End all processes that still run."""
+        if self._client is not None:
+            self._client.close()
+        for child in self._children.values():
+            if child.is_running:
+                child.kill()
+
+    def leader(self) -> str:
+        """Return the name of the controller that leads."""
+        reply = self.client.call(StatusRequest())
+        return reply.leader.partition("/")[0]
+
+    def _start(self, name: str, arguments: tuple[str, ...]) -> Child:
+        child = Child(arguments, self._folder / f"{name}.log")
+        child.start()
+        self._children[name] = child
+        return child
--- /dev/null
+++ b/berylnotch/standins/texts.py
@@ -0,0 +1,62 @@
+"""Operators' texts for small fleets on loopback."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from attrs import frozen
+
+#: Failure domains of the small fleets.
+DOMAINS = ("kolkata-a", "kolkata-b", "howrah", "durgapur")
+
+
+@frozen
+class SmallFleet:
+    """What a small fleet's text names, by name and address."""
+
+    routers: tuple[tuple[str, str], ...]
+    engines: tuple[tuple[str, str], ...]
+    plain: tuple[tuple[str, str], ...]
+    rate: int = 20_000
+    burst: int = 60_000
+    organisations: tuple[str, ...] = ("importer-desk", "label-clerks")
+    address_keep: str = "1 s"
+    timeout: str = "30 s"
+    extra: str = ""
+
+
+def small_text(fleet: SmallFleet) -> str:
+    """Return an operators' text with one language and one plain service."""
+    parts = [
+        "[fleet]\nregion = bengal-east\n"
+        f"failure-domains = {', '.join(DOMAINS)}\n"
+        f"address-keep = {fleet.address_keep}\n"
+    ]
+    parts += _placed("vm", fleet.routers, "")
+    parts += [
+        f"[organisation {name}]\nrate = {fleet.rate} tokens/s\n"
+        f"burst = {fleet.burst} tokens\nshare = 1\n"
+        for name in fleet.organisations
+    ]
+    parts.append("[service sake-llm]\nkind = language\nmodels = sake-1\nweights = v1\n")
+    parts.append("[service order-desk]\nkind = plain\n")
+    parts += _placed("target", fleet.engines, "service = sake-llm\n")
+    parts += _placed("target", fleet.plain, "service = order-desk\n")
+    for prefix, service in (
+        ("/v1", "sake-llm"),
+        ("/orders", "order-desk"),
+        ("/stock", "order-desk"),
+    ):
+        parts.append(
+            f"[route {prefix}]\nservice = {service}\ntimeout = {fleet.timeout}\n"
+        )
+    parts.append(fleet.extra)
+    return "\n".join(parts)
+
+
+def _placed(kind: str, items: Iterable[tuple[str, str]], extra: str) -> list[str]:
+    return [
+        f"[{kind} {name}]\n{extra}address = {address}\n"
+        f"failure-domain = {DOMAINS[position % len(DOMAINS)]}\n"
+        for position, (name, address) in enumerate(items)
+    ]
--- a/berylnotch/transport/identity.py
+++ b/berylnotch/transport/identity.py
@@ -11,6 +11,12 @@
 #: Prefix of an operator's identity.
 OPERATOR_PREFIX = "operator/"
 
+#: Name whose key signs references to streams.
+STREAM_KEY_NAME = "stream-references"
+
+#: Name whose key makes the keyed hashes of callers' keys.
+CALLER_KEY_NAME = "caller-keys"
+
 #: Fewest bytes of a cluster secret.
 MIN_SECRET_BYTES = 16
 
