--- a/berylnotch/control/observations.py
+++ b/berylnotch/control/observations.py
@@ -29,10 +29,12 @@
 
 def set_life_state(data: StateData, context: Context, command: SetLifeState) -> Outcome:
     """Note a VM's or target's state, and lose the claims of lost routers."""
-    _check_life_state(data, command)
     if command.subject is Subject.VM and command.state is not LifeState.LEAVING:
+        # Also for a late report: UNKNOWN is safe, and a claim of an old
+        # incarnation must not stay open.
         is_lost = command.state is LifeState.LOST
         data.ledger.lose(context.at_ms, command.name, command.incarnation, is_lost)
+    _check_life_state(data, command)
     fleet = data.view.fleet
     known = fleet.targets if command.subject is Subject.TARGET else fleet.vms
     if command.name not in known:
@@ -52,6 +54,9 @@
 
 def open_claim(data: StateData, context: Context, command: OpenClaim) -> Outcome:
     """Claim the only run of a request."""
+    if command.organisation not in data.view.fleet.organisations:
+        message = f"organisation {command.organisation!r} is not in the text"
+        raise CommandError(Status.NOT_FOUND, message)
     vm, _, incarnation = command.router.partition("/")
     report = data.view.life_report(Subject.VM, vm)
     if report is not None and report.state is LifeState.LOST:
--- a/berylnotch/control/state.py
+++ b/berylnotch/control/state.py
@@ -37,6 +37,7 @@
 from berylnotch.control.describe import describe
 from berylnotch.control.errors import CommandError, SnapshotError
 from berylnotch.control.events import VersionedEvent
+from berylnotch.control.limits import check_sizes, shorten
 from berylnotch.control.protocol import KeyLine
 from berylnotch.control.records import (
     KeyTimes,
@@ -158,6 +159,10 @@
         if type(command) not in _HANDLERS:
             message = f"{type(command).__name__} is no command"
             return Applied(self._result(Status.INVALID, message))
+        try:
+            check_sizes(command)
+        except CommandError as error:
+            return Applied(self._result(error.status, str(error)))
         resent = self._find_resent(command)
         return Applied(resent) if resent else self._run(command)
 
@@ -259,7 +264,7 @@
     def _result(
         self, status: Status, message: str, claim: ClaimRecord | None = None
     ) -> Result:
-        return Result(status, self._index, self.revision, message, claim)
+        return Result(status, self._index, self.revision, shorten(message), claim)
 
     def _record(self, command: Any, result: Result, has_events: bool) -> None:
         line = describe(command)
--- a/berylnotch/fleet/checks.py
+++ b/berylnotch/fleet/checks.py
@@ -128,7 +128,19 @@
         sorter.prepare()
     except CycleError as error:
         # The path lists each service after one that it depends on.
-        cycle = tuple(reversed(error.args[1]))
-        line = _line(lines, "service", cycle[0], "requires")
-        path = " -> ".join(cycle)
+        cycle = tuple(reversed(error.args[1]))[:-1]
+        line, first = max(
+            (_edge_line(parts, lines, cycle, position), position)
+            for position in range(len(cycle))
+        )
+        path = " -> ".join((*cycle[first:], *cycle[: first + 1]))
         yield Problem(line, f"the services depend on each other: {path}")
+
+
+def _edge_line(
+    parts: Parts, lines: Lines, cycle: tuple[str, ...], position: int
+) -> int:
+    name = cycle[position]
+    other = cycle[(position + 1) % len(cycle)]
+    required = other in parts["service"][name].get("requires", ())
+    return _line(lines, "service", name, "requires" if required else "optional")
--- a/berylnotch/fleet/settings.py
+++ b/berylnotch/fleet/settings.py
@@ -35,6 +35,8 @@
         What a change of it does.
     default : str or None, default=None
         Value as it would be written, or None if the setting is required.
+    unit : str, default=""
+        Unit that the model's value is in.
     """
 
     section: str
@@ -44,6 +46,11 @@
     allowed: str
     affects: str
     default: str | None = None
+    unit: str = ""
+
+    def show(self, value: Any) -> str:
+        """Return a model's value as it is written in the text."""
+        return values.show(value, self.unit)
 
 
 #: Kinds of section, each with whether its header holds a name.
@@ -83,6 +90,7 @@
         "seconds or minutes, 1 s to 60 min",
         "how long callers keep an address answer, and so how long a stop takes",
         "30 s",
+        unit="s",
     ),
     Setting(
         "fleet",
@@ -92,6 +100,7 @@
         "loads/min, 1 to 10000",
         "how fast engines are ordered to load from the weight store",
         "30 loads/min",
+        unit="loads/min",
     ),
     Setting(
         "vm",
@@ -116,6 +125,7 @@
         values.quantity("tokens/s", 1, 1_000_000_000),
         "tokens/s, 1 to 1000000000",
         "tokens a second over all VMs, from the next grant on",
+        unit="tokens/s",
     ),
     Setting(
         "organisation",
@@ -124,6 +134,7 @@
         values.quantity("tokens", 1, 100_000_000_000),
         "tokens, 1 to 100000000000",
         "tokens that may be charged at once after a quiet time",
+        unit="tokens",
     ),
     Setting(
         "organisation",
@@ -219,6 +230,7 @@
         "requests, 1 to 100000",
         "how many requests a router sends it at once before they queue",
         "16 requests",
+        unit="requests",
     ),
     Setting(
         "route",
@@ -254,6 +266,7 @@
         "seconds, milliseconds or minutes, 100 ms to 60 min",
         "how long a request may take before it is given up",
         "30 s",
+        unit="s",
     ),
 )
 
--- a/berylnotch/fleet/text.py
+++ b/berylnotch/fleet/text.py
@@ -83,7 +83,9 @@
     fleet = None if any(_incomplete(parts)) else _build(parts)
     problems.extend(check(parts, lines))
     if problems or fleet is None:
-        ordered = sorted(set(problems), key=lambda problem: problem.line)
+        # Replicas have to build the same message, so no set here.
+        distinct = dict.fromkeys(problems)
+        ordered = sorted(distinct, key=lambda problem: problem.line)
         raise FleetTextError(tuple(ordered), path)
     return fleet
 
--- a/berylnotch/fleet/values.py
+++ b/berylnotch/fleet/values.py
@@ -127,6 +127,19 @@
     return convert
 
 
+def show(value: object, unit: str = "") -> str:
+    """Return a value of the model as it is written in the text."""
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, tuple):
+        return ", ".join(value) or "none"
+    if isinstance(value, ServiceKind):
+        return value.value
+    if isinstance(value, int | float):
+        return f"{value:.15g} {unit}".strip()
+    return str(value) or "none"
+
+
 def _items(text: str) -> tuple[str, ...]:
     if not text:
         return ()
