control: properties of state, views, ledger, keys and orders

A target's LEAVING under a new incarnation was refused as out of date; found by a test of the audit trail. Incarnations have no order, so only a LOST report about another incarnation is refused now.

--- a/berylnotch/control/observations.py
+++ b/berylnotch/control/observations.py
@@ -145,7 +145,8 @@
 
     The platform's list lags. After a target itself said that it leaves, the
     list's LIVE must not bring it back, and a late LOST must not hit the next
-    incarnation.
+    incarnation. LEAVING is always taken: it does no harm for long, because the
+    next incarnation's LIVE ends it.
     """
     report = data.view.life_report(command.subject, command.name)
     if report is None:
@@ -156,6 +157,6 @@
         if held and command.source != report.source:
             message = f"{report.source} reported {report.state.value}"
             raise CommandError(Status.CONFLICT, message)
-    elif other and report.incarnation:
+    elif command.state is LifeState.LOST and other and report.incarnation:
         message = f"the report is about {command.incarnation}, not the newest"
         raise CommandError(Status.CONFLICT, message)
