--- a/berylnotch/quota/bucket.py
+++ b/berylnotch/quota/bucket.py
@@ -1,14 +1,15 @@
-"""The bucket of one organisation, with the tokens lent out of it."""
+"""Token bucket of one organisation, with the tokens lent out of it."""
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import Protocol
 
 from attrs import define
 
 
 class Limit(Protocol):
-    """What the bucket reads of an organisation."""
+    """What the quota owner reads of an organisation."""
 
     @property
     def rate(self) -> float:
@@ -37,11 +38,10 @@
 
 
 class Bucket:
-    """Token bucket of one organisation.
+    """Token bucket whose level and loans together never exceed the burst.
 
-    The level and all loans together never exceed the burst. Any token that is
-    charged was lent before, so that a window of T seconds is charged at most
-    what the bucket and the loans held at its start, and what was refilled
+    Any token that is charged was lent before. So a window of T seconds is
+    charged at most the level and loans at its start, and what was refilled
     since: burst + rate x T.
 
     Parameters
@@ -58,7 +58,8 @@
         self._level = 0.0
         self._lent = 0
         self._updated = refill_from
-        self._loans: dict[str, Loan] = {}
+        #: Loans by router, the first to end first.
+        self._loans: OrderedDict[str, Loan] = OrderedDict()
 
     @property
     def level(self) -> float:
@@ -75,21 +76,29 @@
         """Tokens a second."""
         return self._rate
 
+    @property
+    def burst(self) -> float:
+        """Most tokens at once."""
+        return self._burst
+
     @property
     def is_idle(self) -> bool:
         """Whether the bucket is full and nothing is lent."""
         return not self._loans and self._level >= self._burst
 
     def advance(self, now: float) -> None:
-        """Refill up to ``now`` and forget loans that have ended."""
-        for router in [name for name, loan in self._loans.items() if loan.ends <= now]:
-            self._drop(router)
+        """Refill up to ``now`` and write off loans that have ended."""
         elapsed = now - self._updated
-        if elapsed <= 0:
-            return
-        self._level += self._rate * elapsed
-        self._updated = now
-        self._limit()
+        if elapsed > 0:
+            self._level += self._rate * elapsed
+            self._updated = now
+            self._limit()
+        while self._loans:
+            router, loan = next(iter(self._loans.items()))
+            if loan.ends > now:
+                break
+            del self._loans[router]
+            self._lent -= loan.tokens
 
     def resize(self, rate: float, burst: float) -> None:
         """Take over changed limits; the level never rises by it."""
@@ -114,7 +123,10 @@
         adopt : bool
             Whether tokens lent by an earlier owner may be among ``held``.
         """
-        loan = self._loans.setdefault(router, Loan(tokens=0, spent=spent, ends=0.0))
+        loan = self._loans.get(router)
+        if loan is None:
+            loan = Loan(tokens=0, spent=spent, ends=0.0)
+            self._loans[router] = loan
         used = max(0, spent - loan.spent)
         kept = held if adopt else min(held, loan.tokens)
         unused = 0 if adopt else max(0, loan.tokens - kept - used)
@@ -137,14 +149,11 @@
         loan = self._loans[router]
         loan.tokens += tokens
         loan.ends = ends
+        self._loans.move_to_end(router)
         self._level -= tokens
         self._lent += tokens
         return loan.tokens
 
-    def _drop(self, router: str) -> None:
-        loan = self._loans.pop(router)
-        self._lent -= loan.tokens
-
     def _limit(self) -> None:
         room = max(0.0, self._burst - self._lent)
         self._level = min(self._level, room)
--- a/berylnotch/quota/local.py
+++ b/berylnotch/quota/local.py
@@ -5,32 +5,15 @@
 import math
 from typing import TYPE_CHECKING
 
-from attrs import define
-
-from berylnotch.control.protocol import QuotaAsk
 from berylnotch.quota.errors import InvalidChargeError
+from berylnotch.quota.holding import Holding
 from berylnotch.quota.usage import BEST_PRIORITY, UsageAverage
 
 if TYPE_CHECKING:
-    from berylnotch.control.protocol import Grant, GrantReply
+    from berylnotch.control.protocol import GrantReply, QuotaAsk
     from berylnotch.quota.settings import QuotaSettings
 
 
-@define
-class _Holding:
-    """Tokens of one organisation; ``spent`` counts since the router started."""
-
-    usage: UsageAverage
-    tokens: int = 0
-    ends: float = -math.inf
-    spent: int = 0
-    reported: int = 0
-    want: int = 0
-    first: int = 0
-    priority: int = BEST_PRIORITY
-    retry_after_ms: int = 0
-
-
 class LocalQuota:
     """What one router may charge to the organisations.
 
@@ -46,11 +29,13 @@
 
     def __init__(self, settings: QuotaSettings) -> None:
         self._settings = settings
-        self._holdings: dict[str, _Holding] = {}
+        self._holdings: dict[str, Holding] = {}
+        self._now = -math.inf
         self._sequence = 0
         self._is_open = False
-        self._opened_at = -math.inf
+        self._opened = -math.inf
         self._owner_term = 0
+        self._is_urgent = False
 
     @property
     def sequence(self) -> int:
@@ -63,16 +48,29 @@
         return self._owner_term
 
     @property
-    def is_short(self) -> bool:
-        """Whether work waits for tokens, so that the owner be asked at once."""
-        return any(h.want > 0 for h in self._holdings.values())
+    def next_ask_at(self) -> float:
+        """Time at which the next request should be sent.
+
+        While one is on its way, this is when to give it up.
+        """
+        if self._is_open:
+            return self._opened + self._settings.reply_timeout_s
+        if self._is_urgent:
+            return self._opened + self._settings.min_ask_gap_s
+        return self._opened + self._settings.ask_interval_s
 
     def asks(self, now: float) -> tuple[QuotaAsk, ...]:
-        """Open an exchange with the owner and return its lines."""
+        """Open an exchange with the owner and return its lines.
+
+        The request must carry `sequence`, and is also sent without lines, as
+        the router's heartbeat.
+        """
+        self._advance(now)
         self._sequence += 1
         self._is_open = True
-        self._opened_at = now
-        lines = (self._ask(now, name, h) for name, h in self._holdings.items())
+        self._is_urgent = False
+        self._opened = self._now
+        lines = (h.ask(self._now, name) for name, h in self._holdings.items())
         return tuple(line for line in lines if line is not None)
 
     def receive(self, sent_at: float, reply: GrantReply) -> bool:
@@ -89,29 +87,25 @@
             return False
         self._is_open = False
         self._owner_term = reply.owner_term
-        counted_from = min(sent_at, self._opened_at)
+        counted_from = min(sent_at, self._opened)
         for grant in reply.grants:
-            self._take(counted_from, grant)
+            holding = self._holdings.get(grant.organisation)
+            if holding is not None:
+                holding.take(counted_from, grant)
         return True
 
     def charge(self, now: float, organisation: str, tokens: int) -> bool:
         """Charge tokens if they are held; return whether they were charged."""
         if tokens < 0:
             raise InvalidChargeError(f"charge of {tokens} tokens")
-        holding = self._holding(now, organisation)
-        if tokens > self._balance(now, holding):
-            return False
-        holding.tokens -= tokens
-        holding.spent += tokens
-        holding.usage.add(now, tokens)
-        return True
+        self._advance(now)
+        return self._holding(organisation).charge(self._now, tokens)
 
     def balance(self, now: float, organisation: str) -> int:
         """Return the tokens that may be charged at ``now``."""
+        self._advance(now)
         holding = self._holdings.get(organisation)
-        if holding is None:
-            return 0
-        return self._balance(now, holding)
+        return 0 if holding is None else holding.balance(self._now)
 
     def want(self, organisation: str, tokens: int, first: int | None = None) -> None:
         """State how many tokens the waiting work needs; 0 if none waits.
@@ -127,10 +121,21 @@
         """
         if tokens < 0:
             raise InvalidChargeError(f"want of {tokens} tokens")
-        holding = self._holding(-math.inf, organisation)
+        holding = self._holding(organisation)
+        if tokens and not holding.want:
+            self._is_urgent = True
         holding.want = tokens
         holding.first = tokens if first is None else min(first, tokens)
 
+    def release(self, now: float) -> None:
+        """Give up all tokens, for a planned stop; the next `asks` says so."""
+        self._advance(now)
+        for holding in self._holdings.values():
+            holding.tokens = 0
+            holding.want = 0
+            holding.first = 0
+            holding.is_answered = False
+
     def priority(self, organisation: str) -> int:
         """Return the organisation's priority for engines, 0 (best) to 9."""
         holding = self._holdings.get(organisation)
@@ -139,46 +144,21 @@
     def retry_after_ms(self, organisation: str) -> int:
         """Return when to come back, or 0 if work should wait for tokens.
 
-        The owner names a time only if the organisation itself has used up
-        what its rate and burst allow.
+        It is positive only if the owner said within the last lifetime that the
+        organisation has used up what its rate and burst allow.
         """
         holding = self._holdings.get(organisation)
-        return 0 if holding is None else holding.retry_after_ms
+        if holding is None or self._now >= holding.ends:
+            return 0
+        return math.ceil(max(0.0, holding.retry_at - self._now) * 1000)
 
-    def _holding(self, now: float, organisation: str) -> _Holding:
+    def _advance(self, now: float) -> None:
+        self._now = max(self._now, now)
+
+    def _holding(self, organisation: str) -> Holding:
         holding = self._holdings.get(organisation)
         if holding is None:
-            usage = UsageAverage(self._settings.horizon_s, now)
-            holding = _Holding(usage)
+            usage = UsageAverage(self._settings.demand_window_s, self._now)
+            holding = Holding(self._settings, usage)
             self._holdings[organisation] = holding
         return holding
-
-    def _balance(self, now: float, holding: _Holding) -> int:
-        return holding.tokens if now < holding.ends else 0
-
-    def _ask(self, now: float, name: str, holding: _Holding) -> QuotaAsk | None:
-        held = self._balance(now, holding)
-        ahead = math.ceil(holding.usage.per_s(now) * self._settings.horizon_s)
-        target = ahead + holding.want
-        if holding.first > held:
-            held = 0
-        holding.tokens = min(held, target)
-        want = target - holding.tokens
-        if not target and not held and holding.reported == holding.spent:
-            return None
-        holding.reported = holding.spent
-        return QuotaAsk(
-            organisation=name,
-            want=want,
-            held=holding.tokens,
-            spent=holding.spent,
-            waiting=holding.first,
-        )
-
-    def _take(self, counted_from: float, grant: Grant) -> None:
-        holding = self._holding(counted_from, grant.organisation)
-        charged_since = holding.spent - holding.reported
-        holding.tokens = max(0, grant.tokens - charged_since)
-        holding.ends = counted_from + grant.lifetime_ms / 1000
-        holding.priority = grant.priority
-        holding.retry_after_ms = grant.retry_after_ms
--- a/berylnotch/quota/owner.py
+++ b/berylnotch/quota/owner.py
@@ -10,6 +10,7 @@
 from berylnotch.control.protocol import Grant, GrantReply
 from berylnotch.quota.bucket import Bucket
 from berylnotch.quota.usage import BEST_PRIORITY, UsageAverage, usage_priority
+from berylnotch.quota.waiting import WaitingLine
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -18,25 +19,19 @@
     from berylnotch.quota.bucket import Limit
     from berylnotch.quota.settings import QuotaSettings
 
-#: Time between two sums over the shares of all active organisations.
-SHARE_SUM_INTERVAL_S = 1.0
+#: Time between two passes over all organisations and routers, in seconds.
+SWEEP_INTERVAL_S = 1.0
+
+#: Time for which the sequence number of a silent router is kept, in seconds.
+ROUTER_KEPT_S = 600.0
 
 
 @define
 class _Account:
     bucket: Bucket
     usage: UsageAverage
+    waiting: WaitingLine
     share: float
-    unmet: dict[str, _Unmet]
-
-
-@define
-class _Unmet:
-    """Tokens that a router waits for; ``asked`` is when it last said so."""
-
-    want: int
-    waiting: int
-    asked: float
 
 
 @define
@@ -58,25 +53,31 @@
     term : int
         Term of the leader.
     now : float
-        Monotonic time at which the leader's lease began.
+        Monotonic time, not before the lease of the earlier leader was over.
     """
 
     def __init__(self, settings: QuotaSettings, term: int, now: float) -> None:
         self._settings = settings
         self._term = term
         self._started = now
+        self._now = now
         self._steady_from = now + settings.owner_lifetime_s
         self._accounts: dict[str, _Account] = {}
         self._routers: dict[str, _Router] = {}
         self._total_use = UsageAverage(settings.usage_window_s, now)
         self._total_share = 0.0
-        self._share_summed = -math.inf
+        self._swept = -math.inf
 
     @property
     def term(self) -> int:
         """Term of the leader that owns the buckets."""
         return self._term
 
+    @property
+    def steady_from(self) -> float:
+        """Time from which grants of an earlier owner are over."""
+        return self._steady_from
+
     def grant(
         self, now: float, request: GrantRequest, organisations: Mapping[str, Limit]
     ) -> GrantReply:
@@ -85,7 +86,8 @@
         Parameters
         ----------
         now : float
-            Monotonic time, read after the request was received.
+            Monotonic time at which the lease was held, read after the request
+            was received.
         request : GrantRequest
             What the router holds, has spent and wants.
         organisations : Mapping[str, Limit]
@@ -97,25 +99,33 @@
             One grant for each ask. It is empty for a repeated or overtaken
             request, whose reply the router does not take any more.
         """
+        self._now = max(self._now, now)
         router = f"{request.vm}/{request.incarnation}"
-        reply = GrantReply(owner_term=self._term, sequence=request.sequence)
-        if not self._is_new(now, router, request.sequence):
-            return reply
-        self._sum_shares(now)
+        if not self._is_new(router, request.sequence):
+            return GrantReply(self._term, request.sequence)
+        self._sweep(organisations)
         grants = tuple(
-            self._answer(now, router, ask, organisations[ask.organisation])
+            self._answer(router, ask, organisations[ask.organisation])
             for ask in request.asks
             if ask.organisation in organisations
         )
         return GrantReply(self._term, request.sequence, grants)
 
-    def level(self, now: float, name: str) -> float:
-        """Return the tokens of an organisation that may be lent."""
+    def level(self, now: float, name: str, limit: Limit | None = None) -> float:
+        """Return the tokens of an organisation that may be lent.
+
+        Without ``limit``, an organisation that no router has asked for yet has
+        level 0.
+        """
+        self._now = max(self._now, now)
         account = self._accounts.get(name)
-        if account is None:
+        if account is not None:
+            account.bucket.advance(self._now)
+            return account.bucket.level
+        if limit is None:
             return 0.0
-        account.bucket.advance(now)
-        return account.bucket.level
+        refilled_s = max(0.0, self._now - self._steady_from)
+        return min(limit.burst, limit.rate * refilled_s)
 
     def used_per_s(self, now: float, name: str) -> float:
         """Return an organisation's average use in tokens a second."""
@@ -124,98 +134,100 @@
             return 0.0
         return account.usage.per_s(now)
 
-    def _is_new(self, now: float, router: str, sequence: int) -> bool:
+    def _is_new(self, router: str, sequence: int) -> bool:
         known = self._routers.get(router)
         if known is not None and sequence <= known.sequence:
             return False
-        self._routers[router] = _Router(sequence, now)
+        self._routers[router] = _Router(sequence, self._now)
         return True
 
-    def _answer(self, now: float, router: str, ask: QuotaAsk, limit: Limit) -> Grant:
-        account = self._account(now, ask.organisation, limit)
+    def _answer(self, router: str, ask: QuotaAsk, limit: Limit) -> Grant:
+        account = self._account(ask.organisation, limit)
         bucket = account.bucket
-        adopt = now < self._steady_from
+        adopt = self._now < self._steady_from
         used = bucket.report(router, ask.held, ask.spent, adopt)
-        account.usage.add(now, used)
-        self._total_use.add(now, used)
-        tokens = self._size(now, account, router, ask)
-        ends = now + self._settings.owner_lifetime_s
+        account.usage.add(self._now, used)
+        self._total_use.add(self._now, used)
+        tokens = self._size(account, router, ask)
+        ends = self._now + self._settings.owner_lifetime_s
         return Grant(
             organisation=ask.organisation,
             tokens=bucket.lend(router, tokens, ends),
             lifetime_ms=int(self._settings.lifetime_s * 1000),
-            priority=self._priority(now, account),
-            retry_after_ms=self._retry_after_ms(now, account),
+            priority=self._priority(account),
+            retry_after_ms=self._retry_after_ms(account),
         )
 
-    def _account(self, now: float, name: str, limit: Limit) -> _Account:
+    def _account(self, name: str, limit: Limit) -> _Account:
         account = self._accounts.get(name)
         if account is None:
-            bucket = Bucket(limit.rate, limit.burst, self._steady_from)
-            usage = UsageAverage(self._settings.usage_window_s, now)
-            account = _Account(bucket, usage, limit.share, {})
+            account = _Account(
+                Bucket(limit.rate, limit.burst, self._steady_from),
+                UsageAverage(self._settings.usage_window_s, self._now),
+                WaitingLine(self._settings.lifetime_s / 2),
+                limit.share,
+            )
             self._accounts[name] = account
-        account.bucket.advance(now)
+        account.bucket.advance(self._now)
         account.bucket.resize(limit.rate, limit.burst)
+        account.waiting.clean(self._now)
         account.share = limit.share
         return account
 
-    def _size(self, now: float, account: _Account, router: str, ask: QuotaAsk) -> int:
-        """Return the tokens to lend: all or nothing of what work waits for."""
-        unmet = account.unmet
-        ahead = self._waiting_ahead(now, account, router)
-        available = int(account.bucket.level) - ahead
-        fair = max(0, available) // (len(unmet) + 1)
-        if available < ask.waiting:
-            known = unmet.get(router)
-            if known is None:
-                unmet[router] = _Unmet(ask.want, ask.waiting, now)
-            else:
-                known.want, known.waiting, known.asked = ask.want, ask.waiting, now
+    def _size(self, account: _Account, router: str, ask: QuotaAsk) -> int:
+        """Return the tokens to lend: nothing, or enough for the first work."""
+        waiting = account.waiting
+        level = account.bucket.level
+        free = int(level - waiting.needed_before(router, level))
+        if ask.waiting > account.bucket.burst:
+            waiting.leave(router)
+            return 0
+        if free < ask.waiting:
+            waiting.enter(self._now, router, ask.want, ask.waiting)
             return 0
-        unmet.pop(router, None)
+        waiting.leave(router)
+        fair = max(0, free) // (len(waiting) + 1)
         return min(ask.want, max(ask.waiting, fair))
 
-    def _waiting_ahead(self, now: float, account: _Account, router: str) -> int:
-        """Return what routers that have waited longer need first."""
-        stale = now - self._settings.lifetime_s / 2
-        gone = []
-        ahead = 0
-        for name, entry in account.unmet.items():
-            if name == router:
-                break
-            if entry.asked < stale:
-                gone.append(name)
-                continue
-            ahead += entry.waiting
-            if ahead > account.bucket.level:
-                break
-        for name in gone:
-            del account.unmet[name]
-        return ahead
-
-    def _retry_after_ms(self, now: float, account: _Account) -> int:
-        if now < self._started + self._settings.grace_s:
+    def _retry_after_ms(self, account: _Account) -> int:
+        if self._now < self._started + self._settings.grace_s:
             return 0
-        want = sum(entry.want for entry in account.unmet.values())
-        wait_s = (want - account.bucket.level) / account.bucket.rate
+        missing = account.waiting.wanted - account.bucket.level
+        wait_s = missing / account.bucket.rate
         if wait_s <= self._settings.wait_s:
             return 0
         return math.ceil(wait_s * 1000)
 
-    def _priority(self, now: float, account: _Account) -> int:
-        use = account.usage.per_s(now)
+    def _priority(self, account: _Account) -> int:
         if not self._total_share:
             return BEST_PRIORITY
-        total_use = self._total_use.per_s(now)
+        use = account.usage.per_s(self._now)
+        total_use = self._total_use.per_s(self._now)
         return usage_priority(use, account.share, total_use, self._total_share)
 
-    def _sum_shares(self, now: float) -> None:
-        if now - self._share_summed < SHARE_SUM_INTERVAL_S:
+    def _sweep(self, organisations: Mapping[str, Limit]) -> None:
+        """Sum the shares in use, and forget what is not needed any more."""
+        if self._now - self._swept < SWEEP_INTERVAL_S:
             return
-        self._share_summed = now
+        self._swept = self._now
         self._total_share = sum(
             account.share
             for account in self._accounts.values()
-            if account.usage.per_s(now) > 0
+            if account.usage.per_s(self._now) >= 1
         )
+        self._forget_organisations(organisations)
+        self._forget_routers()
+
+    def _forget_organisations(self, organisations: Mapping[str, Limit]) -> None:
+        removed = [name for name in self._accounts if name not in organisations]
+        for name in removed:
+            bucket = self._accounts[name].bucket
+            bucket.advance(self._now)
+            if bucket.is_idle:
+                del self._accounts[name]
+
+    def _forget_routers(self) -> None:
+        oldest = self._now - ROUTER_KEPT_S
+        silent = [name for name, r in self._routers.items() if r.heard < oldest]
+        for name in silent:
+            del self._routers[name]
--- a/berylnotch/quota/settings.py
+++ b/berylnotch/quota/settings.py
@@ -21,9 +21,16 @@
         the owner waits longer than the routers by this fraction.
     ask_interval_s : float, default=0.2
         Time between two requests of a router, while no request waits.
+    min_ask_gap_s : float, default=0.05
+        Shortest time between two requests, also when a request waits. Longer
+        gathers more organisations in one message and delays first tokens.
+    reply_timeout_s : float, default=0.5
+        Time after which a request to the owner is given up and sent anew.
     horizon_s : float, default=0.6
         Time for which a router holds tokens in advance, at its present use.
         Longer saves messages and leaves less for other routers.
+    demand_window_s : float, default=3.0
+        Time constant of the average use from which a router foresees demand.
     wait_s : float, default=5.0
         Longest wait for tokens that an organisation is expected to bear. The
         owner lets an organisation be refused only beyond it.
@@ -37,7 +44,10 @@
     lifetime_s: float = field(default=2.0, validator=gt(0))
     drift: float = field(default=0.01, validator=ge(0))
     ask_interval_s: float = field(default=0.2, validator=gt(0))
+    min_ask_gap_s: float = field(default=0.05, validator=ge(0))
+    reply_timeout_s: float = field(default=0.5, validator=gt(0))
     horizon_s: float = field(default=0.6, validator=gt(0))
+    demand_window_s: float = field(default=3.0, validator=gt(0))
     wait_s: float = field(default=5.0, validator=ge(0))
     grace_s: float = field(default=15.0, validator=ge(0))
     usage_window_s: float = field(default=10.0, validator=gt(0))
