--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of berylnotch on small fakes."""
--- /dev/null
+++ b/benchmarks/choosers.py
@@ -0,0 +1,173 @@
+"""The compared policies, as closures that choose a target for a request."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from benchmarks.workload import PIECE_BYTES, Request
+from berylnotch.placement.chain import Scope, hash_chain
+from berylnotch.placement.hints import CacheHints
+from berylnotch.placement.hot import HotPrefixes
+from berylnotch.placement.model import Candidate, Query
+from berylnotch.placement.rank import rank
+from berylnotch.placement.rendezvous import top
+from berylnotch.placement.settings import PlacementSettings
+
+if TYPE_CHECKING:
+    from benchmarks.engine import Engine
+    from benchmarks.shapes import Shape
+
+SERVICE = "language"
+
+
+@frozen
+class Question:
+    """What a router knows when it places a request."""
+
+    now: float
+    request: Request
+    failure_domain: str
+    candidates: tuple[Candidate, ...]
+    exclude: frozenset[str]
+
+
+@frozen
+class Choice:
+    """Chosen target, its weights and the work that the router expects."""
+
+    target: str
+    weights: str
+    work_s: float
+
+
+Chooser = Callable[[Question], Choice | None]
+
+
+def chain_of(request: Request, weights: str) -> tuple[bytes, ...]:
+    """Return the request's chain for a weights version."""
+    scope = Scope(request.organisation, SERVICE, weights)
+    return hash_chain(scope, request.prompt, PIECE_BYTES)
+
+
+def usable(question: Question) -> list[Candidate]:
+    """Return the candidates that may get the request."""
+    return [
+        c
+        for c in question.candidates
+        if c.is_usable and c.weights and c.name not in question.exclude
+    ]
+
+
+def random_chooser(seed: int) -> Chooser:
+    """Choose any usable target."""
+    rng = random.Random(seed)
+
+    def choose(question: Question) -> Choice | None:
+        candidates = usable(question)
+        if not candidates:
+            return None
+        chosen = rng.choice(candidates)
+        return Choice(chosen.name, chosen.weights, 0.0)
+
+    return choose
+
+
+def least_loaded_chooser(settings: PlacementSettings) -> Chooser:
+    """Choose the target with the shortest expected wait, then fewest requests."""
+
+    def choose(question: Question) -> Choice | None:
+        candidates = usable(question)
+        if not candidates:
+            return None
+        chosen = min(candidates, key=lambda c: (c.queue_wait_s, c.in_flight, c.name))
+        work_ms = question.request.pieces * settings.recompute_ms
+        return Choice(chosen.name, chosen.weights, work_ms / 1000.0)
+
+    return choose
+
+
+def thin_chooser() -> Chooser:
+    """Choose by rendezvous hashing of the first piece only."""
+
+    def choose(question: Question) -> Choice | None:
+        candidates = {c.name: c for c in usable(question)}
+        if not candidates:
+            return None
+        request = question.request
+        scope = Scope(request.organisation, SERVICE, "")
+        first = hash_chain(scope, request.prompt[:PIECE_BYTES], PIECE_BYTES)
+        chosen = candidates[top(first[0], candidates, 1)[0]]
+        return Choice(chosen.name, chosen.weights, 0.0)
+
+    return choose
+
+
+def all_knowing_chooser(
+    engines: dict[str, Engine], settings: PlacementSettings
+) -> Chooser:
+    """Choose with exact knowledge of every queue and cache."""
+
+    def choose(question: Question) -> Choice | None:
+        best, best_s = None, float("inf")
+        for engine in engines.values():
+            if not engine.alive or not engine.weights:
+                continue
+            if engine.name in question.exclude:
+                continue
+            chain = chain_of(question.request, engine.weights)
+            missing = len(chain) - engine.expected_pieces(chain)
+            total_s = engine.queue_wait_s() + missing * settings.recompute_ms / 1000.0
+            if total_s < best_s:
+                best, best_s = engine, total_s
+        return Choice(best.name, best.weights, 0.0) if best else None
+
+    return choose
+
+
+@frozen
+class OurState:
+    """What one router learns; a restart makes it anew."""
+
+    hints: CacheHints
+    hot: HotPrefixes
+
+
+def our_chooser(settings: PlacementSettings, state: OurState) -> Chooser:
+    """Choose by this project's ranking."""
+
+    def choose(question: Question) -> Choice | None:
+        ranked = []
+        for weights in sorted({c.weights for c in usable(question)}):
+            chain = chain_of(question.request, weights)
+            query = Query(
+                chain=chain,
+                prompt_pieces=len(chain),
+                failure_domain=question.failure_domain,
+                exclude=question.exclude,
+                weights=weights,
+                widths=state.hot.widths(question.now, chain),
+                now=question.now,
+            )
+            for item in rank(settings, query, question.candidates, state.hints):
+                ranked.append((item.score_ms, item, weights, chain))
+        if not ranked:
+            return None
+        _, item, weights, chain = min(ranked, key=lambda entry: entry[0])
+        state.hot.count(question.now, chain)
+        incarnation = next(
+            c.incarnation for c in question.candidates if c.name == item.name
+        )
+        state.hints.expect(question.now, item.name, incarnation, chain)
+        work_s = (len(chain) - item.cached_pieces) * settings.recompute_ms / 1000.0
+        return Choice(item.name, weights, work_s)
+
+    return choose
+
+
+def placement_settings(shape: Shape) -> PlacementSettings:
+    """Return settings that fit the fake engines."""
+    return PlacementSettings(prefill_tokens_per_s=shape.engine.prefill_tokens_per_s)
--- /dev/null
+++ b/benchmarks/engine.py
@@ -0,0 +1,249 @@
+"""A fake engine: continuous batching, a prefix cache and its events."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import Counter, OrderedDict
+from collections.abc import Callable
+
+from attrs import define, field
+
+from benchmarks.loop import Loop
+from benchmarks.shapes import EngineShape
+from berylnotch.membership.targets import LoadReport
+from berylnotch.placement.hints import CacheEvent
+
+
+@define(eq=False)
+class Job:
+    """A request at an engine.
+
+    ``cached``, ``computed`` and ``wasted`` count its pieces when the prompt was
+    computed; wasted ones had been computed before, anywhere.
+    """
+
+    chain: tuple[bytes, ...]
+    tail_tokens: int
+    output_tokens: int
+    priority: int
+    on_first: Callable[[Job], None]
+    on_done: Callable[[Job], None]
+    on_fail: Callable[[Job], None]
+    cached: int = 0
+    wasted: int = 0
+    computed: int = 0
+    cancelled: bool = False
+
+
+@define
+class _CacheChange:
+    """Pieces stored and removed since the last event."""
+
+    stored: list[bytes] = field(factory=list)
+    removed: list[bytes] = field(factory=list)
+
+
+class Engine:
+    """One engine process; a crash empties it and changes its incarnation.
+
+    Parameters
+    ----------
+    shape : EngineShape
+        Speed and size.
+    name : str
+        Name of the target.
+    failure_domain : str
+        Where it runs.
+    loop : Loop
+        Clock and timers.
+    """
+
+    def __init__(
+        self, shape: EngineShape, name: str, failure_domain: str, loop: Loop
+    ) -> None:
+        self.shape = shape
+        self.name = name
+        self.failure_domain = failure_domain
+        self.weights = "v1"
+        self.alive = True
+        self.seen: set[bytes] = set()
+        self._loop = loop
+        self._incarnation = 1
+        self._order = itertools.count()
+        self._clear()
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of the process."""
+        return str(self._incarnation)
+
+    @property
+    def running(self) -> int:
+        """Requests in prefill or decoding."""
+        return len(self._running)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing runs or waits."""
+        return not self._running and not self._queue
+
+    def submit(self, job: Job) -> None:
+        """Queue a request."""
+        if not self.alive:
+            job.on_fail(job)
+            return
+        heapq.heappush(self._queue, (job.priority, next(self._order), job))
+        self._start_next()
+
+    def cached_pieces(self, chain: tuple[bytes, ...]) -> int:
+        """Return the leading pieces held."""
+        for index, prefix in enumerate(chain):
+            if prefix not in self._cache:
+                return index
+        return len(chain)
+
+    def expected_pieces(self, chain: tuple[bytes, ...]) -> int:
+        """Return the leading pieces held once the queue is done."""
+        coming = {prefix for _, _, job in self._queue for prefix in job.chain}
+        if self._prefilling:
+            coming.update(self._prefilling.chain)
+        for index, prefix in enumerate(chain):
+            if prefix not in self._cache and prefix not in coming:
+                return index
+        return len(chain)
+
+    def queue_wait_s(self, priority: int | None = None) -> float:
+        """Return the prefill work ahead of a new request."""
+        wait = max(0.0, self._prefill_until - self._loop.now)
+        coming = set(self._prefilling.chain) if self._prefilling else set()
+        for other, _, job in self._queue:
+            if priority is not None and other > priority:
+                continue
+            held = sum(p in self._cache or p in coming for p in job.chain)
+            wait += self._prefill_s(job, held)
+            coming.update(job.chain)
+        return wait
+
+    def report(self) -> LoadReport:
+        """Return the load as it is now."""
+        return LoadReport(
+            self.incarnation, self._loop.now, self.queue_wait_s(), self.running
+        )
+
+    def take_event(self) -> CacheEvent | None:
+        """Return the changes since the last event, if there are any."""
+        changes = self._changes
+        if not (changes.stored or changes.removed):
+            return None
+        self._changes = _CacheChange()
+        self._sequence += 1
+        return CacheEvent(
+            self.name,
+            self.incarnation,
+            self._sequence,
+            tuple(changes.stored),
+            tuple(changes.removed),
+        )
+
+    def crash(self) -> None:
+        """Lose everything; the running requests fail."""
+        lost = list(self._running) + [job for _, _, job in self._queue]
+        self._incarnation += 1
+        self._clear()
+        self.alive = False
+        for job in lost:
+            job.on_fail(job)
+
+    def restart(self) -> None:
+        """Come back empty."""
+        self.alive = True
+
+    def load(self, weights: str) -> None:
+        """Take new weights; entries of the old ones are dropped."""
+        self.weights = weights
+        self._changes.removed.extend(self._cache)
+        self._cache.clear()
+
+    def _clear(self) -> None:
+        self._queue: list[tuple[int, int, Job]] = []
+        self._running: set[Job] = set()
+        self._cache: OrderedDict[bytes, None] = OrderedDict()
+        self._pins: Counter[bytes] = Counter()
+        self._prefilling: Job | None = None
+        self._prefill_until = 0.0
+        self._changes = _CacheChange()
+        self._sequence = 0
+
+    def _prefill_s(self, job: Job, cached: int) -> float:
+        uncached = (len(job.chain) - cached) * self.shape.piece_tokens
+        return (uncached + job.tail_tokens) / self.shape.prefill_tokens_per_s
+
+    def _start_next(self) -> None:
+        if self._prefilling or len(self._running) >= self.shape.slots:
+            return
+        while self._queue and self._queue[0][2].cancelled:
+            heapq.heappop(self._queue)
+        if not self._queue:
+            return
+        job = heapq.heappop(self._queue)[2]
+        self._running.add(job)
+        self._prefilling = job
+        job.cached = self.cached_pieces(job.chain)
+        self._touch(job.chain[: job.cached])
+        self._pins.update(job.chain)
+        duration = self._prefill_s(job, job.cached)
+        self._prefill_until = self._loop.now + duration
+        self._at(duration, lambda: self._end_prefill(job))
+
+    def _end_prefill(self, job: Job) -> None:
+        self._prefilling = None
+        missed = job.chain[job.cached :]
+        job.computed = len(missed)
+        job.wasted = sum(prefix in self.seen for prefix in missed)
+        self.seen.update(missed)
+        self._store(job.chain)
+        job.on_first(job)
+        token_s = self.shape.token_s + self.shape.token_s_per_running * self.running
+        self._at(job.output_tokens * token_s, lambda: self._end(job))
+        self._start_next()
+
+    def _end(self, job: Job) -> None:
+        self._running.discard(job)
+        for prefix in job.chain:
+            self._pins[prefix] -= 1
+            if not self._pins[prefix]:
+                del self._pins[prefix]
+        job.on_done(job)
+        self._start_next()
+
+    def _touch(self, chain: tuple[bytes, ...]) -> None:
+        # The deepest piece is touched first, so that it is evicted first.
+        for prefix in reversed(chain):
+            self._cache.move_to_end(prefix)
+
+    def _store(self, chain: tuple[bytes, ...]) -> None:
+        for prefix in reversed(chain):
+            if prefix not in self._cache:
+                self._changes.stored.append(prefix)
+            self._cache[prefix] = None
+            self._cache.move_to_end(prefix)
+        self._evict()
+
+    def _evict(self) -> None:
+        excess = len(self._cache) - self.shape.cache_pieces
+        if excess <= 0:
+            return
+        free = (prefix for prefix in self._cache if prefix not in self._pins)
+        for prefix in list(itertools.islice(free, excess)):
+            del self._cache[prefix]
+            self._changes.removed.append(prefix)
+
+    def _at(self, delay: float, action: Callable[[], None]) -> None:
+        incarnation = self._incarnation
+
+        def run() -> None:
+            if incarnation == self._incarnation:
+                action()
+
+        self._loop.after(delay, run)
--- /dev/null
+++ b/benchmarks/policies.py
@@ -0,0 +1,85 @@
+"""Compare placement policies on the shapes of both deployments.
+
+Run with ``python -m benchmarks.policies``; ``--help`` lists the options.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+
+from benchmarks.figures import Summary
+from benchmarks.policy import POLICIES
+from benchmarks.shapes import SHAPES, Case, shape_named
+from benchmarks.simulation import Run, Simulation
+
+
+def get_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(prog="benchmarks.policies", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="seed of all runs")
+    parser.add_argument(
+        "--seconds", type=float, default=180.0, help="simulated seconds of a run"
+    )
+    parser.add_argument("--workers", type=int, default=4, help="processes")
+    parser.add_argument(
+        "--shape", action="append", choices=[shape.name for shape in SHAPES]
+    )
+    parser.add_argument("--policy", action="append", choices=POLICIES)
+    parser.add_argument("--case", action="append", choices=[c.value for c in Case])
+    parser.add_argument("--plot", metavar="FILE", help="draw the figures to FILE")
+    return parser
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run all combinations and print their figures."""
+    args = get_parser().parse_args(argv)
+    runs = [
+        Run(shape_named(shape), Case(case), policy, args.seed, args.seconds)
+        for shape in args.shape or [s.name for s in SHAPES]
+        for case in args.case or [c.value for c in Case]
+        for policy in args.policy or POLICIES
+    ]
+    with ProcessPoolExecutor(args.workers) as pool:
+        results = list(zip(runs, pool.map(execute, runs), strict=True))
+    print_table(results)
+    if args.plot:
+        from benchmarks.plot import draw
+
+        draw(results, args.plot)
+    return 0
+
+
+def execute(run: Run) -> Summary:
+    """Execute one run in a worker process."""
+    return Simulation(run).execute().summary()
+
+
+def print_table(results: list[tuple[Run, Summary]]) -> None:
+    """Print one line for each run."""
+    previous = None
+    for run, found in results:
+        if previous != (run.shape.name, run.case):
+            previous = (run.shape.name, run.case)
+            print(f"\n{run.shape.name}: {run.case.value}, seed {run.seed}")
+            print(HEADER)
+        print(
+            f"{run.policy:13}{found.requests:6}{100 * found.hit_rate:7.1f}"
+            f"{found.ttft_p50_ms:8.0f}{found.ttft_p99_ms:8.0f}"
+            f"{found.wasted_tokens / 1e6:8.2f}  {found.worst_organisation:11}"
+            f"{found.worst_p99_ms:8.0f}{found.wrongful_refusals:6}{found.refused:6}"
+        )
+
+
+#: Columns: hit rate in percent, times in ms, wasted tokens in millions, refusals
+#: inside and over the organisations' limits.
+HEADER = (
+    f"{'policy':13}{'reqs':>6}{'hit %':>7}{'p50':>8}{'p99':>8}{'wasted':>8}"
+    f"  {'worst':11}{'p99':>8}{'wrong':>6}{'over':>6}"
+)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/berylnotch/placement/hot.py
@@ -0,0 +1,86 @@
+"""Rates of prefixes, from which the number of their homes follows."""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+if TYPE_CHECKING:
+    from berylnotch.placement.settings import PlacementSettings
+
+
+@define
+class _Rate:
+    weight: float
+    at: float
+
+
+class HotPrefixes:
+    """Decayed rates of the prefixes that this router placed.
+
+    Parameters
+    ----------
+    settings : PlacementSettings
+        Time constant, size, and how many engines a rate keeps warm.
+    """
+
+    def __init__(self, settings: PlacementSettings) -> None:
+        self._settings = settings
+        self._started_at: float | None = None
+        self._rates: OrderedDict[bytes, _Rate] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._rates)
+
+    def count(self, now: float, chain: tuple[bytes, ...]) -> None:
+        """Count a placed request for each of its prefixes.
+
+        Levels that were not seen before are added a few at a time, so that a
+        prompt that nobody repeats takes little room.
+        """
+        if self._started_at is None:
+            self._started_at = now
+        added = 0
+        for prefix in chain:
+            rate = self._rates.get(prefix)
+            if rate is not None:
+                rate.weight = 1.0 + self._decayed(now, rate)
+                rate.at = now
+                self._rates.move_to_end(prefix)
+                continue
+            self._rates[prefix] = _Rate(1.0, now)
+            added += 1
+            if added == self._settings.hot_new_levels:
+                break
+        while len(self._rates) > self._settings.hot_max:
+            self._rates.popitem(last=False)
+
+    def widths(self, now: float, chain: tuple[bytes, ...]) -> tuple[int, ...]:
+        """Return the number of homes for each level, down to the first with one.
+
+        Empty while too little was counted; ranking then uses its default.
+        """
+        if self._started_at is None:
+            return ()
+        age = now - self._started_at
+        if age < self._settings.hot_warmup_s:
+            return ()
+        # The correction makes the estimate right from the first seconds on.
+        tau = self._settings.hot_tau_s
+        seconds = tau * -math.expm1(-age / tau)
+        warm = self._settings.warm_s * self._settings.answer_routers / seconds
+        widths = []
+        for prefix in chain:
+            rate = self._rates.get(prefix)
+            keeps = warm * self._decayed(now, rate) if rate else 0.0
+            width = 1 << max(0, int(keeps).bit_length() - 1)
+            widths.append(width)
+            if width == 1:
+                break
+        return tuple(widths)
+
+    def _decayed(self, now: float, rate: _Rate) -> float:
+        return rate.weight * math.exp((rate.at - now) / self._settings.hot_tau_s)
--- a/berylnotch/placement/model.py
+++ b/berylnotch/placement/model.py
@@ -64,8 +64,11 @@
     weights : str
         Weights version that the chain was made for; other targets are left
         out. Empty if the service has no weights.
-    homes : int
-        Engines that share the prompt's first piece; 0 for the default.
+    widths : tuple of int
+        Number of homes for each level of the chain, down to the first with
+        one; empty for the default.
+    now : float
+        Router's monotonic time in seconds.
     """
 
     chain: tuple[bytes, ...] = ()
@@ -73,7 +76,8 @@
     failure_domain: str = ""
     exclude: frozenset[str] = frozenset()
     weights: str = ""
-    homes: int = 0
+    widths: tuple[int, ...] = ()
+    now: float = 0.0
 
 
 @frozen
--- a/berylnotch/placement/rank.py
+++ b/berylnotch/placement/rank.py
@@ -53,25 +53,26 @@
 ) -> dict[str, int]:
     """Return the leading pieces that affinity expects at each home.
 
-    The first piece selects some engines, and each deeper level selects half of
-    those, so a prompt's homes are among the homes of everything it extends.
+    Each level of the chain selects its homes among those of the level above,
+    so a prompt's homes are among the homes of everything that it extends.
     """
     members = list(names)
-    width = query.homes or settings.home_engines
     expected: dict[str, int] = {}
-    for depth in level_depths(len(query.chain)):
-        members = top(query.chain[depth - 1], members, width)
+    widths = query.widths or _default_widths(settings, len(query.chain))
+    for depth, width in enumerate(widths, start=1):
+        if width < len(members):
+            members = top(query.chain[depth - 1], members, width)
         expected.update(dict.fromkeys(members, depth))
-        width = max(1, width // 2)
+    if len(members) == 1:
+        expected[members[0]] = len(query.chain)
     return expected
 
 
-def level_depths(pieces: int) -> tuple[int, ...]:
-    """Return the depths at which affinity is decided: 1, 2, 4, ... and all."""
-    depths = [1 << bit for bit in range(pieces.bit_length()) if 1 << bit <= pieces]
-    if depths and depths[-1] != pieces:
-        depths.append(pieces)
-    return tuple(depths)
+def _default_widths(settings: PlacementSettings, pieces: int) -> tuple[int, ...]:
+    depth = min(pieces, settings.cold_depth)
+    if not depth:
+        return ()
+    return (settings.max_candidates,) * (depth - 1) + (1,)
 
 
 def _is_allowed(query: Query, candidate: Candidate) -> bool:
@@ -89,9 +90,11 @@
 ) -> Ranked:
     cached, source = expected, "affinity"
     if hints is not None:
-        seen = hints.cached_pieces(candidate.name, candidate.incarnation, query.chain)
-        if seen is not None:
-            cached, source = seen, "events"
+        known, limit = hints.cached_pieces(
+            query.now, candidate.name, candidate.incarnation, query.chain
+        )
+        cached = max(known, min(expected, limit))
+        source = "affinity" if cached == expected else "events"
     wait_ms = 1000.0 * candidate.queue_wait_s
     compute_ms = max(0, query.prompt_pieces - cached) * settings.recompute_ms
     near = candidate.failure_domain == query.failure_domain
--- a/berylnotch/placement/settings.py
+++ b/berylnotch/placement/settings.py
@@ -16,9 +16,23 @@
     bytes_per_token : int, default=4
         Prompt bytes taken for one token; the router does not tokenise. Larger
         values make affinity coarser, smaller ones make it finer.
-    home_engines : int, default=2
-        Engines that share a first-level prefix nobody counts as hot. More
-        engines spread load and spend cache memory.
+    cold_depth : int, default=8
+        Level at which a router that has counted nothing yet selects one home.
+        Deeper spreads more, shallower shares more.
+    warm_s : float, default=4.0
+        Time between two uses within which an engine keeps a prefix. Higher
+        values give a prefix more homes.
+    hot_tau_s : float, default=10.0
+        Time constant of the prefix rates.
+    hot_warmup_s : float, default=3.0
+        Time after the first request in which rates are not used yet.
+    hot_max : int, default=32768
+        Prefixes whose rate is kept.
+    hot_new_levels : int, default=8
+        Unseen levels of one prompt that are added at a time.
+    answer_routers : int, default=3
+        Routers that share an organisation's traffic; a router's own rates are
+        multiplied by it.
     prefill_tokens_per_s : float, default=8000.0
         Rate at which an engine computes a prompt. Higher values favour short
         queues over cached prefixes.
@@ -34,7 +48,13 @@
 
     piece_tokens: int = 1024
     bytes_per_token: int = 4
-    home_engines: int = 2
+    cold_depth: int = 8
+    warm_s: float = 4.0
+    hot_tau_s: float = 10.0
+    hot_warmup_s: float = 3.0
+    hot_max: int = 32_768
+    hot_new_levels: int = 8
+    answer_routers: int = 3
     prefill_tokens_per_s: float = 8000.0
     import_tokens_per_s: float = 40000.0
     import_overhead_ms: float = 20.0
