--- a/berylnotch/placement/rank.py
+++ b/berylnotch/placement/rank.py
@@ -93,14 +93,17 @@
         known, limit = hints.cached_pieces(
             query.now, candidate.name, candidate.incarnation, query.chain
         )
-        cached = max(known, min(expected, limit))
+        assumed = max(known, min(expected, limit))
+        # Affinity is only a guess where events would have told of the pieces.
+        cached = known + settings.affinity_trust * (assumed - known)
         source = "affinity" if cached == expected else "events"
     wait_ms = 1000.0 * candidate.queue_wait_s
-    compute_ms = max(0, query.prompt_pieces - cached) * settings.recompute_ms
+    uncached = max(0, query.prompt_pieces - cached)
+    compute_ms = settings.miss_weight * uncached * settings.recompute_ms
     near = candidate.failure_domain == query.failure_domain
     score_ms = wait_ms + compute_ms + (0.0 if near else settings.far_ms)
     reason = (
         f"wait={wait_ms:.0f}ms compute={compute_ms:.0f}ms "
         f"cached={cached}/{query.prompt_pieces} by={source} near={near}"
     )
-    return Ranked(candidate.name, score_ms, reason, cached)
+    return Ranked(candidate.name, score_ms, reason, int(cached))
--- a/berylnotch/placement/settings.py
+++ b/berylnotch/placement/settings.py
@@ -36,6 +36,13 @@
     prefill_tokens_per_s : float, default=8000.0
         Rate at which an engine computes a prompt. Higher values favour short
         queues over cached prefixes.
+    miss_weight : float, default=3.0
+        Factor on the time to compute uncached pieces. Above 1 it counts what a
+        recomputation costs the requests behind it and the cache; higher values
+        keep requests at their homes for longer.
+    affinity_trust : float, default=0.5
+        Share of the pieces expected at a home that is counted as cached while
+        no cache event or own request confirms them.
     import_tokens_per_s : float, default=40000.0
         Rate at which an engine imports cached pieces from elsewhere.
     import_overhead_ms : float, default=20.0
@@ -56,6 +63,8 @@
     hot_new_levels: int = 8
     answer_routers: int = 3
     prefill_tokens_per_s: float = 8000.0
+    miss_weight: float = 3.0
+    affinity_trust: float = 0.5
     import_tokens_per_s: float = 40000.0
     import_overhead_ms: float = 20.0
     far_ms: float = 3.0
