placement: a gap in cache events makes entries likely, not unknown

Cause: with 5% of the cache events lost, each router dropped all it knew of an engine about every ten seconds and then sent prompts to engines without their pieces. Change: entries from before a gap count by a share (0.8) and are never known. Ruled out: keeping entries for 10 s or 100 s instead of 30 s changed nothing.

--- a/berylnotch/placement/hints.py
+++ b/berylnotch/placement/hints.py
@@ -31,25 +31,47 @@
     removed: tuple[bytes, ...] = ()
 
 
+@frozen
+class Hint:
+    """What is known of a chain in one engine's cache, in leading pieces.
+
+    Parameters
+    ----------
+    known : int
+        Pieces that events or own requests tell of, with no gap since.
+    likely : int
+        Pieces that were told of before a gap; at least ``known``.
+    limit : int
+        Pieces above which one is known to be missing.
+    """
+
+    known: int
+    likely: int
+    limit: int
+
+
 @define
 class _Entry:
     is_stored: bool
     at: float
+    gaps: int
 
 
 @define
 class _Stream:
     incarnation: str
     sequence: int = 0
+    gaps: int = 0
     entries: OrderedDict[bytes, _Entry] = field(factory=OrderedDict)
 
 
 class CacheHints:
     """Late and gappy knowledge about cached prefixes.
 
-    Entries belong to an incarnation of an engine. A gap in the sequence may
-    hide any removal, so it drops every stored entry; a new incarnation drops
-    all.
+    Entries belong to an incarnation of an engine, and a new incarnation drops
+    all. A gap in the sequence may hide the removal of any entry, so nothing
+    held is known any more: what was stored is only likely, until it is told of
+    again, and what was removed is forgotten.
 
     Parameters
     ----------
@@ -71,12 +93,12 @@
         if stream is None or event.sequence <= stream.sequence:
             return
         if event.sequence != stream.sequence + 1:
-            self._drop_stored(stream)
+            stream.gaps += 1
         stream.sequence = event.sequence
         for prefix in event.stored:
-            self._put(stream, prefix, _Entry(True, now))
+            self._put(stream, prefix, _Entry(True, now, stream.gaps))
         for prefix in event.removed:
-            self._put(stream, prefix, _Entry(False, now))
+            self._put(stream, prefix, _Entry(False, now, stream.gaps))
 
     def expect(
         self, now: float, target: str, incarnation: str, chain: Iterable[bytes]
@@ -86,7 +108,7 @@
         if stream is None:
             return
         for prefix in chain:
-            self._put(stream, prefix, _Entry(True, now))
+            self._put(stream, prefix, _Entry(True, now, stream.gaps))
 
     def forget(self, target: str) -> None:
         """Drop an engine's entries, as when its process was lost."""
@@ -97,29 +119,24 @@
 
     def cached_pieces(
         self, now: float, target: str, incarnation: str, chain: tuple[bytes, ...]
-    ) -> tuple[int, int]:
-        """Return the bounds of the cached leading pieces.
-
-        Returns
-        -------
-        known : int
-            Leading pieces that are believed to be cached.
-        limit : int
-            Leading pieces above which one is known to be missing.
-        """
+    ) -> Hint:
+        """Return what is known of a chain in an engine's cache."""
         stream = self._streams.get(target)
         if stream is None or stream.incarnation != incarnation:
-            return 0, len(chain)
-        known, oldest = 0, now - self._keep_s
-        entries = stream.entries
+            return Hint(0, 0, len(chain))
+        known, likely = 0, 0
+        oldest = now - self._keep_s
         for index, prefix in enumerate(chain):
-            entry = entries.get(prefix)
+            entry = stream.entries.get(prefix)
             if entry is None or entry.at < oldest:
                 continue
-            if not entry.is_stored:
-                return known, index
-            known = index + 1
-        return known, len(chain)
+            is_confirmed = entry.gaps == stream.gaps
+            if entry.is_stored:
+                likely = index + 1
+                known = likely if is_confirmed else known
+            elif is_confirmed:
+                return Hint(known, likely, index)
+        return Hint(known, likely, len(chain))
 
     def _stream(self, target: str, incarnation: str) -> _Stream | None:
         """Return the stream of an incarnation, or None if it is over."""
@@ -146,11 +163,6 @@
         while len(stream.entries) > self._max_entries:
             stream.entries.popitem(last=False)
 
-    def _drop_stored(self, stream: _Stream) -> None:
-        stored = [prefix for prefix, entry in stream.entries.items() if entry.is_stored]
-        for prefix in stored:
-            del stream.entries[prefix]
-
 
 #: Incarnations of an engine that are remembered as over.
 _RETIRED_MAX = 16
--- a/berylnotch/placement/rank.py
+++ b/berylnotch/placement/rank.py
@@ -9,7 +9,7 @@
 from berylnotch.placement.rendezvous import top
 
 if TYPE_CHECKING:
-    from berylnotch.placement.hints import CacheHints
+    from berylnotch.placement.hints import CacheHints, Hint
     from berylnotch.placement.settings import PlacementSettings
 
 
@@ -90,12 +90,10 @@
 ) -> Ranked:
     cached, source = expected, "affinity"
     if hints is not None:
-        known, limit = hints.cached_pieces(
+        hint = hints.cached_pieces(
             query.now, candidate.name, candidate.incarnation, query.chain
         )
-        assumed = max(known, min(expected, limit))
-        # Affinity is only a guess where events would have told of the pieces.
-        cached = known + settings.affinity_trust * (assumed - known)
+        cached = _estimate(settings, hint, expected)
         source = "affinity" if cached == expected else "events"
     wait_ms = 1000.0 * candidate.queue_wait_s
     uncached = max(0, query.prompt_pieces - cached)
@@ -107,3 +105,15 @@
         f"cached={cached}/{query.prompt_pieces} by={source} near={near}"
     )
     return Ranked(candidate.name, score_ms, reason, int(cached))
+
+
+def _estimate(settings: PlacementSettings, hint: Hint, expected: int) -> float:
+    """Return the leading pieces to count on, weighted by what tells of them."""
+    guessed = max(hint.likely, min(expected, hint.limit))
+    unconfirmed = hint.likely - hint.known
+    unseen = guessed - hint.likely
+    return (
+        hint.known
+        + settings.unconfirmed_trust * unconfirmed
+        + settings.affinity_trust * unseen
+    )
--- a/berylnotch/placement/settings.py
+++ b/berylnotch/placement/settings.py
@@ -43,6 +43,8 @@
     affinity_trust : float, default=0.5
         Share of the pieces expected at a home that is counted as cached while
         no cache event or own request confirms them.
+    unconfirmed_trust : float, default=0.8
+        Share that is counted of pieces told of before a gap in the events.
     import_tokens_per_s : float, default=40000.0
         Rate at which an engine imports cached pieces from elsewhere.
     import_overhead_ms : float, default=20.0
@@ -65,6 +67,7 @@
     prefill_tokens_per_s: float = 8000.0
     miss_weight: float = 3.0
     affinity_trust: float = 0.5
+    unconfirmed_trust: float = 0.8
     import_tokens_per_s: float = 40000.0
     import_overhead_ms: float = 20.0
     far_ms: float = 3.0
