--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -44,7 +44,7 @@
 
 
 def _list_later(simulation: Simulation, name: str, state: LifeState) -> None:
-    states = simulation.fleet.states
+    states = simulation.view.states
     simulation.loop.after(LIST_LAG_S, lambda: states.__setitem__(name, state))
 
 
@@ -54,7 +54,7 @@
         return
     name, rest = names[0], names[1:]
     engine = simulation.engines[name]
-    simulation.fleet.versions[name] = ""
+    simulation.view.versions[name] = ""
     _when_idle(simulation, engine, lambda: _load(simulation, engine, rest))
 
 
@@ -67,7 +67,7 @@
 
 def _load(simulation: Simulation, engine: Engine, rest: list[str]) -> None:
     def ready() -> None:
-        simulation.fleet.versions[engine.name] = "v2"
+        simulation.view.versions[engine.name] = "v2"
         _roll(simulation, rest)
 
     engine.load("v2")
--- a/benchmarks/workload.py
+++ b/benchmarks/workload.py
@@ -105,7 +105,7 @@
             return
         tail = self._random.randint(50, 1000)
         output = self._random.randint(*self._shape.output_tokens)
-        number = len(self._found)
+        number = len(self._found) + 1
         self._found.append(Request(number, at, organisation, prompt, tail, output))
 
     def _pieces(self, organisation: OrganisationShape) -> bytes:
--- a/berylnotch/placement/model.py
+++ b/berylnotch/placement/model.py
@@ -94,9 +94,13 @@
         Parts of the score, for operators.
     cached_pieces : int
         Leading pieces expected in the target's cache.
+    incarnation, weights : str
+        Process and weights version that were ranked.
     """
 
     name: str
     score_ms: float
     reason: str
     cached_pieces: int = 0
+    incarnation: str = ""
+    weights: str = ""
--- a/berylnotch/placement/rank.py
+++ b/berylnotch/placement/rank.py
@@ -104,7 +104,14 @@
         f"wait={wait_ms:.0f}ms compute={compute_ms:.0f}ms "
         f"cached={cached}/{query.prompt_pieces} by={source} near={near}"
     )
-    return Ranked(candidate.name, score_ms, reason, int(cached))
+    return Ranked(
+        name=candidate.name,
+        score_ms=score_ms,
+        reason=reason,
+        cached_pieces=int(cached),
+        incarnation=candidate.incarnation,
+        weights=candidate.weights,
+    )
 
 
 def _estimate(settings: PlacementSettings, hint: Hint, expected: int) -> float:
--- a/berylnotch/placement/settings.py
+++ b/berylnotch/placement/settings.py
@@ -49,6 +49,10 @@
         Rate at which an engine imports cached pieces from elsewhere.
     import_overhead_ms : float, default=20.0
         Fixed time of one import.
+    hint_max : int, default=16384
+        Prefixes kept for each engine from cache events and own requests.
+    hint_keep_s : float, default=30.0
+        Age at which such an entry is no longer used.
     far_ms : float, default=3.0
         Added for a target in another failure domain.
     max_candidates : int, default=16
@@ -70,6 +74,8 @@
     unconfirmed_trust: float = 0.8
     import_tokens_per_s: float = 40000.0
     import_overhead_ms: float = 20.0
+    hint_max: int = 16_384
+    hint_keep_s: float = 30.0
     far_ms: float = 3.0
     max_candidates: int = 16
 
