benchmarks: prefill in chunks by priority, several seeds, overload over most of the run

A fake engine that computed a whole prompt at once let one long prompt of an organisation above its share hold back all others for 2 s. Engines with continuous batching compute chunks and honour priorities between them. The figure of each organisation came from too few requests (180 for the smallest), so three seeds are merged.

--- a/benchmarks/engine.py
+++ b/benchmarks/engine.py
@@ -14,13 +14,17 @@
 from berylnotch.membership.targets import LoadReport
 from berylnotch.placement.hints import CacheEvent
 
+#: Rest of a prefill in seconds that comes from rounding.
+_ROUNDING_S = 1e-9
+
 
 @define(eq=False)
 class Job:
     """A request at an engine.
 
-    ``cached``, ``computed`` and ``wasted`` count its pieces when the prompt was
-    computed; wasted ones had been computed before, anywhere.
+    ``cached`` and ``wasted`` count its pieces when the prompt was computed;
+    wasted ones had been computed before, anywhere. ``left_s`` is what is left
+    of a begun prefill.
     """
 
     chain: tuple[bytes, ...]
@@ -32,8 +36,7 @@
     on_fail: Callable[[Job], None]
     cached: int = 0
     wasted: int = 0
-    computed: int = 0
-    cancelled: bool = False
+    left_s: float | None = None
 
 
 @define
@@ -71,6 +74,8 @@
         self._loop = loop
         self._incarnation = 1
         self._order = itertools.count()
+        self._chunk_s = shape.chunk_pieces * shape.piece_tokens
+        self._chunk_s /= shape.prefill_tokens_per_s
         self._clear()
 
     @property
@@ -113,15 +118,16 @@
                 return index
         return len(chain)
 
-    def queue_wait_s(self, priority: int | None = None) -> float:
+    def queue_wait_s(self) -> float:
         """Return the prefill work ahead of a new request."""
-        wait = max(0.0, self._prefill_until - self._loop.now)
-        coming = set(self._prefilling.chain) if self._prefilling else set()
-        for other, _, job in self._queue:
-            if priority is not None and other > priority:
-                continue
-            held = sum(p in self._cache or p in coming for p in job.chain)
-            wait += self._prefill_s(job, held)
+        wait = max(0.0, self._chunk_until - self._loop.now)
+        coming: set[bytes] = set()
+        for _, _, job in self._queue:
+            if job.left_s is not None:
+                wait += job.left_s
+            else:
+                held = sum(p in self._cache or p in coming for p in job.chain)
+                wait += self._prefill_s(job, held)
             coming.update(job.chain)
         return wait
 
@@ -148,7 +154,8 @@
 
     def crash(self) -> None:
         """Lose everything; the running requests fail."""
-        lost = list(self._running) + [job for _, _, job in self._queue]
+        waiting = [job for _, _, job in self._queue if job.left_s is None]
+        lost = list(self._running) + waiting
         self._incarnation += 1
         self._clear()
         self.alive = False
@@ -171,7 +178,7 @@
         self._cache: OrderedDict[bytes, None] = OrderedDict()
         self._pins: Counter[bytes] = Counter()
         self._prefilling: Job | None = None
-        self._prefill_until = 0.0
+        self._chunk_until = 0.0
         self._changes = _CacheChange()
         self._sequence = 0
 
@@ -180,33 +187,57 @@
         return (uncached + job.tail_tokens) / self.shape.prefill_tokens_per_s
 
     def _start_next(self) -> None:
-        if self._prefilling or len(self._running) >= self.shape.slots:
+        """Compute a chunk of the first prompt by priority, then by arrival."""
+        if self._prefilling:
             return
-        while self._queue and self._queue[0][2].cancelled:
-            heapq.heappop(self._queue)
-        if not self._queue:
+        entry = self._next_entry()
+        if entry is None:
             return
-        job = heapq.heappop(self._queue)[2]
-        self._running.add(job)
+        job = entry[2]
+        if job.left_s is None:
+            self._begin(job)
+        chunk_s = min(job.left_s, self._chunk_s)
         self._prefilling = job
+        self._chunk_until = self._loop.now + chunk_s
+        self._at(chunk_s, lambda: self._end_chunk(entry, chunk_s))
+
+    def _next_entry(self) -> tuple[int, int, Job] | None:
+        if len(self._running) < self.shape.slots:
+            return heapq.heappop(self._queue) if self._queue else None
+        # Without a free slot only begun prompts go on.
+        begun = [entry for entry in self._queue if entry[2].left_s is not None]
+        if not begun:
+            return None
+        entry = min(begun)
+        self._queue.remove(entry)
+        heapq.heapify(self._queue)
+        return entry
+
+    def _begin(self, job: Job) -> None:
+        self._running.add(job)
         job.cached = self.cached_pieces(job.chain)
         self._touch(job.chain[: job.cached])
         self._pins.update(job.chain)
-        duration = self._prefill_s(job, job.cached)
-        self._prefill_until = self._loop.now + duration
-        self._at(duration, lambda: self._end_prefill(job))
+        job.left_s = self._prefill_s(job, job.cached)
 
-    def _end_prefill(self, job: Job) -> None:
+    def _end_chunk(self, entry: tuple[int, int, Job], chunk_s: float) -> None:
+        job = entry[2]
         self._prefilling = None
+        job.left_s -= chunk_s
+        if job.left_s > _ROUNDING_S:
+            heapq.heappush(self._queue, entry)
+        else:
+            self._end_prefill(job)
+        self._start_next()
+
+    def _end_prefill(self, job: Job) -> None:
         missed = job.chain[job.cached :]
-        job.computed = len(missed)
         job.wasted = sum(prefix in self.seen for prefix in missed)
         self.seen.update(missed)
         self._store(job.chain)
         job.on_first(job)
         token_s = self.shape.token_s + self.shape.token_s_per_running * self.running
         self._at(job.output_tokens * token_s, lambda: self._end(job))
-        self._start_next()
 
     def _end(self, job: Job) -> None:
         self._running.discard(job)
--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -82,6 +82,17 @@
         """Count a request over its organisation's limit."""
         self._refused += 1
 
+    def add(self, other: Figures) -> None:
+        """Add another run's figures."""
+        self._all.add(other._all)
+        for name, histogram in other._by_organisation.items():
+            self._by_organisation[name].add(histogram)
+        self._pieces += other._pieces
+        self._cached += other._cached
+        self._wasted += other._wasted
+        self._refused += other._refused
+        self._gave_up += other._gave_up
+
     def summary(self) -> Summary:
         """Return the figures."""
         p99 = {
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -10,6 +10,8 @@
 from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
 
+from attrs import evolve
+
 from benchmarks.figures import Summary
 from benchmarks.policy import POLICIES
 from benchmarks.shapes import SHAPES, Case, shape_named
@@ -19,9 +21,10 @@
 def get_parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
     parser = argparse.ArgumentParser(prog="benchmarks.policies", description=__doc__)
-    parser.add_argument("--seed", type=int, default=1, help="seed of all runs")
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--seeds", type=int, default=3, help="seeds of each run")
     parser.add_argument(
-        "--seconds", type=float, default=180.0, help="simulated seconds of a run"
+        "--seconds", type=float, default=300.0, help="simulated seconds of a run"
     )
     parser.add_argument("--workers", type=int, default=4, help="processes")
     parser.add_argument(
@@ -43,7 +46,8 @@
         for policy in args.policy or POLICIES
     ]
     with ProcessPoolExecutor(args.workers) as pool:
-        results = list(zip(runs, pool.map(execute, runs), strict=True))
+        summaries = pool.map(execute, runs, [args.seeds] * len(runs))
+        results = list(zip(runs, summaries, strict=True))
     print_table(results)
     if args.plot:
         from benchmarks.plot import draw
@@ -52,9 +56,12 @@
     return 0
 
 
-def execute(run: Run) -> Summary:
-    """Execute one run in a worker process."""
-    return Simulation(run).execute().summary()
+def execute(run: Run, seeds: int) -> Summary:
+    """Execute a run with several seeds, in a worker process."""
+    figures = Simulation(run).execute()
+    for seed in range(run.seed + 1, run.seed + seeds):
+        figures.add(Simulation(evolve(run, seed=seed)).execute())
+    return figures.summary()
 
 
 def print_table(results: list[tuple[Run, Summary]]) -> None:
@@ -63,7 +70,7 @@
     for run, found in results:
         if previous != (run.shape.name, run.case):
             previous = (run.shape.name, run.case)
-            print(f"\n{run.shape.name}: {run.case.value}, seed {run.seed}")
+            print(f"\n{run.shape.name}: {run.case.value}, seeds from {run.seed}")
             print(HEADER)
         print(
             f"{run.policy:13}{found.requests:6}{100 * found.hit_rate:7.1f}"
--- a/benchmarks/shapes.py
+++ b/benchmarks/shapes.py
@@ -23,7 +23,8 @@
     """Speed and size of an engine.
 
     Times are in seconds, rates in tokens a second, memory in pieces of
-    ``piece_tokens``.
+    ``piece_tokens``. Prompts are computed in chunks of ``chunk_pieces``, and
+    a prompt of better priority goes on first.
     """
 
     prefill_tokens_per_s: float = 16_000.0
@@ -32,6 +33,7 @@
     slots: int = 48
     cache_pieces: int = 192
     piece_tokens: int = 1024
+    chunk_pieces: int = 4
     load_s: float = 2.0
 
 
--- a/benchmarks/workload.py
+++ b/benchmarks/workload.py
@@ -72,7 +72,7 @@
         short = self._new(self._shape.short_pieces)
         at = 0.0
         while at < self._until:
-            middle = self._until / 3 <= at < 2 * self._until / 3
+            middle = self._until / 10 <= at < 9 * self._until / 10
             at += self._random.expovariate(self._rate(organisation, overload, middle))
             if self._random.random() < self._shape.short_share:
                 self._add(at, organisation.name, short)
