--- a/berylnotch/daemon/controller/core.py
+++ b/berylnotch/daemon/controller/core.py
@@ -282,9 +282,7 @@
     def _apply(self, ready: Ready) -> None:
         if ready.snapshot is not None:
             self._state.restore(ready.snapshot.data)
-            logger.info(
-                "event=snapshot_installed index={}", ready.snapshot.last_index
-            )
+            logger.info("event=snapshot_installed index={}", ready.snapshot.last_index)
         for entry in ready.committed:
             self._apply_entry(entry)
 
--- a/berylnotch/daemon/controller/routers.py
+++ b/berylnotch/daemon/controller/routers.py
@@ -49,7 +49,10 @@
         found = []
         for vm, heard in self._heard.items():
             observed = _observed(now, heard)
-            if state.life_record(Subject.VM, vm) != (observed.incarnation, observed.state):
+            if state.life_record(Subject.VM, vm) != (
+                observed.incarnation,
+                observed.state,
+            ):
                 found.append(observed)
         found.extend(self._never_heard(now, state))
         return tuple(found)
@@ -68,9 +71,7 @@
             for vm, heard in sorted(self._heard.items())
         )
 
-    def _never_heard(
-        self, now: float, state: ControlState
-    ) -> tuple[SetLifeState, ...]:
+    def _never_heard(self, now: float, state: ControlState) -> tuple[SetLifeState, ...]:
         # A router that was lost together with the previous leader is not in
         # this leader's memory, but its claims must not stay open.
         if now - self._since < LOST_AFTER_S:
--- a/berylnotch/daemon/router/heartbeat.py
+++ b/berylnotch/daemon/router/heartbeat.py
@@ -112,7 +112,9 @@
             self._quota.asks(now),
         )
         future = self._peers.call(self._target(), request, _TIMEOUT_S)
-        future.add_done_callback(lambda done: self._answered(now, bool(request.asks), done))
+        future.add_done_callback(
+            lambda done: self._answered(now, bool(request.asks), done)
+        )
 
     def _target(self) -> str:
         address = self._hint or self._leader_address()
--- a/berylnotch/settings/router.py
+++ b/berylnotch/settings/router.py
@@ -35,9 +35,7 @@
         "a name",
         "which targets count as near",
     ),
-    ProcessSetting(
-        "router", "http", listen_address, "IP:port", "address for callers"
-    ),
+    ProcessSetting("router", "http", listen_address, "IP:port", "address for callers"),
     ProcessSetting(
         "router",
         "listen",
--- a/berylnotch/standins/generation.py
+++ b/berylnotch/standins/generation.py
@@ -9,8 +9,6 @@
 
 #: Creation time in every answer, so that a resumed stream repeats its bytes.
 CREATED_S = 1_700_000_000
-#: Last event of a stream.
-END_MARKER = b"data: [DONE]\n\n"
 
 
 class BadBodyError(Exception):
@@ -108,6 +106,10 @@
             chunk = {**self._chunk([]), "usage": usage(generation)}
         return f"id: {number}\ndata: {json.dumps(chunk)}\n\n".encode()
 
+    def end(self) -> bytes:
+        """Return the end marker; its number shows whether events are missing."""
+        return b"id: %d\ndata: [DONE]\n\n" % (self._generation.events + 1)
+
     def _chunk(self, choices: list[object]) -> dict[str, object]:
         chat = self._generation.chat
         return {
--- a/berylnotch/standins/runs.py
+++ b/berylnotch/standins/runs.py
@@ -11,7 +11,6 @@
 
 from berylnotch.standins.faults import Faults
 from berylnotch.standins.generation import (
-    END_MARKER,
     EventWriter,
     Generation,
     whole_answer,
@@ -193,7 +192,8 @@
         self._timer = self._loop.call_at(self._due, self._next)
 
     def _finish(self) -> None:
-        self._job.connection.send(b"%x\r\n%b\r\n" % (len(END_MARKER), END_MARKER))
+        data = self._writer.end()
+        self._job.connection.send(b"%x\r\n%b\r\n" % (len(data), data))
         self._close_chunks()
 
     def _close_chunks(self) -> None:
--- a/berylnotch/streams/answers.py
+++ b/berylnotch/streams/answers.py
@@ -4,7 +4,6 @@
 
 from attrs import frozen
 
-from berylnotch.streams.errors import AnswerTooLargeError
 from berylnotch.streams.inputs import ExchangeSettings, ResponseHead
 from berylnotch.streams.scanner import EventScanner
 from berylnotch.streams.sequence import EventSequence, Numbered
@@ -12,6 +11,8 @@
 #: Last event of a stream.
 END_MARKER = b"data: [DONE]\n\n"
 
+_NO_EVENTS = Numbered(b"", 0)
+
 
 class StreamAnswer:
     """Events of one attempt, continued in the exchange's sequence."""
@@ -35,9 +36,9 @@
     def feed(self, data: bytes) -> Numbered:
         """Return the new events of a chunk; raises `StreamError`."""
         result = self._scanner.feed(data)
-        if not result.events:
-            return Numbered(b"", 0)
-        return self._sequence.take(result.complete, result.events)
+        if not result.events and not result.end_number:
+            return _NO_EVENTS
+        return self._sequence.take(result.complete, result.events, result.end_number)
 
 
 class WholeAnswer:
@@ -56,12 +57,13 @@
         """Bytes buffered."""
         return self._length
 
-    def feed(self, data: bytes) -> None:
-        """Buffer a chunk; raises `AnswerTooLargeError`."""
+    def feed(self, data: bytes) -> bool:
+        """Buffer a chunk; return False if the answer is too long for that."""
+        if self._length + len(data) > self._max_bytes:
+            return False
         self._length += len(data)
-        if self._length > self._max_bytes:
-            raise AnswerTooLargeError(f"answer exceeds {self._max_bytes} bytes")
         self._parts.append(data)
+        return True
 
     def body(self) -> bytes:
         """Return the body so far."""
--- a/berylnotch/streams/errors.py
+++ b/berylnotch/streams/errors.py
@@ -19,7 +19,3 @@
 
 class StreamReferenceError(StreamError):
     """A caller's reference to a stream is malformed or not ours."""
-
-
-class AnswerTooLargeError(StreamError):
-    """A whole answer is longer than may be buffered."""
--- a/berylnotch/streams/exchange.py
+++ b/berylnotch/streams/exchange.py
@@ -2,10 +2,6 @@
 
 from __future__ import annotations
 
-import json
-
-from attrs import define, field
-
 from berylnotch.streams.actions import (
     Action,
     AttemptFailed,
@@ -26,11 +22,9 @@
     StreamAnswer,
     WholeAnswer,
 )
-from berylnotch.streams.errors import (
-    AnswerTooLargeError,
-    SequenceError,
-    StreamError,
-)
+from berylnotch.streams.attempts import Attempt, AttemptLog
+from berylnotch.streams.errors import SequenceError, StreamError
+from berylnotch.streams.heads import end_fault, head_fault, is_stream
 from berylnotch.streams.inputs import (
     ExchangeRequest,
     ExchangeSettings,
@@ -38,41 +32,19 @@
     ResponseHead,
     UpstreamEnd,
 )
+from berylnotch.streams.outcomes import (
+    REFUSAL_STATUSES,
+    RETRY_STATUSES,
+    UNKNOWN_STATUSES,
+    error_event,
+    reason_of,
+    reason_without_target,
+)
 from berylnotch.streams.sequence import EventSequence
 
-EVENT_STREAM = "text/event-stream"
-
-#: Statuses after which another target may answer better.
-_RETRY_STATUSES = frozenset((429, 500, 502, 503, 504))
-#: Error statuses that don't tell whether the request was run.
-_UNKNOWN_STATUSES = frozenset((429, 502, 503, 504))
-_REFUSAL_STATUS = {
-    FinishReason.NO_TARGET: 503,
-    FinishReason.TARGET_FAILED: 502,
-    FinishReason.DEADLINE: 504,
-    FinishReason.KEY_WITHDRAWN: 401,
-    FinishReason.WEIGHTS_CHANGED: 409,
-    FinishReason.CALLER_GONE: 499,
-}
 _NOTHING: tuple[Action, ...] = ()
 
 
-@define
-class _Attempt:
-    """The attempt that is under way."""
-
-    number: int
-    target: str = ""
-    weights: str = ""
-    started: bool = False
-    answer: StreamAnswer | WholeAnswer | None = None
-    head: ResponseHead | None = None
-    received: bool = False
-    held: list[bytes] = field(factory=list)
-    held_bytes: int = 0
-    held_end: UpstreamEnd | None = None
-
-
 class Exchange:
     """State machine of one request.
 
@@ -90,21 +62,16 @@
     def __init__(self, settings: ExchangeSettings, request: ExchangeRequest) -> None:
         self._settings = settings
         self._request = request
+        self._log = AttemptLog(settings, request)
         self._sequence = EventSequence("", request.resume_after)
         self._weights = request.weights
-        self._attempt: _Attempt | None = None
-        self._attempts = 0
-        self._fruitless = 0
-        self._delivered_at_start = request.resume_after
-        self._exclude: frozenset[str] = frozenset()
+        self._attempt: Attempt | None = None
+        self._kept: KeptAnswer | None = None
         self._paused: set[PauseReason] = set()
         self._start_waits = False
         self._head_sent = False
         self._finished = False
         self._ran = request.resume_after > 0
-        self._unsettled = False
-        self._kept: KeptAnswer | None = None
-        self._last_cause: FailureCause | None = None
         self._retry_after_s = 0.0
         self._active_at = 0.0
 
@@ -113,6 +80,11 @@
         """Whether the exchange is over."""
         return self._finished
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether there is a reason to pause."""
+        return bool(self._paused)
+
     @property
     def attempt(self) -> int:
         """Number of the attempt under way; 0 if there is none."""
@@ -129,18 +101,14 @@
         if self._ran:
             return RunMark.RAN
         attempt = self._attempt
-        if self._unsettled or (attempt is not None and attempt.started):
+        if self._log.may_have_run or (attempt is not None and attempt.started):
             return RunMark.UNKNOWN
         return RunMark.NOT_RUN
 
     @property
     def buffered(self) -> int:
         """Bytes held for this exchange."""
-        attempt = self._attempt
-        if attempt is None:
-            return 0
-        answer = attempt.answer.buffered if attempt.answer is not None else 0
-        return answer + attempt.held_bytes
+        return self._attempt.buffered if self._attempt is not None else 0
 
     def next_tick(self) -> float:
         """Return the time at which ``tick`` has something to do."""
@@ -151,9 +119,7 @@
 
     def start(self, now: float) -> tuple[Action, ...]:
         """Ask for the first attempt."""
-        out: list[Action] = []
-        self._start_attempt(now, out)
-        return tuple(out)
+        return self._start_attempt(now)
 
     def attempt_started(
         self, now: float, number: int, target: str, weights: str = ""
@@ -174,14 +140,9 @@
         if self._current(number) is None:
             return _NOTHING
         self._attempt = None
-        self._attempts -= 1
+        self._log.withdraw()
         self._retry_after_s = max(self._retry_after_s, retry_after_s)
-        out: list[Action] = []
-        if self._last_cause is FailureCause.WEIGHTS:
-            self._end(FinishReason.WEIGHTS_CHANGED, message, out)
-        else:
-            self._end(FinishReason.NO_TARGET, message, out)
-        return tuple(out)
+        return self._end(reason_without_target(self._log.last_cause), message)
 
     def head(self, now: float, number: int, head: ResponseHead) -> tuple[Action, ...]:
         """Take the head of an attempt's answer."""
@@ -190,13 +151,11 @@
             return _NOTHING
         self._active_at = now
         attempt.head = head
-        cause = self._head_fault(attempt, head)
+        cause = head_fault(self._request, attempt, self._weights, self.position)
         if cause is not None:
-            out: list[Action] = []
             self._retry_after_s = max(self._retry_after_s, head.retry_after_s)
-            self._fail(now, cause, out, not_run=cause is FailureCause.REFUSED)
-            return tuple(out)
-        if self._is_stream(head):
+            return self._fail(now, cause, not_run=cause is FailureCause.REFUSED)
+        if is_stream(self._request, head):
             attempt.answer = StreamAnswer(self._settings, self._sequence)
         else:
             attempt.answer = WholeAnswer(self._settings, head)
@@ -212,8 +171,8 @@
             if self._paused:
                 return self._hold(now, attempt, data)
             return self._take_events(now, attempt, answer, data)
-        if isinstance(answer, WholeAnswer):
-            return self._take_body(now, answer, data)
+        if isinstance(answer, WholeAnswer) and not answer.feed(data):
+            return self._fail(now, FailureCause.TOO_LARGE)
         return _NOTHING
 
     def upstream_end(
@@ -226,9 +185,7 @@
         if self._paused:
             attempt.held_end = end
             return _NOTHING
-        out: list[Action] = []
-        self._take_end(now, attempt, end, out)
-        return tuple(out)
+        return self._take_end(now, attempt, end)
 
     def caller_gone(self, now: float) -> tuple[Action, ...]:
         """End, because the caller closed its connection."""
@@ -257,12 +214,11 @@
         if self._paused:
             return _NOTHING
         self._active_at = now
-        out: list[Action] = []
         if self._start_waits:
-            self._start_attempt(now, out)
-        else:
-            self._release_held(now, out)
-        return tuple(out)
+            return self._start_attempt(now)
+        if self._attempt is not None:
+            return self._release_held(now, self._attempt)
+        return _NOTHING
 
     def tick(self, now: float) -> tuple[Action, ...]:
         """Act on the deadline and on timeouts."""
@@ -273,13 +229,11 @@
         timeout = self._idle_timeout_s()
         if timeout is None or now < self._active_at + timeout:
             return _NOTHING
-        out: list[Action] = []
-        self._fail(now, FailureCause.TIMEOUT, out)
-        return tuple(out)
+        return self._fail(now, FailureCause.TIMEOUT)
 
-    def _current(self, number: int) -> _Attempt | None:
+    def _current(self, number: int) -> Attempt | None:
         attempt = self._attempt
-        if self._finished or attempt is None or attempt.number != number:
+        if attempt is None or attempt.number != number:
             return None
         return attempt
 
@@ -287,253 +241,159 @@
         attempt = self._attempt
         if self._paused or attempt is None or not self._request.stream:
             return None
-        if not attempt.started:
-            return None
-        if attempt.received:
-            return self._settings.idle_timeout_s
-        return self._settings.first_event_timeout_s
+        return attempt.idle_timeout_s(self._settings)
 
-    def _start_attempt(self, now: float, out: list[Action]) -> None:
+    def _start_attempt(self, now: float) -> tuple[Action, ...]:
         self._start_waits = bool(self._paused)
         if self._start_waits:
-            return
-        self._attempts += 1
-        self._fruitless += 1
-        self._delivered_at_start = self.position
+            return _NOTHING
         self._active_at = now
-        self._attempt = _Attempt(self._attempts)
+        self._attempt = self._log.begin(self.position)
         start = StartAttempt(
-            number=self._attempts,
-            exclude=self._exclude,
+            number=self._attempt.number,
+            exclude=self._log.exclude,
             resume_after=self.position,
             weights=self._weights,
         )
-        out.append(start)
-
-    def _head_fault(self, attempt: _Attempt, head: ResponseHead) -> FailureCause | None:
-        request = self._request
-        missing = request.echo_required and not head.request_id
-        if missing or head.request_id not in ("", request.request_id):
-            return FailureCause.WRONG_REQUEST
-        if head.not_run:
-            return FailureCause.REFUSED
-        weights = head.weights or attempt.weights
-        if self._weights and weights and weights != self._weights:
-            return FailureCause.WEIGHTS
-        if self.position and not self._is_stream(head):
-            return FailureCause.ERROR_STATUS
-        return None
-
-    def _is_stream(self, head: ResponseHead) -> bool:
-        is_events = head.content_type == EVENT_STREAM
-        return self._request.stream and head.status == 200 and is_events
+        return (start,)
 
     def _take_events(
-        self, now: float, attempt: _Attempt, answer: StreamAnswer, data: bytes
+        self, now: float, attempt: Attempt, answer: StreamAnswer, data: bytes
     ) -> tuple[Action, ...]:
         if not self._head_sent:
-            self._set_base(attempt)
+            weights = self._weights or attempt.answer_weights
+            self._sequence.set_base(self._request.sign_base(weights))
         try:
             numbered = answer.feed(data)
         except SequenceError:
-            return self._fail_now(now, FailureCause.GAP)
+            return self._fail(now, FailureCause.GAP)
         except StreamError:
-            return self._fail_now(now, FailureCause.TOO_LARGE)
+            return self._fail(now, FailureCause.TOO_LARGE)
         if numbered.events:
-            attempt.received = True
+            attempt.has_events = True
             self._active_at = now
             if self._head_sent and not answer.ended:
                 return (SendBytes(numbered.data, numbered.events),)
         elif not answer.ended:
             return _NOTHING
-        return self._pass_on(now, numbered.data, numbered.events, answer.ended)
+        elif not self.position:
+            # Nothing but an end marker is what a dying engine sends.
+            return self._fail(now, FailureCause.EMPTY)
+        return self._pass_on(attempt, numbered.data, numbered.events)
 
     def _pass_on(
-        self, now: float, data: bytes, events: int, ended: bool
+        self, attempt: Attempt, data: bytes, events: int
     ) -> tuple[Action, ...]:
-        if not self.position:
-            # Nothing but an end marker: what a dying engine sends.
-            return self._fail_now(now, FailureCause.EMPTY)
         out: list[Action] = []
-        self._send_stream_head(out)
-        if ended:
-            data += END_MARKER
-        out.append(SendBytes(data, events))
-        if ended:
-            self._finish(FinishReason.COMPLETE, "", out)
-        return tuple(out)
-
-    def _set_base(self, attempt: _Attempt) -> None:
-        head = attempt.head
-        weights = (head.weights if head is not None else "") or attempt.weights
-        base = self._request.sign_base(self._weights or weights)
-        self._sequence.set_base(base)
-
-    def _send_stream_head(self, out: list[Action]) -> None:
-        attempt = self._attempt
-        if self._head_sent or attempt is None or attempt.head is None:
-            return
-        head = attempt.head
-        self._weights = self._weights or head.weights or attempt.weights
-        self._head_sent = True
-        self._ran = True
-        out.append(SendHead(head.status, head.headers, RunMark.RAN, None))
-
-    def _take_body(
-        self, now: float, answer: WholeAnswer, data: bytes
-    ) -> tuple[Action, ...]:
-        try:
-            answer.feed(data)
-        except AnswerTooLargeError:
-            return self._fail_now(now, FailureCause.TOO_LARGE)
-        return _NOTHING
+        if not self._head_sent:
+            head = attempt.head
+            self._weights = self._weights or attempt.answer_weights
+            self._head_sent = True
+            self._ran = True
+            out.append(SendHead(head.status, head.headers, RunMark.RAN, None))
+        if not attempt.answer.ended:
+            return (*out, SendBytes(data, events))
+        finish = self._finish(FinishReason.COMPLETE)
+        return (*out, SendBytes(data + END_MARKER, events), finish)
 
     def _take_end(
-        self, now: float, attempt: _Attempt, end: UpstreamEnd, out: list[Action]
-    ) -> None:
+        self, now: float, attempt: Attempt, end: UpstreamEnd
+    ) -> tuple[Action, ...]:
         answer = attempt.answer
         if isinstance(answer, WholeAnswer) and end.complete:
-            self._take_whole(now, answer, out)
-            return
-        if answer is None:
-            cause = FailureCause.LOST if end.sent else FailureCause.CONNECT
-        elif end.complete:
-            cause = FailureCause.TRUNCATED if attempt.received else FailureCause.EMPTY
-        else:
-            cause = FailureCause.LOST
+            return self._take_whole(now, answer)
+        cause = end_fault(attempt, end)
         not_run = not end.sent and attempt.head is None
-        self._fail(now, cause, out, not_run=not_run, cancel=False)
+        return self._fail(now, cause, not_run=not_run, cancel=False)
 
-    def _take_whole(self, now: float, answer: WholeAnswer, out: list[Action]) -> None:
+    def _take_whole(self, now: float, answer: WholeAnswer) -> tuple[Action, ...]:
         head, body = answer.head, answer.body()
-        if head.status in _RETRY_STATUSES and self._request.idempotent:
+        if head.status in RETRY_STATUSES and self._request.idempotent:
             self._kept = KeptAnswer(head, body)
-            self._fail(now, FailureCause.ERROR_STATUS, out, cancel=False)
-        elif head.status == 200 and not self._request.is_whole(body):
-            self._fail(now, FailureCause.EMPTY, out, cancel=False)
-        else:
-            self._deliver(head, body, out)
-
-    def _deliver(self, head: ResponseHead, body: bytes, out: list[Action]) -> None:
-        self._ran = self._ran or head.status not in _UNKNOWN_STATUSES
+            return self._fail(now, FailureCause.ERROR_STATUS, cancel=False)
+        if head.status == 200 and not self._request.is_whole(body):
+            return self._fail(now, FailureCause.EMPTY, cancel=False)
+        return self._deliver(KeptAnswer(head, body))
+
+    def _deliver(self, answer: KeptAnswer) -> tuple[Action, ...]:
+        head, body = answer.head, answer.body
+        self._ran = self._ran or head.status not in UNKNOWN_STATUSES
         self._head_sent = True
-        out.append(SendHead(head.status, head.headers, self.mark, len(body)))
-        if body:
-            out.append(SendBytes(body, 0))
-        self._finish(FinishReason.COMPLETE, "", out)
-
-    def _hold(self, now: float, attempt: _Attempt, data: bytes) -> tuple[Action, ...]:
-        if attempt.held_bytes + len(data) <= self._settings.max_held_bytes:
-            attempt.held.append(data)
-            attempt.held_bytes += len(data)
+        send_head = SendHead(head.status, head.headers, self.mark, len(body))
+        finish = self._finish(FinishReason.COMPLETE)
+        return (send_head, SendBytes(body, 0), finish) if body else (send_head, finish)
+
+    def _hold(self, now: float, attempt: Attempt, data: bytes) -> tuple[Action, ...]:
+        if attempt.hold(data, self._settings.max_held_bytes):
             return _NOTHING
         if not self._request.idempotent:
-            return self._fail_now(now, FailureCause.TOO_LARGE)
+            return self._fail(now, FailureCause.TOO_LARGE)
         # What was held is asked for again once the exchange goes on.
         self._attempt = None
-        self._unsettled = True
+        self._log.abandon(attempt)
         self._start_waits = True
-        self._fruitless -= 1
         return (CancelAttempt(attempt.number),)
 
-    def _release_held(self, now: float, out: list[Action]) -> None:
-        attempt = self._attempt
-        if attempt is None:
-            return
-        held, attempt.held, attempt.held_bytes = attempt.held, [], 0
-        for data in held:
+    def _release_held(self, now: float, attempt: Attempt) -> tuple[Action, ...]:
+        out: list[Action] = []
+        for data in attempt.take_held():
             out.extend(self.body(now, attempt.number, data))
-        if self._current(attempt.number) is None:
-            return
-        if attempt.held_end is not None:
-            self._take_end(now, attempt, attempt.held_end, out)
-        elif self._request.stream:
+        if self._attempt is attempt and attempt.held_end is not None:
+            out.extend(self._take_end(now, attempt, attempt.held_end))
+        elif self._attempt is attempt and self._request.stream:
             out.append(ResumeUpstream(attempt.number))
-
-    def _fail_now(self, now: float, cause: FailureCause) -> tuple[Action, ...]:
-        out: list[Action] = []
-        self._fail(now, cause, out)
         return tuple(out)
 
     def _fail(
         self,
         now: float,
         cause: FailureCause,
-        out: list[Action],
         not_run: bool = False,
         cancel: bool = True,
-    ) -> None:
+    ) -> tuple[Action, ...]:
         attempt = self._attempt
         self._attempt = None
-        self._last_cause = cause
-        self._unsettled = self._unsettled or not not_run
-        if cancel:
-            out.append(CancelAttempt(attempt.number))
-        out.append(AttemptFailed(attempt.number, attempt.target, cause))
-        if self.position > self._delivered_at_start:
-            self._fruitless = 0
-            self._exclude = frozenset()
-        self._exclude = self._exclude | {attempt.target}
-        if self._may_retry(now, not_run):
-            self._start_attempt(now, out)
-            return
-        reason = FinishReason.TARGET_FAILED
-        if cause is FailureCause.WEIGHTS:
-            reason = FinishReason.WEIGHTS_CHANGED
-        elif cause is FailureCause.TIMEOUT:
-            reason = FinishReason.DEADLINE
-        elif not_run:
-            reason = FinishReason.NO_TARGET
-        self._end(reason, f"attempt failed: {cause.value}", out)
-
-    def _may_retry(self, now: float, not_run: bool) -> bool:
-        if not (not_run or self._request.idempotent):
-            return False
-        settings = self._settings
-        if self._fruitless >= settings.max_attempts:
-            return False
-        within = self._attempts < settings.max_attempts_total
-        return within and now < self._request.deadline
+        cancel_it = (CancelAttempt(attempt.number),) if cancel else _NOTHING
+        failed = AttemptFailed(attempt.number, attempt.target, cause)
+        self._log.fail(attempt, cause, not_run, self.position)
+        if self._log.may_retry(now, not_run):
+            then = self._start_attempt(now)
+        else:
+            message = f"attempt failed: {cause.value}"
+            then = self._end(reason_of(cause, not_run), message)
+        return (*cancel_it, failed, *then)
 
     def _stop(self, reason: FinishReason, message: str) -> tuple[Action, ...]:
         if self._finished:
             return _NOTHING
-        out: list[Action] = []
-        attempt = self._attempt
-        if attempt is not None:
-            self._unsettled = self._unsettled or attempt.started
-            out.append(CancelAttempt(attempt.number))
         self._kept = None
-        self._end(reason, message, out)
-        return tuple(out)
+        attempt = self._attempt
+        if attempt is None:
+            return self._end(reason, message)
+        self._log.abandon(attempt)
+        return (CancelAttempt(attempt.number), *self._end(reason, message))
 
-    def _end(self, reason: FinishReason, message: str, out: list[Action]) -> None:
-        self._attempt = None
+    def _end(self, reason: FinishReason, message: str) -> tuple[Action, ...]:
         if self._kept is not None and not self._head_sent:
-            self._deliver(self._kept.head, self._kept.body, out)
-            return
+            return self._deliver(self._kept)
+        finish = self._finish(reason, message)
         if self._head_sent and reason is not FinishReason.CALLER_GONE:
-            out.append(SendBytes(error_event(reason, message), 0))
-        self._finish(reason, message, out)
+            return (SendBytes(error_event(reason, message), 0), finish)
+        return (finish,)
 
-    def _finish(self, reason: FinishReason, message: str, out: list[Action]) -> None:
+    def _finish(self, reason: FinishReason, message: str = "") -> Finish:
+        # Read before the attempt is dropped, which may have run.
+        mark = self.mark
+        self._attempt = None
+        self._finished = True
         complete = reason is FinishReason.COMPLETE
-        finish = Finish(
-            mark=self.mark,
+        return Finish(
+            mark=mark,
             reason=reason,
             message=message,
-            status=0 if self._head_sent else _REFUSAL_STATUS[reason],
+            status=0 if self._head_sent else REFUSAL_STATUSES[reason],
             retry_after_s=0.0 if complete else self._retry_after_s,
             position=self.position,
-            attempts=self._attempts,
+            attempts=self._log.count,
             keep_connection=complete or not self._head_sent,
         )
-        self._attempt = None
-        self._finished = True
-        out.append(finish)
-
-
-def error_event(reason: FinishReason, message: str) -> bytes:
-    """Return the event that tells a caller why its stream ends early."""
-    error = {"message": message, "type": "stream_error", "code": reason.value}
-    return b"data: " + json.dumps({"error": error}).encode() + b"\n\n"
--- a/berylnotch/streams/scanner.py
+++ b/berylnotch/streams/scanner.py
@@ -14,6 +14,7 @@
 _BOUNDARY = b"\n\n"
 _END_TEXT = b"[DONE]"
 _END_EVENT = re.compile(rb"(?:\A|(?<=\n))data: ?\[DONE\]\n\n")
+_END_ID = re.compile(rb"(?:\A|\n)id: ?(\d+)\n")
 _EXTRA_BLANK_LINES = re.compile(rb"\n{3,}")
 
 
@@ -29,11 +30,14 @@
         Number of events in ``complete``.
     ended : bool
         Whether the end marker has been seen, in this chunk or an earlier one.
+    end_number : int
+        Number that the end marker carries; 0 if it has none or wasn't seen.
     """
 
     complete: bytes
     events: int
     ended: bool
+    end_number: int = 0
 
 
 class EventScanner:
@@ -48,13 +52,14 @@
         Bound of the buffer for an event that isn't whole yet.
     """
 
-    __slots__ = ("_ended", "_held_return", "_max_event_bytes", "_tail")
+    __slots__ = ("_end_number", "_ended", "_held_return", "_max_event_bytes", "_tail")
 
     def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
         self._max_event_bytes = max_event_bytes
         self._tail = b""
         self._held_return = False
         self._ended = False
+        self._end_number = 0
 
     @property
     def buffered(self) -> int:
@@ -75,7 +80,7 @@
             If an event exceeds the bound.
         """
         if self._ended:
-            return ScanResult(b"", 0, True)
+            return ScanResult(b"", 0, True, self._end_number)
         if self._held_return or b"\r" in data:
             data = self._normalise(data)
         data = self._tail + data
@@ -91,7 +96,8 @@
             complete = _EXTRA_BLANK_LINES.sub(_BOUNDARY, complete)
         if _END_TEXT in complete:
             complete = self._cut_at_end(complete)
-        return ScanResult(complete, complete.count(_BOUNDARY), self._ended)
+        events = complete.count(_BOUNDARY)
+        return ScanResult(complete, events, self._ended, self._end_number)
 
     def _keep(self, tail: bytes) -> None:
         if len(tail) > self._max_event_bytes:
@@ -113,7 +119,10 @@
             return complete
         self._ended = True
         self._tail = b""
-        before = complete[: match.start()]
-        # Other fields of the end marker's event, such as its id, go with it.
-        cut = before.rfind(_BOUNDARY)
-        return before[: cut + 2] if cut >= 0 else b""
+        cut = complete.rfind(_BOUNDARY, 0, match.start()) + 2
+        if cut < 2:
+            cut = 0
+        number = _END_ID.search(complete[cut : match.start()])
+        if number is not None:
+            self._end_number = int(number.group(1))
+        return complete[:cut]
--- a/berylnotch/streams/sequence.py
+++ b/berylnotch/streams/sequence.py
@@ -59,13 +59,23 @@
         """Set the first part of the ids of the events that follow."""
         self._base = f"{base}.".encode()
 
-    def take(self, data: bytes, events: int) -> Numbered:
+    def take(self, data: bytes, events: int, end_number: int = 0) -> Numbered:
         """Pass whole events on.
 
+        Parameters
+        ----------
+        data : bytes
+            Whole events.
+        events : int
+            How many.
+        end_number : int, default=0
+            Number of the end marker that follows them; 0 if it has none.
+
         Raises
         ------
         SequenceError
-            If an event is missing or has no number.
+            If an event is missing or has no number. None of ``data`` is taken
+            then, so that events before the gap are asked for again.
         """
         first = self._position + 1
         if events == 1:
@@ -76,12 +86,13 @@
                 b"%d" % n for n in range(first, first + events)
             ]
         if not continuous:
-            return self._take_each(data)
+            return self._take_each(data, end_number)
+        _check_end(self._position + events, end_number)
         self._position += events
         return Numbered(self._with_base(data), events)
 
     def _with_base(self, data: bytes) -> bytes:
-        if not self._base:
+        if not self._base or not data:
             return data
         # A line feed can't stand in the JSON of an event, so that this only
         # meets id fields.
@@ -89,7 +100,7 @@
         rest = data[len(_ID_FIELD) :]
         return start + rest.replace(_BOUNDARY + _ID_FIELD, _BOUNDARY + start)
 
-    def _take_each(self, data: bytes) -> Numbered:
+    def _take_each(self, data: bytes, end_number: int) -> Numbered:
         position = self._position
         kept = []
         for event in data.split(_BOUNDARY)[:-1]:
@@ -102,7 +113,7 @@
                 raise SequenceError(f"event {number} came after event {position}")
             position = number
             kept.append(self._rewrite(number, event))
-        # Only now, so that events before a gap are asked for again.
+        _check_end(position, end_number)
         self._position = position
         return Numbered(b"".join(kept), len(kept))
 
@@ -111,6 +122,11 @@
         return b"id: %b%d\n%b\n\n" % (self._base, number, b"\n".join(fields))
 
 
+def _check_end(position: int, end_number: int) -> None:
+    if end_number > position + 1:
+        raise SequenceError(f"end {end_number} came after event {position}")
+
+
 def _event_number(event: bytes) -> int:
     match = _ID_LINE.search(event)
     if match is None:
--- /dev/null
+++ b/tests/test_streams/test_sequence.py
@@ -0,0 +1,67 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from berylnotch.streams.errors import SequenceError
+from berylnotch.streams.sequence import EventSequence
+
+
+def event(number):
+    return b'id: %d\ndata: {"text": "id: %d"}\n\n' % (number, number)
+
+
+def for_caller(number):
+    return event(number).replace(b"id: ", b"id: B.", 1)
+
+
+@given(st.integers(0, 20), st.integers(1, 9))
+def test_continuous_events_get_the_base(position, count):
+    sequence = EventSequence("B", position)
+    numbers = range(position + 1, position + 1 + count)
+    numbered = sequence.take(b"".join(map(event, numbers)), count)
+    assert numbered.data == b"".join(map(for_caller, numbers))
+    assert (numbered.events, sequence.position) == (count, position + count)
+
+
+@given(st.lists(st.integers(1, 9), min_size=1, max_size=9))
+def test_duplicates_are_dropped_and_gaps_refused(numbers):
+    sequence = EventSequence("B")
+    expected, gap = [], False
+    for number in numbers:
+        gap = gap or number > len(expected) + 1
+        if not gap and number == len(expected) + 1:
+            expected.append(number)
+    data = b"".join(map(event, numbers))
+    if gap:
+        with pytest.raises(SequenceError):
+            sequence.take(data, len(numbers))
+        assert sequence.position == 0
+    else:
+        numbered = sequence.take(data, len(numbers))
+        assert numbered.data == b"".join(map(for_caller, expected))
+        assert sequence.position == numbered.events == len(expected)
+
+
+@pytest.mark.parametrize("data", [b"", event(1), event(1) + event(1)])
+def test_gap_before_the_end_marker_takes_nothing(data):
+    sequence = EventSequence("B")
+    with pytest.raises(SequenceError):
+        sequence.take(data, data.count(b"\n\n"), end_number=3)
+    assert sequence.position == 0
+    assert sequence.take(event(1), 1, end_number=2).data == for_caller(1)
+    assert sequence.take(b"", 0, end_number=2).data == b""
+
+
+def test_comments_are_dropped_and_other_forms_of_ids_read():
+    sequence = EventSequence("B")
+    data = b": ping\n\ndata: a\nid:1\n\nevent: e\nid: 2\ndata: b\n\n"
+    assert sequence.take(data, 3).data == (
+        b"id: B.1\ndata: a\n\nid: B.2\nevent: e\ndata: b\n\n"
+    )
+
+
+def test_event_without_number_is_refused():
+    with pytest.raises(SequenceError):
+        EventSequence("B").take(b"data: a\n\n", 1)
