--- a/berylnotch/daemon/controller/leader.py
+++ b/berylnotch/daemon/controller/leader.py
@@ -77,7 +77,7 @@
         if reign is None:
             raise RuntimeError("grant without a term")
         reign.routers.hear(now, request)
-        return reign.owner.grant(now, request, self._organisations())
+        return reign.owner.grant(now, request, self._state.fleet.organisations)
 
     def tick(self, now: float) -> None:
         """Propose what heartbeats and time ask for."""
@@ -96,7 +96,3 @@
     def router_lines(self, now: float) -> tuple[RouterLine, ...]:
         """Return the routers for operators."""
         return self._reign.routers.lines(now) if self._reign else ()
-
-    def _organisations(self):
-        fleet = self._state.fleet
-        return fleet.organisations_by_name if fleet is not None else {}
--- a/berylnotch/daemon/controller/routers.py
+++ b/berylnotch/daemon/controller/routers.py
@@ -71,16 +71,30 @@
             for vm, heard in sorted(self._heard.items())
         )
 
-    def _never_heard(self, now: float, state: ControlState) -> tuple[SetLifeState, ...]:
+    def _never_heard(self, now: float, state: ControlState) -> list[SetLifeState]:
         # A router that was lost together with the previous leader is not in
         # this leader's memory, but its claims must not stay open.
         if now - self._since < LOST_AFTER_S:
-            return ()
-        return tuple(
-            SetLifeState(Subject.VM, vm, incarnation, LifeState.LOST, SOURCE)
-            for vm, incarnation in state.live_vms()
-            if vm not in self._heard
-        )
+            return []
+        found = []
+        for vm in state.fleet.vms:
+            report = state.view.life_report(Subject.VM, vm)
+            if vm in self._heard or report is None or report.state is LifeState.LOST:
+                continue
+            found.append(
+                SetLifeState(
+                    Subject.VM, vm, report.incarnation, LifeState.LOST, SOURCE
+                )
+            )
+        return found
+
+
+def _is_known(state: ControlState, observed: SetLifeState) -> bool:
+    report = state.view.life_report(observed.subject, observed.name)
+    if report is None:
+        return False
+    known = (report.incarnation, report.state)
+    return known == (observed.incarnation, observed.state)
 
 
 def _observed(now: float, heard: _Heard) -> SetLifeState:
--- /dev/null
+++ b/berylnotch/server/engine.py
@@ -0,0 +1,262 @@
+"""Request path of a router: from a checked request to the end of its answer."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+from loguru import logger
+
+from berylnotch.gateways.engine import is_whole_answer
+from berylnotch.server import responses
+from berylnotch.server.attempts import Attempts
+from berylnotch.server.caller import Caller
+from berylnotch.server.claims import Claims
+from berylnotch.server.delivery import Delivery
+from berylnotch.server.errors import Refusal
+from berylnotch.server.needs import TokenNeeds
+from berylnotch.server.queueing import Queueing
+from berylnotch.server.runner import Runner
+from berylnotch.streams.exchange import Exchange
+from berylnotch.streams.inputs import ExchangeRequest, PauseReason
+from berylnotch.streams.reference import (
+    FINGERPRINT_BYTES,
+    StreamPosition,
+    new_stream_id,
+    sign_base,
+)
+from berylnotch.util.metrics import Label
+
+if TYPE_CHECKING:
+    import socket
+
+    from berylnotch.server.context import Context
+    from berylnotch.server.job import Job
+
+#: Seconds between two looks at freshness, deadlines and queues.
+_TICK_S = 0.05
+
+
+class RequestPath:
+    """Runs jobs in the loop's thread.
+
+    Parameters
+    ----------
+    context : Context
+        Shared state.
+    stream_secret : bytes
+        Key that signs references to streams.
+    """
+
+    def __init__(self, context: Context, stream_secret: bytes) -> None:
+        self._context = context
+        self._stream_secret = stream_secret
+        self._needs = TokenNeeds(context.quota, context.hurry)
+        self._attempts = Attempts(context)
+        self._claims = Claims(context)
+        self._runner = Runner(context, self._attempts, self._claims, self._over)
+        self._delivery = Delivery(
+            context,
+            self._needs,
+            lambda job: self._runner.pause(job, PauseReason.QUOTA),
+            lambda job: self._runner.resume(job, PauseReason.QUOTA),
+        )
+        self._runner.set_delivery(self._delivery)
+        self._queueing = Queueing(
+            context, self._attempts, self._needs, self._run, self._refuse
+        )
+        self._was_fresh = False
+
+    @property
+    def running(self) -> int:
+        """Requests that have not ended."""
+        return len(self._context.jobs)
+
+    def start(self) -> None:
+        """Begin to look at the clock."""
+        self._context.loop.call_every(_TICK_S, self._tick)
+
+    def submit(self, job: Job, sock: socket.socket) -> None:
+        """Take a job and its caller's socket; any thread may call this."""
+        self._context.loop.call_soon(lambda: self._take(job, sock))
+
+    def on_grant(self) -> None:
+        """Go on with what waited for tokens."""
+        self._delivery.retry()
+        self._queueing.pump_all()
+
+    def on_view_change(self) -> None:
+        """End what runs under withdrawn keys, and look at freshness."""
+        for job in tuple(self._context.jobs):
+            if job.key_hash and self._context.view.find_key(job.key_hash) is None:
+                self._withdraw(job)
+        self._check_freshness()
+
+    def _take(self, job: Job, sock: socket.socket) -> None:
+        job.caller = Caller(
+            self._context.loop,
+            sock,
+            lambda: self._runner.resume(job, PauseReason.CALLER),
+            lambda: self._caller_gone(job),
+        )
+        job.caller.start()
+        self._context.jobs.add(job)
+        refusal = self._check(job)
+        if refusal is not None:
+            self._refuse(job, refusal)
+            return
+        self._queueing.enter(job)
+
+    def _check(self, job: Job) -> Refusal | None:
+        now = time.monotonic()
+        if job.key_hash:
+            refusal = self._check_key(job, now)
+            if refusal is not None:
+                return refusal
+        shared = self._context.view.crash_targets(job.fingerprint)
+        if self._context.guard.is_refused(now, job.fingerprint, shared):
+            message = "targets were lost while they ran this request; it is not run"
+            return Refusal(422, "request_crashes_targets", message)
+        missing = self._attempts.missing_dependency(now, job.service.name)
+        if missing:
+            message = f"{missing}, which {job.service.name} requires, cannot serve"
+            return Refusal(503, "dependency_unavailable", message, retry_after_s=1.0)
+        if not self._attempts.can_serve(now, job.service.name):
+            message = f"no target of {job.service.name} can serve"
+            return Refusal(503, "no_target", message, retry_after_s=1.0)
+        return None
+
+    def _check_key(self, job: Job, now: float) -> Refusal | None:
+        if not self._context.freshness.is_fresh(now):
+            message = "keys cannot be verified at present"
+            return Refusal(503, "keys_unverified", message, retry_after_s=1.0)
+        if self._context.view.find_key(job.key_hash) is None:
+            return Refusal(401, "invalid_key", "the key is not accepted")
+        return None
+
+    def _run(self, job: Job) -> None:
+        # The key may have been withdrawn, or freshness lost, while it waited.
+        if job.key_hash:
+            refusal = self._check_key(job, time.monotonic())
+            if refusal is not None:
+                self._refuse(job, refusal)
+                return
+        if job.idempotent or not job.request.idempotency_key:
+            self._start(job)
+            return
+        self._claims.open(
+            job,
+            lambda: self._start_claimed(job),
+            lambda refusal: self._refuse(job, refusal),
+            lambda: self._over(job),
+        )
+
+    def _start_claimed(self, job: Job) -> None:
+        if job.is_over:
+            # The caller left while the claim was agreed; the run goes on, since
+            # the claim promises an outcome to its resend.
+            logger.info("event=claim_without_caller request={}", job.request.request_id)
+        self._start(job)
+
+    def _start(self, job: Job) -> None:
+        settings = self._context.settings.exchange
+        if job.is_stream:
+            settings = evolve(settings, first_event_timeout_s=job.route.timeout_s)
+        job.exchange = Exchange(settings, self._exchange_request(job))
+        self._runner.start(job)
+
+    def _exchange_request(self, job: Job) -> ExchangeRequest:
+        is_language = job.language is not None
+        request = ExchangeRequest(
+            request_id=job.request.request_id,
+            deadline=job.deadline,
+            idempotent=job.idempotent,
+            stream=job.is_stream,
+            echo_required=is_language,
+            resume_after=job.resume_after,
+            weights=job.resume_weights,
+        )
+        if not is_language:
+            return request
+        return evolve(
+            request,
+            sign_base=lambda weights: self._sign_base(job, weights),
+            is_whole=is_whole_answer,
+        )
+
+    def _sign_base(self, job: Job, weights: str) -> str:
+        position = StreamPosition(
+            stream=new_stream_id(),
+            organisation=job.organisation_name,
+            fingerprint=job.fingerprint[:FINGERPRINT_BYTES],
+            weights=weights,
+        )
+        return sign_base(self._stream_secret, position)
+
+    def _refuse(self, job: Job, refusal: Refusal) -> None:
+        request_id = job.request.request_id
+        job.caller.write(responses.refusal_response(refusal, request_id))
+        job.caller.finish()
+        self._count_refusal(job, refusal)
+        self._over(job)
+
+    def _count_refusal(self, job: Job, refusal: Refusal) -> None:
+        organisation = job.organisation_name
+        self._context.metrics.count(
+            "berylnotch_refusals_total",
+            Label("organisation", organisation),
+            Label("reason", refusal.code),
+        )
+        logger.info(
+            "event=request_refused request={} organisation={} reason={} run={}",
+            job.request.request_id,
+            organisation,
+            refusal.code,
+            refusal.mark.value,
+        )
+
+    def _caller_gone(self, job: Job) -> None:
+        if self._queueing.leave(job):
+            self._over(job)
+        elif job.exchange is not None and not job.claim_attempt:
+            self._runner.caller_gone(job)
+        elif job.exchange is None and not job.is_over and not job.claim_attempt:
+            # A claim is being agreed; the run decides on its own.
+            logger.info("event=caller_gone request={}", job.request.request_id)
+
+    def _withdraw(self, job: Job) -> None:
+        if self._queueing.leave(job):
+            refusal = Refusal(401, "invalid_key", "the key was withdrawn")
+            self._refuse(job, refusal)
+        elif job.exchange is not None:
+            self._runner.withdraw(job)
+
+    def _over(self, job: Job) -> None:
+        if job.is_over:
+            return
+        job.is_over = True
+        self._context.jobs.discard(job)
+        # Freed slots are used after the present call, which may be in a queue.
+        self._context.loop.call_soon(
+            lambda: self._queueing.pump(job.service.name)
+        )
+
+    def _tick(self) -> None:
+        self._check_freshness()
+        self._queueing.expire()
+        self._queueing.pump_all()
+
+    def _check_freshness(self) -> None:
+        is_fresh = self._context.freshness.is_fresh(time.monotonic())
+        if is_fresh == self._was_fresh:
+            return
+        self._was_fresh = is_fresh
+        logger.info("event=freshness_changed fresh={}", is_fresh)
+        for job in tuple(self._context.jobs):
+            if not job.key_hash:
+                continue
+            if is_fresh:
+                self._runner.resume(job, PauseReason.KEY)
+            else:
+                self._runner.pause(job, PauseReason.KEY)
--- a/berylnotch/server/intake.py
+++ b/berylnotch/server/intake.py
@@ -7,7 +7,7 @@
 import secrets
 from typing import TYPE_CHECKING, Any
 
-from attrs import frozen
+from attrs import field, frozen
 from werkzeug.exceptions import HTTPException
 
 from berylnotch.server.errors import Refusal
@@ -20,6 +20,7 @@
 #: Longest idempotency key, in characters.
 MAX_IDEMPOTENCY_KEY = 200
 _MAX_REQUEST_ID = 100
+_SECRET_HEADERS = ("authorization", "x-api-key", "cookie", "proxy-authorization")
 
 #: Paths of a language service below its route's prefix.
 CHAT = "/chat/completions"
@@ -31,16 +32,15 @@
 class CallerRequest:
     """A request as it came, without the caller's key.
 
-    ``key`` is kept apart from the rest and never logged or passed on.
+    ``headers`` go by name in lower case and hold no credentials.
     """
 
     request_id: str
     method: str
     path: str
     query: str
-    content_type: str
-    accept: str
-    body: bytes
+    headers: dict[str, str] = field(repr=False)
+    body: bytes = field(repr=False)
     idempotency_key: str
     last_event_id: str
 
@@ -102,8 +102,7 @@
         method=request.method,
         path=request.path,
         query=request.query_string.decode("latin-1"),
-        content_type=request.headers.get("Content-Type", ""),
-        accept=request.headers.get("Accept", ""),
+        headers=_safe_headers(request),
         body=body,
         idempotency_key=idempotency_key,
         last_event_id=request.headers.get("Last-Event-ID", "").strip(),
@@ -136,6 +135,13 @@
     )
 
 
+def _safe_headers(request: Request) -> dict[str, str]:
+    fields = {name.lower(): value for name, value in request.headers}
+    for name in _SECRET_HEADERS:
+        fields.pop(name, None)
+    return fields
+
+
 def _request_id(request: Request) -> str:
     given = request.headers.get("X-Request-Id", "")
     if given and len(given) <= _MAX_REQUEST_ID and given.isascii():
--- /dev/null
+++ b/berylnotch/server/job.py
@@ -0,0 +1,120 @@
+"""A caller's request while the router works on it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+if TYPE_CHECKING:
+    from berylnotch.admission.ticket import Ticket
+    from berylnotch.fleet.model import Organisation, Route, Service
+    from berylnotch.membership.targets import Dispatch
+    from berylnotch.server.caller import Caller
+    from berylnotch.server.intake import CallerRequest, LanguageCall
+    from berylnotch.server.upstream import Transfer
+    from berylnotch.streams.actions import Action, SendBytes
+    from berylnotch.streams.exchange import Exchange
+    from berylnotch.streams.inputs import ResponseHead
+    from berylnotch.util.loop import Timer
+
+
+@define(eq=False)
+class Attempt:
+    """The run of a request at one target."""
+
+    number: int
+    target: str
+    dispatch: Dispatch
+    transfer: Transfer | None = None
+    head: ResponseHead | None = None
+
+
+@define(eq=False)
+class Unpaid:
+    """Bytes that wait until their tokens are charged."""
+
+    action: SendBytes
+    tokens: int
+
+
+@define(eq=False)
+class Job:
+    """State of one request from admission to the last byte.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        What the caller sent, without its key.
+    key : str
+        The caller's key, to keep it from targets; empty on an open route.
+    key_hash : bytes
+        Keyed hash by which the key is looked up; empty on an open route.
+    organisation : Organisation or None
+        Whom the request runs for; None on an open route without a key.
+    route : Route
+        Route that matched.
+    service : Service
+        Service that answers.
+    language : LanguageCall or None
+        What is asked of a language service.
+    fingerprint : bytes
+        Identity of organisation and body, for crash reports.
+    chain : tuple of bytes
+        Prefix hashes of the prompt.
+    arrived_at : float
+        Monotonic time of arrival.
+    deadline : float
+        Monotonic time after which the caller gets no answer.
+    caller : Caller
+        The caller's connection.
+    idempotent : bool
+        Whether a second run does no harm.
+    """
+
+    request: CallerRequest
+    key: str = field(repr=False)
+    key_hash: bytes = field(repr=False)
+    organisation: Organisation | None
+    route: Route
+    service: Service
+    language: LanguageCall | None
+    fingerprint: bytes
+    chain: tuple[bytes, ...]
+    chain_weights: str
+    arrived_at: float
+    deadline: float
+    idempotent: bool
+    resume_after: int = 0
+    resume_weights: str = ""
+    caller: Caller | None = None
+    exchange: Exchange | None = None
+    ticket: Ticket | None = None
+    attempt: Attempt | None = None
+    timer: Timer | None = None
+    unpaid: list[Unpaid] = field(factory=list)
+    chunked: bool = False
+    charged_tokens: int = 0
+    first_byte_at: float = 0.0
+    last_event_at: float = 0.0
+    claim_attempt: str = ""
+    held: list[Action] = field(factory=list)
+    finish: Callable[[], None] | None = None
+    is_over: bool = False
+    is_poison: bool = False
+
+    @property
+    def organisation_name(self) -> str:
+        """Name of the organisation; empty on an open route without a key."""
+        return self.organisation.name if self.organisation is not None else ""
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is streamed."""
+        return self.language is not None and self.language.stream
+
+    @property
+    def cost_tokens(self) -> int:
+        """Tokens charged when the request is sent to a target."""
+        return self.language.prompt_tokens if self.language is not None else 0
--- a/berylnotch/transport/berylnotch.capnp
+++ b/berylnotch/transport/berylnotch.capnp
@@ -78,6 +78,13 @@
     vouchRequest @71 :VouchRequest;
     vouchReply @72 :VouchReply;
     memberChangeReply @73 :MemberChangeReply;
+    viewHeader @74 :ViewHeader;
+    keyBlock @75 :KeyBlock;
+    stateHeader @76 :StateHeader;
+    keyTimes @77 :KeyTimes;
+    rolloutRecord @78 :RolloutRecord;
+    orderRecord @79 :OrderRecord;
+    timeoutNow @80 :TimeoutNow;
   }
 }
 
@@ -126,6 +133,7 @@
   lastIndex @2 :Int64;
   lastTerm @3 :Int64;
   pre @4 :Bool;
+  transfer @5 :Bool;
 }
 
 struct VoteReply {
@@ -565,3 +573,52 @@
 struct MemberChangeReply {
   members @0 :Members;
 }
+
+struct ViewHeader {
+  version @0 :Int64;
+  revision @1 :Int64;
+}
+
+struct KeyBlock {
+  organisation @0 :Text;
+  keyIds @1 :List(Text);
+  keyHashes @2 :Data;
+}
+
+struct StateHeader {
+  index @0 :Int64;
+  atMs @1 :Int64;
+  textOperator @2 :Text;
+  textAtMs @3 :Int64;
+  viewRecords @4 :Int64;
+}
+
+struct KeyTimes {
+  keyIds @0 :List(Text);
+  givenMs @1 :List(Int64);
+}
+
+struct RolloutRecord {
+  service @0 :Text;
+  version @1 :Text;
+  index @2 :Int64;
+  operator @3 :Text;
+  atMs @4 :Int64;
+}
+
+struct OrderRecord {
+  target @0 :Text;
+  service @1 :Text;
+  version @2 :Text;
+  fence @3 :Int64;
+  issuedMs @4 :Int64;
+  finishedMs @5 :Int64;
+  ok @6 :Bool;
+  failures @7 :Int64;
+  detail @8 :Text;
+}
+
+struct TimeoutNow {
+  term @0 :Int64;
+  leader @1 :Text;
+}
