--- a/berylnotch/gateways/errors.py
+++ b/berylnotch/gateways/errors.py
@@ -11,3 +11,11 @@
 
 class BadAnswerError(GatewayError):
     """A system outside answered something that can't be read."""
+
+
+class BusyError(GatewayError):
+    """A system outside wants fewer requests for a while."""
+
+
+class OldFenceError(GatewayError):
+    """An engine refused an order, because it has seen a higher fencing number."""
--- a/berylnotch/standins/engine.py
+++ b/berylnotch/standins/engine.py
@@ -191,6 +191,7 @@
             "waiting": self._runs.waiting,
             "running": self._runs.running,
             "slots": self._settings.run.slots,
+            "queue_wait_s": self._runs.queue_wait_s(self._settings.tokens),
             "fence": self._fence,
         }
         self._answer(connection, report)
--- a/berylnotch/standins/runs.py
+++ b/berylnotch/standins/runs.py
@@ -76,6 +76,12 @@
         """Jobs that run."""
         return len(self._running)
 
+    def queue_wait_s(self, tokens: int) -> float:
+        """Return the wait of a new job, if all have ``tokens`` tokens."""
+        settings = self._settings
+        run_s = (settings.first_ms + settings.interval_ms * tokens) / 1000
+        return len(self._waiting) * run_s / settings.slots
+
     def submit(self, job: Job) -> None:
         """Run a job, or queue it until a slot is free."""
         job.connection.on_close = lambda: self._drop(job)
--- /dev/null
+++ b/tests/test_standins/test_engine.py
@@ -0,0 +1,132 @@
+from __future__ import annotations
+
+import http.client
+
+import openai
+import pytest
+
+from .conftest import run_program, wait_until
+
+CHAT = "/v1/chat/completions"
+BODY = {
+    "model": "sake-1",
+    "messages": [{"role": "user", "content": "label duty"}],
+    "max_tokens": 6,
+    "stream": True,
+}
+
+
+@pytest.fixture
+def client(engine):
+    url = f"http://{engine.address}/v1"
+    return openai.OpenAI(api_key="any", base_url=url, max_retries=0)
+
+
+def test_openai_client_streams_and_asks_for_whole_answers(client):
+    kwargs = {key: BODY[key] for key in ("model", "messages", "max_tokens")}
+    whole = client.chat.completions.create(**kwargs)
+    options = {"include_usage": True}
+    chunks = list(
+        client.chat.completions.create(**kwargs, stream=True, stream_options=options)
+    )
+    text = "".join(c.choices[0].delta.content for c in chunks if c.choices)
+    assert text == whole.choices[0].message.content
+    assert chunks[-1].usage == whole.usage
+    assert whole.usage.completion_tokens == 6
+    assert [m.id for m in client.models.list()] == ["sake-1"]
+    with pytest.raises(openai.NotFoundError):
+        client.completions.create(model="other", prompt="a")
+
+
+def test_resumed_stream_continues_byte_for_byte(engine):
+    whole = engine.call(CHAT, BODY)[2]
+    rest = engine.call(CHAT, BODY, {"x-resume-after": "3"})[2]
+    assert whole.endswith(rest)
+    assert rest.startswith(b"id: 4\n")
+    assert whole.count(b"\n\n") == 8
+
+
+@pytest.mark.parametrize("fault", ["close_after_events", "empty"])
+def test_faults_that_end_cleanly(engine, fault):
+    engine.faults(**{fault: 2})
+    status, _, body = engine.call(CHAT, BODY)
+    assert status == 200
+    assert b"[DONE]" not in body
+    assert body.count(b"\n\n") == (0 if fault == "empty" else 2)
+
+
+@pytest.mark.parametrize("fault", ["die_after_events", "close_before_answer"])
+def test_faults_that_break_the_connection(engine, fault):
+    engine.faults(**{fault: 2})
+    with pytest.raises((OSError, http.client.HTTPException)):
+        engine.call(CHAT, BODY)
+
+
+def test_faults_of_the_sequence_and_the_echo(engine):
+    engine.faults(skip_event=2, repeat_event=3, wrong_request_id=True, times=1)
+    _, headers, body = engine.call(CHAT, BODY, {"x-request-id": "r1"})
+    assert b"id: 2\n" not in body
+    assert body.count(b"id: 3\n") == 2
+    assert headers["x-request-id"] == "other"
+    assert engine.call(CHAT, BODY, {"x-request-id": "r1"})[1]["x-request-id"] == "r1"
+
+
+def test_refusal_says_not_run(engine):
+    engine.faults(refuse=True)
+    status, headers, _ = engine.call(CHAT, BODY)
+    assert (status, headers["x-not-run"]) == (503, "1")
+
+
+def test_crash_changes_the_incarnation(engine):
+    before = engine.json("/standin/load")["incarnation"]
+    engine.faults(crash_marker="poison", restart_ms=1)
+    poison = {**BODY, "messages": [{"role": "user", "content": "poison"}]}
+    with pytest.raises((OSError, http.client.HTTPException)):
+        engine.call(CHAT, poison)
+
+    def is_back():
+        try:
+            return engine.json("/standin/load")["incarnation"] != before
+        except OSError:
+            return False
+
+    wait_until(is_back)
+
+
+def test_closed_connection_cancels_the_work(engine):
+    connection = http.client.HTTPConnection(engine.address, timeout=20)
+    body = '{"model": "sake-1", "prompt": "a", "max_tokens": 100000, "stream": true}'
+    connection.request("POST", "/v1/completions", body)
+    connection.getresponse().read(100)
+    assert engine.json("/standin/load")["running"] == 1
+    connection.close()
+    wait_until(lambda: engine.json("/standin/load")["running"] == 0)
+
+
+def test_orders_are_fenced_and_change_weights(engine):
+    order = {"kind": "load", "fence": 7, "version": "v2"}
+    assert engine.call("/standin/orders", order)[0] == 200
+    assert engine.call(CHAT, BODY)[1]["x-not-run"] == "1"
+    wait_until(lambda: engine.json("/standin/load")["weights"] == "v2")
+    order = {"kind": "load", "fence": 6, "version": "v1"}
+    assert engine.call("/standin/orders", order)[0] == 409
+    assert engine.call(CHAT, BODY)[1]["x-weights"] == "v2"
+
+
+def test_cache_events_tell_of_new_pieces_once_for_each_scope(engine):
+    before = engine.json("/standin/cache-events")["last"]
+    body = {"model": "sake-1", "prompt": "x" * 2500, "max_tokens": 1}
+    for scope in ("a", "a", "b"):
+        engine.call("/v1/completions", body, {"x-cache-scope": scope})
+    events = engine.json(f"/standin/cache-events?after={before}")["events"]
+    assert [e["kind"] for e in events] == ["stored"] * 4
+    assert [e["sequence"] for e in events] == list(range(before + 1, before + 5))
+
+
+def test_credential_is_required_and_seen_headers_recorded():
+    with run_program("engine", "--credential", "T", "--first-ms", "0") as engine:
+        assert engine.call(CHAT, BODY)[0] == 401
+        headers = {"authorization": "Bearer T", "x-priority": "2"}
+        assert engine.call("/v1/models", headers=headers)[0] == 200
+        seen = engine.call("/standin/seen", headers=headers)[2]
+        assert b'"x-priority": "2"' in seen
