--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,5 @@
+<<<<<<< HEAD
 """Measurements of berylnotch on small fakes."""
+=======
+"""Measurements of the system and of its parts."""
+>>>>>>> part-e
--- a/berylnotch/standins/runs.py
+++ b/berylnotch/standins/runs.py
@@ -11,7 +11,6 @@
 
 from berylnotch.standins.faults import Faults
 from berylnotch.standins.generation import (
-    END_MARKER,
     EventWriter,
     Generation,
     whole_answer,
@@ -77,6 +76,12 @@
         """Jobs that run."""
         return len(self._running)
 
+    def queue_wait_s(self, tokens: int) -> float:
+        """Return the wait of a new job, if all have ``tokens`` tokens."""
+        settings = self._settings
+        run_s = (settings.first_ms + settings.interval_ms * tokens) / 1000
+        return len(self._waiting) * run_s / settings.slots
+
     def submit(self, job: Job) -> None:
         """Run a job, or queue it until a slot is free."""
         job.connection.on_close = lambda: self._drop(job)
@@ -193,7 +198,8 @@
         self._timer = self._loop.call_at(self._due, self._next)
 
     def _finish(self) -> None:
-        self._job.connection.send(b"%x\r\n%b\r\n" % (len(END_MARKER), END_MARKER))
+        data = self._writer.end()
+        self._job.connection.send(b"%x\r\n%b\r\n" % (len(data), data))
         self._close_chunks()
 
     def _close_chunks(self) -> None:
