consensus: promote only a learner that answers

Cause of the failing repair test: a learner counted as caught up while it lagged by at most 512 entries, so in a short log one that had never answered was promoted; with the lost member that made two silent voters of four, and the leader lost its lease. Ruled out: the shared address of old and new member, the round numbers of answers. is_caught_up now asks for an answer within the lease.

--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,5 +1,3 @@
-<<<<<<< HEAD
-"""Measurements of berylnotch on small fakes."""
-=======
-"""Measurements of the system and of its parts."""
->>>>>>> part-e
+"""Measurements of parts and of the whole, each run by one command."""
+
+from __future__ import annotations
--- a/berylnotch/consensus/replica.py
+++ b/berylnotch/consensus/replica.py
@@ -196,14 +196,17 @@
         leader = self._require_leader(now)
         promoted = voters(members) - voters(self.members)
         for replica in sorted(promoted):
-            if not self.is_caught_up(replica):
+            if not self.is_caught_up(now, replica):
                 raise MembershipError(f"{replica} has not caught up")
         return leader.propose_members(members)
 
-    def is_caught_up(self, replica: str) -> bool:
-        """Whether a member lags by one append request at most."""
+    def is_caught_up(self, now: float, replica: str) -> bool:
+        """Whether a member lags by one append request at most, and answers."""
         progress = self.progress.get(replica)
-        if progress is None:
+        if progress is None or not progress.match:
+            return False
+        # A voter that does not answer would cost the leader its lease.
+        if now - progress.acked_at >= self._core.settings.lease_s:
             return False
         lag = self._core.commit - progress.match
         return lag <= self._core.settings.max_append_entries
--- a/berylnotch/daemon/controller/members.py
+++ b/berylnotch/daemon/controller/members.py
@@ -103,7 +103,7 @@
         if request.add_name and change.joining is None:
             self._ask_identity(change)
             return
-        proposed = self._next_members(replica, change)
+        proposed = self._next_members(now, replica, change)
         if proposed is None:
             return
         if proposed == replica.members:
@@ -114,7 +114,9 @@
         change.since = now
         logger.info("event=member_change_step change={}", request.change_id)
 
-    def _next_members(self, replica: Replica, change: _Change) -> Members | None:
+    def _next_members(
+        self, now: float, replica: Replica, change: _Change
+    ) -> Members | None:
         """Return the members after the next step, or None to wait."""
         members = replica.members.members
         joining = change.joining
@@ -124,7 +126,7 @@
                 learner = evolve(joining, role=Role.LEARNER)
                 return Members((*members, learner))
             if found.role is Role.LEARNER:
-                if not replica.is_caught_up(found.replica):
+                if not replica.is_caught_up(now, found.replica):
                     return None
                 return Members(
                     tuple(
--- a/tests/test_consensus/test_replica.py
+++ b/tests/test_consensus/test_replica.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from berylnotch.consensus.errors import NotLeaderError
-from tests.test_consensus.group import Group
+from berylnotch.consensus.errors import MembershipError, NotLeaderError
+from berylnotch.consensus.messages import Members, Role
+from tests.test_consensus.group import Group, member
 
 IDS = ("a/1", "b/1", "c/1")
 
@@ -44,3 +45,14 @@
     group.advance(2)
     assert group.leaders == [new]
     assert group.nodes[old].applied == [b"x", b"y"]
+
+
+def test_learner_that_never_answered_is_not_promoted(group):
+    leader = group[group.elect()]
+    members = leader.members.members
+    learner = member("d/1", Role.LEARNER)
+    leader.propose_members(group.now, Members((*members, learner)))
+    group.advance(0.3)
+    assert leader.members_index <= leader.commit
+    with pytest.raises(MembershipError):
+        leader.propose_members(group.now, Members((*members, member("d/1"))))
