--- a/berylnotch/daemon/controller/controller.py
+++ b/berylnotch/daemon/controller/controller.py
@@ -74,6 +74,7 @@
             storage,
             recovered,
             self._peers,
+            self._loop,
             self._make_replica,
             str(self._listener.address),
             self._on_failure,
--- a/berylnotch/daemon/controller/core.py
+++ b/berylnotch/daemon/controller/core.py
@@ -41,6 +41,7 @@
 from berylnotch.daemon.controller.inbound import Inbound, Vouched, ignore
 from berylnotch.daemon.controller.leader import Leader
 from berylnotch.daemon.controller.members import MemberChanges
+from berylnotch.daemon.controller.outside import Outside
 from berylnotch.daemon.controller.proposals import Proposals
 from berylnotch.daemon.controller.syncing import SyncServer
 from berylnotch.daemon.controller.vouching import Vouching
@@ -54,6 +55,7 @@
     from berylnotch.consensus.storage import LogStorage, Recovered
     from berylnotch.settings.controller import ControllerSettings
     from berylnotch.transport.peers import Peers
+    from berylnotch.util.loop import Loop
 
 #: Messages taken before the log is synced once for all of them.
 _BATCH = 512
@@ -86,6 +88,8 @@
         What the storage held at the start.
     peers : Peers
         Connections to the other controllers.
+    loop : Loop
+        Network thread of the process.
     make_replica : callable
         Builds the replica from recovered state.
     address : str
@@ -100,6 +104,7 @@
         storage: LogStorage,
         recovered: Recovered,
         peers: Peers,
+        loop: Loop,
         make_replica: Callable[[Recovered], Replica],
         address: str,
         on_failure: Callable[[], None],
@@ -118,7 +123,10 @@
         self._vouching = Vouching(peers, settings.freshness_lease_s, self._deliver)
         self._proposals = Proposals()
         self._syncs = SyncServer(self._state, self._age_ms, self._leader_address)
-        self._leader = Leader(settings, self._state, self.propose_command)
+        self._outside = Outside(loop, self._deliver_call)
+        self._leader = Leader(
+            settings, self._state, self._outside, self.propose_command
+        )
         self._member_changes = MemberChanges(peers, self._deliver_call)
         self._inbox: queue.SimpleQueue[Inbound | None] = queue.SimpleQueue()
         self._executor = ThreadPoolExecutor(1, thread_name_prefix="core")
@@ -149,6 +157,7 @@
         self._inbox.put(None)
         if self._finished is not None:
             wait([self._finished])
+        self._outside.close()
         self._executor.shutdown()
         self._storage.close()
 
@@ -313,7 +322,9 @@
     def _follow_role(self, now: float) -> None:
         if self._replica.has_lease(now):
             self._leader.become(now, self._replica.term)
-            self._leader.tick(now)
+            age_s = self._replica.lease_age_s(now)
+            valid_until = now + self._settings.consensus.lease_s - age_s
+            self._leader.tick(now, valid_until)
             self._member_changes.tick(now, self._replica)
         else:
             self._leader.resign()
--- a/berylnotch/daemon/router/router.py
+++ b/berylnotch/daemon/router/router.py
@@ -17,6 +17,7 @@
 from berylnotch.daemon.router.follower import Follower
 from berylnotch.daemon.router.heartbeat import Heartbeat
 from berylnotch.daemon.router.proposer import Proposer
+from berylnotch.gateways.transfers import Upstreams
 from berylnotch.keys.freshness import Freshness
 from berylnotch.membership.crashes import CrashGuard
 from berylnotch.membership.targets import TargetHealth
@@ -25,7 +26,6 @@
 from berylnotch.server.context import Context
 from berylnotch.server.engine import RequestPath
 from berylnotch.server.handover import HttpServer
-from berylnotch.server.upstream import Upstreams
 from berylnotch.transport.identity import (
     CALLER_KEY_NAME,
     STREAM_KEY_NAME,
--- a/berylnotch/gateways/errors.py
+++ b/berylnotch/gateways/errors.py
@@ -19,3 +19,19 @@
 
 class OldFenceError(GatewayError):
     """An engine refused an order, because it has seen a higher fencing number."""
+
+
+class UnreachableError(GatewayError):
+    """A system outside could not be reached or did not finish its answer.
+
+    Parameters
+    ----------
+    message : str
+        What was seen.
+    sent : bool
+        Whether any byte of the request may have arrived.
+    """
+
+    def __init__(self, message: str, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
--- a/berylnotch/server/context.py
+++ b/berylnotch/server/context.py
@@ -14,12 +14,12 @@
 
     from berylnotch.control.view import View
     from berylnotch.daemon.router.proposer import Proposer
+    from berylnotch.gateways.transfers import Upstreams
     from berylnotch.keys.freshness import Freshness
     from berylnotch.membership.crashes import CrashGuard
     from berylnotch.membership.targets import TargetHealth
     from berylnotch.quota.local import LocalQuota
     from berylnotch.server.job import Job
-    from berylnotch.server.upstream import Upstreams
     from berylnotch.settings.router import RouterSettings
     from berylnotch.util.loop import Loop
     from berylnotch.util.metrics import Metrics
--- a/berylnotch/server/job.py
+++ b/berylnotch/server/job.py
@@ -10,10 +10,10 @@
 if TYPE_CHECKING:
     from berylnotch.admission.ticket import Ticket
     from berylnotch.fleet.model import Organisation, Route, Service
+    from berylnotch.gateways.transfers import Transfer
     from berylnotch.membership.targets import Dispatch
     from berylnotch.server.caller import Caller
     from berylnotch.server.intake import CallerRequest, LanguageCall
-    from berylnotch.server.upstream import Transfer
     from berylnotch.streams.actions import Action, SendBytes
     from berylnotch.streams.exchange import Exchange
     from berylnotch.streams.inputs import ResponseHead
--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -33,12 +33,12 @@
 from berylnotch.util.metrics import Label
 
 if TYPE_CHECKING:
+    from berylnotch.gateways.transfers import TransferEnd
     from berylnotch.server.attempts import Attempts
     from berylnotch.server.claims import Claims
     from berylnotch.server.context import Context
     from berylnotch.server.delivery import Delivery
     from berylnotch.server.job import Job
-    from berylnotch.server.upstream import TransferEnd
 
 #: Causes that speak of a lost target rather than of a refusal by it.
 _LOSSES = (FailureCause.LOST, FailureCause.EMPTY, FailureCause.TRUNCATED)
--- a/berylnotch/settings/base.py
+++ b/berylnotch/settings/base.py
@@ -79,6 +79,11 @@
     return values.address(text)
 
 
+def optional_address(text: str) -> str:
+    """Return ``IP:port``, or an empty string."""
+    return values.address(text) if text else ""
+
+
 def path(text: str) -> Path:
     """Return a file system path."""
     if not text:
@@ -198,3 +203,19 @@
             str(file),
         )
     return secret
+
+
+def read_credential(file: str) -> str:
+    """Read the credential for targets; an empty name gives none.
+
+    Raises
+    ------
+    ConfigurationError
+        As `read_secret`, or if it is not ASCII.
+    """
+    if not file:
+        return ""
+    try:
+        return read_secret(Path(file)).decode("ascii")
+    except UnicodeDecodeError as error:
+        raise ConfigurationError("the credential is not ASCII", file) from error
--- a/berylnotch/settings/controller.py
+++ b/berylnotch/settings/controller.py
@@ -4,7 +4,7 @@
 
 from pathlib import Path
 
-from attrs import Factory, frozen
+from attrs import Factory, field, frozen
 
 from berylnotch.consensus.messages import Member
 from berylnotch.consensus.settings import ConsensusSettings
@@ -14,7 +14,9 @@
     ControllerAddress,
     ProcessSetting,
     listen_address,
+    optional_address,
     path,
+    read_credential,
     read_file,
     read_secret,
 )
@@ -35,6 +37,7 @@
         "controller",
         "listen",
         listen_address,
+        optional_address,
         "IP:port",
         "address for routers, controllers and operators",
     ),
@@ -52,6 +55,22 @@
         "a file with at least 16 bytes",
         "which processes and operators may connect",
     ),
+    ProcessSetting(
+        "controller",
+        "platform",
+        optional_address,
+        "IP:port, or nothing",
+        "where the platform's list of live and leaving VMs is read",
+        "",
+    ),
+    ProcessSetting(
+        "controller",
+        "target-credential-file",
+        str,
+        "a file, or nothing",
+        "credential that targets ask from the system",
+        "",
+    ),
     ProcessSetting(
         "controller",
         "freshness-lease",
@@ -91,6 +110,10 @@
         How long a vouch of the leader counts.
     claim_retention_s : float
         How long closed claims are kept.
+    platform : str
+        ``IP:port`` of the platform's list; empty for none.
+    target_credential : str
+        Credential sent to targets; empty for none.
     controllers : tuple of ControllerAddress
         Controllers by name.
     consensus : ConsensusSettings
@@ -103,9 +126,11 @@
     failure_domain: str
     listen: str
     data_folder: Path
-    secret: bytes
+    secret: bytes = field(repr=False)
     freshness_lease_s: float = 2.0
     claim_retention_s: float = 86400.0
+    platform: str = ""
+    target_credential: str = field(default="", repr=False)
     controllers: tuple[ControllerAddress, ...] = ()
     consensus: ConsensusSettings = Factory(ConsensusSettings)
     quota: QuotaSettings = Factory(QuotaSettings)
@@ -133,5 +158,7 @@
         secret=read_secret(found["secret_file"]),
         freshness_lease_s=found["freshness_lease"],
         claim_retention_s=found["claim_retention"],
+        platform=found["platform"],
+        target_credential=read_credential(found["target_credential_file"]),
         controllers=content.controllers,
     )
--- a/berylnotch/settings/router.py
+++ b/berylnotch/settings/router.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import Factory, frozen
+from attrs import Factory, field, frozen
 
 from berylnotch.admission.settings import AdmissionSettings
 from berylnotch.fleet import values
@@ -14,6 +14,7 @@
     ProcessSetting,
     listen_address,
     path,
+    read_credential,
     read_file,
     read_secret,
 )
@@ -55,6 +56,7 @@
         "router",
         "secret-file",
         path,
+        read_credential,
         "a file with at least 16 bytes",
         "which processes and operators may connect",
     ),
@@ -127,13 +129,13 @@
     failure_domain: str
     http: str
     listen: str
-    secret: bytes
+    secret: bytes = field(repr=False)
     metrics: str = "127.0.0.1:0"
     controllers: tuple[ControllerAddress, ...] = ()
     routers: tuple[ControllerAddress, ...] = ()
     freshness_lease_s: float = 2.0
     max_body_bytes: int = 8 * 1024 * 1024
-    target_credential: str = ""
+    target_credential: str = field(default="", repr=False)
     stop_limit_s: float = 600.0
     admission: AdmissionSettings = Factory(AdmissionSettings)
     membership: MembershipSettings = Factory(MembershipSettings)
@@ -163,12 +165,6 @@
         routers=content.routers,
         freshness_lease_s=found["freshness_lease"],
         max_body_bytes=found["max_body"] * 1024,
-        target_credential=_read_credential(found["target_credential_file"]),
+        target_credential=read_credential(found["target_credential_file"]),
         stop_limit_s=found["stop_limit"],
     )
-
-
-def _read_credential(file: str) -> str:
-    if not file:
-        return ""
-    return read_secret(path(file)).decode("ascii")
