--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from benchmarks.shapes import Case
-from berylnotch.control.commands import LifeState
+from berylnotch.control.commands import LifeState, Subject
+from berylnotch.control.events import LifeStateChanged
 
 if TYPE_CHECKING:
     from benchmarks.engine import Engine
@@ -34,18 +35,24 @@
 
 
 def _lose(simulation: Simulation, name: str) -> None:
-    simulation.engines[name].crash()
-    _list_later(simulation, name, LifeState.LOST)
+    engine = simulation.engines[name]
+    incarnation = engine.incarnation
+    engine.crash()
+    _list_later(simulation, name, incarnation, LifeState.LOST)
 
 
 def _return(simulation: Simulation, name: str) -> None:
-    simulation.engines[name].restart()
-    _list_later(simulation, name, LifeState.LIVE)
+    engine = simulation.engines[name]
+    engine.restart()
+    _list_later(simulation, name, engine.incarnation, LifeState.LIVE)
 
 
-def _list_later(simulation: Simulation, name: str, state: LifeState) -> None:
+def _list_later(
+    simulation: Simulation, name: str, incarnation: str, state: LifeState
+) -> None:
+    report = LifeStateChanged(Subject.TARGET, name, incarnation, state, "list")
     states = simulation.view.states
-    simulation.loop.after(LIST_LAG_S, lambda: states.__setitem__(name, state))
+    simulation.loop.after(LIST_LAG_S, lambda: states.__setitem__(name, report))
 
 
 def _roll(simulation: Simulation, names: list[str]) -> None:
--- a/benchmarks/router.py
+++ b/benchmarks/router.py
@@ -8,6 +8,7 @@
 
 from benchmarks.choosers import Choice, Question
 from berylnotch.control.commands import LifeState, Subject
+from berylnotch.control.events import LifeStateChanged
 from berylnotch.fleet.model import Fleet, Organisation, Target, Vm
 from berylnotch.membership.settings import MembershipSettings
 from berylnotch.membership.targets import TargetHealth
@@ -49,15 +50,20 @@
 
     fleet: Fleet
     versions: dict[str, str]
-    states: dict[str, LifeState] = field(factory=dict)
+    states: dict[str, LifeStateChanged] = field(factory=dict)
 
     def is_draining(self, subject: Subject, name: str) -> bool:
         """Whether an operator drained the target or VM."""
         return False
 
+    def life_report(self, subject: Subject, name: str) -> LifeStateChanged | None:
+        """Newest report of the platform's list."""
+        return self.states.get(name)
+
     def life_state(self, subject: Subject, name: str) -> LifeState:
         """State that the platform's list gives."""
-        return self.states.get(name, LifeState.LIVE)
+        found = self.states.get(name)
+        return found.state if found else LifeState.LIVE
 
     def weights(self, target: str) -> str:
         """Weights version of a target; empty while it loads."""
--- a/berylnotch/placement/hints.py
+++ b/berylnotch/placement/hints.py
@@ -124,6 +124,8 @@
         stream = self._streams.get(target)
         if stream is None or stream.incarnation != incarnation:
             return Hint(0, 0, len(chain))
+        if not _is_touched(stream, chain):
+            return Hint(0, 0, len(chain))
         known, likely = 0, 0
         oldest = now - self._keep_s
         for index, prefix in enumerate(chain):
@@ -164,5 +166,14 @@
             stream.entries.popitem(last=False)
 
 
+def _is_touched(stream: _Stream, chain: tuple[bytes, ...]) -> bool:
+    """Look at three pieces only: caches evict the deepest pieces first."""
+    if not chain:
+        return False
+    entries = stream.entries
+    middle = chain[len(chain) // 2]
+    return chain[0] in entries or middle in entries or chain[-1] in entries
+
+
 #: Incarnations of an engine that are remembered as over.
 _RETIRED_MAX = 16
--- a/berylnotch/placement/hot.py
+++ b/berylnotch/placement/hot.py
@@ -72,15 +72,39 @@
         tau = self._settings.hot_tau_s
         seconds = tau * -math.expm1(-age / tau)
         warm = self._settings.warm_s * self._settings.answer_routers / seconds
-        widths = []
-        for prefix in chain:
-            rate = self._rates.get(prefix)
-            keeps = warm * self._decayed(now, rate) if rate else 0.0
-            width = 1 << max(0, int(keeps).bit_length() - 1)
-            widths.append(width)
-            if width == 1:
-                break
+        widths = [0] * len(chain)
+        self._fill(now, chain, warm, widths)
+        if 1 in widths:
+            del widths[widths.index(1) + 1 :]
         return tuple(widths)
 
+    def _fill(
+        self, now: float, chain: tuple[bytes, ...], warm: float, widths: list[int]
+    ) -> None:
+        """Fill in the widths, which fall with depth, from few rates."""
+        if not chain:
+            return
+        last = len(chain) - 1
+        widths[0] = self._width(now, chain[0], warm)
+        widths[last] = self._width(now, chain[last], warm)
+        spans = [(0, last)]
+        while spans:
+            low, high = spans.pop()
+            if widths[low] == widths[high]:
+                widths[low:high] = [widths[low]] * (high - low)
+                continue
+            middle = (low + high) // 2
+            if middle == low:
+                continue
+            widths[middle] = self._width(now, chain[middle], warm)
+            spans.append((low, middle))
+            spans.append((middle, high))
+
+    def _width(self, now: float, prefix: bytes, warm: float) -> int:
+        rate = self._rates.get(prefix)
+        keeps = int(warm * self._decayed(now, rate)) if rate else 0
+        # Powers of two, so that routers with other rates mostly agree.
+        return 1 << max(0, keeps.bit_length() - 1)
+
     def _decayed(self, now: float, rate: _Rate) -> float:
         return rate.weight * math.exp((rate.at - now) / self._settings.hot_tau_s)
--- a/berylnotch/placement/placer.py
+++ b/berylnotch/placement/placer.py
@@ -9,11 +9,13 @@
 
 from berylnotch.placement.chain import Scope, hash_chain
 from berylnotch.placement.hints import CacheEvent, CacheHints
+from berylnotch.placement.homes import HomeTable
 from berylnotch.placement.hot import HotPrefixes
 from berylnotch.placement.model import Candidate, Query, Ranked
 from berylnotch.placement.rank import rank
 
 if TYPE_CHECKING:
+    from berylnotch.fleet.model import Service
     from berylnotch.placement.settings import PlacementSettings
 
 
@@ -77,6 +79,13 @@
     weights: str = ""
 
 
+@frozen
+class _Widths:
+    now: float
+    chain: tuple[bytes, ...]
+    widths: tuple[int, ...]
+
+
 class Placer:
     """Ranks targets, and learns from cache events and its own choices.
 
@@ -93,16 +102,68 @@
         self._settings = settings
         self._hints = CacheHints(settings.hint_max, settings.hint_keep_s)
         self._hot = HotPrefixes(settings)
+        self._turn = 0
+        self._last: _Widths | None = None
+        self._homes: dict[str, HomeTable] = {}
+
+    def shortlist(
+        self,
+        now: float,
+        request: PlacementRequest,
+        service: Service,
+        names: tuple[str, ...],
+    ) -> tuple[str, ...]:
+        """Return the targets that are worth a look; all of a small service.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        request : PlacementRequest
+            What to place.
+        service : Service
+            The service that the request asks.
+        names : tuple of str
+            All its targets, best the same object each time.
+
+        Returns
+        -------
+        tuple of str
+            The homes of the shallowest level that has few enough of them.
+            Prompts without a full piece get targets in turn.
+        """
+        count = self._settings.max_candidates
+        if len(names) <= count:
+            return names
+        table = self._homes.get(service.name)
+        if table is None or table.names != names:
+            table = HomeTable(names, count)
+            self._homes[service.name] = table
+        chain = request.prompt.chain(request.weights or service.weights)
+        if not chain:
+            return self._next_names(names, count)
+        widths = self._widths(now, chain)
+        if not widths:
+            depth = min(len(chain), self._settings.cold_depth)
+            return table.homes(chain[depth - 1])
+        depth = next((d for d, w in enumerate(widths, start=1) if w <= count), 0)
+        if depth:
+            return table.homes(chain[depth - 1])
+        # Even the whole prompt is hot: its homes fill several slots.
+        self._turn += 1
+        turn = self._turn % -(-widths[-1] // count)
+        return table.homes(chain[-1], turn)
 
     def rank(
         self, now: float, request: PlacementRequest, candidates: Sequence[Candidate]
     ) -> tuple[Ranked, ...]:
         """Rank the candidates of all allowed weights versions, best first.
 
+        An engine without a version is loading and left out.
         While new weights roll out, engines of both versions serve. Each has its
         own chain, so neither is taken to hold the other's pieces.
         """
-        versions = {c.weights for c in candidates if c.is_usable}
+        versions = {c.weights for c in candidates if c.weights and c.is_usable}
         if request.weights:
             versions &= {request.weights}
         ranked: list[Ranked] = []
@@ -116,6 +177,7 @@
     def sent(self, now: float, request: PlacementRequest, chosen: Ranked) -> None:
         """Note that the request was sent to a ranked target."""
         chain = request.prompt.chain(chosen.weights)
+        self._last = None
         self._hot.count(now, chain)
         self._hints.expect(now, chosen.name, chosen.incarnation, chain)
 
@@ -127,6 +189,19 @@
         """Forget what is known of a lost engine's cache."""
         self._hints.forget(target)
 
+    def _widths(self, now: float, chain: tuple[bytes, ...]) -> tuple[int, ...]:
+        """Return the widths, kept from the shortlist for the ranking."""
+        last = self._last
+        if last is None or last.now != now or last.chain is not chain:
+            last = _Widths(now, chain, self._hot.widths(now, chain))
+            self._last = last
+        return last.widths
+
+    def _next_names(self, names: tuple[str, ...], count: int) -> tuple[str, ...]:
+        self._turn += 1
+        start = self._turn * count % len(names)
+        return (names + names)[start : start + count]
+
     def _query(self, now: float, request: PlacementRequest, weights: str) -> Query:
         chain = request.prompt.chain(weights)
         return Query(
@@ -135,6 +210,6 @@
             failure_domain=request.failure_domain,
             exclude=request.exclude,
             weights=weights,
-            widths=self._hot.widths(now, chain),
+            widths=self._widths(now, chain),
             now=now,
         )
--- a/berylnotch/placement/rank.py
+++ b/berylnotch/placement/rank.py
@@ -61,10 +61,10 @@
     widths = query.widths or _default_widths(settings, len(query.chain))
     for depth, width in enumerate(widths, start=1):
         if width < len(members):
+            expected.update(dict.fromkeys(members, depth - 1))
             members = top(query.chain[depth - 1], members, width)
-        expected.update(dict.fromkeys(members, depth))
-    if len(members) == 1:
-        expected[members[0]] = len(query.chain)
+    reached = len(query.chain) if len(members) == 1 else len(widths)
+    expected.update(dict.fromkeys(members, reached))
     return expected
 
 
--- a/berylnotch/placement/rendezvous.py
+++ b/berylnotch/placement/rendezvous.py
@@ -1,39 +1,42 @@
-"""Rendezvous hashing over nested prefixes."""
+"""Rendezvous hashing."""
 
 from __future__ import annotations
 
 import functools
 import hashlib
+import heapq
 from collections.abc import Iterable
 
-_MASK = 0xFFFFFFFFFFFFFFFF
+#: Modulus of the weights, a Mersenne prime.
+_PRIME = (1 << 61) - 1
 _MULTIPLIER = 0x9E3779B97F4A7C15
-_FINISH = 0xBF58476D1CE4E5B9
 
 
 @functools.lru_cache(maxsize=8192)
 def name_hash(name: str) -> int:
-    """Hash a target's name to 64 bits, the same in every process."""
-    return int.from_bytes(hashlib.sha256(name.encode()).digest()[:8], "big")
+    """Hash a name below 2^61, the same in every process."""
+    digest = hashlib.sha256(name.encode()).digest()
+    return int.from_bytes(digest[:8], "big") % _PRIME
 
 
 def prefix_key(prefix: bytes) -> int:
-    """Return the 64 bits of a prefix hash that rendezvous hashing uses."""
-    return int.from_bytes(prefix[:8], "big")
+    """Return the part of a prefix hash that rendezvous hashing uses."""
+    return int.from_bytes(prefix[:8], "big") % _PRIME
 
 
 def weight(key: int, node: int) -> int:
-    """Return the rendezvous weight of a node for a key; both have 64 bits."""
-    mixed = (key ^ node) * _MULTIPLIER & _MASK
-    mixed = (mixed ^ mixed >> 31) * _FINISH & _MASK
-    return mixed ^ mixed >> 29
+    """Return the rendezvous weight of a node for a key; the lowest is best.
+
+    Both must be spread evenly below 2^61, as `name_hash` and `prefix_key` are.
+    """
+    return (key ^ node) * _MULTIPLIER % _PRIME
 
 
 def top(prefix: bytes, names: Iterable[str], count: int) -> list[str]:
-    """Return the ``count`` names with the highest weight, best first.
+    """Return the ``count`` best names for a prefix, best first.
 
     If a name is taken away, only the prefixes that it held move.
     """
     key = prefix_key(prefix)
-    ordered = sorted(names, key=lambda name: (-weight(key, name_hash(name)), name))
-    return ordered[:count]
+    weighted = ((weight(key, name_hash(name)), name) for name in names)
+    return [name for _, name in heapq.nsmallest(count, weighted)]
--- a/berylnotch/placement/settings.py
+++ b/berylnotch/placement/settings.py
@@ -55,7 +55,7 @@
         Age at which such an entry is no longer used.
     far_ms : float, default=3.0
         Added for a target in another failure domain.
-    max_candidates : int, default=16
+    max_candidates : int, default=8
         Targets that are scored for one request. Bounds the decision time.
     """
 
@@ -77,7 +77,7 @@
     hint_max: int = 16_384
     hint_keep_s: float = 30.0
     far_ms: float = 3.0
-    max_candidates: int = 16
+    max_candidates: int = 8
 
     @property
     def piece_bytes(self) -> int:
