--- a/berylnotch/transport/berylnotch.capnp
+++ b/berylnotch/transport/berylnotch.capnp
@@ -134,6 +134,8 @@
   lastTerm @3 :Int64;
   pre @4 :Bool;
   transfer @5 :Bool;
+  address @6 :Text;
+  replica @7 :Text;
 }
 
 struct VoteReply {
@@ -151,6 +153,8 @@
   commit @4 :Int64;
   round @5 :Int64;
   entries @6 :List(Entry);
+  address @7 :Text;
+  replica @8 :Text;
 }
 
 struct AppendReply {
@@ -171,6 +175,8 @@
   data @6 :Data;
   done @7 :Bool;
   round @8 :Int64;
+  address @9 :Text;
+  replica @10 :Text;
 }
 
 struct SnapshotReply {
