streams: cheaper scan of chunks that hold several events

The pattern for event ids began with an alternation, which the regular expression engine tries at each byte; a literal beginning is searched for directly. The values made for each chunk are no longer frozen.

--- a/berylnotch/streams/actions.py
+++ b/berylnotch/streams/actions.py
@@ -4,7 +4,7 @@
 
 from enum import Enum
 
-from attrs import frozen
+from attrs import define, frozen
 
 
 class RunMark(Enum):
@@ -135,10 +135,13 @@
     content_length: int | None
 
 
-@frozen(slots=True)
+@define
 class SendBytes:
     """Send bytes of the body to the caller.
 
+    One is made for each chunk of a stream, and a class that isn't frozen is
+    made in half the time.
+
     Attributes
     ----------
     data : bytes
--- a/berylnotch/streams/answers.py
+++ b/berylnotch/streams/answers.py
@@ -15,18 +15,20 @@
 
 
 class StreamAnswer:
-    """Events of one attempt, continued in the exchange's sequence."""
+    """Events of one attempt, continued in the exchange's sequence.
 
-    __slots__ = ("_scanner", "_sequence")
+    Attributes
+    ----------
+    is_ended : bool
+        Whether the end marker has been seen.
+    """
+
+    __slots__ = ("_scanner", "_sequence", "is_ended")
 
     def __init__(self, settings: ExchangeSettings, sequence: EventSequence) -> None:
         self._scanner = EventScanner(settings.max_event_bytes)
         self._sequence = sequence
-
-    @property
-    def ended(self) -> bool:
-        """Whether the end marker has been seen."""
-        return self._scanner.ended
+        self.is_ended = False
 
     @property
     def buffered(self) -> int:
@@ -36,6 +38,7 @@
     def feed(self, data: bytes) -> Numbered:
         """Return the new events of a chunk; raises `StreamError`."""
         result = self._scanner.feed(data)
+        self.is_ended = result.ended
         if not result.events and not result.end_number:
             return _NO_EVENTS
         return self._sequence.take(result.complete, result.events, result.end_number)
--- a/berylnotch/streams/exchange.py
+++ b/berylnotch/streams/exchange.py
@@ -163,8 +163,8 @@
 
     def body(self, now: float, number: int, data: bytes) -> tuple[Action, ...]:
         """Take bytes of an attempt's answer."""
-        attempt = self._current(number)
-        if attempt is None:
+        attempt = self._attempt
+        if attempt is None or attempt.number != number:
             return _NOTHING
         answer = attempt.answer
         if isinstance(answer, StreamAnswer):
@@ -272,9 +272,9 @@
         if numbered.events:
             attempt.has_events = True
             self._active_at = now
-            if self._head_sent and not answer.ended:
+            if self._head_sent and not answer.is_ended:
                 return (SendBytes(numbered.data, numbered.events),)
-        elif not answer.ended:
+        elif not answer.is_ended:
             return _NOTHING
         elif not self.position:
             # Nothing but an end marker is what a dying engine sends.
@@ -291,7 +291,7 @@
             self._head_sent = True
             self._ran = True
             out.append(SendHead(head.status, head.headers, RunMark.RAN, None))
-        if not attempt.answer.ended:
+        if not attempt.answer.is_ended:
             return (*out, SendBytes(data, events))
         finish = self._finish(FinishReason.COMPLETE)
         return (*out, SendBytes(data + END_MARKER, events), finish)
--- a/berylnotch/streams/scanner.py
+++ b/berylnotch/streams/scanner.py
@@ -4,7 +4,7 @@
 
 import re
 
-from attrs import frozen
+from attrs import define
 
 from berylnotch.streams.errors import EventTooLongError
 
@@ -18,7 +18,7 @@
 _EXTRA_BLANK_LINES = re.compile(rb"\n{3,}")
 
 
-@frozen(slots=True)
+@define(slots=True, eq=False)
 class ScanResult:
     """What one chunk of bytes completed.
 
@@ -83,14 +83,17 @@
             return ScanResult(b"", 0, True, self._end_number)
         if self._held_return or b"\r" in data:
             data = self._normalise(data)
-        data = self._tail + data
+        if self._tail:
+            data = self._tail + data
         if data[:1] == b"\n":
             data = data.lstrip(b"\n")
         cut = data.rfind(_BOUNDARY) + 2
         if cut < 2:
             self._keep(data)
             return ScanResult(b"", 0, False)
-        complete = data[:cut]
+        complete = data
+        if cut < len(data):
+            complete = data[:cut]
         self._keep(data[cut:])
         if b"\n\n\n" in complete:
             complete = _EXTRA_BLANK_LINES.sub(_BOUNDARY, complete)
--- a/berylnotch/streams/sequence.py
+++ b/berylnotch/streams/sequence.py
@@ -4,17 +4,18 @@
 
 import re
 
-from attrs import frozen
+from attrs import define
 
 from berylnotch.streams.errors import SequenceError
 
 _BOUNDARY = b"\n\n"
 _ID_FIELD = b"id: "
-_EVENT_ID = re.compile(rb"(?:\A|\n\n)id: (\d+)\n")
+# A literal beginning is searched for several times faster than an alternation.
+_EVENT_ID = re.compile(rb"\n\nid: (\d+)\n")
 _ID_LINE = re.compile(rb"(?:\A|\n)id: ?(\d+)(?=\n|\Z)")
 
 
-@frozen(slots=True)
+@define(slots=True, eq=False)
 class Numbered:
     """Events ready for the caller.
 
@@ -81,7 +82,7 @@
         if events == 1:
             continuous = data.startswith(b"id: %d\n" % first)
         else:
-            numbers = _EVENT_ID.findall(data)
+            numbers = _EVENT_ID.findall(_BOUNDARY + data)
             continuous = len(numbers) == events and numbers == [
                 b"%d" % n for n in range(first, first + events)
             ]
