--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,3 @@
-"""Measurements of the system and of its parts."""
+"""Measurements of parts and of the whole, each run by one command."""
+
+from __future__ import annotations
--- a/berylnotch/consensus/leading.py
+++ b/berylnotch/consensus/leading.py
@@ -170,7 +170,7 @@
         for replica, progress in self._progress.items():
             if progress.snapshot is not None:
                 self._send_heartbeat(replica)
-                progress.count_part_round()
+                progress.count_part_round(self._core.log.snapshot)
             else:
                 self._send(replica, progress)
 
@@ -195,6 +195,8 @@
             core.commit,
             self._rounds.number,
             entries,
+            core.address,
+            replica,
         )
         core.send(replica, request)
         progress.is_waiting = True
@@ -214,7 +216,10 @@
         # A replica that needs a snapshot cannot check any held entry; every
         # log agrees on index 0, so this only renews lease and timers.
         core = self._core
-        request = AppendRequest(core.term, core.identity, 0, 0, 0, self._rounds.number)
+        number = self._rounds.number
+        request = AppendRequest(
+            core.term, core.identity, 0, 0, 0, number, (), core.address, replica
+        )
         core.send(replica, request)
 
     def _send_part(self, replica: str, progress: Progress) -> None:
@@ -230,6 +235,8 @@
             snapshot.data[progress.offset : end],
             end >= len(snapshot.data),
             self._rounds.number,
+            core.address,
+            replica,
         )
         core.send(replica, request)
         progress.is_waiting = True
--- a/berylnotch/placement/model.py
+++ b/berylnotch/placement/model.py
@@ -64,8 +64,11 @@
     weights : str
         Weights version that the chain was made for; other targets are left
         out. Empty if the service has no weights.
-    homes : int
-        Engines that share the prompt's first piece; 0 for the default.
+    widths : tuple of int
+        Number of homes for each level of the chain, down to the first with
+        one; empty for the default.
+    now : float
+        Router's monotonic time in seconds.
     """
 
     chain: tuple[bytes, ...] = ()
@@ -73,7 +76,8 @@
     failure_domain: str = ""
     exclude: frozenset[str] = frozenset()
     weights: str = ""
-    homes: int = 0
+    widths: tuple[int, ...] = ()
+    now: float = 0.0
 
 
 @frozen
@@ -90,9 +94,13 @@
         Parts of the score, for operators.
     cached_pieces : int
         Leading pieces expected in the target's cache.
+    incarnation, weights : str
+        Process and weights version that were ranked.
     """
 
     name: str
     score_ms: float
     reason: str
     cached_pieces: int = 0
+    incarnation: str = ""
+    weights: str = ""
