Place by the placer, poll load reports, end a request on an internal error

An error in the loop left its caller without an answer until the caller's own timeout (seen when a method of the view was missing). The job is now ended with 500 and the mark unknown.

--- a/berylnotch/daemon/router/router.py
+++ b/berylnotch/daemon/router/router.py
@@ -21,11 +21,13 @@
 from berylnotch.keys.freshness import Freshness
 from berylnotch.membership.crashes import CrashGuard
 from berylnotch.membership.targets import TargetHealth
+from berylnotch.placement.placer import Placer
 from berylnotch.quota.local import LocalQuota
 from berylnotch.server.app import App
 from berylnotch.server.context import Context
 from berylnotch.server.engine import RequestPath
 from berylnotch.server.handover import HttpServer
+from berylnotch.server.polling import Polling
 from berylnotch.transport.identity import (
     CALLER_KEY_NAME,
     STREAM_KEY_NAME,
@@ -100,6 +102,7 @@
         self._path = RequestPath(self._context, stream_secret)
         key_secret = identity_key(settings.secret, CALLER_KEY_NAME)
         app = App(self._context, self._path, key_secret, stream_secret)
+        self._polling = Polling(self._context)
         self._syncs = SyncServer(
             self._view, self._freshness.age_ms, lambda: self._follower.leader_address
         )
@@ -111,6 +114,7 @@
         self._listener.start()
         self._loop.call_soon(self._path.start)
         self._loop.call_every(_TICK_S, lambda: self._syncs.tick(time.monotonic()))
+        self._loop.call_soon(self._polling.start)
         self._follower.start()
         self._heartbeat.start(str(self._http.address))
         logger.info(
@@ -184,6 +188,7 @@
             quota=self._quota,
             health=TargetHealth(settings.membership),
             guard=CrashGuard(settings.membership),
+            placer=Placer(settings.placement),
             upstreams=Upstreams(self._loop),
             proposer=proposer,
             metrics=self._metrics,
--- a/berylnotch/server/app.py
+++ b/berylnotch/server/app.py
@@ -13,7 +13,7 @@
 from berylnotch.fleet.model import ServiceKind
 from berylnotch.keys.keyring import hash_key
 from berylnotch.membership.addresses import answer as address_answer
-from berylnotch.placement.chain import Scope, hash_chain
+from berylnotch.placement.placer import Prompt
 from berylnotch.server import intake, responses
 from berylnotch.server.errors import Refusal
 from berylnotch.server.handover import DETACH_KEY
@@ -142,8 +142,10 @@
         service = self._service_of(call.model, service)
         name = organisation.name if organisation else ""
         mark = fingerprint(name, caller.path, caller.body)
-        scope = Scope(name, service.name, service.weights)
         piece_bytes = self._context.settings.placement.piece_bytes
+        prompt = Prompt(name, service.name, call.prompt, piece_bytes)
+        # Hashing belongs in this thread; the loop finds the chain made.
+        prompt.chain(service.weights)
         limit_s = _STREAM_LIMIT_S if call.stream else route.timeout_s
         job = Job(
             request=caller,
@@ -154,7 +156,7 @@
             service=service,
             language=call,
             fingerprint=mark,
-            chain=hash_chain(scope, call.prompt, piece_bytes),
+            prompt=prompt,
             arrived_at=arrived_at,
             deadline=arrived_at + limit_s,
             idempotent=True,
@@ -184,7 +186,7 @@
             service=service,
             language=None,
             fingerprint=fingerprint(name, target, caller.body),
-            chain=(),
+            prompt=None,
             arrived_at=arrived_at,
             deadline=arrived_at + route.timeout_s,
             idempotent=caller.method in route.idempotent_methods,
--- a/berylnotch/server/attempts.py
+++ b/berylnotch/server/attempts.py
@@ -16,6 +16,7 @@
 )
 from berylnotch.gateways.plain import PlainRequest, build_plain
 from berylnotch.placement.model import Candidate, Query
+from berylnotch.placement.placer import PlacementRequest
 from berylnotch.placement.rank import rank
 
 if TYPE_CHECKING:
@@ -34,10 +35,10 @@
 
 @frozen
 class Choice:
-    """A chosen target and the work that it is expected to take."""
+    """A chosen target, why, and the work that it is expected to take."""
 
     target: Target
-    weights: str
+    ranked: Ranked
     work_s: float
 
 
@@ -77,23 +78,23 @@
     def choose(self, job: Job, action: StartAttempt) -> Choice | None:
         """Choose a target, or return None if none can take the attempt."""
         now = time.monotonic()
-        candidates = self._candidates(now, job.service.name)
-        if action.weights:
-            candidates = tuple(self._assume(c, action.weights) for c in candidates)
-        query = self._query(job, action, exclude=action.exclude)
-        ranked = rank(self._context.settings.placement, query, candidates)
+        apart = self._context.guard.avoid(now, job.fingerprint)
+        ranked = self._rank(now, job, action, action.exclude | apart)
         if not ranked and action.exclude:
             # A target that failed before is better than none.
-            query = evolve(query, exclude=frozenset())
-            ranked = rank(self._context.settings.placement, query, candidates)
-        ranked = _with_free_slot_first(ranked, candidates)
+            ranked = self._rank(now, job, action, apart)
         self._record(job, ranked)
         if not ranked:
             return None
         best = ranked[0]
         target = self._context.view.fleet.targets[best.name]
-        weights = self._context.view.weights(best.name)
-        return Choice(target, weights, self._work_s(job, best))
+        return Choice(target, best, self._work_s(job, best))
+
+    def sent(self, job: Job, choice: Choice) -> None:
+        """Note that the request goes to the chosen target."""
+        if job.prompt is not None:
+            request = self._request(job, "", frozenset())
+            self._context.placer.sent(time.monotonic(), request, choice.ranked)
 
     def build(
         self, job: Job, target: Target, action: StartAttempt, timeout_s: float
@@ -124,28 +125,53 @@
         return build_plain(address, plain, timeout_s)
 
     def _candidates(self, now: float, service: str) -> tuple[Candidate, ...]:
-        return self._context.health.candidates(now, self._context.view, service)
-
-    def _assume(self, candidate: Candidate, weights: str) -> Candidate:
-        # An engine that never had an order says its version in its answers,
-        # which the exchange checks.
-        if self._context.view.has_weights(candidate.name):
-            return candidate
-        return evolve(candidate, weights=weights)
-
-    def _query(self, job: Job, action: StartAttempt, exclude: frozenset[str]) -> Query:
-        settings = self._context.settings
-        pieces = 0
-        if job.language is not None:
-            pieces = -(-len(job.language.prompt) // settings.placement.piece_bytes)
-        return Query(
-            chain=job.chain,
-            prompt_pieces=pieces,
-            failure_domain=settings.failure_domain,
-            exclude=exclude,
-            weights=action.weights,
+        found = self._context.health.candidates(now, self._context.view, service)
+        return self._with_weights(service, found)
+
+    def _with_weights(
+        self, service: str, candidates: tuple[Candidate, ...]
+    ) -> tuple[Candidate, ...]:
+        """Assume the service's weights where nobody reported any yet.
+
+        An engine says its version in each answer, which the exchange checks.
+        """
+        view = self._context.view
+        weights = view.fleet.services[service].weights
+        return tuple(
+            c if view.weights_report(c.name) else evolve(c, weights=weights)
+            for c in candidates
         )
 
+    def _rank(
+        self, now: float, job: Job, action: StartAttempt, exclude: frozenset[str]
+    ) -> tuple[Ranked, ...]:
+        if job.prompt is None:
+            candidates = self._candidates(now, job.service.name)
+            domain = self._context.settings.failure_domain
+            query = Query(failure_domain=domain, exclude=exclude)
+            ranked = rank(self._context.settings.placement, query, candidates)
+        else:
+            request = self._request(job, action.weights, exclude)
+            candidates = self._shortlist(now, job, request)
+            ranked = self._context.placer.rank(now, request, candidates)
+        return _with_free_slot_first(ranked, candidates)
+
+    def _request(
+        self, job: Job, weights: str, exclude: frozenset[str]
+    ) -> PlacementRequest:
+        domain = self._context.settings.failure_domain
+        return PlacementRequest(job.prompt, domain, exclude, weights)
+
+    def _shortlist(
+        self, now: float, job: Job, request: PlacementRequest
+    ) -> tuple[Candidate, ...]:
+        health, view, name = self._context.health, self._context.view, job.service.name
+        names = health.names(view, name)
+        service = view.fleet.services.get(name, job.service)
+        shortlist = self._context.placer.shortlist(now, request, service, names)
+        found = health.candidates(now, view, name, shortlist)
+        return self._with_weights(name, found)
+
     def _generation(self, job: Job) -> GenerationRequest:
         name = job.organisation_name
         return GenerationRequest(
--- a/berylnotch/server/context.py
+++ b/berylnotch/server/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
     from berylnotch.keys.freshness import Freshness
     from berylnotch.membership.crashes import CrashGuard
     from berylnotch.membership.targets import TargetHealth
+    from berylnotch.placement.placer import Placer
     from berylnotch.quota.local import LocalQuota
     from berylnotch.server.job import Job
     from berylnotch.settings.router import RouterSettings
@@ -60,6 +62,7 @@
     quota: LocalQuota
     health: TargetHealth
     guard: CrashGuard
+    placer: Placer
     upstreams: Upstreams
     proposer: Proposer
     metrics: Metrics
@@ -67,3 +70,7 @@
     hurry: Callable[[], None]
     decisions: Decisions = field(factory=Decisions)
     jobs: set[Job] = field(factory=set)
+
+    def shared_losses(self, fingerprint: bytes) -> frozenset[str]:
+        """Return the targets that routers report lost with a request."""
+        return self.view.crash_targets(fingerprint, int(time.time() * 1000))
--- a/berylnotch/server/engine.py
+++ b/berylnotch/server/engine.py
@@ -105,6 +105,14 @@
         )
         job.caller.start()
         self._context.jobs.add(job)
+        try:
+            self._admit(job)
+        except Exception:
+            # Without an answer the caller would wait until its own timeout.
+            logger.exception("event=request_failed request={}", job.request.request_id)
+            self._runner.abort(job)
+
+    def _admit(self, job: Job) -> None:
         refusal = self._check(job)
         if refusal is not None:
             self._refuse(job, refusal)
@@ -117,8 +125,8 @@
             refusal = self._check_key(job, now)
             if refusal is not None:
                 return refusal
-        shared = self._context.view.crash_targets(job.fingerprint)
-        if self._context.guard.is_refused(now, job.fingerprint, shared):
+        guard, shared = self._context.guard, self._context.shared_losses
+        if guard.is_refused(now, job.fingerprint, shared):
             message = "targets were lost while they ran this request; it is not run"
             return Refusal(422, "request_crashes_targets", message)
         missing = self._attempts.missing_dependency(now, job.service.name)
--- a/berylnotch/server/job.py
+++ b/berylnotch/server/job.py
@@ -12,6 +12,7 @@
     from berylnotch.fleet.model import Organisation, Route, Service
     from berylnotch.gateways.transfers import Transfer
     from berylnotch.membership.targets import Dispatch
+    from berylnotch.placement.placer import Prompt
     from berylnotch.server.caller import Caller
     from berylnotch.server.intake import CallerRequest, LanguageCall
     from berylnotch.streams.actions import Action, SendBytes
@@ -61,8 +62,8 @@
         What is asked of a language service.
     fingerprint : bytes
         Identity of organisation and body, for crash reports.
-    chain : tuple of bytes
-        Prefix hashes of the prompt.
+    prompt : Prompt or None
+        Prompt of a language request, with its prefix hashes.
     arrived_at : float
         Monotonic time of arrival.
     deadline : float
@@ -81,7 +82,7 @@
     service: Service
     language: LanguageCall | None
     fingerprint: bytes
-    chain: tuple[bytes, ...]
+    prompt: Prompt | None
     arrived_at: float
     deadline: float
     idempotent: bool
--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -25,6 +25,7 @@
     FinishReason,
     PauseUpstream,
     ResumeUpstream,
+    RunMark,
     SendBytes,
     SendHead,
     StartAttempt,
@@ -42,6 +43,8 @@
 
 #: Causes that speak of a lost target rather than of a refusal by it.
 _LOSSES = (FailureCause.LOST, FailureCause.EMPTY, FailureCause.TRUNCATED)
+#: Causes that tell nothing bad of the target.
+_NEUTRAL = (FailureCause.REFUSED, FailureCause.WEIGHTS)
 _REPORT_S = 10.0
 _POISON = "request_crashes_targets"
 
@@ -111,8 +114,33 @@
     def perform(self, job: Job, actions: Iterable[Action]) -> None:
         """Carry actions out, and those that follow from them."""
         pending = deque(actions)
-        while pending:
-            pending.extend(self._perform(job, pending.popleft()))
+        try:
+            while pending:
+                pending.extend(self._perform(job, pending.popleft()))
+        except Exception:
+            # A mistake in one request must neither hang its caller nor end others.
+            logger.exception("event=request_failed request={}", job.request.request_id)
+            self.abort(job)
+
+    def abort(self, job: Job) -> None:
+        """End a job after an internal error; its outcome is not known."""
+        if job.is_over:
+            return
+        if job.attempt is not None and job.attempt.transfer is not None:
+            self._context.upstreams.cancel(job.attempt.transfer)
+            self._context.health.abandon(job.attempt.dispatch)
+        if job.timer is not None:
+            job.timer.cancel()
+        if not job.first_byte_at:
+            message = "internal error; see the router's log"
+            refusal = Refusal(500, "internal_error", message, RunMark.UNKNOWN)
+            job.caller.write(
+                responses.refusal_response(refusal, job.request.request_id)
+            )
+            job.caller.finish()
+        else:
+            job.caller.close()
+        self._on_over(job)
 
     def _perform(self, job: Job, action: Action) -> tuple[Action, ...]:
         if isinstance(action, SendBytes | SendHead):
@@ -155,9 +183,13 @@
             return job.exchange.no_target(now, action.number, str(error))
         name = choice.target.name
         dispatch = self._context.health.begin(now, name, choice.work_s)
+        self._context.guard.began(job.fingerprint, name)
+        self._attempts.sent(job, choice)
         attempt = Attempt(action.number, name, dispatch)
         job.attempt = attempt
-        actions = job.exchange.attempt_started(now, action.number, name, choice.weights)
+        actions = job.exchange.attempt_started(
+            now, action.number, name, choice.ranked.weights
+        )
         attempt.transfer = self._context.upstreams.start(
             request,
             job.idempotent,
@@ -168,8 +200,9 @@
         return actions
 
     def _is_poison(self, job: Job, now: float) -> bool:
-        shared = self._context.view.crash_targets(job.fingerprint)
-        job.is_poison = self._context.guard.is_refused(now, job.fingerprint, shared)
+        job.is_poison = self._context.guard.is_refused(
+            now, job.fingerprint, self._context.shared_losses
+        )
         return job.is_poison
 
     def _on_head(self, job: Job, attempt: Attempt, lines: tuple[bytes, ...]) -> None:
@@ -177,6 +210,7 @@
         now = time.monotonic()
         try:
             attempt.head = read(lines)
+            self._observe(attempt)
         except BadAnswerError:
             end = UpstreamEnd(complete=False, sent=True)
             self._context.upstreams.cancel(attempt.transfer)
@@ -185,6 +219,11 @@
             actions = job.exchange.head(now, attempt.number, attempt.head)
         self.perform(job, actions)
 
+    def _observe(self, attempt: Attempt) -> None:
+        incarnation = attempt.head.incarnation
+        if incarnation and self._context.health.observe(attempt.target, incarnation):
+            self._context.placer.target_lost(attempt.target)
+
     def _on_body(self, job: Job, attempt: Attempt, data: bytes) -> None:
         now = time.monotonic()
         self._context.health.first_token(attempt.dispatch)
@@ -204,13 +243,13 @@
         attempt = job.attempt
         if attempt is not None and attempt.transfer is not None:
             self._context.upstreams.cancel(attempt.transfer)
-            self._context.health.finish(time.monotonic(), attempt.dispatch, True)
 
     def _failed(self, job: Job, action: AttemptFailed) -> None:
         now = time.monotonic()
-        if job.attempt is not None:
-            ok = action.cause in (FailureCause.REFUSED, FailureCause.WEIGHTS)
-            self._context.health.finish(now, job.attempt.dispatch, ok)
+        if action.cause in _NEUTRAL:
+            self._context.health.abandon(job.attempt.dispatch)
+        else:
+            self._context.health.finish(now, job.attempt.dispatch, False)
         labels = Label("target", action.target), Label("cause", action.cause.value)
         self._context.metrics.count("berylnotch_attempts_failed_total", *labels)
         logger.info(
@@ -222,13 +261,16 @@
         )
         if action.cause in _LOSSES:
             self._suspect(job, action, now)
+        self._context.guard.ended(job.fingerprint, action.target)
 
     def _suspect(self, job: Job, action: AttemptFailed, now: float) -> None:
-        self._context.guard.lost(now, action.target, (job.fingerprint,))
-        head = job.attempt.head if job.attempt is not None else None
+        guard, shared = self._context.guard, self._context.shared_losses
+        verdict = guard.lost(now, action.target, (job.fingerprint,), shared)
+        head = job.attempt.head
         incarnation = head.incarnation if head is not None else ""
-        command = ReportCrash(job.fingerprint, action.target, incarnation)
-        self._context.proposer.propose(command, _REPORT_S, lambda _result: None)
+        for fingerprint in verdict.reported:
+            command = ReportCrash(fingerprint, action.target, incarnation)
+            self._context.proposer.propose(command, _REPORT_S, lambda _result: None)
 
     def _pause_upstream(self, job: Job) -> None:
         if job.attempt is not None and job.attempt.transfer is not None:
@@ -242,17 +284,25 @@
         if job.timer is not None:
             job.timer.cancel()
         now = time.monotonic()
-        if job.attempt is not None:
-            self._context.health.finish(now, job.attempt.dispatch, True)
-        if action.reason is FinishReason.COMPLETE:
-            self._context.guard.completed(job.fingerprint)
-        else:
+        self._end_attempt(job, action, now)
+        if action.reason is not FinishReason.COMPLETE:
             self._delivery.drop_unpaid(job)
         if job.claim_attempt:
             self._claims.close(job, action, lambda: self._release(job, action))
         else:
             self._conclude(job, action)
 
+    def _end_attempt(self, job: Job, action: Finish, now: float) -> None:
+        attempt = job.attempt
+        if attempt is None:
+            return
+        self._context.guard.ended(job.fingerprint, attempt.target)
+        if action.reason is FinishReason.COMPLETE:
+            self._context.guard.completed(job.fingerprint, now)
+            self._context.health.finish(now, attempt.dispatch, True)
+        else:
+            self._context.health.abandon(attempt.dispatch)
+
     def _release(self, job: Job, action: Finish) -> None:
         held, job.held = job.held, []
         job.claim_attempt = ""
@@ -308,6 +358,8 @@
         )
 
     def _tick(self, job: Job) -> None:
+        if job.is_over:
+            return
         self.perform(job, job.exchange.tick(time.monotonic()))
         self._schedule_tick(job)
 
