keys: the controllers make the keyed hash, operators send a digest

The keyed hash needs a secret that operators do not hold: from the cluster secret they have only their own key. The tool now sends the key's digest and the leader stores the keyed hash of it, so that the state alone tells no key and an operator's key file gives no way to compute stored hashes.

--- a/berylnotch/daemon/controller/core.py
+++ b/berylnotch/daemon/controller/core.py
@@ -256,8 +256,10 @@
         elif isinstance(message, BootstrapRequest):
             self._bootstrap(message, inbound.reply)
         elif isinstance(message, ProposeRequest):
-            command = reads.check_operator_command(operator, decode(message.command))
-            self.propose_command(command, inbound.reply)
+            command = decode(message.command)
+            secret = self._settings.secret
+            stored = reads.check_operator_command(operator, command, secret)
+            self.propose_command(stored, inbound.reply)
         elif not self._replica.has_lease(time.monotonic()):
             inbound.reply(NotLeader(self._leader_address()))
         elif isinstance(message, MemberChangeRequest):
--- a/berylnotch/daemon/controller/reads.py
+++ b/berylnotch/daemon/controller/reads.py
@@ -6,6 +6,8 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+from attrs import evolve
+
 from berylnotch.control.commands import (
     ApplyText,
     GiveKey,
@@ -32,6 +34,8 @@
     TargetLine,
 )
 from berylnotch.errors import ControlError
+from berylnotch.keys.keyring import KEY_HASH_BYTES, hash_digest
+from berylnotch.transport.identity import CALLER_KEY_NAME, identity_key
 
 if TYPE_CHECKING:
     from berylnotch.consensus.messages import Member
@@ -51,8 +55,10 @@
 )
 
 
-def check_operator_command(operator: str, command: Any) -> Any:
-    """Return the command if this operator may propose it.
+def check_operator_command(operator: str, command: Any, secret: bytes) -> Any:
+    """Return the command as it is stored, if this operator may propose it.
+
+    The tool sends a plain digest of a new key; the log holds a keyed hash.
 
     Raises
     ------
@@ -65,9 +71,18 @@
         raise ControlError(f"the command names {command.operator!r} as operator")
     if not command.change_id:
         raise ControlError("the command has no change id")
+    if isinstance(command, GiveKey):
+        return _with_keyed_hash(command, secret)
     return command
 
 
+def _with_keyed_hash(command: GiveKey, secret: bytes) -> GiveKey:
+    if len(command.key_hash) != KEY_HASH_BYTES:
+        raise ControlError(f"a key's digest has {KEY_HASH_BYTES} bytes")
+    key = identity_key(secret, CALLER_KEY_NAME)
+    return evolve(command, key_hash=hash_digest(key, command.key_hash))
+
+
 def answer(core: Core, message: Any) -> object:
     """Answer an operator's question; this controller leads."""
     state = core.state
--- a/berylnotch/keys/keyring.py
+++ b/berylnotch/keys/keyring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import hmac
 import secrets
 from collections.abc import Iterator
@@ -43,18 +44,32 @@
     return NewKey(key_id, f"{KEY_PREFIX}{key_id}-{secrets.token_urlsafe(KEY_BYTES)}")
 
 
-def hash_key(secret: bytes, key: str) -> bytes:
-    """Return the keyed hash under which a key is stored.
+def digest_key(key: str) -> bytes:
+    """Return what an operator's tool sends instead of the key.
+
+    A key is random and long, so that its plain digest does not give it away.
+    """
+    data = b"caller-key\0" + key.encode("utf-8", "surrogatepass")
+    return hashlib.sha256(data).digest()
+
+
+def hash_digest(secret: bytes, digest: bytes) -> bytes:
+    """Return the keyed hash under which the key with this digest is stored.
 
     Parameters
     ----------
     secret : bytes
-        Secret of the cluster, so that a stolen state does not tell keys.
-    key : str
-        The key as the caller sends it.
+        Secret that the controllers and routers share. Who holds the stored
+        hash or the digest alone cannot tell whether they belong together.
+    digest : bytes
+        Result of `digest_key`.
     """
-    data = b"caller-key\0" + key.encode("utf-8", "surrogatepass")
-    return hmac.digest(secret, data, "sha256")
+    return hmac.digest(secret, digest, "sha256")
+
+
+def hash_key(secret: bytes, key: str) -> bytes:
+    """Return the keyed hash of a key as a caller sends it."""
+    return hash_digest(secret, digest_key(key))
 
 
 class Keyring:
--- a/berylnotch/standins/fleet.py
+++ b/berylnotch/standins/fleet.py
@@ -22,12 +22,11 @@
     ProposeRequest,
     StatusRequest,
 )
-from berylnotch.keys.keyring import NewKey, hash_key, new_key
+from berylnotch.keys.keyring import NewKey, digest_key, new_key
 from berylnotch.standins.process import Child
 from berylnotch.transport.client import Client
 from berylnotch.transport.codec import encode
 from berylnotch.transport.identity import (
-    CALLER_KEY_NAME,
     OPERATOR_PREFIX,
     identity_key,
 )
@@ -204,9 +203,9 @@
     def give_key(self, organisation: str) -> NewKey:
         """Give an organisation a new key."""
         key = new_key()
-        key_hash = hash_key(identity_key(self._secret, CALLER_KEY_NAME), key.key)
         change_id = secrets.token_hex(8)
-        command = GiveKey(change_id, OPERATOR, key.key_id, organisation, key_hash)
+        digest = digest_key(key.key)
+        command = GiveKey(change_id, OPERATOR, key.key_id, organisation, digest)
         result = self.propose(command)
         if result.status is not Status.OK:
             raise ConditionError(result.message)
