--- /dev/null
+++ b/berylnotch/cmd/commands/address.py
@@ -0,0 +1,79 @@
+"""``berylnotch address``: ask which entry VM a caller should use."""
+
+from __future__ import annotations
+
+import argparse
+import io
+import json
+from urllib.parse import urlencode
+
+import pycurl
+
+from berylnotch.cmd.exits import EXIT_FAILURE, EXIT_OK
+from berylnotch.cmd.session import Session
+from berylnotch.control.protocol import StatusRequest
+from berylnotch.errors import TransportError
+
+HELP = "ask which entry VM a caller should use"
+DESCRIPTION = """\
+Ask a router, as a caller does and without a key, which entry VMs to use and how
+long to keep the answer. Without --router, the routers that the leader knows are
+asked until one answers."""
+
+_TIMEOUT_S = 5
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the command's arguments."""
+    parser.add_argument("--router", default="", metavar="IP:PORT")
+    parser.add_argument("--organisation", default="", metavar="NAME")
+    parser.add_argument("--failure-domain", default="", metavar="NAME")
+
+
+def main(args: argparse.Namespace, session: Session) -> int:
+    """Run the command."""
+    query = {"organisation": args.organisation, "failure-domain": args.failure_domain}
+    answer = _ask_any(_routers(args.router, session), query)
+    addresses = answer["addresses"]
+    if session.is_json:
+        session.write_json(answer)
+    elif addresses:
+        session.write("\n".join(addresses))
+        session.write(f"; keep for {answer['keep_s']} s")
+    else:
+        session.write("no entry VM takes callers now")
+    return EXIT_OK if addresses else EXIT_FAILURE
+
+
+def _routers(given: str, session: Session) -> tuple[str, ...]:
+    if given:
+        return (given,)
+    lines = session.call(StatusRequest()).routers
+    return tuple(line.http_address for line in lines if line.http_address)
+
+
+def _ask_any(routers: tuple[str, ...], query: dict[str, str]) -> dict:
+    failure = "the leader knows no router"
+    for router in routers:
+        try:
+            return _ask(f"http://{router}/berylnotch/address?{urlencode(query)}")
+        except (pycurl.error, ValueError) as error:
+            failure = f"{router}: {error}"
+    raise TransportError(failure)
+
+
+def _ask(url: str) -> dict:
+    body = io.BytesIO()
+    curl = pycurl.Curl()
+    curl.setopt(pycurl.URL, url)
+    curl.setopt(pycurl.TIMEOUT, _TIMEOUT_S)
+    curl.setopt(pycurl.PROXY, "")
+    curl.setopt(pycurl.WRITEDATA, body)
+    try:
+        curl.perform()
+    finally:
+        curl.close()
+    answer = json.loads(body.getvalue())
+    if not isinstance(answer, dict) or "addresses" not in answer:
+        raise ValueError("the answer is not an address answer")
+    return answer
--- a/berylnotch/control/changes.py
+++ b/berylnotch/control/changes.py
@@ -48,7 +48,7 @@
     data.text_operator = command.operator
     data.text_at_ms = context.at_ms
     data.book.prune(fleet.services, fleet.targets)
-    return Outcome(f"revision {view.revision + 1}", tuple(events))
+    return Outcome(events=tuple(events))
 
 
 def give_key(data: StateData, context: Context, command: GiveKey) -> Outcome:
