--- a/berylnotch/cmd/commands/address.py
+++ b/berylnotch/cmd/commands/address.py
@@ -11,14 +11,15 @@
 
 from berylnotch.cmd.exits import EXIT_FAILURE, EXIT_OK
 from berylnotch.cmd.session import Session
-from berylnotch.control.protocol import StatusRequest
+from berylnotch.control.protocol import ShowRequest, StatusRequest
 from berylnotch.errors import TransportError
+from berylnotch.fleet.text import parse
 
 HELP = "ask which entry VM a caller should use"
 DESCRIPTION = """\
 Ask a router, as a caller does and without a key, which entry VMs to use and how
-long to keep the answer. Without --router, the routers that the leader knows are
-asked until one answers."""
+long to keep the answer. Without --router, the entry VMs are asked until one
+answers."""
 
 _TIMEOUT_S = 5
 
@@ -48,12 +49,15 @@
 def _routers(given: str, session: Session) -> tuple[str, ...]:
     if given:
         return (given,)
-    lines = session.call(StatusRequest()).routers
-    return tuple(line.http_address for line in lines if line.http_address)
+    heard = [line.http_address for line in session.call(StatusRequest()).routers]
+    # A new leader has not heard every router yet; the text names all of them.
+    text = session.call(ShowRequest()).text
+    named = [vm.address for vm in parse(text).vms.values()] if text else []
+    return tuple(dict.fromkeys([*heard, *named]))
 
 
 def _ask_any(routers: tuple[str, ...], query: dict[str, str]) -> dict:
-    failure = "the leader knows no router"
+    failure = "no entry VM is known"
     for router in routers:
         try:
             return _ask(f"http://{router}/berylnotch/address?{urlencode(query)}")
--- a/tests/test_cmd/fakes.py
+++ b/tests/test_cmd/fakes.py
@@ -46,6 +46,8 @@
 class FakeCluster:
     """Stands in for `Client` and for what it is connected to."""
 
+    router_address = "127.0.0.1:8001"
+
     def __init__(self) -> None:
         self.machine = Machine()
         self.members = Members(tuple(member(n) for n in (1, 2, 3)))
@@ -113,7 +115,7 @@
             revision=self.machine.state.revision,
             controllers=tuple(lines),
             routers=(
-                RouterLine("entry-1", "i1", "127.0.0.1:8001", "howrah", "live", 90),
+                RouterLine("entry-1", "i1", self.router_address, "howrah", "live", 90),
             ),
             targets=(
                 TargetLine(
--- a/tests/test_cmd/test_tool.py
+++ b/tests/test_cmd/test_tool.py
@@ -240,6 +240,23 @@
     assert message in run.err
 
 
+def test_address_asks_the_entry_vms_of_the_text(tool, fleet, monkeypatch):
+    """A new leader may not have heard a router yet."""
+    asked = []
+
+    def ask(url):
+        asked.append(url.split("/")[2])
+        if len(asked) == 1:
+            raise ValueError("not a router")
+        return {"addresses": ["127.0.0.1:8001"], "keep_s": 30}
+
+    monkeypatch.setattr("berylnotch.cmd.commands.address._ask", ask)
+    monkeypatch.setattr(FakeCluster, "router_address", "127.0.0.1:8009")
+    run = tool("address", "--organisation", "clerks")
+    assert (run.code, run.out) == (0, "127.0.0.1:8001\n; keep for 30 s\n")
+    assert asked == ["127.0.0.1:8009", "127.0.0.1:8001"]
+
+
 def test_every_command_has_help(capsys):
     for name in COMMANDS:
         with pytest.raises(SystemExit) as caught:
