--- /dev/null
+++ b/benchmarks/control_state.py
@@ -0,0 +1,148 @@
+"""Memory and time of the control state at the target's size.
+
+``python -m benchmarks.control_state`` builds 2,900 organisations and 100,000
+keys and prints what the state and a router's view cost. Each measured step runs
+in this one process; memory is the resident set in Linux's ``/proc``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from berylnotch.control.commands import (
+    ApplyText,
+    GiveKey,
+    OpenClaim,
+    Proposal,
+    Status,
+)
+from berylnotch.control.state import ControlState
+from berylnotch.control.view import View
+from berylnotch.fleet.text import parse
+from berylnotch.transport.codec import encode
+
+#: Unix time of the first command, in milliseconds.
+_START_MS = 1_800_000_000_000
+
+
+def resident_mb() -> float:
+    """Return the resident set of this process in MB (10^6 bytes)."""
+    for line in Path("/proc/self/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * 1024 / 1e6
+    raise RuntimeError("no VmRSS in /proc/self/status")
+
+
+def fleet_text(organisations: int, engines: int, vms: int) -> str:
+    """Return an operators' text of the given size."""
+    parts = ["[fleet]\nregion = r\nfailure-domains = a, b, c, d\n"]
+    for number in range(vms):
+        address = f"10.1.{number // 250}.{number % 250 + 1}:8000"
+        parts.append(f"[vm entry-{number}]\naddress = {address}\n")
+        parts.append(f"failure-domain = {'abcd'[number % 4]}\n")
+    for number in range(4):
+        parts.append(f"[service llm-{number}]\nkind = language\n")
+        parts.append(f"models = model-{number}\nweights = v1\n")
+    for number in range(engines):
+        address = f"10.2.{number // 250}.{number % 250 + 1}:9000"
+        parts.append(f"[target engine-{number}]\nservice = llm-{number % 4}\n")
+        parts.append(f"address = {address}\nfailure-domain = {'abcd'[number % 4]}\n")
+    for number in range(organisations):
+        parts.append(f"[organisation organisation-{number}]\n")
+        parts.append("rate = 2000 tokens/s\nburst = 8000 tokens\n")
+    return "".join(parts)
+
+
+class Runner:
+    """Applies commands to a state at rising log indexes."""
+
+    def __init__(self) -> None:
+        self.state = ControlState()
+        self._index = 0
+
+    def run(self, command: object) -> None:
+        """Apply one command, which has to succeed."""
+        self._index += 1
+        proposal = Proposal(_START_MS + self._index, encode(command))
+        result = self.state.apply(self._index, proposal).result
+        if result.status is not Status.OK:
+            raise RuntimeError(f"{result.status.value}: {result.message}")
+
+
+def timed(name: str, call: Callable[[], Any]) -> Any:
+    """Run a call, print its time, and return its result."""
+    started = time.perf_counter()
+    found = call()
+    print(f"{name}: {(time.perf_counter() - started) * 1000:,.0f} ms")
+    return found
+
+
+def give_keys(runner: Runner, organisations: int, keys: int) -> None:
+    """Give keys, spread evenly over the organisations."""
+    rng = random.Random(1)
+    for number in range(keys):
+        runner.run(
+            GiveKey(
+                rng.randbytes(12).hex(),
+                "asha",
+                rng.randbytes(6).hex(),
+                f"organisation-{number % organisations}",
+                rng.randbytes(32),
+            )
+        )
+
+
+def open_claims(runner: Runner, organisations: int, claims: int) -> None:
+    """Open claims, spread evenly over the organisations."""
+    for number in range(claims):
+        organisation = f"organisation-{number % organisations}"
+        key = f"{number:032x}"
+        fingerprint = number.to_bytes(32, "big")
+        router, attempt = "entry-1/0123456789ab", f"{number:024x}"
+        runner.run(OpenClaim(organisation, key, fingerprint, router, attempt))
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the benchmark."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--organisations", type=int, default=2900)
+    parser.add_argument("--keys", type=int, default=100_000)
+    parser.add_argument("--claims", type=int, default=0)
+    parser.add_argument("--engines", type=int, default=850)
+    parser.add_argument("--vms", type=int, default=340)
+    args = parser.parse_args(argv)
+    print(f"at start: {resident_mb():.1f} MB")
+    text = fleet_text(args.organisations, args.engines, args.vms)
+    print(f"text: {len(text):,} bytes")
+    timed("parse the text", lambda: parse(text))
+    runner = Runner()
+    timed("apply the text", lambda: runner.run(ApplyText("t", "asha", 0, text)))
+    organisations, keys = args.organisations, args.keys
+    timed(f"give {keys:,} keys", lambda: give_keys(runner, organisations, keys))
+    if args.claims:
+        timed("open claims", lambda: open_claims(runner, organisations, args.claims))
+    print(f"with the state: {resident_mb():.1f} MB")
+    pack = timed("freeze the state", runner.state.freeze)
+    snapshot = timed("snapshot of the state", pack)
+    pack = None
+    print(f"snapshot of the state: {len(snapshot):,} bytes")
+    print(f"after the snapshot: {resident_mb():.1f} MB")
+    view_snapshot = timed("snapshot of the view", runner.state.view_snapshot)
+    print(f"snapshot of the view: {len(view_snapshot):,} bytes")
+    runner = None
+    restored = ControlState()
+    timed("restore the state", lambda: restored.restore(snapshot))
+    print(f"at the end, one state restored: {resident_mb():.1f} MB")
+    view = View()
+    timed("restore a view", lambda: view.restore(view_snapshot))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/berylnotch/control/records.py
+++ b/berylnotch/control/records.py
@@ -44,6 +44,15 @@
     given_ms: tuple[int, ...]
 
 
+@frozen
+class AuditBlock:
+    """Encoded `AuditRecord` with the fields that they are found by."""
+
+    indexes: tuple[int, ...]
+    change_ids: tuple[str, ...]
+    records: tuple[bytes, ...]
+
+
 @frozen
 class RolloutRecord:
     """Weights version that a service's engines shall hold."""
--- a/berylnotch/control/state.py
+++ b/berylnotch/control/state.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from attrs import frozen
@@ -40,6 +40,7 @@
 from berylnotch.control.limits import check_sizes, shorten
 from berylnotch.control.protocol import KeyLine
 from berylnotch.control.records import (
+    AuditBlock,
     KeyTimes,
     OrderRecord,
     RolloutRecord,
@@ -168,7 +169,16 @@
 
     def snapshot(self) -> bytes:
         """Return the whole state."""
-        return pack(self._records())
+        return self.freeze()()
+
+    def freeze(self) -> Callable[[], bytes]:
+        """Return a function that makes a snapshot of the state as it is now.
+
+        Collecting the records is quick. The function takes far longer; it may
+        run in another thread, while this state goes on.
+        """
+        records = tuple(self._records())
+        return lambda: pack(records)
 
     def restore(self, data: bytes) -> None:
         """Replace the state by a snapshot.
@@ -299,7 +309,7 @@
         yield from data.withdrawn.values()
         yield from data.ledger
         yield from data.book.records()
-        yield from self._audit
+        yield from self._audit.blocks()
 
     def _restore_records(self, header: StateHeader, rest: tuple[Any, ...]) -> None:
         self._index = header.index
@@ -321,8 +331,8 @@
             data.ledger.restore(record)
         elif isinstance(record, RolloutRecord | OrderRecord):
             data.book.restore(record)
-        elif isinstance(record, AuditRecord):
-            self._audit.append(record)
+        elif isinstance(record, AuditBlock):
+            self._audit.restore(record)
         else:
             message = f"{type(record).__name__} does not belong into a snapshot"
             raise SnapshotError(message)
--- a/berylnotch/fleet/sections.py
+++ b/berylnotch/fleet/sections.py
@@ -46,12 +46,13 @@
     """
     sections: list[Section] = []
     problems: list[Problem] = []
+    seen: dict[tuple[str, str], int] = {}
     for number, raw in enumerate(text.split("\n"), start=1):
         line = _COMMENT.sub("", raw).strip()
         if not line:
             continue
         if line.startswith("["):
-            _read_header(sections, problems, number, line)
+            _read_header(sections, problems, seen, number, line)
         else:
             _read_entry(sections, problems, number, line)
     if text and not text.endswith("\n"):
@@ -62,7 +63,11 @@
 
 
 def _read_header(
-    sections: list[Section], problems: list[Problem], number: int, line: str
+    sections: list[Section],
+    problems: list[Problem],
+    seen: dict[tuple[str, str], int],
+    number: int,
+    line: str,
 ) -> None:
     match = _HEADER.fullmatch(line)
     if match is None:
@@ -70,10 +75,11 @@
         sections.append(Section(number, "", ""))
         return
     section = Section(number, match[1], match[2] or "")
-    for other in sections:
-        if (other.kind, other.name) == (section.kind, section.name):
-            message = f"section {line} stands already at line {other.line}"
-            problems.append(Problem(number, message))
+    key = (section.kind, section.name)
+    if key in seen:
+        message = f"section {line} stands already at line {seen[key]}"
+        problems.append(Problem(number, message))
+    seen.setdefault(key, number)
     sections.append(section)
 
 
--- a/berylnotch/fleet/text.py
+++ b/berylnotch/fleet/text.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from functools import lru_cache
 from pathlib import Path
 from typing import Any
 
@@ -46,6 +47,8 @@
         raise FleetTextError((Problem(line, message),), path) from error
 
 
+# A state parses a text to check it and again when its view takes it over.
+@lru_cache(maxsize=1)
 def parse(text: str, path: str = "") -> Fleet:
     """Turn the operators' text into a fleet.
 
@@ -95,12 +98,12 @@
         yield Problem(0, f"the text is longer than {MAX_TEXT_BYTES} bytes")
         return
     for number, line in enumerate(text.split("\n"), start=1):
-        for character in line:
-            if character in "\t\r" or character.isprintable():
-                continue
-            message = f"character U+{ord(character):04X} is not allowed"
-            yield Problem(number, message)
-            break
+        plain = line.replace("\t", "").replace("\r", "")
+        if plain.isprintable():
+            continue
+        character = next(c for c in plain if not c.isprintable())
+        message = f"character U+{ord(character):04X} is not allowed"
+        yield Problem(number, message)
 
 
 def _read_section(section: Section, problems: list[Problem]) -> dict[str, Any]:
--- a/berylnotch/transport/berylnotch.capnp
+++ b/berylnotch/transport/berylnotch.capnp
@@ -85,6 +85,7 @@
     rolloutRecord @78 :RolloutRecord;
     orderRecord @79 :OrderRecord;
     timeoutNow @80 :TimeoutNow;
+    auditBlock @81 :AuditBlock;
   }
 }
 
@@ -628,3 +629,9 @@
   term @0 :Int64;
   leader @1 :Text;
 }
+
+struct AuditBlock {
+  indexes @0 :List(Int64);
+  changeIds @1 :List(Text);
+  records @2 :List(Data);
+}
--- a/berylnotch/transport/codec.py
+++ b/berylnotch/transport/codec.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from functools import cache
 from pathlib import Path
 from types import UnionType
 from typing import Any, TypeVar, get_args, get_origin, get_type_hints
@@ -41,6 +42,7 @@
     )
 
 
+@cache
 def camel(name: str) -> str:
     """Return the schema's name of a class or field."""
     head, *tail = name.split("_")
