Test failures of the request path on real processes; mend what they found

- curl repeats a request by itself when a kept connection turns out dead, also a POST: a generation ran twice on one engine, and a loss went unseen.
Only GET and HEAD go over kept connections now.
- A stream that ends cleanly without its end marker is no longer counted as a crash of the target.

--- a/berylnotch/control/state.py
+++ b/berylnotch/control/state.py
@@ -222,6 +222,11 @@
         """Return a claim."""
         return self._data.ledger.find(organisation, idempotency_key)
 
+    @property
+    def running_claims(self) -> tuple[ClaimRecord, ...]:
+        """Claims without an outcome, oldest first."""
+        return self._data.ledger.running
+
     def order(self, target: str) -> OrderRecord | None:
         """Return the newest order to an engine."""
         return self._data.book.orders.get(target)
--- a/berylnotch/daemon/controller/outside.py
+++ b/berylnotch/daemon/controller/outside.py
@@ -67,6 +67,6 @@
             if time.monotonic() >= valid_until:
                 done(None, UnreachableError("the lease ended", sent=False))
                 return
-            fetch(self._upstreams, request, read, done, idempotent=False)
+            fetch(self._upstreams, request, read, done)
 
         self._loop.call_soon(send)
--- a/berylnotch/daemon/controller/routers.py
+++ b/berylnotch/daemon/controller/routers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from attrs import frozen
@@ -10,6 +11,7 @@
 from berylnotch.control.protocol import GrantRequest, RouterLine
 
 if TYPE_CHECKING:
+    from berylnotch.control.commands import ClaimRecord
     from berylnotch.control.state import ControlState
 
 #: Source named in life states that come from heartbeats.
@@ -54,6 +56,7 @@
             if not _is_known(state, observed):
                 found.append(observed)
         found.extend(self._never_heard(now, state))
+        found.extend(self._lost_claimants(now, state))
         return tuple(found)
 
     def lines(self, now: float) -> tuple[RouterLine, ...]:
@@ -85,6 +88,28 @@
             )
         return found
 
+    def _lost_claimants(self, now: float, state: ControlState) -> list[SetLifeState]:
+        # A router may be lost between its first claim and its first heartbeat.
+        if now - self._since < LOST_AFTER_S:
+            return []
+        at_ms = int(time.time() * 1000)
+        routers = {
+            claim.router for claim in state.running_claims if _is_old(claim, at_ms)
+        }
+        found = []
+        for router in sorted(routers):
+            vm, _, incarnation = router.partition("/")
+            heard = self._heard.get(vm)
+            if heard is None or heard.request.incarnation != incarnation:
+                found.append(
+                    SetLifeState(Subject.VM, vm, incarnation, LifeState.LOST, SOURCE)
+                )
+        return found
+
+
+def _is_old(claim: ClaimRecord, at_ms: int) -> bool:
+    return at_ms - claim.opened_ms > LOST_AFTER_S * 1000
+
 
 def _is_known(state: ControlState, observed: SetLifeState) -> bool:
     report = state.view.life_report(observed.subject, observed.name)
--- a/berylnotch/daemon/router/heartbeat.py
+++ b/berylnotch/daemon/router/heartbeat.py
@@ -127,6 +127,7 @@
             self._quota.receive(sent_at, answer)
             self._on_grant()
         elif isinstance(answer, NotLeader):
+            self._urgent = bool(answer.leader_address)
             self._hint = answer.leader_address
             self._controller += 1
         else:
--- a/berylnotch/gateways/fetch.py
+++ b/berylnotch/gateways/fetch.py
@@ -64,7 +64,6 @@
     request: UpstreamRequest,
     read: Read[T],
     on_done: OnDone[T],
-    idempotent: bool = True,
 ) -> None:
     """Send a request and read its whole answer, in the loop's thread.
 
@@ -78,8 +77,6 @@
         Turns status and body into a value; raises `GatewayError`.
     on_done : callable
         Gets the value, or the error.
-    idempotent : bool, default=True
-        Whether a second run does no harm.
     """
     found = _Fetch(read, on_done)
-    upstreams.start(request, idempotent, found.on_head, found.on_body, found.on_end)
+    upstreams.start(request, found.on_head, found.on_body, found.on_end)
--- a/berylnotch/gateways/transfers.py
+++ b/berylnotch/gateways/transfers.py
@@ -19,6 +19,8 @@
 _MAX_HEAD_BYTES = 64 * 1024
 _CONNECT_TIMEOUT_MS = 1000
 _MAX_IDLE_CONNECTIONS = 512
+#: Methods whose requests may go over a kept connection.
+_REUSING_METHODS = ("GET", "HEAD")
 
 
 #: Takes the lines of an answer's head, the status line first.
@@ -105,21 +107,13 @@
     def start(
         self,
         request: UpstreamRequest,
-        idempotent: bool,
         on_head: OnHead,
         on_body: Callable[[bytes], None],
         on_end: Callable[[TransferEnd], None],
     ) -> Transfer:
-        """Send a request; the callbacks tell of its answer.
-
-        A request that is not idempotent gets a connection of its own.
-        """
+        """Send a request; the callbacks tell of its answer."""
         transfer = Transfer(on_head, on_body, on_end)
         _configure(transfer.curl, request)
-        if not idempotent:
-            # curl repeats a request by itself if a kept connection turns out dead.
-            transfer.curl.setopt(pycurl.FRESH_CONNECT, 1)
-            transfer.curl.setopt(pycurl.FORBID_REUSE, 1)
         transfer.curl.setopt(
             pycurl.HEADERFUNCTION, lambda line: self._on_header(transfer, line)
         )
@@ -280,6 +274,11 @@
     curl.setopt(pycurl.NOPROXY, "*")
     curl.setopt(pycurl.FOLLOWLOCATION, 0)
     curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP | pycurl.PROTO_HTTPS)
+    if request.method not in _REUSING_METHODS:
+        # curl repeats a request by itself if a kept connection turns out dead:
+        # a second run, and a lost target that the router would not hear of.
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+        curl.setopt(pycurl.FORBID_REUSE, 1)
     if request.body or request.method in ("POST", "PUT", "PATCH"):
         curl.setopt(pycurl.POST, 1)
         curl.setopt(pycurl.POSTFIELDSIZE_LARGE, len(request.body))
--- a/berylnotch/ledger/ledger.py
+++ b/berylnotch/ledger/ledger.py
@@ -45,6 +45,7 @@
         # Claims with a stored answer, oldest outcome first.
         self._bodies: dict[_Key, int] = {}
         self._bodies_bytes = 0
+        self._running: dict[_Key, ClaimRecord] = {}
 
     def __len__(self) -> int:
         return len(self._claims)
@@ -58,6 +59,11 @@
         for key in self._bodies:
             yield self._claims[key]
 
+    @property
+    def running(self) -> tuple[ClaimRecord, ...]:
+        """Claims without an outcome, oldest first."""
+        return tuple(self._running.values())
+
     def find(self, organisation: str, idempotency_key: str) -> ClaimRecord | None:
         """Return a claim."""
         return self._claims.get((organisation, idempotency_key))
@@ -177,9 +183,8 @@
         router = router_id(vm, incarnation)
         found = [
             claim
-            for claim in self._claims.values()
-            if claim.state is ClaimState.RUNNING
-            and claim.router.startswith(f"{vm}/")
+            for claim in self._running.values()
+            if claim.router.startswith(f"{vm}/")
             and (not incarnation or (claim.router == router) is lost)
         ]
         for claim in found:
@@ -229,6 +234,10 @@
         key = (claim.organisation, claim.idempotency_key)
         self._bodies_bytes -= self._bodies.pop(key, 0)
         self._claims[key] = claim
+        if claim.state is ClaimState.RUNNING:
+            self._running[key] = claim
+        else:
+            self._running.pop(key, None)
         if claim.body:
             self._bodies[key] = len(claim.body)
             self._bodies_bytes += len(claim.body)
@@ -240,6 +249,7 @@
     def _forget(self, claim: ClaimRecord) -> None:
         key = (claim.organisation, claim.idempotency_key)
         self._bodies_bytes -= self._bodies.pop(key, 0)
+        self._running.pop(key, None)
         del self._claims[key]
 
 
--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -41,8 +41,8 @@
     from berylnotch.server.delivery import Delivery
     from berylnotch.server.job import Job
 
-#: Causes that speak of a lost target rather than of a refusal by it.
-_LOSSES = (FailureCause.LOST, FailureCause.EMPTY, FailureCause.TRUNCATED)
+#: Causes that speak of a lost target rather than of one that answers badly.
+_LOSSES = (FailureCause.LOST, FailureCause.EMPTY)
 #: Causes that tell nothing bad of the target.
 _NEUTRAL = (FailureCause.REFUSED, FailureCause.WEIGHTS)
 _REPORT_S = 10.0
@@ -192,7 +192,6 @@
         )
         attempt.transfer = self._context.upstreams.start(
             request,
-            job.idempotent,
             lambda lines: self._on_head(job, attempt, lines),
             lambda data: self._on_body(job, attempt, data),
             lambda end: self._on_end(job, attempt, end),
