--- a/tests/test_consensus/test_members.py
+++ b/tests/test_consensus/test_members.py
@@ -102,7 +102,7 @@
         group[leader].propose_members(group.now, promoted(group[leader].members, "d/1"))
     group.cut.remove("d/1")
     group.advance(0.5)
-    assert group[leader].is_caught_up("d/1")
+    assert group[leader].is_caught_up(group.now, "d/1")
     change(group, leader, promoted(group[leader].members, "d/1"))
     change(group, leader, without(group[leader].members, lost))
     group.cut.add(leader)
