transport: plan of each message class made once; ledger shares names

The codec looked up types and names of every field of every message. Now each class has its readers and writers prepared.

--- a/berylnotch/ledger/ledger.py
+++ b/berylnotch/ledger/ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from sys import intern
 
 from attrs import evolve
 
@@ -226,7 +227,10 @@
             raise ClaimError(Status.INVALID, f"{MAX_CLAIMS} claims are held already")
 
     def _store(self, claim: ClaimRecord) -> None:
-        key = (claim.organisation, claim.idempotency_key)
+        # Few organisations and routers share many claims.
+        organisation, router = intern(claim.organisation), intern(claim.router)
+        claim = evolve(claim, organisation=organisation, router=router)
+        key = (organisation, claim.idempotency_key)
         self._bodies_bytes -= self._bodies.pop(key, 0)
         self._claims[key] = claim
         if claim.body:
--- a/berylnotch/transport/codec.py
+++ b/berylnotch/transport/codec.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
-from functools import cache
+from functools import cache, partial
 from pathlib import Path
 from types import UnionType
 from typing import Any, TypeVar, get_args, get_origin, get_type_hints
@@ -49,77 +50,102 @@
     return head[0].lower() + head[1:] + "".join(part.capitalize() for part in tail)
 
 
-_hints: dict[type, dict[str, Any]] = {}
 _by_field: dict[str, type] = {camel(cls.__name__): cls for cls in message_classes()}
 
 
-def _fields(cls: type) -> dict[str, Any]:
-    found = _hints.get(cls)
-    if found is None:
-        hints = get_type_hints(cls)
-        found = {field.name: hints[field.name] for field in attrs.fields(cls)}
-        _hints[cls] = found
-    return found
+@attrs.frozen
+class _Field:
+    """How one field of a message class is read and written."""
 
+    name: str
+    camel: str
+    read: Callable[[Any, str], Any]
+    write: Callable[[Any, str, Any], None]
 
-def _optional(hint: Any) -> Any:
+
+@cache
+def _fields(cls: type) -> tuple[_Field, ...]:
+    hints = get_type_hints(cls)
+    return tuple(
+        _Field(field.name, camel(field.name), *_functions(hints[field.name]))
+        for field in attrs.fields(cls)
+    )
+
+
+def _functions(hint: Any) -> tuple[Callable, Callable]:
+    """Return the functions that read and write a field of this type."""
     if get_origin(hint) is UnionType:
-        return next(arg for arg in get_args(hint) if arg is not type(None))
-    return hint
+        inner = next(arg for arg in get_args(hint) if arg is not type(None))
+        return partial(_read_optional, inner), _write_optional
+    if get_origin(hint) is tuple:
+        item = get_args(hint)[0]
+        if attrs.has(item):
+            return partial(_read_messages, item), _write_messages
+        return _read_list, _write_list
+    if issubclass(hint, Enum):
+        return partial(_read_enum, hint), _write_enum
+    if attrs.has(hint):
+        return partial(_read_message, hint), _write_message
+    return getattr, setattr
 
 
 def _fill(builder: Any, message: Any) -> None:
-    for name in _fields(type(message)):
-        value = getattr(message, name)
-        field = camel(name)
-        if value is None:
-            continue
-        if isinstance(value, Enum):
-            setattr(builder, field, value.value)
-        elif attrs.has(type(value)):
-            _fill(builder.init(field), value)
-        elif isinstance(value, tuple):
-            _fill_list(builder, field, value)
-        else:
-            setattr(builder, field, value)
-
-
-def _fill_list(builder: Any, field: str, values: tuple[Any, ...]) -> None:
+    for field in _fields(type(message)):
+        field.write(builder, field.camel, getattr(message, field.name))
+
+
+def _read(reader: Any, cls: type[T]) -> T:
+    values = [field.read(reader, field.camel) for field in _fields(cls)]
+    return cls(*values)
+
+
+def _read_optional(cls: type, reader: Any, field: str) -> Any:
+    return _read(getattr(reader, field), cls) if reader._has(field) else None
+
+
+def _write_optional(builder: Any, field: str, value: Any) -> None:
+    if value is not None:
+        _fill(builder.init(field), value)
+
+
+def _read_messages(cls: type, reader: Any, field: str) -> tuple[Any, ...]:
+    return tuple(_read(item, cls) for item in getattr(reader, field))
+
+
+def _write_messages(builder: Any, field: str, values: tuple[Any, ...]) -> None:
     if not values:
         return
     items = builder.init(field, len(values))
     for position, value in enumerate(values):
-        if attrs.has(type(value)):
-            _fill(items[position], value)
-        else:
-            items[position] = value
+        _fill(items[position], value)
 
 
-def _read(reader: Any, cls: type[T]) -> T:
-    values = {}
-    for name, hint in _fields(cls).items():
-        values[name] = _read_field(reader, camel(name), hint)
-    return cls(**values)
+def _read_list(reader: Any, field: str) -> tuple[Any, ...]:
+    return tuple(getattr(reader, field))
 
 
-def _read_field(reader: Any, field: str, hint: Any) -> Any:
-    inner = _optional(hint)
-    if inner is not hint:
-        return _read(getattr(reader, field), inner) if reader._has(field) else None
-    if get_origin(hint) is tuple:
-        return _read_list(getattr(reader, field), get_args(hint)[0])
-    value = getattr(reader, field)
-    if isinstance(hint, type) and issubclass(hint, Enum):
-        return hint(value)
-    if attrs.has(hint):
-        return _read(value, hint)
-    return value
+def _write_list(builder: Any, field: str, values: tuple[Any, ...]) -> None:
+    if not values:
+        return
+    items = builder.init(field, len(values))
+    for position, value in enumerate(values):
+        items[position] = value
+
+
+def _read_enum(cls: type[Enum], reader: Any, field: str) -> Enum:
+    return cls(getattr(reader, field))
+
+
+def _write_enum(builder: Any, field: str, value: Enum) -> None:
+    setattr(builder, field, value.value)
+
+
+def _read_message(cls: type, reader: Any, field: str) -> Any:
+    return _read(getattr(reader, field), cls)
 
 
-def _read_list(items: Any, item_hint: Any) -> tuple[Any, ...]:
-    if attrs.has(item_hint):
-        return tuple(_read(item, item_hint) for item in items)
-    return tuple(items)
+def _write_message(builder: Any, field: str, value: Any) -> None:
+    _fill(builder.init(field), value)
 
 
 def encode(message: object) -> bytes:
