--- a/berylnotch/settings/base.py
+++ b/berylnotch/settings/base.py
@@ -129,7 +129,7 @@
         known = {setting.section for setting in self._table} | set(ADDRESS_SECTIONS)
         if section.kind not in known:
             hint = nearest(section.kind, known)
-            self._add(section.line, f"unknown section [{section.kind}]{hint}")
+            self._add(section.line, f"unknown section [{section.kind}]; {hint}")
         elif section.kind in ADDRESS_SECTIONS:
             self._read_addresses(section)
         else:
@@ -160,7 +160,7 @@
             setting = settings.get(name)
             if setting is None:
                 hint = nearest(name, settings)
-                self._add(entry.line, f"unknown setting {name!r}{hint}")
+                self._add(entry.line, f"unknown setting {name!r}; {hint}")
                 continue
             try:
                 self._values[setting.field] = setting.convert(entry.value)
--- a/tests/test_control/test_state.py
+++ b/tests/test_control/test_state.py
@@ -220,6 +220,16 @@
     assert machine.state.snapshot() == before
 
 
+def test_frozen_state_does_not_follow_changes():
+    machine = applied()
+    machine.run(key(1))
+    before = machine.state.snapshot()
+    pack = machine.state.freeze()
+    machine.run(WithdrawKey("w-1", "asha", "k1"))
+    machine.run(claim())
+    assert pack() == before
+
+
 def test_bad_event_leaves_the_view():
     machine = applied()
     view = View()
