admission: bounded fair queue with early refusal, and its properties

Requests past their deadline stay counted until expire hands them out: a property found them answered twice and outside the bound. Early refusal uses the organisation's own service rate, without the time in which it lacked tokens; an unknown rate refuses nobody. Organisations whose oldest request does not fit are set aside, so that an operation costs O(log n) on average.

--- a/berylnotch/admission/queue.py
+++ b/berylnotch/admission/queue.py
@@ -4,18 +4,18 @@
 
 import heapq
 import math
-from collections import deque
+from itertools import count
 from typing import TYPE_CHECKING
 
-from attrs import define, field
-
+from berylnotch.admission.backlog import NO_ENTRY, Backlog
 from berylnotch.admission.errors import DuplicateTicketError
-from berylnotch.admission.ticket import Refusal, RefusalReason, Ticket
+from berylnotch.admission.ticket import Fit, Refusal, RefusalReason
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from berylnotch.admission.settings import AdmissionSettings
+    from berylnotch.admission.ticket import Ticket
 
 #: Priority at which an organisation's own share counts unchanged.
 EVEN_PRIORITY = 4
@@ -26,14 +26,14 @@
 #: Shortest time after which a refused caller is told to come back.
 MIN_RETRY_MS = 100
 
+#: Longest time after which a refused caller is told to come back.
+MAX_RETRY_MS = 30_000
 
-@define
-class _Backlog:
-    """Waiting requests of one organisation; ``start`` is its head's tag."""
+#: The same while the service rate is not known.
+UNKNOWN_RETRY_MS = 1000
 
-    tickets: deque[Ticket] = field(factory=deque)
-    start: float = 0.0
-    live: int = 0
+#: Outdated heap entries that are kept beside as many valid ones.
+SLACK_ENTRIES = 64
 
 
 class FairQueue:
@@ -45,6 +45,9 @@
     is served first. An organisation with a worse priority has used more than
     its share over all routers, and its share counts for less.
 
+    Each operation costs O(log n) on average. An organisation whose oldest
+    request does not fit is set aside until `wake`, or for ``recheck_s``.
+
     Parameters
     ----------
     settings : AdmissionSettings
@@ -54,55 +57,80 @@
     def __init__(self, settings: AdmissionSettings) -> None:
         self._settings = settings
         self._waiting: dict[str, Ticket] = {}
-        self._backlogs: dict[str, _Backlog] = {}
-        self._order: list[tuple[float, str]] = []
+        self._backlogs: dict[str, Backlog] = {}
+        self._order: list[tuple[float, int, str]] = []
+        self._parked: list[tuple[float, int, str]] = []
         self._deadlines: list[tuple[float, str]] = []
+        self._numbers = count()
         self._virtual = 0.0
+        self._now = -math.inf
 
     def __len__(self) -> int:
         return len(self._waiting)
 
+    @property
+    def n_entries(self) -> int:
+        """Entries in memory, outdated ones included."""
+        heaps = len(self._order) + len(self._parked) + len(self._deadlines)
+        return heaps + sum(b.size for b in self._backlogs.values())
+
     def offer(self, now: float, ticket: Ticket) -> Refusal | None:
-        """Queue a request, or say why not and when to come back."""
+        """Queue a request, or say why not and when to come back.
+
+        Raises
+        ------
+        DuplicateTicketError
+            If a request of the same identity waits.
+        """
+        self._now = max(self._now, now)
         if ticket.identity in self._waiting:
             raise DuplicateTicketError(ticket.identity)
         reason = self._refusal_reason(now, ticket)
         if reason is not None:
             retry_after_ms = self.retry_after_ms(now, ticket.organisation)
             return Refusal(reason, retry_after_ms)
-        self._insert(ticket)
+        self._insert(now, ticket)
         return None
 
-    def pop(self, now: float, fits: Callable[[Ticket], bool]) -> Ticket | None:
+    def pop(self, now: float, fits: Callable[[Ticket], Fit | bool]) -> Ticket | None:
         """Take the next request that fits, or none.
 
-        Only the oldest request of each organisation is considered.
+        Only the oldest request of each organisation is considered. ``fits``
+        says whether it may run now; it is called at most once for each
+        organisation that is not set aside.
         """
-        passed = []
-        found = None
-        while self._order and found is None:
-            start, organisation = heapq.heappop(self._order)
-            head = self._head(organisation)
+        self._now = max(self._now, now)
+        self._unpark(now)
+        while self._order:
+            _, number, organisation = heapq.heappop(self._order)
+            backlog = self._backlogs.get(organisation)
+            if backlog is None or backlog.entry != number:
+                continue
+            head = backlog.head(now)
             if head is None:
+                backlog.entry = NO_ENTRY
                 continue
-            if head.deadline > now and fits(head):
-                found = head
-            else:
-                passed.append((start, organisation))
-        for entry in passed:
-            heapq.heappush(self._order, entry)
-        if found is not None:
-            self._serve(found)
-        return found
+            fit = fits(head)
+            if fit is True or fit is Fit.FITS:
+                self._serve(now, backlog, head)
+                return head
+            self._park(now, backlog, organisation, fit)
+        return None
+
+    def wake(self, organisation: str) -> None:
+        """Consider an organisation again, which got tokens or capacity."""
+        backlog = self._backlogs.get(organisation)
+        if backlog is not None and backlog.is_parked:
+            self._enter(backlog, organisation)
 
     def expire(self, now: float) -> tuple[Ticket, ...]:
         """Take out the requests whose deadline has passed."""
         gone = []
         while self._deadlines and self._deadlines[0][0] <= now:
-            _, identity = heapq.heappop(self._deadlines)
+            deadline, identity = heapq.heappop(self._deadlines)
             ticket = self._waiting.get(identity)
-            if ticket is not None and ticket.deadline <= now:
-                self._remove(ticket)
+            if ticket is not None and ticket.deadline == deadline:
+                self._remove(now, ticket)
                 gone.append(ticket)
         return tuple(gone)
 
@@ -110,12 +138,20 @@
         """Take out a request that was given up; return whether it waited."""
         if self._waiting.get(ticket.identity) is not ticket:
             return False
-        self._remove(ticket)
+        self._remove(self._now, ticket)
         return True
 
     def retry_after_ms(self, now: float, organisation: str) -> int:
-        """Return when a refused caller should come back."""
-        return MIN_RETRY_MS
+        """Return when a refused caller should come back.
+
+        This is the time that the organisation's backlog needs at the rate at
+        which it is served.
+        """
+        backlog = self._backlogs.get(organisation)
+        wait_s = 0.0 if backlog is None else backlog.expected_wait_s(now)
+        if not wait_s:
+            return UNKNOWN_RETRY_MS
+        return max(MIN_RETRY_MS, min(MAX_RETRY_MS, math.ceil(wait_s * 1000)))
 
     def _refusal_reason(self, now: float, ticket: Ticket) -> RefusalReason | None:
         if ticket.deadline <= now:
@@ -124,43 +160,98 @@
         if free <= 0:
             return RefusalReason.QUEUE_FULL
         backlog = self._backlogs.get(ticket.organisation)
-        allowed = max(1, math.floor(free * self._settings.free_fraction))
-        if backlog is not None and backlog.live >= allowed:
+        if backlog is None or not len(backlog):
+            return None
+        if len(backlog) >= max(1, free * self._settings.free_fraction):
             return RefusalReason.ORGANISATION_FULL
+        bearable_s = min(self._settings.max_wait_s, ticket.deadline - now)
+        if backlog.expected_wait_s(now) > bearable_s:
+            return RefusalReason.WAIT_TOO_LONG
         return None
 
-    def _insert(self, ticket: Ticket) -> None:
+    def _insert(self, now: float, ticket: Ticket) -> None:
         backlog = self._backlogs.get(ticket.organisation)
         if backlog is None:
-            backlog = _Backlog()
+            backlog = Backlog(self._settings.rate_window_s, now)
             self._backlogs[ticket.organisation] = backlog
-        if not backlog.live:
-            backlog.tickets.clear()
+        backlog.add(now, ticket)
+        if backlog.entry == NO_ENTRY:
             backlog.start = max(backlog.start, self._virtual)
-            heapq.heappush(self._order, (backlog.start, ticket.organisation))
-        backlog.tickets.append(ticket)
-        backlog.live += 1
+            backlog.is_short = False
+            self._enter(backlog, ticket.organisation)
         self._waiting[ticket.identity] = ticket
         heapq.heappush(self._deadlines, (ticket.deadline, ticket.identity))
 
-    def _head(self, organisation: str) -> Ticket | None:
-        tickets = self._backlogs[organisation].tickets
-        while tickets and self._waiting.get(tickets[0].identity) is not tickets[0]:
-            tickets.popleft()
-        return tickets[0] if tickets else None
+    def _enter(self, backlog: Backlog, organisation: str) -> None:
+        backlog.is_parked = False
+        backlog.entry = next(self._numbers)
+        entry = (backlog.start, backlog.entry, organisation)
+        heapq.heappush(self._order, entry)
 
-    def _serve(self, ticket: Ticket) -> None:
-        backlog = self._backlogs[ticket.organisation]
+    def _park(
+        self, now: float, backlog: Backlog, organisation: str, fit: Fit | bool
+    ) -> None:
+        backlog.is_short = fit is Fit.NO_TOKENS
+        backlog.is_parked = True
+        backlog.entry = next(self._numbers)
+        until = now + self._settings.recheck_s
+        heapq.heappush(self._parked, (until, backlog.entry, organisation))
+
+    def _unpark(self, now: float) -> None:
+        while self._parked and self._parked[0][0] <= now:
+            _, number, organisation = heapq.heappop(self._parked)
+            backlog = self._backlogs.get(organisation)
+            if backlog is not None and backlog.entry == number:
+                self._enter(backlog, organisation)
+
+    def _serve(self, now: float, backlog: Backlog, ticket: Ticket) -> None:
         self._virtual = max(self._virtual, backlog.start)
         backlog.start += ticket.cost / _weight(ticket)
-        self._remove(ticket)
-        if self._head(ticket.organisation) is not None:
-            entry = (backlog.start, ticket.organisation)
-            heapq.heappush(self._order, entry)
+        backlog.serve(now, ticket)
+        backlog.entry = NO_ENTRY
+        del self._waiting[ticket.identity]
+        if len(backlog):
+            self._enter(backlog, ticket.organisation)
+        self._compact()
 
-    def _remove(self, ticket: Ticket) -> None:
+    def _remove(self, now: float, ticket: Ticket) -> None:
         del self._waiting[ticket.identity]
-        self._backlogs[ticket.organisation].live -= 1
+        backlog = self._backlogs[ticket.organisation]
+        backlog.remove(now, ticket)
+        if not len(backlog):
+            backlog.entry = NO_ENTRY
+            backlog.is_parked = False
+        self._compact()
+
+    def _compact(self) -> None:
+        """Drop outdated entries once they outnumber the valid ones."""
+        allowed = 2 * len(self._waiting) + SLACK_ENTRIES
+        if len(self._deadlines) > allowed:
+            self._deadlines = [(t.deadline, t.identity) for t in self._waiting.values()]
+            heapq.heapify(self._deadlines)
+        if len(self._order) > allowed:
+            self._order = self._valid(self._order)
+        if len(self._parked) > allowed:
+            self._parked = self._valid(self._parked)
+        if len(self._backlogs) > allowed:
+            self._forget_idle()
+
+    def _valid(self, heap: list[tuple[float, int, str]]) -> list:
+        backlogs = self._backlogs
+        kept = [e for e in heap if e[2] in backlogs and backlogs[e[2]].entry == e[1]]
+        heapq.heapify(kept)
+        return kept
+
+    def _forget_idle(self) -> None:
+        """Drop organisations without a backlog whose tag lies in the past."""
+        if not self._waiting:
+            self._backlogs.clear()
+            return
+        self._backlogs = {
+            name: backlog
+            for name, backlog in self._backlogs.items()
+            if len(backlog) or backlog.start > self._virtual
+        }
 
 
 def _weight(ticket: Ticket) -> float:
--- a/berylnotch/admission/ticket.py
+++ b/berylnotch/admission/ticket.py
@@ -39,6 +39,14 @@
     priority: int = field(default=4, validator=ge(0))
 
 
+class Fit(Enum):
+    """Whether a waiting request may run now."""
+
+    FITS = "fits"
+    NO_CAPACITY = "no-capacity"
+    NO_TOKENS = "no-tokens"
+
+
 class RefusalReason(Enum):
     """Why a request was not queued."""
 
--- a/tests/test_admission/test_queue.py
+++ b/tests/test_admission/test_queue.py
@@ -9,6 +9,7 @@
 from berylnotch.admission import (
     AdmissionSettings,
     FairQueue,
+    Fit,
     RefusalReason,
     Ticket,
 )
@@ -74,3 +75,38 @@
     assert queue.cancel(given_up)
     assert not queue.cancel(given_up)
     assert queue.pop(1.0, lambda _: True) is None
+
+
+def test_slowly_served_backlog_refuses_early_with_the_time_it_needs(queue):
+    for step in range(40):
+        queue.offer(step / 10, ticket())
+    for step in range(4):
+        queue.pop(4.0 + step, lambda _: True)
+    refusal = queue.offer(8.0, ticket())
+    assert refusal.reason is RefusalReason.WAIT_TOO_LONG
+    assert 5_000 < refusal.retry_after_ms <= 30_000
+
+
+def test_lack_of_tokens_does_not_count_as_slow_service(queue):
+    for step in range(10):
+        queue.offer(step / 10, ticket())
+    for step in range(1000):
+        assert queue.pop(1.0 + step / 10, lambda _: Fit.NO_TOKENS) is None
+    assert queue.offer(99.0, ticket(deadline=200.0)) is None
+
+
+def test_woken_organisation_is_considered_at_once(queue):
+    waiting = ticket()
+    queue.offer(0.0, waiting)
+    assert queue.pop(0.0, lambda _: False) is None
+    assert queue.pop(0.0, lambda _: True) is None
+    queue.wake("clinic")
+    assert queue.pop(0.0, lambda _: True) is waiting
+
+
+def test_overdue_head_does_not_hide_the_next_request(queue):
+    overdue, fresh = ticket(deadline=1.0), ticket()
+    queue.offer(0.0, overdue)
+    queue.offer(0.0, fresh)
+    assert queue.pop(2.0, lambda _: True) is fresh
+    assert queue.expire(2.0) == (overdue,)
