--- /dev/null
+++ b/berylnotch/admission/retry.py
@@ -0,0 +1,124 @@
+"""Whether a failed attempt may be repeated on another target."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from attrs import field, frozen
+from attrs.validators import ge, gt
+
+
+class Mark(Enum):
+    """Whether a target ran the request, as far as this router can prove."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class RetryDecision(Enum):
+    """Whether to try again, and if not, why."""
+
+    RETRY = "retry"
+    NOT_IDEMPOTENT = "not-idempotent"
+    ALREADY_RAN = "already-ran"
+    TOO_MANY_ATTEMPTS = "too-many-attempts"
+    DEADLINE_TOO_NEAR = "deadline-too-near"
+    BUDGET_SPENT = "budget-spent"
+
+
+@frozen
+class RetrySettings:
+    """Bounds of retries.
+
+    Parameters
+    ----------
+    max_attempts : int, default=3
+        Attempts of one request, the first included.
+    ratio : float, default=0.1
+        Retries that each first attempt earns its service. Higher hides more
+        failures, and adds as much load while targets are overloaded.
+    reserve : float, default=10.0
+        Most retries that a service saves up, and what it starts with.
+    """
+
+    max_attempts: int = field(default=3, validator=ge(1))
+    ratio: float = field(default=0.1, validator=ge(0))
+    reserve: float = field(default=10.0, validator=gt(0))
+
+
+@frozen
+class Attempt:
+    """A failed attempt.
+
+    Parameters
+    ----------
+    number : int
+        1 for the first attempt.
+    is_idempotent : bool
+        Whether the request may run more than once.
+    mark : Mark
+        Whether the target ran it.
+    deadline : float
+        Monotonic time after which the caller does not want the answer.
+    expected_s : float
+        Time that another attempt takes until its answer is of use.
+    """
+
+    number: int
+    is_idempotent: bool
+    mark: Mark
+    deadline: float
+    expected_s: float = 0.0
+
+
+class RetryBudget:
+    """Bounds one service's retries to a part of its first attempts.
+
+    Parameters
+    ----------
+    settings : RetrySettings
+        Ratio and reserve.
+    """
+
+    def __init__(self, settings: RetrySettings) -> None:
+        self._settings = settings
+        self._balance = settings.reserve
+
+    @property
+    def has_room(self) -> bool:
+        """Whether another retry may be made."""
+        return self._balance >= 1
+
+    def earn(self) -> None:
+        """Count a first attempt."""
+        earned = self._balance + self._settings.ratio
+        self._balance = min(self._settings.reserve, earned)
+
+    def spend(self) -> bool:
+        """Take one retry; return whether there was room for it."""
+        if not self.has_room:
+            return False
+        self._balance -= 1
+        return True
+
+
+def may_retry(
+    settings: RetrySettings, now: float, attempt: Attempt, has_budget: bool
+) -> RetryDecision:
+    """Decide on another attempt.
+
+    A request that is not idempotent is repeated only if it is proved that no
+    target ran it. The caller spends the budget after a `RetryDecision.RETRY`.
+    """
+    if attempt.mark is Mark.RAN:
+        return RetryDecision.ALREADY_RAN
+    if attempt.mark is Mark.UNKNOWN and not attempt.is_idempotent:
+        return RetryDecision.NOT_IDEMPOTENT
+    if attempt.number >= settings.max_attempts:
+        return RetryDecision.TOO_MANY_ATTEMPTS
+    if now + attempt.expected_s >= attempt.deadline:
+        return RetryDecision.DEADLINE_TOO_NEAR
+    if not has_budget:
+        return RetryDecision.BUDGET_SPENT
+    return RetryDecision.RETRY
--- /dev/null
+++ b/tests/test_admission/test_retry.py
@@ -0,0 +1,53 @@
+"""Retries only where they are safe, within the budget."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from berylnotch.admission.retry import (
+    Attempt,
+    Mark,
+    RetryBudget,
+    RetryDecision,
+    RetrySettings,
+    may_retry,
+)
+
+SETTINGS = RetrySettings()
+
+
+@given(
+    number=st.integers(1, 5),
+    idempotent=st.booleans(),
+    mark=st.sampled_from(Mark),
+    left_s=st.floats(-1, 3),
+    has_budget=st.booleans(),
+)
+def test_a_retry_is_always_safe_and_in_time(
+    number, idempotent, mark, left_s, has_budget
+):
+    attempt = Attempt(number, idempotent, mark, deadline=left_s, expected_s=1.0)
+    decision = may_retry(SETTINGS, 0.0, attempt, has_budget)
+    if decision is RetryDecision.RETRY:
+        assert idempotent or mark is Mark.NOT_RUN
+        assert mark is not Mark.RAN
+        assert number < SETTINGS.max_attempts and left_s > 1.0 and has_budget
+
+
+def test_idempotent_request_of_unknown_outcome_is_repeated():
+    attempt = Attempt(1, True, Mark.UNKNOWN, deadline=5.0)
+    assert may_retry(SETTINGS, 0.0, attempt, True) is RetryDecision.RETRY
+
+
+@given(st.lists(st.booleans(), max_size=300))
+def test_retries_stay_a_part_of_the_first_attempts(calls):
+    budget = RetryBudget(SETTINGS)
+    earned = spent = 0
+    for is_first in calls:
+        if is_first:
+            budget.earn()
+            earned += 1
+        else:
+            spent += budget.spend()
+        assert spent <= SETTINGS.reserve + SETTINGS.ratio * earned + 1e-9
