--- a/berylnotch/consensus/messages.py
+++ b/berylnotch/consensus/messages.py
@@ -67,13 +67,22 @@
 
 @frozen
 class VoteRequest:
-    """Candidate's request for a vote; ``pre`` asks without a new term."""
+    """Candidate's request for a vote; ``pre`` asks without a new term.
+
+    ``transfer`` tells that the leader gave up its lease for this candidate.
+    ``address`` is where the answer goes if the candidate is not yet known.
+    ``replica`` is whom it is for: after a disk was wiped, another replica may
+    listen at the same address.
+    """
 
     term: int
     candidate: str
     last_index: int
     last_term: int
     pre: bool = False
+    transfer: bool = False
+    address: str = ""
+    replica: str = ""
 
 
 @frozen
@@ -92,7 +101,8 @@
 
     ``round`` numbers the leader's heartbeat rounds. A reply repeats it, so
     that the leader counts a lease from when the round was sent, not from when
-    the answer came.
+    the answer came. ``address`` is the leader's, for replicas that do not yet
+    know the members. ``replica`` is whom it is for.
     """
 
     term: int
@@ -102,6 +112,8 @@
     commit: int
     round: int
     entries: tuple[Entry, ...] = ()
+    address: str = ""
+    replica: str = ""
 
 
 @frozen
@@ -128,6 +140,8 @@
     data: bytes
     done: bool
     round: int
+    address: str = ""
+    replica: str = ""
 
 
 @frozen
@@ -140,3 +154,11 @@
     offset: int
     done: bool
     round: int
+
+
+@frozen
+class TimeoutNow:
+    """Leader's request to stand for election at once; its lease is over."""
+
+    term: int
+    leader: str
--- /dev/null
+++ b/berylnotch/server/context.py
@@ -0,0 +1,76 @@
+"""What the parts of a router's request path share."""
+
+from __future__ import annotations
+
+import time
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from berylnotch.control.protocol import WhyReply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from berylnotch.control.view import View
+    from berylnotch.daemon.router.proposer import Proposer
+    from berylnotch.gateways.transfers import Upstreams
+    from berylnotch.keys.freshness import Freshness
+    from berylnotch.membership.crashes import CrashGuard
+    from berylnotch.membership.targets import TargetHealth
+    from berylnotch.placement.placer import Placer
+    from berylnotch.quota.local import LocalQuota
+    from berylnotch.server.job import Job
+    from berylnotch.settings.router import RouterSettings
+    from berylnotch.util.loop import Loop
+    from berylnotch.util.metrics import Metrics
+
+#: Requests whose choice of target is remembered.
+_MAX_DECISIONS = 4096
+
+
+class Decisions:
+    """Newest choices of targets, for ``berylnotch why``."""
+
+    def __init__(self) -> None:
+        self._decisions: OrderedDict[str, WhyReply] = OrderedDict()
+
+    def record(self, decision: WhyReply) -> None:
+        """Remember a choice, the newest one of a request."""
+        self._decisions[decision.request_id] = decision
+        self._decisions.move_to_end(decision.request_id)
+        if len(self._decisions) > _MAX_DECISIONS:
+            self._decisions.popitem(last=False)
+
+    def find(self, request_id: str) -> WhyReply:
+        """Return the choice, or a reply without lines."""
+        return self._decisions.get(request_id, WhyReply(request_id, "", 0))
+
+
+@define
+class Context:
+    """Shared state of a router; used in the loop's thread only.
+
+    ``view`` and ``freshness`` are also read by the threads that check requests.
+    """
+
+    loop: Loop
+    settings: RouterSettings
+    view: View
+    freshness: Freshness
+    quota: LocalQuota
+    health: TargetHealth
+    guard: CrashGuard
+    placer: Placer
+    upstreams: Upstreams
+    proposer: Proposer
+    metrics: Metrics
+    incarnation: str
+    hurry: Callable[[], None]
+    decisions: Decisions = field(factory=Decisions)
+    jobs: set[Job] = field(factory=set)
+
+    def shared_losses(self, fingerprint: bytes) -> frozenset[str]:
+        """Return the targets that routers report lost with a request."""
+        return self.view.crash_targets(fingerprint, int(time.time() * 1000))
--- /dev/null
+++ b/berylnotch/server/runner.py
@@ -0,0 +1,378 @@
+"""Runs exchanges: carries their actions out and feeds them what happens."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from berylnotch.control.commands import ReportCrash
+from berylnotch.gateways.engine import read_engine_head
+from berylnotch.gateways.errors import BadAnswerError, ForbiddenRequestError
+from berylnotch.gateways.plain import read_plain_head
+from berylnotch.server import responses
+from berylnotch.server.errors import Refusal
+from berylnotch.server.job import Attempt
+from berylnotch.streams.actions import (
+    Action,
+    AttemptFailed,
+    CancelAttempt,
+    FailureCause,
+    Finish,
+    FinishReason,
+    PauseUpstream,
+    ResumeUpstream,
+    RunMark,
+    SendBytes,
+    SendHead,
+    StartAttempt,
+)
+from berylnotch.streams.inputs import PauseReason, UpstreamEnd
+from berylnotch.util.metrics import Label
+
+if TYPE_CHECKING:
+    from berylnotch.gateways.transfers import TransferEnd
+    from berylnotch.server.attempts import Attempts
+    from berylnotch.server.claims import Claims
+    from berylnotch.server.context import Context
+    from berylnotch.server.delivery import Delivery
+    from berylnotch.server.job import Job
+
+#: Causes that speak of a lost target rather than of a refusal by it.
+_LOSSES = (FailureCause.LOST, FailureCause.EMPTY, FailureCause.TRUNCATED)
+#: Causes that tell nothing bad of the target.
+_NEUTRAL = (FailureCause.REFUSED, FailureCause.WEIGHTS)
+_REPORT_S = 10.0
+_POISON = "request_crashes_targets"
+
+
+class Runner:
+    """Shell of all exchanges of a router; runs in the loop's thread.
+
+    Parameters
+    ----------
+    context : Context
+        Shared state.
+    attempts : Attempts
+        Choice of targets.
+    claims : Claims
+        Outcomes of non-idempotent requests.
+    on_over : callable
+        Called with each job when it is over.
+    check_freshness : callable
+        Pauses all keyed jobs if keys cannot be verified any more.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        attempts: Attempts,
+        claims: Claims,
+        on_over: Callable[[Job], None],
+        check_freshness: Callable[[], None],
+    ) -> None:
+        self._context = context
+        self._check_freshness = check_freshness
+        self._attempts = attempts
+        self._claims = claims
+        self._on_over = on_over
+        self._delivery: Delivery | None = None
+
+    def set_delivery(self, delivery: Delivery) -> None:
+        """Set where answers go."""
+        self._delivery = delivery
+
+    def start(self, job: Job) -> None:
+        """Run a job whose exchange is set."""
+        now = time.monotonic()
+        self.perform(job, job.exchange.start(now))
+        self._schedule_tick(job)
+
+    def pause(self, job: Job, reason: PauseReason) -> None:
+        """Deliver nothing more of a job."""
+        if job.exchange is not None:
+            self.perform(job, job.exchange.pause(time.monotonic(), reason))
+
+    def resume(self, job: Job, reason: PauseReason) -> None:
+        """Go on with a job."""
+        if job.exchange is not None:
+            self.perform(job, job.exchange.resume(time.monotonic(), reason))
+
+    def withdraw(self, job: Job) -> None:
+        """End a job whose key was withdrawn."""
+        self._delivery.drop_unpaid(job)
+        self.perform(job, job.exchange.key_withdrawn(time.monotonic()))
+
+    def caller_gone(self, job: Job) -> None:
+        """End a job whose caller went away."""
+        self._delivery.drop_unpaid(job)
+        self.perform(job, job.exchange.caller_gone(time.monotonic()))
+
+    def perform(self, job: Job, actions: Iterable[Action]) -> None:
+        """Carry actions out, and those that follow from them."""
+        pending = deque(actions)
+        try:
+            while pending:
+                pending.extend(self._perform(job, pending.popleft()))
+        except Exception:
+            # A mistake in one request must neither hang its caller nor end others.
+            logger.exception("event=request_failed request={}", job.request.request_id)
+            self.abort(job)
+
+    def abort(self, job: Job) -> None:
+        """End a job after an internal error; its outcome is not known."""
+        if job.is_over:
+            return
+        if job.attempt is not None and job.attempt.transfer is not None:
+            self._context.upstreams.cancel(job.attempt.transfer)
+            self._context.health.abandon(job.attempt.dispatch)
+        if job.timer is not None:
+            job.timer.cancel()
+        if not job.first_byte_at:
+            message = "internal error; see the router's log"
+            refusal = Refusal(500, "internal_error", message, RunMark.UNKNOWN)
+            job.caller.write(
+                responses.refusal_response(refusal, job.request.request_id)
+            )
+            job.caller.finish()
+        else:
+            job.caller.close()
+        self._on_over(job)
+
+    def _perform(self, job: Job, action: Action) -> tuple[Action, ...]:
+        if isinstance(action, SendBytes | SendHead):
+            self._send(job, action)
+        elif isinstance(action, StartAttempt):
+            return self._start_attempt(job, action)
+        elif isinstance(action, CancelAttempt):
+            self._cancel(job)
+        elif isinstance(action, AttemptFailed):
+            self._failed(job, action)
+        elif isinstance(action, PauseUpstream):
+            self._pause_upstream(job)
+        elif isinstance(action, ResumeUpstream):
+            self._resume_upstream(job)
+        elif isinstance(action, Finish):
+            self._finish(job, action)
+        return ()
+
+    def _send(self, job: Job, action: SendBytes | SendHead) -> None:
+        if job.claim_attempt:
+            # A claimed answer leaves only after its outcome was agreed.
+            job.held.append(action)
+        elif isinstance(action, SendHead):
+            self._delivery.send_head(job, action)
+        else:
+            self._delivery.send(job, action)
+
+    def _start_attempt(self, job: Job, action: StartAttempt) -> tuple[Action, ...]:
+        now = time.monotonic()
+        if self._is_poison(job, now):
+            return job.exchange.no_target(now, action.number, _POISON)
+        choice = self._attempts.choose(job, action)
+        if choice is None:
+            message = f"no target of {job.service.name} can take the request"
+            return job.exchange.no_target(now, action.number, message, 1.0)
+        timeout_s = max(job.deadline - now, 0.001)
+        try:
+            request = self._attempts.build(job, choice.target, action, timeout_s)
+        except ForbiddenRequestError as error:
+            return job.exchange.no_target(now, action.number, str(error))
+        name = choice.target.name
+        dispatch = self._context.health.begin(now, name, choice.work_s)
+        self._context.guard.began(job.fingerprint, name)
+        self._attempts.sent(job, choice)
+        attempt = Attempt(action.number, name, dispatch)
+        job.attempt = attempt
+        actions = job.exchange.attempt_started(
+            now, action.number, name, choice.ranked.weights
+        )
+        attempt.transfer = self._context.upstreams.start(
+            request,
+            job.idempotent,
+            lambda lines: self._on_head(job, attempt, lines),
+            lambda data: self._on_body(job, attempt, data),
+            lambda end: self._on_end(job, attempt, end),
+        )
+        return actions
+
+    def _is_poison(self, job: Job, now: float) -> bool:
+        job.is_poison = self._context.guard.is_refused(
+            now, job.fingerprint, self._context.shared_losses
+        )
+        return job.is_poison
+
+    def _on_head(self, job: Job, attempt: Attempt, lines: tuple[bytes, ...]) -> None:
+        read = read_engine_head if job.language is not None else read_plain_head
+        now = time.monotonic()
+        try:
+            attempt.head = read(lines)
+            self._observe(attempt)
+        except BadAnswerError:
+            end = UpstreamEnd(complete=False, sent=True)
+            self._context.upstreams.cancel(attempt.transfer)
+            actions = job.exchange.upstream_end(now, attempt.number, end)
+        else:
+            actions = job.exchange.head(now, attempt.number, attempt.head)
+        self.perform(job, actions)
+
+    def _observe(self, attempt: Attempt) -> None:
+        incarnation = attempt.head.incarnation
+        if incarnation and self._context.health.observe(attempt.target, incarnation):
+            self._context.placer.target_lost(attempt.target)
+
+    def _on_body(self, job: Job, attempt: Attempt, data: bytes) -> None:
+        now = time.monotonic()
+        self._context.health.first_token(attempt.dispatch)
+        # A stopped and continued process may find this before its timers.
+        self._check_freshness()
+        self.perform(job, job.exchange.body(now, attempt.number, data))
+        if job.caller.is_full:
+            self.pause(job, PauseReason.CALLER)
+
+    def _on_end(self, job: Job, attempt: Attempt, end: TransferEnd) -> None:
+        upstream_end = UpstreamEnd(complete=not end.error, sent=end.sent)
+        now = time.monotonic()
+        actions = job.exchange.upstream_end(now, attempt.number, upstream_end)
+        self.perform(job, actions)
+
+    def _cancel(self, job: Job) -> None:
+        attempt = job.attempt
+        if attempt is not None and attempt.transfer is not None:
+            self._context.upstreams.cancel(attempt.transfer)
+
+    def _failed(self, job: Job, action: AttemptFailed) -> None:
+        now = time.monotonic()
+        if action.cause in _NEUTRAL:
+            self._context.health.abandon(job.attempt.dispatch)
+        else:
+            self._context.health.finish(now, job.attempt.dispatch, False)
+        labels = Label("target", action.target), Label("cause", action.cause.value)
+        self._context.metrics.count("berylnotch_attempts_failed_total", *labels)
+        logger.info(
+            "event=attempt_failed request={} organisation={} target={} cause={}",
+            job.request.request_id,
+            job.organisation_name,
+            action.target,
+            action.cause.value,
+        )
+        if action.cause in _LOSSES:
+            self._suspect(job, action, now)
+        self._context.guard.ended(job.fingerprint, action.target)
+
+    def _suspect(self, job: Job, action: AttemptFailed, now: float) -> None:
+        guard, shared = self._context.guard, self._context.shared_losses
+        verdict = guard.lost(now, action.target, (job.fingerprint,), shared)
+        head = job.attempt.head
+        incarnation = head.incarnation if head is not None else ""
+        for fingerprint in verdict.reported:
+            command = ReportCrash(fingerprint, action.target, incarnation)
+            self._context.proposer.propose(command, _REPORT_S, lambda _result: None)
+
+    def _pause_upstream(self, job: Job) -> None:
+        if job.attempt is not None and job.attempt.transfer is not None:
+            self._context.upstreams.pause(job.attempt.transfer)
+
+    def _resume_upstream(self, job: Job) -> None:
+        if job.attempt is not None and job.attempt.transfer is not None:
+            self._context.upstreams.resume(job.attempt.transfer)
+
+    def _finish(self, job: Job, action: Finish) -> None:
+        if job.timer is not None:
+            job.timer.cancel()
+        now = time.monotonic()
+        self._end_attempt(job, action, now)
+        if action.reason is not FinishReason.COMPLETE:
+            self._delivery.drop_unpaid(job)
+        if job.claim_attempt:
+            self._claims.close(job, action, lambda: self._release(job, action))
+        else:
+            self._conclude(job, action)
+
+    def _end_attempt(self, job: Job, action: Finish, now: float) -> None:
+        attempt = job.attempt
+        if attempt is None:
+            return
+        self._context.guard.ended(job.fingerprint, attempt.target)
+        if action.reason is FinishReason.COMPLETE:
+            self._context.guard.completed(job.fingerprint, now)
+            self._context.health.finish(now, attempt.dispatch, True)
+        else:
+            self._context.health.abandon(attempt.dispatch)
+
+    def _release(self, job: Job, action: Finish) -> None:
+        held, job.held = job.held, []
+        job.claim_attempt = ""
+        for item in held:
+            self._send(job, item)
+        self._conclude(job, action)
+
+    def _conclude(self, job: Job, action: Finish) -> None:
+        if action.status and action.reason is not FinishReason.CALLER_GONE:
+            refusal = _refusal(job, action)
+            job.caller.write(
+                responses.refusal_response(refusal, job.request.request_id)
+            )
+            job.caller.finish()
+            self._over(job, action)
+        elif action.reason is FinishReason.CALLER_GONE:
+            job.caller.close()
+            self._over(job, action)
+        else:
+            self._delivery.finish(job, lambda: self._over(job, action))
+
+    def _over(self, job: Job, action: Finish) -> None:
+        labels = (
+            Label("service", job.service.name),
+            Label("organisation", job.organisation_name),
+            Label("reason", action.reason.value),
+            Label("run", action.mark.value),
+        )
+        self._context.metrics.count("berylnotch_requests_total", *labels)
+        logger.info(
+            "event=request_over request={} organisation={} service={} target={} "
+            "reason={} run={} attempts={} events={} tokens={} revision={} ms={}",
+            job.request.request_id,
+            job.organisation_name,
+            job.service.name,
+            job.attempt.target if job.attempt is not None else "",
+            action.reason.value,
+            action.mark.value,
+            action.attempts,
+            action.position,
+            job.charged_tokens,
+            self._context.view.revision,
+            int((time.monotonic() - job.arrived_at) * 1000),
+        )
+        self._on_over(job)
+
+    def _schedule_tick(self, job: Job) -> None:
+        if job.exchange.is_finished:
+            return
+        due = job.exchange.next_tick() - time.monotonic()
+        job.timer = self._context.loop.call_later(
+            max(due, 0.005), lambda: self._tick(job)
+        )
+
+    def _tick(self, job: Job) -> None:
+        if job.is_over:
+            return
+        self.perform(job, job.exchange.tick(time.monotonic()))
+        self._schedule_tick(job)
+
+
+def _refusal(job: Job, action: Finish) -> Refusal:
+    if job.is_poison:
+        return Refusal(
+            422,
+            _POISON,
+            "targets were lost while they ran this request; it is not run again",
+            action.mark,
+        )
+    code = action.reason.value.replace("-", "_")
+    retry_after_s = action.retry_after_s
+    message = action.message or action.reason.value
+    return Refusal(action.status, code, message, action.mark, retry_after_s)
--- /dev/null
+++ b/berylnotch/util/metrics.py
@@ -0,0 +1,105 @@
+"""Counters and HDR histograms, and their text form."""
+
+from __future__ import annotations
+
+import threading
+
+from attrs import frozen
+from hdrh.histogram import HdrHistogram
+
+#: Largest value of a histogram, in microseconds: one hour.
+_MAX_US = 3_600_000_000
+_DIGITS = 2
+_QUANTILES = (0.5, 0.95, 0.99)
+
+
+@frozen
+class Label:
+    """Name and value of one label."""
+
+    name: str
+    value: str
+
+
+@frozen
+class _Series:
+    """A metric with its labels."""
+
+    name: str
+    labels: tuple[Label, ...]
+
+
+class Metrics:
+    """All metrics of a process; any thread may use it."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._counters: dict[_Series, int] = {}
+        self._gauges: dict[_Series, float] = {}
+        self._histograms: dict[_Series, HdrHistogram] = {}
+
+    def count(self, name: str, *labels: Label, amount: int = 1) -> None:
+        """Add to a counter."""
+        series = _Series(name, labels)
+        with self._lock:
+            self._counters[series] = self._counters.get(series, 0) + amount
+
+    def gauge(self, name: str, value: float, *labels: Label) -> None:
+        """Set a gauge."""
+        with self._lock:
+            self._gauges[_Series(name, labels)] = value
+
+    def observe(self, name: str, seconds: float, *labels: Label) -> None:
+        """Record a duration."""
+        series = _Series(name, labels)
+        with self._lock:
+            histogram = self._histograms.get(series)
+            if histogram is None:
+                histogram = HdrHistogram(1, _MAX_US, _DIGITS)
+                self._histograms[series] = histogram
+            histogram.record_value(max(1, int(seconds * 1e6)))
+
+    def counter(self, name: str, *labels: Label) -> int:
+        """Return a counter's value."""
+        with self._lock:
+            return self._counters.get(_Series(name, labels), 0)
+
+    def render(self) -> str:
+        """Return all metrics in the usual text format; durations in seconds."""
+        lines: list[str] = []
+        with self._lock:
+            for series in sorted(self._counters, key=_order):
+                lines.append(f"{_text(series)} {self._counters[series]}")
+            for series in sorted(self._gauges, key=_order):
+                lines.append(f"{_text(series)} {self._gauges[series]:g}")
+            for series in sorted(self._histograms, key=_order):
+                lines.extend(_histogram_lines(series, self._histograms[series]))
+        return "\n".join(lines) + "\n"
+
+
+def _order(series: _Series) -> tuple[str, str]:
+    return series.name, _text(series)
+
+
+def _text(series: _Series) -> str:
+    if not series.labels:
+        return series.name
+    inner = ",".join(
+        f'{label.name}="{_escape(label.value)}"' for label in series.labels
+    )
+    return f"{series.name}{{{inner}}}"
+
+
+def _escape(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
+def _histogram_lines(series: _Series, histogram: HdrHistogram) -> list[str]:
+    lines = []
+    for quantile in _QUANTILES:
+        labels = (*series.labels, Label("quantile", str(quantile)))
+        value = histogram.get_value_at_percentile(quantile * 100) / 1e6
+        lines.append(f"{_text(_Series(series.name, labels))} {value:.6f}")
+    count = _Series(f"{series.name}_count", series.labels)
+    lines.append(f"{_text(count)} {histogram.get_total_count()}")
+    return lines
