admission: wake set-aside organisations when tokens come

The shell pops only when grants or slots come, so an organisation set aside for lack of tokens must be considered again at once: FairQueue.wake_all, called by pump_all. Cancelling a head without tokens also wakes what stands behind it. Retries use the streams' RunMark instead of a second enumeration.

--- a/berylnotch/admission/queue.py
+++ b/berylnotch/admission/queue.py
@@ -123,6 +123,14 @@
         if backlog is not None and backlog.is_parked:
             self._enter(backlog, organisation)
 
+    def wake_all(self) -> None:
+        """Consider every organisation again."""
+        for _, number, organisation in self._parked:
+            backlog = self._backlogs.get(organisation)
+            if backlog is not None and backlog.entry == number:
+                self._enter(backlog, organisation)
+        self._parked.clear()
+
     def expire(self, now: float) -> tuple[Ticket, ...]:
         """Take out the requests whose deadline has passed."""
         gone = []
@@ -221,6 +229,8 @@
         if not len(backlog):
             backlog.entry = NO_ENTRY
             backlog.is_parked = False
+        elif backlog.is_parked:
+            self._enter(backlog, ticket.organisation)
         self._compact()
 
     def _compact(self) -> None:
--- a/berylnotch/admission/retry.py
+++ b/berylnotch/admission/retry.py
@@ -7,13 +7,7 @@
 from attrs import field, frozen
 from attrs.validators import ge, gt
 
-
-class Mark(Enum):
-    """Whether a target ran the request, as far as this router can prove."""
-
-    RAN = "ran"
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
+from berylnotch.streams.actions import RunMark
 
 
 class RetryDecision(Enum):
@@ -57,7 +51,7 @@
         1 for the first attempt.
     is_idempotent : bool
         Whether the request may run more than once.
-    mark : Mark
+    mark : RunMark
         Whether the target ran it.
     deadline : float
         Monotonic time after which the caller does not want the answer.
@@ -67,7 +61,7 @@
 
     number: int
     is_idempotent: bool
-    mark: Mark
+    mark: RunMark
     deadline: float
     expected_s: float = 0.0
 
@@ -111,9 +105,9 @@
     A request that is not idempotent is repeated only if it is proved that no
     target ran it. The caller spends the budget after a `RetryDecision.RETRY`.
     """
-    if attempt.mark is Mark.RAN:
+    if attempt.mark is RunMark.RAN:
         return RetryDecision.ALREADY_RAN
-    if attempt.mark is Mark.UNKNOWN and not attempt.is_idempotent:
+    if attempt.mark is RunMark.UNKNOWN and not attempt.is_idempotent:
         return RetryDecision.NOT_IDEMPOTENT
     if attempt.number >= settings.max_attempts:
         return RetryDecision.TOO_MANY_ATTEMPTS
--- a/berylnotch/server/queueing.py
+++ b/berylnotch/server/queueing.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 from berylnotch.admission.queue import FairQueue
+from berylnotch.admission.ticket import Fit, RefusalReason, Ticket
 from berylnotch.admission.ticket import Refusal as QueueRefusal
-from berylnotch.admission.ticket import RefusalReason, Ticket
 from berylnotch.server.errors import Refusal
 
 if TYPE_CHECKING:
@@ -97,7 +97,8 @@
 
     def pump_all(self) -> None:
         """Run what can run now, after tokens or slots came."""
-        for service in tuple(self._queues):
+        for service, queue in tuple(self._queues.items()):
+            queue.wake_all()
             self.pump(service)
         self._refuse_excess()
 
@@ -142,15 +143,15 @@
             priority=self._context.quota.priority(job.organisation_name),
         )
 
-    def _pay(self, now: float, ticket: Ticket) -> bool:
+    def _pay(self, now: float, ticket: Ticket) -> Fit:
         job = self._jobs[ticket.identity]
         if job.organisation is None or not job.cost_tokens:
-            return True
+            return Fit.FITS
         name = job.organisation.name
         if not self._context.quota.charge(now, name, job.cost_tokens):
-            return False
+            return Fit.NO_TOKENS
         job.charged_tokens += job.cost_tokens
-        return True
+        return Fit.FITS
 
     def _forget(self, job: Job) -> None:
         del self._jobs[job.ticket.identity]
--- a/tests/test_admission/test_queue.py
+++ b/tests/test_admission/test_queue.py
@@ -110,3 +110,12 @@
     queue.offer(0.0, fresh)
     assert queue.pop(2.0, lambda _: True) is fresh
     assert queue.expire(2.0) == (overdue,)
+
+
+def test_next_request_is_considered_once_a_head_without_tokens_is_cancelled(queue):
+    large, small = ticket(cost=500.0), ticket(cost=1.0)
+    queue.offer(0.0, large)
+    queue.offer(0.0, small)
+    assert queue.pop(0.0, lambda t: t.cost < 100) is None
+    queue.cancel(large)
+    assert queue.pop(0.0, lambda t: t.cost < 100) is small
--- a/tests/test_admission/test_retry.py
+++ b/tests/test_admission/test_retry.py
@@ -7,12 +7,12 @@
 
 from berylnotch.admission.retry import (
     Attempt,
-    Mark,
     RetryBudget,
     RetryDecision,
     RetrySettings,
     may_retry,
 )
+from berylnotch.streams.actions import RunMark
 
 SETTINGS = RetrySettings()
 
@@ -20,7 +20,7 @@
 @given(
     number=st.integers(1, 5),
     idempotent=st.booleans(),
-    mark=st.sampled_from(Mark),
+    mark=st.sampled_from(RunMark),
     left_s=st.floats(-1, 3),
     has_budget=st.booleans(),
 )
@@ -30,13 +30,13 @@
     attempt = Attempt(number, idempotent, mark, deadline=left_s, expected_s=1.0)
     decision = may_retry(SETTINGS, 0.0, attempt, has_budget)
     if decision is RetryDecision.RETRY:
-        assert idempotent or mark is Mark.NOT_RUN
-        assert mark is not Mark.RAN
+        assert idempotent or mark is RunMark.NOT_RUN
+        assert mark is not RunMark.RAN
         assert number < SETTINGS.max_attempts and left_s > 1.0 and has_budget
 
 
 def test_idempotent_request_of_unknown_outcome_is_repeated():
-    attempt = Attempt(1, True, Mark.UNKNOWN, deadline=5.0)
+    attempt = Attempt(1, True, RunMark.UNKNOWN, deadline=5.0)
     assert may_retry(SETTINGS, 0.0, attempt, True) is RetryDecision.RETRY
 
 
