spec: models of claims, grants and fencing; quota: a new owner adopts nothing

Cause: a new owner counted tokens that a router reported as held, so that they lived on. The model of grants gave two counterexamples (16 and 22 steps): a request under way for longer than the lifetime revived tokens that the earlier owner had written off and lent again, and tokens adopted from such a request were given back to the level later. Ruled out: letting the router drop what ended under way (mends the first only).

--- a/berylnotch/quota/bucket.py
+++ b/berylnotch/quota/bucket.py
@@ -103,7 +103,7 @@
         self._burst = burst
         self._limit()
 
-    def report(self, router: str, held: int, spent: int, adopt: bool) -> int:
+    def report(self, router: str, held: int, spent: int) -> int:
         """Take over what a router holds and has spent; return the new use.
 
         Tokens that it neither holds nor spent go back to the level: it gave
@@ -117,16 +117,14 @@
             Tokens that it may charge.
         spent : int
             Tokens that it has charged since it started.
-        adopt : bool
-            Whether tokens lent by an earlier owner may be among ``held``.
         """
         loan = self._loans.get(router)
         if loan is None:
             loan = Loan(tokens=0, spent=spent, ends=0.0)
             self._loans[router] = loan
         used = max(0, spent - loan.spent)
-        kept = held if adopt else min(held, loan.tokens)
-        unused = 0 if adopt else max(0, loan.tokens - kept - used)
+        kept = min(held, loan.tokens)
+        unused = max(0, loan.tokens - kept - used)
         self._lent += kept - loan.tokens
         loan.tokens = kept
         loan.spent = spent
--- a/berylnotch/quota/owner.py
+++ b/berylnotch/quota/owner.py
@@ -97,11 +97,14 @@
         -------
         reply : GrantReply
             One grant for each ask. It is empty for a repeated or overtaken
-            request, whose reply the router does not take any more.
+            request, whose reply the router does not take any more, and until
+            `steady_from`, so that routers keep what an earlier owner lent them
+            to its own end.
         """
         self._now = max(self._now, now)
         router = f"{request.vm}/{request.incarnation}"
-        if not self._is_new(router, request.sequence):
+        is_new = self._is_new(router, request.sequence)
+        if not is_new or self._now < self._steady_from:
             return GrantReply(self._term, request.sequence)
         self._sweep(organisations)
         grants = tuple(
@@ -144,8 +147,7 @@
     def _answer(self, router: str, ask: QuotaAsk, limit: Limit) -> Grant:
         account = self._account(ask.organisation, limit)
         bucket = account.bucket
-        adopt = self._now < self._steady_from
-        used = bucket.report(router, ask.held, ask.spent, adopt)
+        used = bucket.report(router, ask.held, ask.spent)
         account.usage.add(self._now, used)
         self._total_use.add(self._now, used)
         tokens = self._size(account, router, ask)
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Small models of the protocols, checked exhaustively within their bounds."""
--- /dev/null
+++ b/tests/test_spec/test_models.py
@@ -0,0 +1,51 @@
+"""The protocols hold within the models' bounds, and seeded faults are found."""
+
+from __future__ import annotations
+
+import pytest
+
+from spec.checking import counterexample, holds
+from spec.claims import Mutation as ClaimsMutation
+from spec.claims import claims
+from spec.fencing import Mutation as FencingMutation
+from spec.fencing import fencing
+from spec.grants import Mutation as GrantsMutation
+from spec.grants import grants
+
+
+def faults(mutations):
+    return [mutation for mutation in mutations if mutation.name != "NONE"]
+
+
+def test_a_claimed_request_runs_at_most_once():
+    assert holds(claims())
+
+
+def test_no_window_is_charged_more_than_burst_and_rate():
+    assert holds(grants())
+
+
+def test_a_finished_order_is_not_undone_by_an_older_leader():
+    assert holds(fencing())
+
+
+@pytest.mark.parametrize("mutation", faults(ClaimsMutation))
+def test_seeded_fault_runs_a_request_twice(mutation):
+    steps = counterexample(claims(mutation))
+    print(mutation.value, *steps, sep="\n  ")
+    assert sum("send" in step for step in steps) == 2
+
+
+@pytest.mark.parametrize("mutation", faults(GrantsMutation))
+def test_seeded_fault_charges_too_much(mutation):
+    needs_crash = mutation is GrantsMutation.IDENTITY_KEPT
+    steps = counterexample(grants(mutation, crashes=int(needs_crash)))
+    print(mutation.value, *steps, sep="\n  ")
+    assert steps[-1].endswith("charge")
+
+
+@pytest.mark.parametrize("mutation", faults(FencingMutation))
+def test_seeded_fault_undoes_a_finished_order(mutation):
+    steps = counterexample(fencing(mutation))
+    print(mutation.value, *steps, sep="\n  ")
+    assert steps
