--- a/benchmarks/choosers.py
+++ b/benchmarks/choosers.py
@@ -40,6 +40,8 @@
     target: str
     weights: str
     work_s: float
+    import_from: str = ""
+    import_pieces: int = 0
 
 
 Chooser = Callable[[Question], Choice | None]
@@ -141,7 +143,13 @@
         best = ranked[0]
         placer.sent(question.now, wanted, best)
         work_ms = (prompt.pieces - best.cached_pieces) * settings.recompute_ms
-        return Choice(best.name, best.weights, work_ms / 1000.0)
+        return Choice(
+            best.name,
+            best.weights,
+            work_ms / 1000.0,
+            best.import_from,
+            best.import_pieces,
+        )
 
     return choose
 
--- a/benchmarks/engine.py
+++ b/benchmarks/engine.py
@@ -24,7 +24,7 @@
 
     ``cached`` and ``wasted`` count its pieces when the prompt was computed;
     wasted ones had been computed before, anywhere. ``left_s`` is what is left
-    of a begun prefill.
+    of a begun prefill. ``import_pieces`` leading pieces may be imported.
     """
 
     chain: tuple[bytes, ...]
@@ -34,7 +34,10 @@
     on_first: Callable[[Job], None]
     on_done: Callable[[Job], None]
     on_fail: Callable[[Job], None]
+    import_from: Engine | None = None
+    import_pieces: int = 0
     cached: int = 0
+    imported: int = 0
     wasted: int = 0
     left_s: float | None = None
 
@@ -218,7 +221,19 @@
         job.cached = self.cached_pieces(job.chain)
         self._touch(job.chain[: job.cached])
         self._pins.update(job.chain)
-        job.left_s = self._prefill_s(job, job.cached)
+        job.imported = self._importable(job)
+        job.left_s = self._prefill_s(job, job.cached + job.imported)
+        if job.imported:
+            tokens = job.imported * self.shape.piece_tokens
+            job.left_s += self.shape.import_overhead_s
+            job.left_s += tokens / self.shape.import_tokens_per_s
+
+    def _importable(self, job: Job) -> int:
+        """Return the pieces that the source still holds and this engine lacks."""
+        if job.import_from is None or not job.import_from.alive:
+            return 0
+        held = job.import_from.cached_pieces(job.chain[: job.import_pieces])
+        return max(0, held - job.cached)
 
     def _end_chunk(self, entry: tuple[int, int, Job], chunk_s: float) -> None:
         job = entry[2]
@@ -231,7 +246,7 @@
         self._start_next()
 
     def _end_prefill(self, job: Job) -> None:
-        missed = job.chain[job.cached :]
+        missed = job.chain[job.cached + job.imported :]
         job.wasted = sum(prefix in self.seen for prefix in missed)
         self.seen.update(missed)
         self._store(job.chain)
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from benchmarks.choosers import (
     Chooser,
@@ -20,9 +20,14 @@
 
 if TYPE_CHECKING:
     from benchmarks.simulation import Simulation
+    from berylnotch.placement.settings import PlacementSettings
 
 #: Names of the policies in the order of the table.
-POLICIES = ("ours", "random", "least-loaded", "thin", "all-knowing")
+POLICIES = ("ours", "ours+import", "random", "least-loaded", "thin", "all-knowing")
+
+
+#: Policies that send the organisations' priorities to the engines.
+FAIR = ("ours", "ours+import", "all-knowing")
 
 
 @frozen
@@ -36,14 +41,17 @@
 def policy_named(name: str, simulation: Simulation) -> Policy:
     """Return the policy for a run."""
     settings = placement_settings(simulation.run.shape)
+    rate = simulation.run.shape.engine.import_tokens_per_s
+    importing = evolve(settings, import_tokens_per_s=rate)
     seeds = iter(range(simulation.run.seed, simulation.run.seed + 1_000_000))
 
-    def ours() -> tuple[Chooser, Placer | None]:
-        placer = Placer(settings)
-        return our_chooser(settings, placer), placer
+    def ours(used: PlacementSettings) -> tuple[Chooser, Placer | None]:
+        placer = Placer(used)
+        return our_chooser(used, placer), placer
 
     makers = {
-        "ours": ours,
+        "ours": lambda: ours(settings),
+        "ours+import": lambda: ours(importing),
         "random": lambda: (random_chooser(next(seeds)), None),
         "least-loaded": lambda: (least_loaded_chooser(settings), None),
         "thin": lambda: (thin_chooser(), None),
@@ -52,4 +60,4 @@
             None,
         ),
     }
-    return Policy(makers[name], sends_priority=name in ("ours", "all-knowing"))
+    return Policy(makers[name], sends_priority=name in FAIR)
--- a/benchmarks/shapes.py
+++ b/benchmarks/shapes.py
@@ -35,6 +35,8 @@
     piece_tokens: int = 1024
     chunk_pieces: int = 4
     load_s: float = 2.0
+    import_tokens_per_s: float = 40_000.0
+    import_overhead_s: float = 0.02
 
 
 @frozen
--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -195,6 +195,8 @@
             tail_tokens=request.tail_tokens,
             output_tokens=request.output_tokens,
             priority=self._priority(attempt),
+            import_from=self.engines.get(attempt.choice.import_from),
+            import_pieces=attempt.choice.import_pieces,
             on_first=lambda job: self._first(attempt, job),
             on_done=lambda job: self._done(attempt),
             on_fail=lambda job: self._failed(attempt),
--- a/berylnotch/placement/hints.py
+++ b/berylnotch/placement/hints.py
@@ -140,6 +140,13 @@
                 return Hint(known, likely, index)
         return Hint(known, likely, len(chain))
 
+    def newest(self, now: float, target: str, chain: tuple[bytes, ...]) -> Hint:
+        """Return what is known of a chain in the newest process's cache."""
+        stream = self._streams.get(target)
+        if stream is None:
+            return Hint(0, 0, len(chain))
+        return self.cached_pieces(now, target, stream.incarnation, chain)
+
     def _stream(self, target: str, incarnation: str) -> _Stream | None:
         """Return the stream of an incarnation, or None if it is over."""
         stream = self._streams.get(target)
--- a/berylnotch/placement/model.py
+++ b/berylnotch/placement/model.py
@@ -69,6 +69,8 @@
         one; empty for the default.
     now : float
         Router's monotonic time in seconds.
+    stores : tuple of str
+        KV stores that engines may import from.
     """
 
     chain: tuple[bytes, ...] = ()
@@ -78,6 +80,7 @@
     weights: str = ""
     widths: tuple[int, ...] = ()
     now: float = 0.0
+    stores: tuple[str, ...] = ()
 
 
 @frozen
@@ -96,6 +99,10 @@
         Leading pieces expected in the target's cache.
     incarnation, weights : str
         Process and weights version that were ranked.
+    import_from : str
+        Target or KV store to import pieces from; empty to compute them.
+    import_pieces : int
+        Leading pieces that are there.
     """
 
     name: str
@@ -104,3 +111,5 @@
     cached_pieces: int = 0
     incarnation: str = ""
     weights: str = ""
+    import_from: str = ""
+    import_pieces: int = 0
--- a/berylnotch/placement/placer.py
+++ b/berylnotch/placement/placer.py
@@ -71,12 +71,15 @@
     weights : str
         Weights version that must be used, as when a stream is resumed; any if
         empty.
+    stores : tuple of str
+        KV stores that the service's engines may import from.
     """
 
     prompt: Prompt
     failure_domain: str = ""
     exclude: frozenset[str] = frozenset()
     weights: str = ""
+    stores: tuple[str, ...] = ()
 
 
 @frozen
@@ -212,4 +215,5 @@
             weights=weights,
             widths=self._widths(now, chain),
             now=now,
+            stores=request.stores,
         )
--- a/berylnotch/placement/rank.py
+++ b/berylnotch/placement/rank.py
@@ -5,14 +5,25 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
+from attrs import frozen
+
+from berylnotch.placement.hints import Hint
 from berylnotch.placement.model import Candidate, Query, Ranked
 from berylnotch.placement.rendezvous import top
 
 if TYPE_CHECKING:
-    from berylnotch.placement.hints import CacheHints, Hint
+    from berylnotch.placement.hints import CacheHints
     from berylnotch.placement.settings import PlacementSettings
 
 
+@frozen
+class _Source:
+    """Where the most leading pieces are known to be."""
+
+    name: str = ""
+    pieces: int = 0
+
+
 def rank(
     settings: PlacementSettings,
     query: Query,
@@ -40,10 +51,13 @@
     """
     usable = [c for c in candidates if _is_allowed(query, c)]
     expected = expected_pieces(settings, query, [c.name for c in usable])
-    ranked = [
-        _score(settings, query, candidate, expected.get(candidate.name, 0), hints)
-        for candidate in usable
-    ]
+    found = [_hint(query, c.name, c.incarnation, hints) for c in usable]
+    source = _best_source(settings, query, usable, found, hints)
+    ranked = []
+    for candidate, hint in zip(usable, found, strict=True):
+        pieces = expected.get(candidate.name, 0)
+        cached = float(pieces) if hint is None else _estimate(settings, hint, pieces)
+        ranked.append(_score(settings, query, candidate, cached, source))
     ranked.sort(key=lambda item: (item.score_ms, item.name))
     return tuple(ranked)
 
@@ -81,37 +95,29 @@
     return not query.weights or candidate.weights == query.weights
 
 
-def _score(
+def _hint(
+    query: Query, name: str, incarnation: str, hints: CacheHints | None
+) -> Hint | None:
+    if hints is None:
+        return None
+    return hints.cached_pieces(query.now, name, incarnation, query.chain)
+
+
+def _best_source(
     settings: PlacementSettings,
     query: Query,
-    candidate: Candidate,
-    expected: int,
+    usable: Sequence[Candidate],
+    found: Sequence[Hint | None],
     hints: CacheHints | None,
-) -> Ranked:
-    cached, source = expected, "affinity"
-    if hints is not None:
-        hint = hints.cached_pieces(
-            query.now, candidate.name, candidate.incarnation, query.chain
-        )
-        cached = _estimate(settings, hint, expected)
-        source = "affinity" if cached == expected else "events"
-    wait_ms = 1000.0 * candidate.queue_wait_s
-    uncached = max(0, query.prompt_pieces - cached)
-    compute_ms = settings.miss_weight * uncached * settings.recompute_ms
-    near = candidate.failure_domain == query.failure_domain
-    score_ms = wait_ms + compute_ms + (0.0 if near else settings.far_ms)
-    reason = (
-        f"wait={wait_ms:.0f}ms compute={compute_ms:.0f}ms "
-        f"cached={cached}/{query.prompt_pieces} by={source} near={near}"
-    )
-    return Ranked(
-        name=candidate.name,
-        score_ms=score_ms,
-        reason=reason,
-        cached_pieces=int(cached),
-        incarnation=candidate.incarnation,
-        weights=candidate.weights,
-    )
+) -> _Source:
+    """Return where pieces can be imported from; only what is known counts."""
+    best = _Source()
+    if hints is None or not settings.import_tokens_per_s:
+        return best
+    known = [_Source(c.name, h.known) for c, h in zip(usable, found, strict=True) if h]
+    for store in query.stores:
+        known.append(_Source(store, hints.newest(query.now, store, query.chain).known))
+    return max(known, key=lambda s: (s.pieces, s.name), default=best)
 
 
 def _estimate(settings: PlacementSettings, hint: Hint, expected: int) -> float:
@@ -124,3 +130,39 @@
         + settings.unconfirmed_trust * unconfirmed
         + settings.affinity_trust * unseen
     )
+
+
+def _score(
+    settings: PlacementSettings,
+    query: Query,
+    candidate: Candidate,
+    cached: float,
+    source: _Source,
+) -> Ranked:
+    wait_ms = 1000.0 * candidate.queue_wait_s
+    near = candidate.failure_domain == query.failure_domain
+    far_ms = 0.0 if near else settings.far_ms
+    uncached = max(0.0, query.prompt_pieces - cached)
+    gained = max(0.0, source.pieces - cached)
+    import_ms = 0.0
+    saved_ms = settings.miss_weight * gained * settings.recompute_ms
+    if gained:
+        import_ms = settings.import_overhead_ms + gained * settings.import_ms
+    is_import = gained > 0 and import_ms < saved_ms
+    if is_import:
+        uncached -= gained
+    compute_ms = settings.miss_weight * uncached * settings.recompute_ms
+    load_ms = compute_ms + (settings.miss_weight * import_ms if is_import else 0.0)
+    return Ranked(
+        name=candidate.name,
+        score_ms=wait_ms + load_ms + far_ms,
+        reason=(
+            f"wait={wait_ms:.0f}ms load={load_ms:.0f}ms far={far_ms:.0f}ms "
+            f"cached={cached:.1f}/{query.prompt_pieces}"
+        ),
+        cached_pieces=int(cached),
+        incarnation=candidate.incarnation,
+        weights=candidate.weights,
+        import_from=source.name if is_import else "",
+        import_pieces=source.pieces if is_import else 0,
+    )
--- a/berylnotch/placement/settings.py
+++ b/berylnotch/placement/settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from attrs import frozen
 
 
@@ -45,8 +47,9 @@
         no cache event or own request confirms them.
     unconfirmed_trust : float, default=0.8
         Share that is counted of pieces told of before a gap in the events.
-    import_tokens_per_s : float, default=40000.0
-        Rate at which an engine imports cached pieces from elsewhere.
+    import_tokens_per_s : float, default=0.0
+        Rate at which an engine imports cached pieces from the KV store or another
+        engine; 0 if engines are not told to import.
     import_overhead_ms : float, default=20.0
         Fixed time of one import.
     hint_max : int, default=16384
@@ -72,7 +75,7 @@
     miss_weight: float = 3.0
     affinity_trust: float = 0.5
     unconfirmed_trust: float = 0.8
-    import_tokens_per_s: float = 40000.0
+    import_tokens_per_s: float = 0.0
     import_overhead_ms: float = 20.0
     hint_max: int = 16_384
     hint_keep_s: float = 30.0
@@ -91,5 +94,7 @@
 
     @property
     def import_ms(self) -> float:
-        """Time to import one piece, without the fixed part."""
+        """Time to import one piece, without the fixed part; inf if off."""
+        if not self.import_tokens_per_s:
+            return math.inf
         return 1000.0 * self.piece_tokens / self.import_tokens_per_s
