benchmarks: an organisation's traffic no longer depends on the others'

Cause: one generator made all traffic, so the small organisations sent other requests in the overload case than in the healthy one, and the two could not be compared. One session of a small organisation lasts about 10 s and put it behind the one that sends five times its rate.

--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -28,6 +28,11 @@
 #: Seconds between two looks at whether a router should ask the owner.
 ASK_POLL_S = 0.05
 
+#: Time constant in seconds of the use behind the priorities. Ten seconds hold
+#: too few requests of a small organisation: one session made it lose priority
+#: against one that sends five times its rate.
+USAGE_WINDOW_S = 60.0
+
 #: Seconds for which a request waits for tokens at most.
 WAIT_S = 10.0
 
@@ -79,7 +84,7 @@
         self._loop = loop
         self._fleet = fleet
         self._routers = routers
-        self._settings = QuotaSettings()
+        self._settings = QuotaSettings(usage_window_s=USAGE_WINDOW_S)
         self._owner = QuotaOwner(self._settings, 1, -OWNER_AGE_S)
         self._desks = {name: self._new_desk() for name in routers}
         self._ideal = {
--- a/benchmarks/workload.py
+++ b/benchmarks/workload.py
@@ -48,6 +48,7 @@
     def __init__(self, shape: Shape, case: Case, seed: int, until: float) -> None:
         self._shape = shape
         self._case = case
+        self._seed = seed
         self._random = random.Random(seed)
         self._until = until
         self._ids = itertools.count()
@@ -62,6 +63,9 @@
     def _add_organisation(
         self, organisation: OrganisationShape, overload: bool
     ) -> None:
+        # Its own generator keeps an organisation's traffic the same whatever
+        # the others send.
+        self._random = random.Random(f"{self._seed} {organisation.name}")
         documents = [self._pieces(organisation) for _ in range(organisation.documents)]
         shifted = list(documents)
         self._random.shuffle(shifted)
