--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -22,8 +22,11 @@
     from benchmarks.simulation import Simulation
     from berylnotch.placement.settings import PlacementSettings
 
-#: Names of the policies in the order of the table.
-POLICIES = ("ours", "ours+import", "random", "least-loaded", "thin", "all-knowing")
+#: Policies that are compared unless others are asked for.
+COMPARED = ("ours", "random", "least-loaded", "thin", "all-knowing")
+
+#: Names of all policies.
+POLICIES = (*COMPARED, "ours+import")
 
 
 #: Policies that send the organisations' priorities to the engines.
--- a/berylnotch/placement/hot.py
+++ b/berylnotch/placement/hot.py
@@ -8,6 +8,8 @@
 
 from attrs import define
 
+from berylnotch.placement.model import Level
+
 if TYPE_CHECKING:
     from berylnotch.placement.settings import PlacementSettings
 
@@ -44,7 +46,8 @@
         if self._started_at is None:
             self._started_at = now
         added = 0
-        for prefix in chain:
+        for depth in level_depths(len(chain)):
+            prefix = chain[depth - 1]
             rate = self._rates.get(prefix)
             if rate is not None:
                 rate.weight = 1.0 + self._decayed(now, rate)
@@ -58,10 +61,17 @@
         while len(self._rates) > self._settings.hot_max:
             self._rates.popitem(last=False)
 
-    def widths(self, now: float, chain: tuple[bytes, ...]) -> tuple[int, ...]:
-        """Return the number of homes for each level, down to the first with one.
+    def levels(self, now: float, chain: tuple[bytes, ...]) -> tuple[Level, ...]:
+        """Return the homes of a prompt's prefixes, down to the first with one.
+
+        Only the depths 1, 2, 4, ... and the whole prompt select homes. So
+        routers that know different rates, or none yet, select by the same
+        hashes.
 
-        Empty while too little was counted; ranking then uses its default.
+        Returns
+        -------
+        tuple of Level
+            Empty while too little was counted; ranking then uses its default.
         """
         if self._started_at is None:
             return ()
@@ -72,35 +82,15 @@
         tau = self._settings.hot_tau_s
         seconds = tau * -math.expm1(-age / tau)
         warm = self._settings.warm_s * self._settings.answer_routers / seconds
-        widths = [0] * len(chain)
-        self._fill(now, chain, warm, widths)
-        if 1 in widths:
-            del widths[widths.index(1) + 1 :]
-        return tuple(widths)
-
-    def _fill(
-        self, now: float, chain: tuple[bytes, ...], warm: float, widths: list[int]
-    ) -> None:
-        """Fill in the widths, which fall with depth, from few rates."""
-        if not chain:
-            return
-        last = len(chain) - 1
-        widths[0] = self._width(now, chain[0], warm)
-        widths[last] = self._width(now, chain[last], warm)
-        spans = [(0, last)]
-        while spans:
-            low, high = spans.pop()
-            if widths[low] == widths[high]:
-                widths[low:high] = [widths[low]] * (high - low)
-                continue
-            middle = (low + high) // 2
-            if middle == low:
-                continue
-            widths[middle] = self._width(now, chain[middle], warm)
-            spans.append((low, middle))
-            spans.append((middle, high))
+        levels = []
+        for depth in level_depths(len(chain)):
+            homes = self._homes(now, chain[depth - 1], warm)
+            levels.append(Level(depth, homes))
+            if homes == 1:
+                break
+        return tuple(levels)
 
-    def _width(self, now: float, prefix: bytes, warm: float) -> int:
+    def _homes(self, now: float, prefix: bytes, warm: float) -> int:
         rate = self._rates.get(prefix)
         keeps = int(warm * self._decayed(now, rate)) if rate else 0
         # Powers of two, so that routers with other rates mostly agree.
@@ -108,3 +98,11 @@
 
     def _decayed(self, now: float, rate: _Rate) -> float:
         return rate.weight * math.exp((rate.at - now) / self._settings.hot_tau_s)
+
+
+def level_depths(pieces: int) -> tuple[int, ...]:
+    """Return the depths that select homes: 1, 2, 4, ... and the last."""
+    depths = [1 << bit for bit in range(pieces.bit_length())]
+    if depths and depths[-1] != pieces:
+        depths.append(pieces)
+    return tuple(depths)
--- a/berylnotch/placement/placer.py
+++ b/berylnotch/placement/placer.py
@@ -11,7 +11,7 @@
 from berylnotch.placement.hints import CacheEvent, CacheHints
 from berylnotch.placement.homes import HomeTable
 from berylnotch.placement.hot import HotPrefixes
-from berylnotch.placement.model import Candidate, Query, Ranked
+from berylnotch.placement.model import Candidate, Level, Query, Ranked
 from berylnotch.placement.rank import rank
 
 if TYPE_CHECKING:
@@ -83,10 +83,10 @@
 
 
 @frozen
-class _Widths:
+class _Levels:
     now: float
     chain: tuple[bytes, ...]
-    widths: tuple[int, ...]
+    levels: tuple[Level, ...]
 
 
 class Placer:
@@ -106,7 +106,7 @@
         self._hints = CacheHints(settings.hint_max, settings.hint_keep_s)
         self._hot = HotPrefixes(settings)
         self._turn = 0
-        self._last: _Widths | None = None
+        self._last: _Levels | None = None
         self._homes: dict[str, HomeTable] = {}
 
     def shortlist(
@@ -145,16 +145,16 @@
         chain = request.prompt.chain(request.weights or service.weights)
         if not chain:
             return self._next_names(names, count)
-        widths = self._widths(now, chain)
-        if not widths:
+        levels = self._levels(now, chain)
+        if not levels:
             depth = min(len(chain), self._settings.cold_depth)
             return table.homes(chain[depth - 1])
-        depth = next((d for d, w in enumerate(widths, start=1) if w <= count), 0)
-        if depth:
-            return table.homes(chain[depth - 1])
-        # Even the whole prompt is hot: its homes fill several slots.
+        few = next((level for level in levels if level.homes <= count), None)
+        if few is not None:
+            return table.homes(chain[few.depth - 1])
+        # Even the whole prompt is hot: its homes fill several lists.
         self._turn += 1
-        turn = self._turn % -(-widths[-1] // count)
+        turn = self._turn % -(-levels[-1].homes // count)
         return table.homes(chain[-1], turn)
 
     def rank(
@@ -192,13 +192,13 @@
         """Forget what is known of a lost engine's cache."""
         self._hints.forget(target)
 
-    def _widths(self, now: float, chain: tuple[bytes, ...]) -> tuple[int, ...]:
-        """Return the widths, kept from the shortlist for the ranking."""
+    def _levels(self, now: float, chain: tuple[bytes, ...]) -> tuple[Level, ...]:
+        """Return the levels, kept from the shortlist for the ranking."""
         last = self._last
         if last is None or last.now != now or last.chain is not chain:
-            last = _Widths(now, chain, self._hot.widths(now, chain))
+            last = _Levels(now, chain, self._hot.levels(now, chain))
             self._last = last
-        return last.widths
+        return last.levels
 
     def _next_names(self, names: tuple[str, ...], count: int) -> tuple[str, ...]:
         self._turn += 1
@@ -213,7 +213,7 @@
             failure_domain=request.failure_domain,
             exclude=request.exclude,
             weights=weights,
-            widths=self._widths(now, chain),
+            levels=self._levels(now, chain),
             now=now,
             stores=request.stores,
         )
--- a/berylnotch/placement/rank.py
+++ b/berylnotch/placement/rank.py
@@ -8,7 +8,7 @@
 from attrs import frozen
 
 from berylnotch.placement.hints import Hint
-from berylnotch.placement.model import Candidate, Query, Ranked
+from berylnotch.placement.model import Candidate, Level, Query, Ranked
 from berylnotch.placement.rendezvous import top
 
 if TYPE_CHECKING:
@@ -72,21 +72,22 @@
     """
     members = list(names)
     expected: dict[str, int] = {}
-    widths = query.widths or _default_widths(settings, len(query.chain))
-    for depth, width in enumerate(widths, start=1):
-        if width < len(members):
-            expected.update(dict.fromkeys(members, depth - 1))
-            members = top(query.chain[depth - 1], members, width)
-    reached = len(query.chain) if len(members) == 1 else len(widths)
+    reached = 0
+    for level in query.levels or _default_levels(settings, len(query.chain)):
+        if level.homes < len(members):
+            expected.update(dict.fromkeys(members, reached))
+            members = top(query.chain[level.depth - 1], members, level.homes)
+        reached = level.depth
+    if len(members) == 1:
+        reached = len(query.chain)
     expected.update(dict.fromkeys(members, reached))
     return expected
 
 
-def _default_widths(settings: PlacementSettings, pieces: int) -> tuple[int, ...]:
-    depth = min(pieces, settings.cold_depth)
-    if not depth:
+def _default_levels(settings: PlacementSettings, pieces: int) -> tuple[Level, ...]:
+    if not pieces:
         return ()
-    return (settings.max_candidates,) * (depth - 1) + (1,)
+    return (Level(min(pieces, settings.cold_depth), 1),)
 
 
 def _is_allowed(query: Query, candidate: Candidate) -> bool:
