placement: a late incarnation no longer ends the stream of the running one

Cause: forgetting a lost engine ended whatever process the events came from, also the new one if its event came before its load report; a request sent with an incarnation from an old report did the same. The running process's events were then ignored until its next restart. Both tests failed before.

--- a/berylnotch/placement/hints.py
+++ b/berylnotch/placement/hints.py
@@ -104,9 +104,13 @@
         self, now: float, target: str, incarnation: str, chain: Iterable[bytes]
     ) -> None:
         """Note that a request with this chain was sent to the engine."""
-        stream = self._stream(target, incarnation)
-        if stream is None:
-            return
+        stream = self._streams.get(target)
+        if stream is None or stream.incarnation != incarnation:
+            # Events tell of restarts more surely than a request does.
+            if stream is not None and stream.sequence:
+                return
+            stream = _Stream(incarnation)
+            self._streams[target] = stream
         for prefix in chain:
             self._put(stream, prefix, _Entry(True, now, stream.gaps))
 
@@ -114,8 +118,8 @@
         """Drop an engine's entries, as when its process was lost."""
         stream = self._streams.get(target)
         if stream is not None:
-            self._retire(target, stream.incarnation)
-            del self._streams[target]
+            stream.entries.clear()
+            stream.gaps += 1
 
     def cached_pieces(
         self, now: float, target: str, incarnation: str, chain: tuple[bytes, ...]
@@ -154,7 +158,7 @@
             return stream
         if incarnation in self._retired.get(target, ()):
             return None
-        if stream is not None:
+        if stream is not None and stream.sequence:
             self._retire(target, stream.incarnation)
         stream = _Stream(incarnation)
         self._streams[target] = stream
--- a/tests/test_placement/test_hints.py
+++ b/tests/test_placement/test_hints.py
@@ -84,3 +84,19 @@
         hints.cached_pieces(1.0, ENGINE, "a", (prefix,)).known for prefix in prefixes
     )
     assert held == min(limit, count)
+
+
+def test_process_that_was_forgotten_as_lost_may_still_send_events(hints):
+    hints.apply(1.0, event(1, stored=CHAIN[:4], incarnation="b"))
+    hints.forget(ENGINE)
+    assert look(hints, incarnation="b") == Hint(0, 0, 6)
+    hints.apply(1.0, event(2, stored=CHAIN[:2], incarnation="b"))
+    assert look(hints, incarnation="b").known == 2
+
+
+def test_own_request_with_a_late_incarnation_does_not_end_the_new_one(hints):
+    hints.apply(1.0, event(1, stored=CHAIN[:4], incarnation="b"))
+    hints.expect(1.0, ENGINE, "a", CHAIN)
+    hints.apply(1.0, event(2, stored=CHAIN[:5], incarnation="b"))
+    assert look(hints, incarnation="b").known == 5
+    assert look(hints, incarnation="a") == Hint(0, 0, 6)
