--- a/Makefile
+++ b/Makefile
@@ -18,5 +18,9 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 
+bench: .venv/installed
+	$(BIN)/python -m benchmarks.decision_time
+	$(BIN)/python -m benchmarks.policies --plot docs/design/policies.png
+
 clean:
 	rm -rf .venv var
--- a/tests/test_placement/test_rank.py
+++ b/tests/test_placement/test_rank.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import pytest
 from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 
 from berylnotch.placement.chain import Scope, hash_chain
+from berylnotch.placement.hints import CacheEvent, CacheHints
 from berylnotch.placement.model import Candidate, Query
 from berylnotch.placement.rank import expected_pieces, rank
 from berylnotch.placement.settings import PlacementSettings
@@ -64,3 +66,40 @@
     home = rank(SETTINGS, asked, CANDIDATES)[0].name
     busy = [evolve(c, queue_wait_s=60.0 * (c.name == home)) for c in CANDIDATES]
     assert rank(SETTINGS, asked, busy)[0].name != home
+
+
+def hints_with(pieces: int, target: str, asked: Query) -> CacheHints:
+    hints = CacheHints()
+    hints.apply(0.0, CacheEvent(target, "", 1, asked.chain[:pieces]))
+    return hints
+
+
+@pytest.mark.parametrize(("rate", "source"), [(40_000.0, "store"), (0.0, "")])
+def test_pieces_are_imported_if_that_is_cheaper(rate, source):
+    asked = query(b"z" * 64, stores=("store",))
+    settings = evolve(SETTINGS, import_tokens_per_s=rate)
+    best = rank(settings, asked, CANDIDATES, hints_with(8, "store", asked))[0]
+    assert best.import_from == source
+    assert best.import_pieces == (8 if source else 0)
+
+
+def test_short_import_costs_more_than_computing():
+    asked = query(b"z" * 8, stores=("store",))
+    settings = evolve(SETTINGS, import_tokens_per_s=1.0)
+    best = rank(settings, asked, CANDIDATES, hints_with(1, "store", asked))[0]
+    assert best.import_from == ""
+
+
+def test_only_known_pieces_are_imported():
+    asked = query(b"z" * 64, stores=("store",))
+    settings = evolve(SETTINGS, import_tokens_per_s=40_000.0)
+    hints = hints_with(8, "store", asked)
+    hints.apply(1.0, CacheEvent("store", "", 3))
+    assert rank(settings, asked, CANDIDATES, hints)[0].import_from == ""
+
+
+def test_nearer_of_two_equal_targets_is_chosen():
+    asked = query(b"", failure_domain="howrah")
+    far = Candidate("engine-0", failure_domain="kolkata-a", weights="v1")
+    near = Candidate("engine-1", failure_domain="howrah", weights="v1")
+    assert rank(SETTINGS, asked, [far, near])[0].name == "engine-1"
