--- /dev/null
+++ b/tests/test_daemon/test_streams.py
@@ -0,0 +1,233 @@
+"""Streams through real routers while engines and routers fail."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import signal
+
+import openai
+import pytest
+
+from berylnotch.standins.caller import CallerClient
+from berylnotch.standins.fleet import LocalFleet, wait_for
+from berylnotch.standins.texts import DOMAINS
+
+from .conftest import start_small
+
+BODY = {"model": "sake-1", "prompt": "contract", "max_tokens": 40, "stream": True}
+
+
+class Served:
+    """A fleet in service and one key of it."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        fleet.start_controllers(("c1", "c2", "c3"), DOMAINS[:3])
+        small = start_small(fleet)
+        self.routers = [address for _, address in small.routers]
+        self.engines = dict(small.engines)
+        self.desk = small.plain[0][1]
+        self.key = self.new_key().key
+
+    def new_key(self):
+        key = self.fleet.give_key("importer-desk")
+        for address in self.routers:
+            caller = CallerClient(address, key.key)
+            wait_for(lambda c=caller: c.send("GET", "/v1/models").status == 200, "key")
+        return key
+
+    def caller(self, router=0):
+        return CallerClient(self.routers[router], self.key)
+
+    def faults(self, **faults):
+        for address in (*self.engines.values(), self.desk):
+            body = json.dumps(faults).encode()
+            answer = CallerClient(address).send("POST", "/standin/faults", body)
+            assert answer.status == 200
+
+    def running(self):
+        """Return the names of the engines that run something."""
+        loads = {
+            name: CallerClient(address).send("GET", "/standin/load").json()
+            for name, address in self.engines.items()
+        }
+        return [name for name, load in loads.items() if load["running"]]
+
+
+@pytest.fixture(scope="module")
+def whole_fleet(tmp_path_factory):
+    fleet = LocalFleet(tmp_path_factory.mktemp("streams"))
+    try:
+        yield Served(fleet)
+    finally:
+        fleet.close()
+
+
+@pytest.fixture
+def served(whole_fleet):
+    whole_fleet.faults()
+    return whole_fleet
+
+
+class Stream:
+    """An open stream that is read event by event."""
+
+    def __init__(self, address, key, body=None, last_event_id=""):
+        headers = {"authorization": f"Bearer {key}"}
+        if last_event_id:
+            headers["last-event-id"] = last_event_id
+        self.connection = http.client.HTTPConnection(address, timeout=60)
+        self.connection.request(
+            "POST", "/v1/completions", json.dumps(body or BODY), headers
+        )
+        self.answer = self.connection.getresponse()
+        self.events = []
+
+    def read(self, count=None):
+        """Read that many events, or all; return their text without ids."""
+        lines = []
+        while count is None or len(self.events) < count:
+            line = self.answer.readline()
+            if not line:
+                break
+            lines.append(line.decode().rstrip("\n"))
+            if line == b"\n":
+                self.events.append("\n".join(lines[:-1]))
+                lines = []
+        return [event.partition("\n")[2] or event for event in self.events]
+
+    @property
+    def last_id(self):
+        return self.events[-1].partition("\n")[0].removeprefix("id: ")
+
+    def numbers(self):
+        ids = [event.partition("\n")[0] for event in self.events[:-1]]
+        return [int(text.rpartition(".")[2]) for text in ids]
+
+    def close(self):
+        self.connection.close()
+        self.answer.close()
+
+
+def whole_stream(served):
+    stream = Stream(served.routers[0], served.key)
+    texts = stream.read()
+    assert stream.answer.status == 200
+    assert texts[-1] == "data: [DONE]"
+    assert stream.numbers() == list(range(1, 42))
+    return texts
+
+
+def test_openai_client_works_unchanged(served):
+    url = f"http://{served.routers[0]}/v1"
+    client = openai.OpenAI(api_key=served.key, base_url=url, max_retries=0)
+    kwargs = {"model": "sake-1", "messages": [{"role": "user", "content": "duty"}]}
+    whole = client.chat.completions.create(**kwargs, max_tokens=5)
+    chunks = list(client.chat.completions.create(**kwargs, max_tokens=5, stream=True))
+    text = "".join(chunk.choices[0].delta.content for chunk in chunks)
+    assert text == whole.choices[0].message.content
+    assert [model.id for model in client.models.list()] == ["sake-1"]
+    with pytest.raises(openai.NotFoundError):
+        client.completions.create(model="none", prompt="a")
+    stranger = openai.OpenAI(api_key="wrong", base_url=url, max_retries=0)
+    with pytest.raises(openai.AuthenticationError):
+        stranger.models.list()
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        {"close_after_events": 7},
+        {"die_after_events": 7},
+        {"skip_event": 9, "times": 1},
+        {"repeat_event": 9},
+        {"empty": True, "times": 1},
+        {"wrong_request_id": True, "times": 1},
+        {"close_before_answer": True, "times": 1},
+        {"refuse": True, "times": 1},
+        {"error_status": 500, "times": 1},
+    ],
+    ids=lambda faults: next(iter(faults)),
+)
+def test_stream_is_whole_although_engines_fail(served, faults):
+    expected = whole_stream(served)
+    served.faults(**faults)
+    assert whole_stream(served) == expected
+
+
+def test_engine_killed_while_it_streams(served):
+    expected = whole_stream(served)
+    stream = Stream(served.routers[0], served.key)
+    stream.read(5)
+    (name,) = served.running()
+    child = served.fleet.children[name]
+    child.signal(signal.SIGKILL)
+    assert stream.read() == expected
+    assert stream.numbers() == list(range(1, 42))
+    port = served.engines[name].rpartition(":")[2]
+    child.kill()
+    again = ("--port", port, "--name", name)
+    served.fleet.start_engine(name, *again)
+
+
+def test_caller_that_leaves_cancels_the_engines_work(served):
+    stream = Stream(served.routers[0], served.key, {**BODY, "max_tokens": 5000})
+    stream.read(3)
+    assert served.running()
+    stream.close()
+    wait_for(lambda: not served.running(), "work cancelled")
+
+
+def test_withdrawn_key_ends_a_running_stream(served):
+    key = served.new_key()
+    stream = Stream(served.routers[1], key.key, {**BODY, "max_tokens": 5000})
+    stream.read(3)
+    served.fleet.withdraw_key(key.key_id)
+    texts = stream.read()
+    assert '"key-withdrawn"' in texts[-1]
+    assert len(texts) < 5000
+    wait_for(lambda: not served.running(), "work cancelled")
+
+
+def test_request_that_crashes_engines_is_refused_for_good(served):
+    served.faults(crash_marker="poison", restart_ms=50)
+    body = {"model": "sake-1", "prompt": "poison", "max_tokens": 3}
+    answers = [served.caller(router).post("/v1/completions", body) for router in (0, 1)]
+    assert [answer.status for answer in answers] == [422, 422]
+    assert answers[0].run != "not-run"
+    served.faults()
+    wait_for(
+        lambda: served.caller().chat("sake-1", "b", max_tokens=2).status == 200,
+        "innocent request served",
+    )
+
+
+def test_close_after_the_request_was_written_is_not_called_not_run(served):
+    served.faults(close_before_answer=True)
+    answer = served.caller().post("/orders", {"order": "B-1"})
+    assert (answer.status, answer.run) == (502, "unknown")
+    runs = CallerClient(served.desk).send("GET", "/standin/runs").json()
+    assert runs["B-1"] == 1
+
+
+def test_no_target_saw_the_key(served):
+    headers = {"Cookie": served.key, "X-Api-Key": served.key}
+    served.caller().send("GET", f"/stock?key={served.key}", headers=headers)
+    for address in (*served.engines.values(), served.desk):
+        seen = CallerClient(address).send("GET", "/standin/seen").body
+        assert seen != b"[]"
+        assert served.key.encode() not in seen
+
+
+def test_router_killed_while_it_streams(served):
+    expected = whole_stream(served)
+    stream = Stream(served.routers[0], served.key)
+    begun = stream.read(9)
+    last_id = stream.last_id
+    served.fleet.children["entry-1"].signal(signal.SIGKILL)
+    stranger = Stream(served.routers[1], served.key, {**BODY, "prompt": "x"}, last_id)
+    assert stranger.answer.status in (400, 409, 422)
+    rest = Stream(served.routers[1], served.key, last_event_id=last_id)
+    assert begun + rest.read() == expected
+    assert rest.numbers() == list(range(10, 42))
