--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -29,6 +29,7 @@
     SendBytes,
     SendHead,
     StartAttempt,
+    WaitUntil,
 )
 from berylnotch.streams.inputs import PauseReason, UpstreamEnd
 from berylnotch.util.metrics import Label
@@ -155,6 +156,8 @@
             self._pause_upstream(job)
         elif isinstance(action, ResumeUpstream):
             self._resume_upstream(job)
+        elif isinstance(action, WaitUntil):
+            self._schedule_tick(job)
         elif isinstance(action, Finish):
             self._finish(job, action)
         return ()
@@ -350,6 +353,8 @@
         self._on_over(job)
 
     def _schedule_tick(self, job: Job) -> None:
+        if job.timer is not None:
+            job.timer.cancel()
         if job.exchange.is_finished:
             return
         due = job.exchange.next_tick() - time.monotonic()
--- a/berylnotch/standins/engine.py
+++ b/berylnotch/standins/engine.py
@@ -193,6 +193,7 @@
             "slots": self._settings.run.slots,
             "queue_wait_s": self._runs.queue_wait_s(self._settings.tokens),
             "fence": self._fence,
+            "struck": self._faults.struck,
         }
         self._answer(connection, report)
 
--- a/berylnotch/standins/faults.py
+++ b/berylnotch/standins/faults.py
@@ -80,6 +80,12 @@
     def __init__(self) -> None:
         self._faults = Faults()
         self._left = 0
+        self._struck = 0
+
+    @property
+    def struck(self) -> int:
+        """Requests that the faults in force have struck."""
+        return self._struck
 
     @property
     def standing(self) -> Faults:
@@ -90,6 +96,7 @@
         """Replace the faults in force."""
         self._faults = faults
         self._left = faults.times
+        self._struck = 0
 
     def strike(self) -> Faults:
         """Return the faults for one request."""
@@ -97,4 +104,5 @@
         if faults.times and not self._left:
             return attrs.evolve(Faults(), crash_marker=faults.crash_marker)
         self._left = max(0, self._left - 1)
+        self._struck += 1
         return faults
--- a/berylnotch/streams/actions.py
+++ b/berylnotch/streams/actions.py
@@ -65,6 +65,13 @@
     weights: str
 
 
+@frozen
+class WaitUntil:
+    """Call ``tick`` at this time, in seconds; the next attempt waits for it."""
+
+    time: float
+
+
 @frozen
 class CancelAttempt:
     """Stop the attempt's transfer; its connection must not be used again."""
@@ -190,6 +197,7 @@
 
 Action = (
     StartAttempt
+    | WaitUntil
     | CancelAttempt
     | AttemptFailed
     | PauseUpstream
--- a/berylnotch/streams/answers.py
+++ b/berylnotch/streams/answers.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from berylnotch.streams.actions import RunMark, SendBytes, SendHead
 from berylnotch.streams.inputs import ExchangeSettings, ResponseHead
 from berylnotch.streams.scanner import EventScanner
 from berylnotch.streams.sequence import EventSequence, Numbered
@@ -75,7 +76,13 @@
 
 @frozen
 class KeptAnswer:
-    """A complete answer with an error status, for want of a better one."""
+    """A complete answer that isn't a stream."""
 
     head: ResponseHead
     body: bytes
+
+    def actions(self, mark: RunMark) -> tuple[SendHead | SendBytes, ...]:
+        """Return what sends the answer to the caller."""
+        head = self.head
+        send_head = SendHead(head.status, head.headers, mark, len(self.body))
+        return (send_head, SendBytes(self.body, 0)) if self.body else (send_head,)
--- a/berylnotch/streams/attempts.py
+++ b/berylnotch/streams/attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from attrs import define, field
 
 from berylnotch.streams.actions import FailureCause
@@ -63,6 +65,12 @@
         answer = self.answer.buffered if self.answer is not None else 0
         return answer + self.held_bytes
 
+    def start(self, target: str, weights: str) -> None:
+        """Record where the request goes now."""
+        self.target = target
+        self.weights = weights
+        self.started = True
+
     def hold(self, data: bytes, limit_bytes: int) -> bool:
         """Keep bytes until the exchange goes on; return False if too many."""
         if self.held_bytes + len(data) > limit_bytes:
@@ -76,10 +84,10 @@
         held, self.held, self.held_bytes = self.held, [], 0
         return held
 
-    def idle_timeout_s(self, settings: ExchangeSettings) -> float | None:
-        """Return how long the answer's next event may take; None: any time."""
+    def idle_timeout_s(self, settings: ExchangeSettings) -> float:
+        """Return how long the answer's next event may take."""
         if not self.started:
-            return None
+            return math.inf
         if self.has_events:
             return settings.idle_timeout_s
         return settings.first_event_timeout_s
@@ -88,8 +96,8 @@
 class AttemptLog:
     """Counts attempts and decides on retries.
 
-    An attempt that brought events resets the count of fruitless attempts, so
-    that a long stream survives more losses than a request that never starts.
+    Before the first event a few attempts are enough, since the caller can come
+    back. A stream that has begun is worth more patience.
     """
 
     def __init__(self, settings: ExchangeSettings, request: ExchangeRequest) -> None:
@@ -98,6 +106,7 @@
         self._count = 0
         self._fruitless = 0
         self._position = request.resume_after
+        self._stalled_since: float | None = None
         self._exclude: frozenset[str] = frozenset()
         self._may_have_run = False
         self._last_cause: FailureCause | None = None
@@ -122,16 +131,17 @@
         """Cause of the newest failure."""
         return self._last_cause
 
-    def begin(self, position: int) -> Attempt:
-        """Open the next attempt, which starts after ``position``."""
+    def begin(self) -> Attempt:
+        """Open the next attempt."""
         self._count += 1
         self._fruitless += 1
-        self._position = position
         return Attempt(self._count)
 
-    def withdraw(self) -> None:
+    def withdraw(self, now: float) -> None:
         """Forget the newest attempt, for which there was no target."""
         self._count -= 1
+        if self._stalled_since is None:
+            self._stalled_since = now
 
     def abandon(self, attempt: Attempt) -> None:
         """Record an attempt that was cancelled through no fault of its target."""
@@ -139,12 +149,19 @@
         self._fruitless -= 1
 
     def fail(
-        self, attempt: Attempt, cause: FailureCause, not_run: bool, position: int
+        self,
+        now: float,
+        attempt: Attempt,
+        cause: FailureCause,
+        not_run: bool,
+        position: int,
     ) -> None:
         """Record a failed attempt.
 
         Parameters
         ----------
+        now : float
+            Time in seconds.
         attempt : Attempt
             The attempt.
         cause : FailureCause
@@ -157,15 +174,38 @@
         self._last_cause = cause
         self._may_have_run = self._may_have_run or not not_run
         if position > self._position:
-            self._fruitless = 0
+            self._position = position
+            self._fruitless = 1
+            self._stalled_since = now
             self._exclude = frozenset()
+        elif self._stalled_since is None:
+            self._stalled_since = now
         self._exclude = self._exclude | {attempt.target}
 
     def may_retry(self, now: float, not_run: bool) -> bool:
         """Whether another attempt is allowed after the newest failure."""
         if not (not_run or self._request.idempotent):
             return False
-        if self._fruitless >= self._settings.max_attempts:
+        if now >= self._request.deadline:
+            return False
+        if self._position:
+            return self.may_wait(now)
+        return self._fruitless < self._settings.max_attempts
+
+    def may_wait(self, now: float) -> bool:
+        """Whether a stream that has begun may go on looking for a target."""
+        if not self._position or self._stalled_since is None:
+            return False
+        if not self._request.idempotent:
             return False
         within = self._count < self._settings.max_attempts_total
-        return within and now < self._request.deadline
+        patient = now < self._stalled_since + self._settings.resume_patience_s
+        return within and patient
+
+    def wait_s(self) -> float:
+        """Return how long the next attempt waits."""
+        doublings = self._fruitless - 2
+        if doublings < 0:
+            return 0.0
+        wait_s = self._settings.retry_wait_s * 2.0 ** min(doublings, 16)
+        return min(wait_s, self._settings.retry_max_wait_s)
--- a/berylnotch/streams/inputs.py
+++ b/berylnotch/streams/inputs.py
@@ -25,9 +25,14 @@
     Attributes
     ----------
     max_attempts : int
-        Attempts in a row that bring the caller nothing.
+        Attempts before the first event.
     max_attempts_total : int
         Attempts in all.
+    retry_wait_s, retry_max_wait_s : float
+        Wait before the third attempt in a row that brings nothing, doubled for
+        each further one, and the longest wait. The second starts at once.
+    resume_patience_s : float
+        How long a stream that has begun looks for a target to go on with.
     first_event_timeout_s : float
         Time until a stream's first event.
     idle_timeout_s : float
@@ -41,7 +46,10 @@
     """
 
     max_attempts: int = 3
-    max_attempts_total: int = 12
+    max_attempts_total: int = 64
+    retry_wait_s: float = 0.1
+    retry_max_wait_s: float = 1.0
+    resume_patience_s: float = 10.0
     first_event_timeout_s: float = 60.0
     idle_timeout_s: float = 15.0
     max_answer_bytes: int = 8 * 1024 * 1024
--- a/tests/test_streams/fakes.py
+++ b/tests/test_streams/fakes.py
@@ -72,6 +72,9 @@
 
     def run(self) -> Shell:
         self.perform(self.exchange.start(self.now))
+        while not self.exchange.is_finished:
+            self.now = max(self.now, self.exchange.next_tick())
+            self.perform(self.exchange.tick(self.now))
         return self
 
     def perform(self, actions):
