server: an ejected target goes before one that just failed the request

Seen in test_request_that_crashes_engines and test_engine_killed: with the other engine ejected, the attempt after a loss went back to the engine that was just lost, refused the connection, and three attempts in a few milliseconds used up the request (502, or an error event in a begun stream).

--- a/berylnotch/server/attempts.py
+++ b/berylnotch/server/attempts.py
@@ -80,6 +80,10 @@
         now = time.monotonic()
         apart = self._context.guard.avoid(now, job.fingerprint)
         ranked = self._rank(now, job, action, action.exclude | apart)
+        if not ranked:
+            # An ejected target may be back; one that just failed this request
+            # is not.
+            ranked = self._rank(now, job, action, action.exclude | apart, True)
         if not ranked and action.exclude:
             # A target that failed before is better than none.
             ranked = self._rank(now, job, action, apart)
@@ -143,16 +147,25 @@
         )
 
     def _rank(
-        self, now: float, job: Job, action: StartAttempt, exclude: frozenset[str]
+        self,
+        now: float,
+        job: Job,
+        action: StartAttempt,
+        exclude: frozenset[str],
+        with_ejected: bool = False,
     ) -> tuple[Ranked, ...]:
         if job.prompt is None:
             candidates = self._candidates(now, job.service.name)
+            if with_ejected:
+                candidates = _not_ejected(candidates)
             domain = self._context.settings.failure_domain
             query = Query(failure_domain=domain, exclude=exclude)
             ranked = rank(self._context.settings.placement, query, candidates)
         else:
             request = self._request(job, action.weights, exclude)
             candidates = self._shortlist(now, job, request)
+            if with_ejected:
+                candidates = _not_ejected(candidates)
             ranked = self._context.placer.rank(now, request, candidates)
         return _with_free_slot_first(ranked, candidates)
 
@@ -203,6 +216,10 @@
         )
 
 
+def _not_ejected(candidates: tuple[Candidate, ...]) -> tuple[Candidate, ...]:
+    return tuple(evolve(candidate, ejected=False) for candidate in candidates)
+
+
 def _with_free_slot_first(
     ranked: tuple[Ranked, ...], candidates: tuple[Candidate, ...]
 ) -> tuple[Ranked, ...]:
--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -287,6 +287,9 @@
             job.timer.cancel()
         now = time.monotonic()
         self._end_attempt(job, action, now)
+        if action.reason is FinishReason.TARGET_FAILED:
+            # The loss that ended it may have been the second.
+            self._is_poison(job, now)
         if action.reason is not FinishReason.COMPLETE:
             self._delivery.drop_unpaid(job)
         if job.claim_attempt:
