--- a/berylnotch/server/caller.py
+++ b/berylnotch/server/caller.py
@@ -72,8 +72,12 @@
         """Send bytes, or keep them until the socket takes them."""
         if self._closed or not data:
             return
-        self._output += data
-        self._flush()
+        if not self._output:
+            # Nearly always the socket takes all, and nothing has to be watched.
+            data = self._send(data)
+        if data:
+            self._output += data
+            self._update()
 
     def finish(self) -> None:
         """Close once all bytes are sent."""
@@ -92,6 +96,17 @@
         self._loop.watch(self._sock, 0, self._on_ready)
         self._sock.close()
 
+    def _send(self, data: bytes) -> bytes:
+        """Send what the socket takes now and return the rest."""
+        try:
+            sent = self._sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return data
+        except OSError:
+            self._fail()
+            return b""
+        return data[sent:]
+
     def _flush(self) -> None:
         try:
             while self._output:
--- a/berylnotch/server/delivery.py
+++ b/berylnotch/server/delivery.py
@@ -19,6 +19,7 @@
     from berylnotch.server.job import Job
     from berylnotch.server.needs import TokenNeeds
 
+_GAP_METRIC = "berylnotch_event_gap_seconds"
 #: Seconds for which a finished answer waits for tokens.
 _UNPAID_LIMIT_S = 60.0
 
@@ -51,6 +52,7 @@
         self._pause = pause
         self._resume = resume
         self._owing: dict[str, Job] = {}
+        self._gap_timers: dict[str, Callable[[float], None]] = {}
 
     def send_head(self, job: Job, action: SendHead) -> None:
         """Write the head of a target's answer."""
@@ -164,13 +166,17 @@
     def _note_events(self, job: Job) -> None:
         now = time.monotonic()
         if job.last_event_at:
-            self._context.metrics.observe(
-                "berylnotch_event_gap_seconds",
-                now - job.last_event_at,
-                Label("service", job.service.name),
-            )
+            self._gap_timer(job.service.name)(now - job.last_event_at)
         job.last_event_at = now
 
+    def _gap_timer(self, service: str) -> Callable[[float], None]:
+        timer = self._gap_timers.get(service)
+        if timer is None:
+            label = Label("service", service)
+            timer = self._context.metrics.timer(_GAP_METRIC, label)
+            self._gap_timers[service] = timer
+        return timer
+
 
 def _tokens(job: Job, action: SendBytes) -> int:
     if action.events or job.language is None or job.chunked:
--- a/berylnotch/util/metrics.py
+++ b/berylnotch/util/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 
 from attrs import frozen
 from hdrh.histogram import HdrHistogram
@@ -51,13 +52,25 @@
 
     def observe(self, name: str, seconds: float, *labels: Label) -> None:
         """Record a duration."""
+        self.timer(name, *labels)(seconds)
+
+    def timer(self, name: str, *labels: Label) -> Callable[[float], None]:
+        """Return a function that records durations of one series.
+
+        For durations so frequent that the search for their series counts.
+        """
         series = _Series(name, labels)
         with self._lock:
             histogram = self._histograms.get(series)
             if histogram is None:
                 histogram = HdrHistogram(1, _MAX_US, _DIGITS)
                 self._histograms[series] = histogram
-            histogram.record_value(max(1, int(seconds * 1e6)))
+
+        def record(seconds: float) -> None:
+            with self._lock:
+                histogram.record_value(max(1, int(seconds * 1e6)))
+
+        return record
 
     def counter(self, name: str, *labels: Label) -> int:
         """Return a counter's value."""
