--- a/spec/__init__.py
+++ b/spec/__init__.py
@@ -1,1 +1,3 @@
-"""Specifications of the core protocols, checked exhaustively within bounds."""
+"""Small specifications of the protocols, checked exhaustively within bounds."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_daemon/conftest.py
@@ -0,0 +1,62 @@
+"""Fleets of real processes for the daemons' tests."""
+
+from __future__ import annotations
+
+import pytest
+
+from berylnotch.standins.caller import CallerClient
+from berylnotch.standins.fleet import LocalFleet, wait_for
+from berylnotch.standins.texts import DOMAINS, SmallFleet, small_text
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    fleet = LocalFleet(tmp_path)
+    yield fleet
+    fleet.close()
+
+
+@pytest.fixture
+def small(fleet):
+    """Three controllers, two routers, two engines, one order desk."""
+    fleet.start_controllers(("c1", "c2", "c3"), DOMAINS[:3])
+    return start_small(fleet)
+
+
+def start_small(fleet, **settings):
+    """Start routers and targets beside the controllers, and apply their text."""
+    children = fleet.start_all(
+        [
+            lambda: fleet.start_engine("sake-1-a"),
+            lambda: fleet.start_engine("sake-1-b"),
+            lambda: fleet.start_plain("order-1"),
+            lambda: fleet.start_router("entry-1", DOMAINS[0]),
+            lambda: fleet.start_router("entry-2", DOMAINS[1]),
+        ]
+    )
+    a, b, order, entry_1, entry_2 = (child.address for child in children)
+    found = SmallFleet(
+        routers=(("entry-1", entry_1), ("entry-2", entry_2)),
+        engines=(("sake-1-a", a), ("sake-1-b", b)),
+        plain=(("order-1", order),),
+        **settings,
+    )
+    assert fleet.apply(small_text(found), 0).revision == 1
+    return found
+
+
+@pytest.fixture
+def key(fleet, small):
+    return fleet.give_key("importer-desk")
+
+
+@pytest.fixture
+def callers(small, key):
+    """A caller at each router, once the key is in force there."""
+    callers = [CallerClient(address, key.key) for _, address in small.routers]
+    for caller in callers:
+        wait_for(
+            lambda caller=caller: caller.send("GET", "/v1/models").status == 200,
+            "key in force",
+        )
+    return callers
--- /dev/null
+++ b/tests/test_quota/test_grants.py
@@ -0,0 +1,196 @@
+"""Owner and routers together, without faults."""
+
+from __future__ import annotations
+
+import pytest
+
+from berylnotch.quota import LocalQuota, QuotaOwner, QuotaSettings
+from tests.test_quota.fakes import Limits, exchange, request
+
+SETTINGS = QuotaSettings()
+STEADY = SETTINGS.owner_lifetime_s
+LIMITS = {"clinic": Limits(rate=100, burst=1000)}
+
+
+@pytest.fixture
+def owner():
+    return QuotaOwner(SETTINGS, term=1, now=0.0)
+
+
+@pytest.fixture
+def router():
+    return LocalQuota(SETTINGS)
+
+
+def test_new_owner_grants_nothing_until_older_grants_are_over(owner, router):
+    router.want("clinic", 10)
+    exchange(owner, router, STEADY - 0.01, LIMITS)
+    assert router.balance(STEADY, "clinic") == 0
+    exchange(owner, router, STEADY + 1, LIMITS)
+    assert router.balance(STEADY + 1, "clinic") == 10
+
+
+def test_charge_needs_held_tokens(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 50)
+    exchange(owner, router, now, LIMITS)
+    assert not router.charge(now, "clinic", 51)
+    assert router.charge(now, "clinic", 50)
+    assert not router.charge(now, "clinic", 1)
+
+
+def test_held_tokens_end_with_the_lifetime(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 50)
+    exchange(owner, router, now, LIMITS)
+    assert router.balance(now + SETTINGS.lifetime_s, "clinic") == 0
+
+
+def test_unused_tokens_go_back(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 50)
+    exchange(owner, router, now, LIMITS)
+    assert owner.level(now, "clinic") == 950
+    router.want("clinic", 0)
+    exchange(owner, router, now, LIMITS)
+    assert owner.level(now, "clinic") == 1000
+
+
+def test_reply_of_an_abandoned_exchange_is_left_out(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 50)
+    late = owner.grant(now, request(router, now), LIMITS)
+    exchange(owner, router, now, LIMITS)
+    assert not router.receive(now, late)
+    assert router.balance(now, "clinic") == 50
+    assert owner.level(now, "clinic") == 950
+
+
+def test_organisation_far_over_its_rate_is_told_when_to_come_back(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 5000, first=1000)
+    exchange(owner, router, now, LIMITS)
+    router.want("clinic", 5000, first=1000)
+    assert router.charge(now, "clinic", 1000)
+    exchange(owner, router, now, LIMITS)
+    assert 50_000 <= router.retry_after_ms("clinic") <= 52_000
+
+
+def test_two_waiting_routers_get_whole_amounts_in_turn(owner):
+    now = STEADY + 20
+    first, second = LocalQuota(SETTINGS), LocalQuota(SETTINGS)
+    first.want("clinic", 800)
+    second.want("clinic", 800)
+    exchange(owner, first, now, LIMITS, "vm-a")
+    exchange(owner, second, now, LIMITS, "vm-b")
+    assert first.charge(now, "clinic", 800)
+    first.want("clinic", 100, first=1)
+    exchange(owner, first, now + 0.5, LIMITS, "vm-a")
+    assert first.balance(now + 0.5, "clinic") == 0
+    exchange(owner, second, now + 6.5, LIMITS, "vm-b")
+    assert second.charge(now + 6.5, "clinic", 800)
+
+
+def test_tokens_charged_while_the_reply_was_under_way_stay_charged(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 50)
+    exchange(owner, router, now, LIMITS)
+    router.want("clinic", 10, first=1)
+    reply = owner.grant(now, request(router, now), LIMITS)
+    held = router.balance(now, "clinic")
+    assert router.charge(now, "clinic", held)
+    router.receive(now, reply)
+    assert router.balance(now, "clinic") == reply.grants[0].tokens - held
+
+
+def test_late_reply_of_another_exchange_adds_nothing(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 1000)
+    late = owner.grant(now, request(router, now), LIMITS)
+    exchange(owner, router, now, LIMITS)
+    router.charge(now, "clinic", 1000)
+    assert not router.receive(now, late)
+    assert router.balance(now, "clinic") == 0
+
+
+def test_lifetime_counts_from_when_the_request_was_sent(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 50)
+    reply = owner.grant(now + 1.5, request(router, now), LIMITS)
+    router.balance(now + 1.9, "clinic")
+    router.receive(now, reply)
+    assert router.balance(now + 1.9, "clinic") == 50
+    assert router.balance(now + 2.0, "clinic") == 0
+
+
+def test_tokens_written_off_are_not_renewed_by_a_late_request(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 600, first=10)
+    exchange(owner, router, now, LIMITS)
+    router.want("clinic", 300, first=10)
+    delayed = request(router, now + 1.9)
+    reply = owner.grant(now + 9, delayed, LIMITS)
+    router.receive(now + 1.9, reply)
+    assert router.balance(now + 1.95, "clinic") == reply.grants[0].tokens
+    assert owner.level(now + 9, "clinic") + reply.grants[0].tokens == 1000
+
+
+def test_held_tokens_last_to_their_own_end_through_a_change_of_owner(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 50)
+    exchange(owner, router, now, LIMITS)
+    successor = QuotaOwner(SETTINGS, term=2, now=now + 1)
+    exchange(successor, router, now + 1.5, LIMITS)
+    assert router.balance(now + 1.9, "clinic") == 50
+    assert router.balance(now + 2.0, "clinic") == 0
+
+
+def test_new_owner_never_gives_back_what_an_earlier_one_lent(owner, router):
+    """Its bucket is empty until it has refilled it itself."""
+    now = STEADY + 20
+    router.want("clinic", 500)
+    exchange(owner, router, now, LIMITS)
+    delayed = request(router, now + 1.9)
+    successor = QuotaOwner(SETTINGS, term=2, now=now + 3)
+    successor.grant(now + 4, delayed, LIMITS)
+    router.want("clinic", 0)
+    exchange(successor, router, successor.steady_from + 1, LIMITS)
+    assert successor.level(successor.steady_from + 1, "clinic") <= 100 + 1e-6
+
+
+def test_request_larger_than_the_burst_does_not_hold_up_others(owner):
+    now = STEADY + 20
+    first, second = LocalQuota(SETTINGS), LocalQuota(SETTINGS)
+    first.want("clinic", 1001)
+    second.want("clinic", 900)
+    exchange(owner, first, now, LIMITS, "vm-a")
+    exchange(owner, second, now, LIMITS, "vm-b")
+    assert second.balance(now, "clinic") == 900
+
+
+def test_use_above_the_share_worsens_the_priority(owner):
+    limits = {name: Limits(rate=1e4, burst=1e6) for name in ("large", "small")}
+    router, now = LocalQuota(SETTINGS), STEADY + 100
+    for step in range(40):
+        for name, tokens in (("large", 900), ("small", 30)):
+            router.want(name, tokens)
+            exchange(owner, router, now + step, limits)
+            assert router.charge(now + step, name, tokens)
+    exchange(owner, router, now + 40, limits)
+    assert router.priority("small") < 4 < router.priority("large")
+
+
+def test_new_owner_does_not_revive_tokens_that_ended_under_way(owner, router):
+    now = STEADY + 20
+    other = LocalQuota(SETTINGS)
+    router.want("clinic", 500)
+    exchange(owner, router, now, LIMITS, "vm-a")
+    delayed = request(router, now + 1.9, "vm-a")
+    later = now + 3.5
+    other.want("clinic", 600)
+    exchange(owner, other, later, LIMITS, "vm-b")
+    successor = QuotaOwner(SETTINGS, term=2, now=later)
+    reply = successor.grant(later, delayed, LIMITS)
+    router.receive(now + 1.9, reply)
+    assert other.balance(later, "clinic") == 600
+    assert router.balance(later, "clinic") == 0
