--- a/berylnotch/consensus/replica.py
+++ b/berylnotch/consensus/replica.py
@@ -4,31 +4,20 @@
 
 from typing import TYPE_CHECKING, Any
 
-from berylnotch.consensus import election, following
-from berylnotch.consensus.core import Core, State
-from berylnotch.consensus.election import Election
+from berylnotch.consensus.core import Core
 from berylnotch.consensus.errors import MembershipError, NotLeaderError
-from berylnotch.consensus.leading import Leader
 from berylnotch.consensus.members import voters
-from berylnotch.consensus.messages import (
-    AppendReply,
-    AppendRequest,
-    SnapshotReply,
-    SnapshotRequest,
-    TimeoutNow,
-    VoteReply,
-    VoteRequest,
-)
-from berylnotch.consensus.state import Ready, Snapshot
+from berylnotch.consensus.roles import Roles
+from berylnotch.consensus.state import Ready, Recovered, Snapshot
 from berylnotch.errors import ConsensusError
 
 if TYPE_CHECKING:
     import random
 
+    from berylnotch.consensus.leading import Leader
     from berylnotch.consensus.messages import Members
     from berylnotch.consensus.progress import Progress
     from berylnotch.consensus.settings import ConsensusSettings
-    from berylnotch.consensus.state import Recovered
 
 
 class Replica:
@@ -58,16 +47,28 @@
         now: float,
     ) -> None:
         self._core = Core(settings, recovered, rng, now)
-        self._election = Election(self._core)
-        self._receiver = following.SnapshotReceiver(self._core)
-        self._leader: Leader | None = None
+        self._roles = Roles(self._core)
         self._taken: Ready | None = None
+        #: Payload bytes applied since the last snapshot.
+        self._applied_bytes = 0
+
+    @property
+    def _leader(self) -> Leader | None:
+        return self._roles.leader
 
     @property
     def identity(self) -> str:
         """Replica id, ``name/hex``."""
         return self._core.identity
 
+    @property
+    def recovered(self) -> Recovered:
+        """What a restart would find once all work is saved."""
+        core = self._core
+        first, last = core.log.base_index + 1, core.log.last_index
+        entries = core.log.between(first, last)
+        return Recovered(core.identity, core.hard_state, core.log.snapshot, entries)
+
     @property
     def term(self) -> int:
         """Newest term seen."""
@@ -124,7 +125,9 @@
         """Whether enough was applied since the last snapshot."""
         core = self._core
         start = core.log.snapshot.last_index if core.log.snapshot else 0
-        return core.applied - start >= core.settings.snapshot_every_entries
+        if core.applied - start >= core.settings.snapshot_every_entries:
+            return True
+        return self._applied_bytes >= core.settings.snapshot_every_bytes
 
     def has_lease(self, now: float) -> bool:
         """Whether this replica may act as the only leader at ``now``.
@@ -145,28 +148,11 @@
 
     def tick(self, now: float) -> None:
         """Start what is due: a heartbeat round or an election."""
-        self._check_lease(now)
-        if self._leader is not None:
-            self._leader.tick(now)
-        elif now >= self._core.election_at:
-            self._start_pre_vote(now)
+        self._roles.tick(now)
 
     def step(self, now: float, message: Any) -> None:
         """Take a message of another replica; one for someone else is dropped."""
-        self._check_lease(now)
-        if isinstance(message, VoteRequest | AppendRequest | SnapshotRequest):
-            if message.replica != self.identity:
-                return
-        if isinstance(message, VoteRequest):
-            self._step_vote_request(now, message)
-        elif isinstance(message, VoteReply):
-            self._step_vote_reply(now, message)
-        elif isinstance(message, AppendRequest | SnapshotRequest):
-            self._step_leader(now, message)
-        elif isinstance(message, AppendReply | SnapshotReply):
-            self._step_follower(now, message)
-        elif isinstance(message, TimeoutNow):
-            self._step_timeout_now(now, message)
+        self._roles.step(now, message)
 
     def propose(self, now: float, payload: bytes) -> int:
         """Append a command and return its index.
@@ -222,13 +208,8 @@
         bool
             Whether there was one.
         """
-        leader = self._require_leader(now)
-        successor = leader.successor()
-        if successor:
-            core = self._core
-            core.send(successor, TimeoutNow(core.term, core.identity))
-            self._become_follower(now, core.term, "")
-        return bool(successor)
+        self._require_leader(now)
+        return self._roles.transfer(now)
 
     def ready(self) -> Ready:
         """Return the work that is due; `advance` must follow.
@@ -268,12 +249,12 @@
             core.applied = max(core.applied, ready.snapshot.last_index)
         if ready.committed:
             core.applied = max(core.applied, ready.committed[-1].index)
+            self._applied_bytes += sum(len(e.payload) for e in ready.committed)
         if ready.hard_state is not None and ready.hard_state == core.hard_state:
-            self._election.own_vote_saved()
-            self._check_won(core.now)
+            self._roles.own_vote_saved()
         if self._leader is not None:
             self._leader.update_commit()
-            self._leave_if_removed()
+            self._roles.leave_if_removed()
 
     def build_snapshot(self, data: bytes) -> Snapshot:
         """Return a snapshot of the state after the entry `applied`."""
@@ -284,117 +265,10 @@
         """Drop entries that a saved snapshot holds."""
         if self._core.log.base_index < snapshot.last_index <= self._core.applied:
             self._core.log.compact(snapshot, self._core.settings.keep_entries)
+            self._applied_bytes = 0
 
     def _require_leader(self, now: float) -> Leader:
-        self._check_lease(now)
+        self._roles.check_lease(now)
         if self._leader is None:
             raise NotLeaderError(self.leader_address)
         return self._leader
-
-    def _check_lease(self, now: float) -> None:
-        self._core.now = now
-        if self._leader is not None and self._leader.is_expired(now):
-            self._become_follower(now, self.term, "")
-
-    def _become_follower(self, now: float, term: int, leader: str) -> None:
-        core = self._core
-        if term > core.term:
-            core.set_hard_state(term, "")
-        if self._leader is not None:
-            core.restart_election_timer(now)
-        self._leader = None
-        core.state = State.FOLLOWER
-        core.leader = leader
-        core.leader_address = ""
-
-    def _start_pre_vote(self, now: float) -> None:
-        core = self._core
-        core.leader = ""
-        core.restart_election_timer(now)
-        if not core.is_voter:
-            return
-        self._election.start_pre_vote(now)
-        self._check_won(now)
-
-    def _check_won(self, now: float) -> None:
-        core = self._core
-        if not self._election.is_won:
-            return
-        if core.state is State.PRE_CANDIDATE:
-            self._election.start_vote(now)
-        elif core.state is State.CANDIDATE:
-            core.state = State.LEADER
-            core.leader = core.identity
-            self._leader = Leader(core, now)
-
-    def _step_vote_request(self, now: float, request: VoteRequest) -> None:
-        core = self._core
-        if request.pre:
-            reply = election.answer_pre_vote(core, now, request)
-            if self._leader is not None:
-                reply = VoteReply(core.term, core.identity, False, pre=True)
-            core.send(request.candidate, reply, request.address)
-            return
-        is_held = core.hears_leader(now) or self._leader is not None
-        if is_held and not request.transfer:
-            reply = VoteReply(core.term, core.identity, False)
-        else:
-            if request.term > core.term:
-                self._become_follower(now, request.term, "")
-            reply = election.answer_vote(core, now, request)
-        core.send(request.candidate, reply, request.address)
-
-    def _step_vote_reply(self, now: float, reply: VoteReply) -> None:
-        if reply.term > self.term and not (reply.pre and reply.granted):
-            self._become_follower(now, reply.term, "")
-            return
-        self._election.receive(reply)
-        self._check_won(now)
-
-    def _step_leader(
-        self, now: float, request: AppendRequest | SnapshotRequest
-    ) -> None:
-        core = self._core
-        if request.term < core.term:
-            reply = AppendReply(core.term, core.identity, False, 0, request.round)
-            core.send(request.leader, reply, request.address)
-            return
-        self._become_follower(now, request.term, request.leader)
-        core.leader_address = request.address
-        core.heard_at = now
-        core.restart_election_timer(now)
-        if isinstance(request, AppendRequest):
-            reply = following.append(core, request)
-        else:
-            reply = self._receiver.receive(request)
-        core.send(request.leader, reply, request.address)
-
-    def _step_follower(self, now: float, reply: AppendReply | SnapshotReply) -> None:
-        if reply.term > self.term:
-            self._become_follower(now, reply.term, "")
-            return
-        if self._leader is None or reply.term < self.term:
-            return
-        if isinstance(reply, AppendReply):
-            self._leader.receive_append(now, reply)
-        else:
-            self._leader.receive_snapshot(now, reply)
-        self._leader.update_commit()
-        self._leave_if_removed()
-
-    def _step_timeout_now(self, now: float, message: TimeoutNow) -> None:
-        core = self._core
-        if message.term == core.term and core.is_voter and self._leader is None:
-            self._election.start_vote(now, transfer=True)
-
-    def _leave_if_removed(self) -> None:
-        core, leader = self._core, self._leader
-        if leader is None or core.log.members_index > core.commit:
-            return
-        if core.is_voter:
-            return
-        leader.send_commit()
-        successor = leader.successor()
-        if successor:
-            core.send(successor, TimeoutNow(core.term, core.identity))
-        self._become_follower(core.now, core.term, "")
--- a/berylnotch/daemon/controller/core.py
+++ b/berylnotch/daemon/controller/core.py
@@ -113,7 +113,6 @@
         self._on_failure = on_failure
         self._address = address
         self._storage = storage
-        self._recovered = recovered
         self._peers = peers
         self._make_replica = make_replica
         self._state = ControlState()
@@ -284,9 +283,9 @@
         self, message: BootstrapRequest, reply: Callable[[object], None]
     ) -> None:
         if not self.members():
-            recovered = bootstrap(self._recovered, message.members)
+            # The replica may have voted since the start; that vote must stand.
+            recovered = bootstrap(self._replica.recovered, message.members)
             self._storage.save(first_ready(recovered))
-            self._recovered = recovered
             self._replica = self._make_replica(recovered)
             logger.info("event=bootstrap members={}", len(message.members.members))
         reply(BootstrapReply(self._replica.members))
--- a/tests/test_consensus/test_election.py
+++ b/tests/test_consensus/test_election.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 
 from berylnotch.consensus.bootstrap import bootstrap, first_ready
@@ -221,6 +222,24 @@
         bootstrap(Recovered("d/1"), members_of(*IDS))
 
 
+def test_bootstrap_keeps_a_vote_given_before_it():
+    node = Node(MemoryDisk(Recovered("a/1")), 0.0)
+    assert ask(node, 5.0, "b/1", 2).granted
+    state = bootstrap(node.replica.recovered, members_of(*IDS))
+    assert state.hard_state == HardState(2, "b/1")
+    assert first_ready(state).hard_state == HardState(2, "b/1")
+
+
+def test_recovered_is_what_a_restart_finds(group):
+    leader = group.elect()
+    group.propose(leader, *[b"%d" % i for i in range(20)])
+    group.nodes[leader].compact()
+    group.advance(1)
+    found, kept = group[leader].recovered, group.nodes[leader].disk.recovered
+    # The oldest kept entry only gives the term of the base.
+    assert found == attrs.evolve(kept, entries=kept.entries[1:])
+
+
 def test_settings_check_the_order_of_times():
     with pytest.raises(ConfigurationError, match="lease_s < election_min_s"):
         ConsensusSettings(lease_s=1.0)
--- a/tests/test_consensus/test_snapshots.py
+++ b/tests/test_consensus/test_snapshots.py
@@ -4,6 +4,7 @@
 import pytest
 
 from berylnotch.consensus.messages import SnapshotRequest
+from berylnotch.consensus.settings import ConsensusSettings
 from tests.test_consensus.group import Group
 
 IDS = ("a/1", "b/1", "c/1")
@@ -22,6 +23,17 @@
     return group, leader, follower
 
 
+def test_snapshot_is_due_by_entries_or_bytes():
+    settings = ConsensusSettings(snapshot_every_entries=50, snapshot_every_bytes=1000)
+    group = Group("a/1", settings=settings)
+    leader = group.elect()
+    for payloads in ([b"x" * 1000], [b""] * 50):
+        assert not group[leader].is_snapshot_due
+        group.propose(leader, *payloads)
+        assert group[leader].is_snapshot_due
+        group.nodes[leader].compact()
+
+
 def test_follower_catches_up_from_parts(lagging):
     group, leader, follower = lagging
     group.cut.clear()
