--- a/benchmarks/consensus.py
+++ b/benchmarks/consensus.py
@@ -174,7 +174,9 @@
     start = time.monotonic()
     committed = 0
     rates = []
-    while committed == 0 or not leader.replica.is_caught_up(state.identity):
+    while committed == 0 or not leader.replica.is_caught_up(
+        time.monotonic(), state.identity
+    ):
         rates.append(propose(cluster, leader, 200, 64))
         committed += 200
     spent = time.monotonic() - start
@@ -190,7 +192,7 @@
 def get_parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--folder", help="where the data folders go")
+    parser.add_argument("--folder", default="var", help="where the files go")
     parser.add_argument("--snapshot-mib", type=int, default=16)
     return parser
 
@@ -198,6 +200,7 @@
 def main(argv: list[str]) -> int:
     """Run all measurements."""
     args = get_parser().parse_args(argv)
+    Path(args.folder).mkdir(exist_ok=True)
     folder = Path(tempfile.mkdtemp(dir=args.folder))
     try:
         measure_rates(folder / "rates")
