--- a/tests/test_spec/test_replication.py
+++ b/tests/test_spec/test_replication.py
@@ -69,3 +69,43 @@
         "nothing": lambda s: len(s["committed"]) < 2 or not s["lost_disks"]
     }
     assert "loses its disk" in " ".join(counterexample(model))
+
+
+EARLY_CHANGE = (
+    "a changes the voters to ['a', 'c', 'd']",
+    "b asks for votes in term 2",
+    "c votes for b in term 2",
+    "d votes for b in term 2",
+    "b leads term 2",
+    "b changes the voters to ['b', 'c', 'd']",
+    "c acknowledges 1 entries in term 2",
+    "b commits 1 entries in term 2",
+    "a asks for votes in term 2",
+    "a asks for votes in term 3",
+    "d votes for a in term 3",
+    "a leads term 3",
+    "a appends a command",
+    "d acknowledges 2 entries in term 3",
+    "a commits 2 entries in term 3",
+)
+
+
+def replay(mutation, labels):
+    """Return the states that these steps lead through, as far as they can."""
+    bounds = Bounds(tuple("abcd"), terms=3, entries=2, changes=1)
+    model = Replication(bounds, mutation).protocol()
+    states = [model.initial]
+    for label in labels:
+        after = dict(model.transitions(states[-1])).get(label)
+        if after is None:
+            break
+        states.append(after)
+    return states
+
+
+def test_change_before_an_own_commit_is_unsafe():
+    states = replay(Mutation.CHANGE_TOO_EARLY, EARLY_CHANGE)
+    assert len(states) == len(EARLY_CHANGE) + 1
+    assert states[-1].overwritten
+    assert not any(state.overwritten for state in states[:-1])
+    assert len(replay(Mutation.NONE, EARLY_CHANGE)) == 1
