consensus: refuse a payload that no message between replicas holds

Cause: an entry above the frame's bound could be appended and then never be sent, so its leader could commit nothing more. Change: PayloadError above max_entry_bytes. Run: pytest tests/test_consensus tests/test_transport/test_codec.py, all passed.

--- a/berylnotch/consensus/errors.py
+++ b/berylnotch/consensus/errors.py
@@ -23,6 +23,10 @@
     """Too many proposals wait for a majority."""
 
 
+class PayloadError(ConsensusError):
+    """A proposal is larger than one message between replicas may be."""
+
+
 class MembershipError(ConsensusError):
     """A membership change is not allowed now or not at all."""
 
--- a/berylnotch/consensus/leading.py
+++ b/berylnotch/consensus/leading.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from berylnotch.consensus.errors import MembershipError, OverloadedError
+from berylnotch.consensus.errors import MembershipError, OverloadedError, PayloadError
 from berylnotch.consensus.members import check_change, encode_members, voters
 from berylnotch.consensus.messages import (
     AppendReply,
@@ -74,6 +74,10 @@
     def propose(self, payload: bytes) -> int:
         """Append a command; return its index."""
         settings = self._core.settings
+        if len(payload) > settings.max_entry_bytes:
+            raise PayloadError(
+                f"a proposal of {len(payload)} bytes exceeds {settings.max_entry_bytes}"
+            )
         waiting = self._core.log.last_index - self._core.commit
         if waiting >= settings.max_uncommitted_entries:
             raise OverloadedError(f"{waiting} proposals wait for a majority")
--- a/berylnotch/consensus/replica.py
+++ b/berylnotch/consensus/replica.py
@@ -166,6 +166,8 @@
             If this replica does not lead.
         OverloadedError
             If too many proposals wait for a majority.
+        PayloadError
+            If the payload is too large.
         """
         return self._require_leader(now).propose(payload)
 
--- a/berylnotch/consensus/settings.py
+++ b/berylnotch/consensus/settings.py
@@ -26,6 +26,8 @@
         Most entries in one append request.
     max_append_bytes : int, default=1048576
         Most payload bytes in one append request, unless one entry has more.
+    max_entry_bytes : int, default=4194304
+        Largest payload of one entry; a message must hold it.
     max_inflight_entries : int, default=4096
         Most entries sent to a replica ahead of its answers.
     max_uncommitted_entries : int, default=8192
@@ -48,6 +50,7 @@
     lease_s: float = 0.8
     max_append_entries: int = 512
     max_append_bytes: int = 1024 * 1024
+    max_entry_bytes: int = 4 * 1024 * 1024
     max_inflight_entries: int = 4096
     max_uncommitted_entries: int = 8192
     max_uncommitted_bytes: int = 16 * 1024 * 1024
--- a/tests/test_consensus/test_election.py
+++ b/tests/test_consensus/test_election.py
@@ -6,9 +6,15 @@
 import pytest
 
 from berylnotch.consensus.bootstrap import bootstrap, first_ready
-from berylnotch.consensus.errors import BootstrapError, NotLeaderError, OverloadedError
+from berylnotch.consensus.errors import (
+    BootstrapError,
+    NotLeaderError,
+    OverloadedError,
+    PayloadError,
+)
 from berylnotch.consensus.messages import (
     AppendReply,
+    AppendRequest,
     Entry,
     EntryKind,
     VoteReply,
@@ -18,6 +24,7 @@
 from berylnotch.consensus.settings import ConsensusSettings
 from berylnotch.consensus.state import HardState, Recovered
 from berylnotch.errors import ConfigurationError
+from berylnotch.transport.codec import MAX_MESSAGE_BYTES, encode
 from tests.test_consensus.group import SETTINGS, Group, MemoryDisk, Node, members_of
 
 IDS = ("a/1", "b/1", "c/1")
@@ -213,6 +220,18 @@
         group[leader].propose(group.now, b"x")
 
 
+def test_a_payload_that_no_message_holds_is_refused(group):
+    leader = group.elect()
+    last = group[leader].last_index
+    with pytest.raises(PayloadError, match="exceeds"):
+        group[leader].propose(group.now, bytes(SETTINGS.max_entry_bytes + 1))
+    assert group[leader].last_index == last
+    index = group[leader].propose(group.now, bytes(SETTINGS.max_entry_bytes))
+    entry = group[leader].recovered.entries[-1]
+    request = AppendRequest(2, leader, index - 1, 2, 0, 1, (entry,))
+    assert len(encode(request)) < MAX_MESSAGE_BYTES
+
+
 def test_bootstrap_is_idempotent_and_only_for_empty_folders(state):
     assert bootstrap(state, members_of(*IDS)) == state
     assert first_ready(state).entries == state.entries
