--- a/tests/test_daemon/conftest.py
+++ b/tests/test_daemon/conftest.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import pytest
+from attrs import frozen
 
+from berylnotch.keys.keyring import NewKey
 from berylnotch.standins.caller import CallerClient
 from berylnotch.standins.fleet import LocalFleet, wait_for
 from berylnotch.standins.texts import DOMAINS, SmallFleet, small_text
@@ -50,9 +52,8 @@
     return fleet.give_key("importer-desk")
 
 
-@pytest.fixture
-def callers(small, key):
-    """A caller at each router, once the key is in force there."""
+def callers_at(small, key):
+    """Return a caller at each router, once the key is in force there."""
     callers = [CallerClient(address, key.key) for _, address in small.routers]
     for caller in callers:
         wait_for(
@@ -60,3 +61,41 @@
             "key in force",
         )
     return callers
+
+
+@pytest.fixture
+def callers(small, key):
+    return callers_at(small, key)
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory):
+    """A fleet for the tests of one module that end no process."""
+    fleet = LocalFleet(tmp_path_factory.mktemp("fleet"))
+    try:
+        fleet.start_controllers(("c1", "c2", "c3"), DOMAINS[:3])
+        small = start_small(fleet, rate=1_000_000, burst=1_000_000)
+        yield Shared(small, fleet.give_key("importer-desk"))
+    finally:
+        fleet.close()
+
+
+@frozen
+class Shared:
+    """A small fleet that several tests use, and a key for it."""
+
+    small: SmallFleet
+    key: NewKey
+
+
+@pytest.fixture
+def shared_small(shared):
+    """The shared fleet, without faults."""
+    yield shared.small
+    for _, address in shared.small.engines + shared.small.plain:
+        CallerClient(address).post("/standin/faults", {})
+
+
+@pytest.fixture
+def shared_callers(shared):
+    return callers_at(shared.small, shared.key)
