controller: a leader that is stopped hands over at once

Others waited for an election timeout after a planned stop. Now the closing leader transfers leadership and sends that before it stops. The property test now also checks that no replica sends two votes in a term.

--- a/berylnotch/daemon/controller/core.py
+++ b/berylnotch/daemon/controller/core.py
@@ -207,6 +207,13 @@
             applied = self._replica.applied
             self._vouching.tick(now, self._leader_address(), applied)
         self._compact()
+        if self._closing and self._replica.has_lease(now):
+            self._hand_over(now)
+
+    def _hand_over(self, now: float) -> None:
+        # Without it the others would wait for an election timeout.
+        self._replica.transfer(now)
+        self._save_and_apply()
 
     def _take_batch(self) -> list[Inbound]:
         batch: list[Inbound] = []
--- a/tests/test_consensus/faults.py
+++ b/tests/test_consensus/faults.py
@@ -140,7 +140,7 @@
         vm.replica.advance(ready)
 
     def send(self, vm, outgoing, rng):
-        self.note_vote(outgoing.message)
+        self.note_vote(outgoing)
         target = outgoing.address.split("/")[0]
         if target not in self.vms or vm.name in self.cut or target in self.cut:
             return
@@ -226,9 +226,11 @@
             if payload is not None:
                 self.acked[entry.index] = payload
 
-    def note_vote(self, message):
-        if isinstance(message, VoteReply) and message.granted and not message.pre:
-            self.votes.setdefault((message.voter, message.term), 0)
+    def note_vote(self, outgoing):
+        reply = outgoing.message
+        if isinstance(reply, VoteReply) and reply.granted and not reply.pre:
+            known = self.votes.setdefault((reply.voter, reply.term), outgoing.replica)
+            assert known == outgoing.replica, "two votes were sent in one term"
 
     def check_term(self, vm, ready):
         old, new = vm.node.disk.recovered.hard_state, ready.hard_state
