--- a/berylnotch/consensus/replica.py
+++ b/berylnotch/consensus/replica.py
@@ -249,6 +249,7 @@
         core.log.mark_saved(ready.entries)
         if ready.snapshot is not None:
             core.applied = max(core.applied, ready.snapshot.last_index)
+            self._applied_bytes = 0
         if ready.committed:
             core.applied = max(core.applied, ready.committed[-1].index)
             self._applied_bytes += sum(len(e.payload) for e in ready.committed)
--- a/tests/test_consensus/test_snapshots.py
+++ b/tests/test_consensus/test_snapshots.py
@@ -34,6 +34,21 @@
         group.nodes[leader].compact()
 
 
+def test_an_installed_snapshot_is_not_due_again():
+    group = Group(*IDS, settings=ConsensusSettings(snapshot_every_bytes=1000))
+    leader = group.elect()
+    follower = next(i for i in IDS if i != leader)
+    group.propose(leader, b"x" * 900)
+    group.advance(0.2)
+    group.cut.add(follower)
+    group.propose(leader, *[b"y" * 90] * 3000)
+    group.nodes[leader].compact()
+    group.cut.clear()
+    group.advance(2)
+    assert group[follower].applied == group[leader].applied
+    assert not group[follower].is_snapshot_due
+
+
 def test_follower_catches_up_from_parts(lagging):
     group, leader, follower = lagging
     group.cut.clear()
