--- a/berylnotch/daemon/controller/controller.py
+++ b/berylnotch/daemon/controller/controller.py
@@ -65,7 +65,8 @@
         recovered = storage.start()
         self._loop.start()
         identity = VM_PREFIX + settings.name
-        self._peers = Peers(self._loop, identity, self._key_of)
+        source = parse_address(settings.listen).host
+        self._peers = Peers(self._loop, identity, self._key_of, source)
         self._listener = Listener(
             self._loop, parse_address(settings.listen), self._key_of, self._submit
         )
@@ -76,7 +77,7 @@
             self._peers,
             self._loop,
             self._make_replica,
-            str(self._listener.address),
+            settings.advertise or str(self._listener.address),
             self._on_failure,
         )
         self._core.start()
--- a/berylnotch/daemon/router/router.py
+++ b/berylnotch/daemon/router/router.py
@@ -86,7 +86,8 @@
         settings = self._settings
         self._loop.start()
         identity = VM_PREFIX + settings.name
-        self._peers = Peers(self._loop, identity, self._key_of)
+        source = parse_address(settings.listen).host
+        self._peers = Peers(self._loop, identity, self._key_of, source)
         self._follower = self._make_follower()
         self._heartbeat = Heartbeat(
             self._loop,
--- a/berylnotch/settings/controller.py
+++ b/berylnotch/settings/controller.py
@@ -41,6 +41,14 @@
         "IP:port",
         "address for routers, controllers and operators",
     ),
+    ProcessSetting(
+        "controller",
+        "advertise",
+        optional_address,
+        "IP:port, or nothing",
+        "address that other processes are told, where it is not that of listen",
+        "",
+    ),
     ProcessSetting(
         "controller",
         "data-folder",
@@ -110,6 +118,8 @@
         How long a vouch of the leader counts.
     claim_retention_s : float
         How long closed claims are kept.
+    advertise : str
+        ``IP:port`` that others are told; empty for that of ``listen``.
     platform : str
         ``IP:port`` of the platform's list; empty for none.
     target_credential : str
@@ -129,6 +139,7 @@
     secret: bytes = field(repr=False)
     freshness_lease_s: float = 2.0
     claim_retention_s: float = 86400.0
+    advertise: str = ""
     platform: str = ""
     target_credential: str = field(default="", repr=False)
     controllers: tuple[ControllerAddress, ...] = ()
@@ -158,6 +169,7 @@
         secret=read_secret(found["secret_file"]),
         freshness_lease_s=found["freshness_lease"],
         claim_retention_s=found["claim_retention"],
+        advertise=found["advertise"],
         platform=found["platform"],
         target_credential=read_credential(found["target_credential_file"]),
         controllers=content.controllers,
--- a/berylnotch/standins/fleet.py
+++ b/berylnotch/standins/fleet.py
@@ -131,14 +131,26 @@
         )
         self.bootstrap(names)
 
-    def start_controller(self, name: str, domain: str) -> Child:
-        """Start one controller; a restarted one keeps its address."""
+    def start_controller(
+        self, name: str, domain: str, host: str = "127.0.0.1", advertise: str = ""
+    ) -> Child:
+        """Start one controller; a restarted one keeps its address.
+
+        Parameters
+        ----------
+        name, domain : str
+            Name and failure domain of its VM.
+        host : str, default="127.0.0.1"
+            IP number to listen on.
+        advertise : str, default=""
+            Address that others are told, if it is another one.
+        """
         settings = self._folder / f"{name}.ini"
-        listen = self._listen.get(name, "127.0.0.1:0")
+        listen = self._listen.get(name, f"{host}:0")
         settings.write_text(
             f"[controller]\nname = {name}\nfailure-domain = {domain}\n"
             f"listen = {listen}\ndata-folder = {self.data_folder(name)}\n"
-            f"secret-file = {self.secret_file}\n",
+            f"secret-file = {self.secret_file}\nadvertise = {advertise}\n",
             encoding="utf-8",
         )
         child = self._start(name, (_DAEMON, "controller", "--settings", str(settings)))
--- a/berylnotch/transport/peers.py
+++ b/berylnotch/transport/peers.py
@@ -107,10 +107,15 @@
         Identity of this process.
     key_of : callable
         Key of an identity.
+    source : str, default=""
+        IP number to connect from; any if empty.
     """
 
-    def __init__(self, loop: Loop, identity: str, key_of: KeyLookup) -> None:
+    def __init__(
+        self, loop: Loop, identity: str, key_of: KeyLookup, source: str = ""
+    ) -> None:
         self._loop = loop
+        self._source = source
         self._identity = identity
         self._key_of = key_of
         self._channels: dict[str, Channel] = {}
@@ -170,6 +175,8 @@
     def _connect(self, address: str) -> Channel | None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         _configure(sock)
+        if self._source:
+            sock.bind((self._source, 0))
         status = sock.connect_ex(parse_address(address).pair)
         if status not in (0, errno.EINPROGRESS):
             sock.close()
