--- a/tests/test_control/test_properties.py
+++ b/tests/test_control/test_properties.py
@@ -91,6 +91,15 @@
 )
 
 
+def read(state, part, name):
+    """Return one thing that a state knows about a target."""
+    if part == "order":
+        return state.order(name)
+    if part == "life_report":
+        return state.view.life_report(Subject.TARGET, name)
+    return state.view.weights_report(name)
+
+
 class Replicas(RuleBasedStateMachine):
     """Two replicas, one of which is restored from snapshots at any point."""
 
@@ -114,7 +123,10 @@
             IssueOrder("sake-llm-1", "sake-llm", "v2"),
             key(0),
         ):
-            assert self.run(command).result.status is Status.OK
+            result = self.run(command).result
+            assert result.status is Status.OK
+            if not isinstance(command, IssueOrder):
+                self.answers[command.change_id] = command, result
 
     def run(self, command):
         self.index += 1
@@ -185,6 +197,18 @@
         assert self.steady.revision >= self.revision
         self.revision = self.steady.revision
         assert self.steady.index == self.restored.index
+        # Not by way of the snapshot's records, which could lack a part.
+        assert self.steady.orders == self.restored.orders
+        assert self.steady.rollouts() == self.restored.rollouts()
+        assert self.steady.keys() == self.restored.keys()
+        assert self.steady.audit(0, 1000) == self.restored.audit(0, 1000)
+        steady, restored = self.steady.view, self.restored.view
+        for name in self.steady.fleet.targets:
+            for part in ("order", "life_report", "weights_report"):
+                assert read(self.steady, part, name) == read(self.restored, part, name)
+            assert steady.is_draining(Subject.TARGET, name) is restored.is_draining(
+                Subject.TARGET, name
+            )
         times = [record.at_ms for record in self.steady.audit(0, 1000)]
         assert times == sorted(times)
         assert list(self.steady._records()) == list(self.restored._records())
--- a/tests/test_orders/test_scheduler.py
+++ b/tests/test_orders/test_scheduler.py
@@ -93,6 +93,17 @@
     assert names(found) == ["b0"]
 
 
+def test_dependency_that_cannot_go_on_does_not_block():
+    base = Engine("b0", "base", "v1")
+    both = {"llm": "v2", "base": "v2"}
+    needs = {"llm": ("base",)}
+    for stuck in ({"is_live": False}, {"failures": MAX_FAILURES}):
+        other = evolve(base, **stuck)
+        found = state(*engines(2), other, versions=both, dependencies=needs)
+        assert blocked_services(found) == {}
+        assert names(found) == ["e0"]
+
+
 ENGINE = st.builds(
     Engine,
     st.uuids().map(str),
