--- a/berylnotch/daemon/router/router.py
+++ b/berylnotch/daemon/router/router.py
@@ -132,7 +132,8 @@
         settings.
         """
         self._heartbeat.set_leaving()
-        keep_s = self._view.fleet.address_keep_s
+        # Without a text it has no route, so that nobody waits for it.
+        keep_s = self._view.fleet.address_keep_s if self._view.revision else 0.0
         logger.info("event=router_leaving keep_s={}", keep_s)
         # Callers that got this address before may still connect.
         self._stopping.wait(keep_s)
--- a/berylnotch/placement/model.py
+++ b/berylnotch/placement/model.py
@@ -47,6 +47,14 @@
         return not (self.draining or self.ejected)
 
 
+@frozen
+class Level:
+    """Number of homes of the prefix with ``depth`` pieces."""
+
+    depth: int
+    homes: int
+
+
 @frozen
 class Query:
     """A request to be placed.
@@ -64,11 +72,13 @@
     weights : str
         Weights version that the chain was made for; other targets are left
         out. Empty if the service has no weights.
-    widths : tuple of int
-        Number of homes for each level of the chain, down to the first with
-        one; empty for the default.
+    levels : tuple of Level
+        Levels of the chain that select homes, shallowest first; empty for the
+        default.
     now : float
         Router's monotonic time in seconds.
+    stores : tuple of str
+        KV stores that engines may import from.
     """
 
     chain: tuple[bytes, ...] = ()
@@ -76,8 +86,9 @@
     failure_domain: str = ""
     exclude: frozenset[str] = frozenset()
     weights: str = ""
-    widths: tuple[int, ...] = ()
+    levels: tuple[Level, ...] = ()
     now: float = 0.0
+    stores: tuple[str, ...] = ()
 
 
 @frozen
@@ -96,6 +107,10 @@
         Leading pieces expected in the target's cache.
     incarnation, weights : str
         Process and weights version that were ranked.
+    import_from : str
+        Target or KV store to import pieces from; empty to compute them.
+    import_pieces : int
+        Leading pieces that are there.
     """
 
     name: str
@@ -104,3 +119,5 @@
     cached_pieces: int = 0
     incarnation: str = ""
     weights: str = ""
+    import_from: str = ""
+    import_pieces: int = 0
--- a/berylnotch/standins/fleet.py
+++ b/berylnotch/standins/fleet.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import re
 import secrets
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -161,16 +162,31 @@
             self.client.call_at(self._listen[name], BootstrapRequest(members))
 
     def start_router(
-        self, name: str, domain: str, listen: str = "127.0.0.1:0", http: str = ""
+        self,
+        name: str,
+        domain: str,
+        http: str = "",
+        peers: Mapping[str, str] | None = None,
     ) -> Child:
-        """Start one router; ``http`` is the address for callers."""
+        """Start one router; a restarted one keeps its address for callers.
+
+        Parameters
+        ----------
+        name, domain : str
+            Name and failure domain of its VM.
+        http : str, default=""
+            Address for callers; a free port if empty.
+        peers : mapping, optional
+            Addresses of other routers by name.
+        """
         settings = self._folder / f"{name}.ini"
         controllers = "".join(f"{n} = {a}\n" for n, a in self.controllers.items())
+        routers = "".join(f"{n} = {a}\n" for n, a in (peers or {}).items())
         http = http or self._listen.get(name, "127.0.0.1:0")
         settings.write_text(
             f"[router]\nname = {name}\nfailure-domain = {domain}\nhttp = {http}\n"
-            f"listen = {listen}\nsecret-file = {self.secret_file}\n"
-            f"[controllers]\n{controllers}",
+            f"listen = 127.0.0.1:0\nsecret-file = {self.secret_file}\n"
+            f"[controllers]\n{controllers}[routers]\n{routers}",
             encoding="utf-8",
         )
         child = self._start(name, (_DAEMON, "router", "--settings", str(settings)))
@@ -178,6 +194,11 @@
         self._domains[name] = domain
         return child
 
+    def peer(self, number: int) -> str:
+        """Return the address of router ``entry-NUMBER`` for other processes."""
+        log = self._children[f"entry-{number}"].log
+        return re.search(r"event=router_started .* listen=(\S+)", log)[1]
+
     def start_engine(self, name: str, *arguments: str) -> Child:
         """Start a stand-in for a model engine."""
         module = "berylnotch.standins.engine"
