--- a/berylnotch/ledger/ledger.py
+++ b/berylnotch/ledger/ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from sys import intern
 
 from attrs import evolve
 
@@ -45,6 +46,7 @@
         # Claims with a stored answer, oldest outcome first.
         self._bodies: dict[_Key, int] = {}
         self._bodies_bytes = 0
+        self._running: dict[_Key, ClaimRecord] = {}
 
     def __len__(self) -> int:
         return len(self._claims)
@@ -58,6 +60,11 @@
         for key in self._bodies:
             yield self._claims[key]
 
+    @property
+    def running(self) -> tuple[ClaimRecord, ...]:
+        """Claims without an outcome, oldest first."""
+        return tuple(self._running.values())
+
     def find(self, organisation: str, idempotency_key: str) -> ClaimRecord | None:
         """Return a claim."""
         return self._claims.get((organisation, idempotency_key))
@@ -177,9 +184,8 @@
         router = router_id(vm, incarnation)
         found = [
             claim
-            for claim in self._claims.values()
-            if claim.state is ClaimState.RUNNING
-            and claim.router.startswith(f"{vm}/")
+            for claim in self._running.values()
+            if claim.router.startswith(f"{vm}/")
             and (not incarnation or (claim.router == router) is lost)
         ]
         for claim in found:
@@ -226,9 +232,16 @@
             raise ClaimError(Status.INVALID, f"{MAX_CLAIMS} claims are held already")
 
     def _store(self, claim: ClaimRecord) -> None:
-        key = (claim.organisation, claim.idempotency_key)
+        # Few organisations and routers share many claims.
+        organisation, router = intern(claim.organisation), intern(claim.router)
+        claim = evolve(claim, organisation=organisation, router=router)
+        key = (organisation, claim.idempotency_key)
         self._bodies_bytes -= self._bodies.pop(key, 0)
         self._claims[key] = claim
+        if claim.state is ClaimState.RUNNING:
+            self._running[key] = claim
+        else:
+            self._running.pop(key, None)
         if claim.body:
             self._bodies[key] = len(claim.body)
             self._bodies_bytes += len(claim.body)
@@ -240,6 +253,7 @@
     def _forget(self, claim: ClaimRecord) -> None:
         key = (claim.organisation, claim.idempotency_key)
         self._bodies_bytes -= self._bodies.pop(key, 0)
+        self._running.pop(key, None)
         del self._claims[key]
 
 
--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -29,6 +29,7 @@
     SendBytes,
     SendHead,
     StartAttempt,
+    WaitUntil,
 )
 from berylnotch.streams.inputs import PauseReason, UpstreamEnd
 from berylnotch.util.metrics import Label
@@ -41,8 +42,8 @@
     from berylnotch.server.delivery import Delivery
     from berylnotch.server.job import Job
 
-#: Causes that speak of a lost target rather than of a refusal by it.
-_LOSSES = (FailureCause.LOST, FailureCause.EMPTY, FailureCause.TRUNCATED)
+#: Causes that speak of a lost target rather than of one that answers badly.
+_LOSSES = (FailureCause.LOST, FailureCause.EMPTY)
 #: Causes that tell nothing bad of the target.
 _NEUTRAL = (FailureCause.REFUSED, FailureCause.WEIGHTS)
 _REPORT_S = 10.0
@@ -155,6 +156,8 @@
             self._pause_upstream(job)
         elif isinstance(action, ResumeUpstream):
             self._resume_upstream(job)
+        elif isinstance(action, WaitUntil):
+            self._schedule_tick(job)
         elif isinstance(action, Finish):
             self._finish(job, action)
         return ()
@@ -192,7 +195,6 @@
         )
         attempt.transfer = self._context.upstreams.start(
             request,
-            job.idempotent,
             lambda lines: self._on_head(job, attempt, lines),
             lambda data: self._on_body(job, attempt, data),
             lambda end: self._on_end(job, attempt, end),
@@ -285,6 +287,9 @@
             job.timer.cancel()
         now = time.monotonic()
         self._end_attempt(job, action, now)
+        if action.reason is FinishReason.TARGET_FAILED:
+            # The loss that ended it may have been the second.
+            self._is_poison(job, now)
         if action.reason is not FinishReason.COMPLETE:
             self._delivery.drop_unpaid(job)
         if job.claim_attempt:
@@ -350,6 +355,8 @@
         self._on_over(job)
 
     def _schedule_tick(self, job: Job) -> None:
+        if job.timer is not None:
+            job.timer.cancel()
         if job.exchange.is_finished:
             return
         due = job.exchange.next_tick() - time.monotonic()
--- a/spec/__init__.py
+++ b/spec/__init__.py
@@ -1,1 +1,3 @@
-"""Small models of the protocols, checked exhaustively within their bounds."""
+"""Small specifications of the protocols, checked exhaustively within bounds."""
+
+from __future__ import annotations
