--- a/berylnotch/admission/settings.py
+++ b/berylnotch/admission/settings.py
@@ -22,7 +22,7 @@
         A request whose expected wait is longer is refused at once.
     rate_window_s : float, default=2.0
         Time constant of the average service rate.
-    recheck_s : float, default=0.02
+    recheck_s : float, default=0.1
         Time for which an organisation is set aside whose oldest request did
         not fit, unless it is woken. Longer saves processor time.
     """
@@ -31,4 +31,4 @@
     free_fraction: float = field(default=1.0, validator=gt(0))
     max_wait_s: float = field(default=5.0, validator=ge(0))
     rate_window_s: float = field(default=2.0, validator=gt(0))
-    recheck_s: float = field(default=0.02, validator=gt(0))
+    recheck_s: float = field(default=0.1, validator=gt(0))
