--- a/benchmarks/quota_driver.py
+++ b/benchmarks/quota_driver.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -81,8 +82,8 @@
         Organisations.
     n_routers : int
         Number of routers.
-    steady : bool, default=True
-        Whether the owner has been in office for long.
+    loss : float, default=0.0
+        Part of the replies that are lost.
     """
 
     def __init__(
@@ -90,12 +91,13 @@
         settings: QuotaSettings,
         limits: Mapping[str, Limit],
         n_routers: int,
-        steady: bool = True,
+        loss: float = 0.0,
     ) -> None:
         self._settings = settings
         self._limits = limits
-        started = -10_000.0 if steady else 0.0
-        self._owner: QuotaOwner | None = QuotaOwner(settings, 1, started)
+        self._loss = loss
+        self._rng = random.Random(0)
+        self._owner: QuotaOwner | None = QuotaOwner(settings, 1, -10_000.0)
         self._routers = [
             Router(f"vm-{n}", LocalQuota(settings)) for n in range(n_routers)
         ]
@@ -220,4 +222,5 @@
             asks=asks,
         )
         reply = self._owner.grant(now, request, self._limits)
-        self._replies.append((router, reply))
+        if self._rng.random() >= self._loss:
+            self._replies.append((router, reply))
--- a/tests/test_quota/test_no_wrongful_refusal.py
+++ b/tests/test_quota/test_no_wrongful_refusal.py
@@ -69,6 +69,18 @@
     assert loud.charged <= 4000 + 1000 * (RUN_S + SETTINGS.wait_s)
 
 
+def test_lost_replies_refuse_nobody_inside_the_rate():
+    rng = random.Random(3)
+    limit = Limits(rate=1000, burst=4000)
+    drawn = arrivals(rng, "clinic", limit, 6, 0.9, 0.1)
+    driver = Driver(SETTINGS, {"clinic": limit}, 6, loss=0.2)
+    driver.run(drawn, RUN_S + SETTINGS.wait_s)
+    outcome = driver.outcomes["clinic"]
+    assert outcome.refused == 0
+    assert len(outcome.waits) == len(drawn)
+    assert max(outcome.waits) <= SETTINGS.wait_s
+
+
 def test_change_of_owner_refuses_nobody_inside_the_rate():
     rng = random.Random(7)
     limit = Limits(rate=1000, burst=4000)
