placement: prefixes used once in 16 s keep several homes; equal scores are spread

Cause: with warm_s = 4 s prefixes were held at fewer engines than their use keeps warm, so queues grew at these; and equal scores went to the first name.

server: a suspect of a crash is not given up when other suspects run on every target. Attempts.choose left out all of them and ended the request; the new test failed before.

--- a/berylnotch/membership/crashes.py
+++ b/berylnotch/membership/crashes.py
@@ -144,8 +144,9 @@
     def avoid(self, now: float, request: bytes) -> frozenset[str]:
         """Return the targets where another suspect runs.
 
-        Empty if the request is no suspect itself. A caller that finds no other
-        target should wait a little rather than use one of these.
+        Empty if the request is no suspect itself. If no other target is left,
+        one of these is better than to give the request up: it may be innocent,
+        and the loss of a target with several suspects blames none of them.
         """
         if not self._is_suspect(now, request):
             return frozenset()
--- a/berylnotch/placement/rank.py
+++ b/berylnotch/placement/rank.py
@@ -9,7 +9,7 @@
 
 from berylnotch.placement.hints import Hint
 from berylnotch.placement.model import Candidate, Level, Query, Ranked
-from berylnotch.placement.rendezvous import top
+from berylnotch.placement.rendezvous import name_hash, prefix_key, top, weight
 
 if TYPE_CHECKING:
     from berylnotch.placement.hints import CacheHints
@@ -53,13 +53,14 @@
     expected = expected_pieces(settings, query, [c.name for c in usable])
     found = [_hint(query, c.name, c.incarnation, hints) for c in usable]
     source = _best_source(settings, query, usable, found, hints)
-    ranked = []
+    scored = []
     for candidate, hint in zip(usable, found, strict=True):
         pieces = expected.get(candidate.name, 0)
         cached = float(pieces) if hint is None else _estimate(settings, hint, pieces)
-        ranked.append(_score(settings, query, candidate, cached, source))
-    ranked.sort(key=lambda item: (item.score_ms, item.name))
-    return tuple(ranked)
+        ranked = _score(settings, query, candidate, cached, source)
+        scored.append((ranked.score_ms, _preference(query, candidate), ranked))
+    scored.sort(key=lambda entry: entry[:2])
+    return tuple(ranked for _, _, ranked in scored)
 
 
 def expected_pieces(
@@ -96,6 +97,13 @@
     return not query.weights or candidate.weights == query.weights
 
 
+def _preference(query: Query, candidate: Candidate) -> tuple[int, int, str]:
+    """Order targets of the same score: spread prompts, then requests."""
+    key = prefix_key(query.chain[-1]) if query.chain else 0
+    preferred = weight(key, name_hash(candidate.name)) if query.chain else 0
+    return preferred, candidate.in_flight, candidate.name
+
+
 def _hint(
     query: Query, name: str, incarnation: str, hints: CacheHints | None
 ) -> Hint | None:
--- a/berylnotch/placement/settings.py
+++ b/berylnotch/placement/settings.py
@@ -21,7 +21,7 @@
     cold_depth : int, default=8
         Level at which a router that has counted nothing yet selects one home.
         Deeper spreads more, shallower shares more.
-    warm_s : float, default=4.0
+    warm_s : float, default=16.0
         Time between two uses within which an engine keeps a prefix. Higher
         values give a prefix more homes.
     hot_tau_s : float, default=10.0
@@ -65,7 +65,7 @@
     piece_tokens: int = 1024
     bytes_per_token: int = 4
     cold_depth: int = 8
-    warm_s: float = 4.0
+    warm_s: float = 16.0
     hot_tau_s: float = 10.0
     hot_warmup_s: float = 3.0
     hot_max: int = 32_768
--- a/berylnotch/server/attempts.py
+++ b/berylnotch/server/attempts.py
@@ -80,9 +80,12 @@
         now = time.monotonic()
         apart = self._context.guard.avoid(now, job.fingerprint)
         ranked = self._rank(now, job, action, action.exclude | apart)
+        if not ranked and apart:
+            # Suspects run apart if they can, but none is given up for it.
+            ranked = self._rank(now, job, action, action.exclude)
         if not ranked and action.exclude:
             # A target that failed before is better than none.
-            ranked = self._rank(now, job, action, apart)
+            ranked = self._rank(now, job, action, frozenset())
         self._record(job, ranked)
         if not ranked:
             return None
--- a/tests/test_placement/test_rank.py
+++ b/tests/test_placement/test_rank.py
@@ -9,7 +9,7 @@
 
 from berylnotch.placement.chain import Scope, hash_chain
 from berylnotch.placement.hints import CacheEvent, CacheHints
-from berylnotch.placement.model import Candidate, Query
+from berylnotch.placement.model import Candidate, Level, Query
 from berylnotch.placement.rank import expected_pieces, rank
 from berylnotch.placement.settings import PlacementSettings
 
@@ -103,3 +103,13 @@
     far = Candidate("engine-0", failure_domain="kolkata-a", weights="v1")
     near = Candidate("engine-1", failure_domain="howrah", weights="v1")
     assert rank(SETTINGS, asked, [far, near])[0].name == "engine-1"
+
+
+def test_targets_of_equal_score_share_the_prompts():
+    settings = evolve(SETTINGS, cold_depth=1)
+    level = (Level(1, 5),)
+    first = {
+        rank(settings, query(bytes([i]) * 16, levels=level), CANDIDATES)[0].name
+        for i in range(40)
+    }
+    assert first == {c.name for c in CANDIDATES}
--- /dev/null
+++ b/tests/test_server/test_attempts.py
@@ -0,0 +1,73 @@
+"""Choice of a target for an attempt."""
+
+from __future__ import annotations
+
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from berylnotch.fleet.model import Fleet, Service, ServiceKind, Target
+from berylnotch.membership.crashes import CrashGuard, fingerprint
+from berylnotch.membership.settings import MembershipSettings
+from berylnotch.membership.targets import TargetHealth
+from berylnotch.placement.placer import Placer
+from berylnotch.placement.settings import PlacementSettings
+from berylnotch.server.attempts import Attempts
+
+SERVICE = Service("order-desk", ServiceKind.PLAIN)
+NAMES = ("desk-0", "desk-1")
+
+
+class FakeView:
+    def __init__(self) -> None:
+        targets = {n: Target(n, SERVICE.name, "10.0.0.1:80", "howrah") for n in NAMES}
+        self.fleet = Fleet(services={SERVICE.name: SERVICE}, targets=targets)
+        self.revision = 1
+
+    def is_draining(self, subject, name) -> bool:
+        return False
+
+    def life_report(self, subject, name) -> None:
+        return None
+
+    def weights(self, target) -> str:
+        return ""
+
+    def weights_report(self, target) -> None:
+        return None
+
+
+@pytest.fixture
+def context() -> SimpleNamespace:
+    placement = PlacementSettings()
+    return SimpleNamespace(
+        view=FakeView(),
+        health=TargetHealth(MembershipSettings()),
+        guard=CrashGuard(MembershipSettings()),
+        placer=Placer(placement),
+        settings=SimpleNamespace(placement=placement, failure_domain="howrah"),
+        decisions=SimpleNamespace(record=lambda reply: None),
+    )
+
+
+def make_job(body: bytes) -> SimpleNamespace:
+    return SimpleNamespace(
+        prompt=None,
+        language=None,
+        service=SERVICE,
+        fingerprint=fingerprint("label", body),
+        request=SimpleNamespace(request_id="r1"),
+        organisation_name="label",
+    )
+
+
+def test_suspect_is_not_given_up_if_others_run_everywhere(context):
+    jobs = [make_job(bytes([i])) for i in range(3)]
+    now = time.monotonic()
+    context.guard.lost(now, "desk-2", [job.fingerprint for job in jobs])
+    for job, name in zip(jobs, NAMES, strict=False):
+        context.guard.began(job.fingerprint, name)
+    action = SimpleNamespace(exclude=frozenset({"desk-2"}), weights="")
+    assert context.guard.avoid(now, jobs[2].fingerprint) == set(NAMES)
+    assert Attempts(context).choose(jobs[2], action) is not None
