--- a/benchmarks/choosers.py
+++ b/benchmarks/choosers.py
@@ -31,6 +31,7 @@
     failure_domain: str
     candidates: tuple[Candidate, ...]
     exclude: frozenset[str]
+    priority: int = 0
 
 
 @frozen
@@ -135,7 +136,12 @@
     def choose(question: Question) -> Choice | None:
         request = question.request
         prompt = Prompt(request.organisation, SERVICE, request.prompt, PIECE_BYTES)
-        wanted = PlacementRequest(prompt, question.failure_domain, question.exclude)
+        wanted = PlacementRequest(
+            prompt,
+            question.failure_domain,
+            question.exclude,
+            priority=question.priority,
+        )
         serving = [c for c in question.candidates if c.weights]
         ranked = placer.rank(question.now, wanted, serving)
         if not ranked:
--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -174,6 +174,7 @@
             failure_domain=router.failure_domain,
             candidates=router.health.candidates(now, self.view, "language"),
             exclude=attempt.tried,
+            priority=self._priority(attempt),
         )
         choice = router.choose(question)
         if choice is None:
--- a/berylnotch/placement/hot.py
+++ b/berylnotch/placement/hot.py
@@ -61,13 +61,24 @@
         while len(self._rates) > self._settings.hot_max:
             self._rates.popitem(last=False)
 
-    def levels(self, now: float, chain: tuple[bytes, ...]) -> tuple[Level, ...]:
+    def levels(
+        self, now: float, chain: tuple[bytes, ...], above_share: bool = False
+    ) -> tuple[Level, ...]:
         """Return the homes of a prompt's prefixes, down to the first with one.
 
         Only the depths 1, 2, 4, ... and the whole prompt select homes. So
         routers that know different rates, or none yet, select by the same
         hashes.
 
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        chain : tuple of bytes
+            Hashes of the prompt's prefixes.
+        above_share : bool, default=False
+            Whether the organisation uses more than its share.
+
         Returns
         -------
         tuple of Level
@@ -81,7 +92,8 @@
         # The correction makes the estimate right from the first seconds on.
         tau = self._settings.hot_tau_s
         seconds = tau * -math.expm1(-age / tau)
-        warm = self._settings.warm_s * self._settings.answer_routers / seconds
+        warm_s = self._settings.busy_warm_s if above_share else self._settings.warm_s
+        warm = warm_s * self._settings.answer_routers / seconds
         levels = []
         for depth in level_depths(len(chain)):
             homes = self._homes(now, chain[depth - 1], warm)
--- a/berylnotch/placement/placer.py
+++ b/berylnotch/placement/placer.py
@@ -19,6 +19,10 @@
     from berylnotch.placement.settings import PlacementSettings
 
 
+#: Priority of an organisation that uses exactly its share.
+EVEN_PRIORITY = 4
+
+
 class Prompt:
     """A prompt and its chains, hashed once for each weights version.
 
@@ -73,6 +77,9 @@
         empty.
     stores : tuple of str
         KV stores that the service's engines may import from.
+    priority : int, default=4
+        The organisation's priority, 0 (best) to 9; above 4 it uses more than its
+        share and gets fewer homes.
     """
 
     prompt: Prompt
@@ -80,6 +87,7 @@
     exclude: frozenset[str] = frozenset()
     weights: str = ""
     stores: tuple[str, ...] = ()
+    priority: int = EVEN_PRIORITY
 
 
 @frozen
@@ -145,7 +153,7 @@
         chain = request.prompt.chain(request.weights or service.weights)
         if not chain:
             return self._next_names(names, count)
-        levels = self._levels(now, chain)
+        levels = self._levels(now, chain, request.priority)
         if not levels:
             depth = min(len(chain), self._settings.cold_depth)
             return table.homes(chain[depth - 1])
@@ -192,11 +200,14 @@
         """Forget what is known of a lost engine's cache."""
         self._hints.forget(target)
 
-    def _levels(self, now: float, chain: tuple[bytes, ...]) -> tuple[Level, ...]:
+    def _levels(
+        self, now: float, chain: tuple[bytes, ...], priority: int
+    ) -> tuple[Level, ...]:
         """Return the levels, kept from the shortlist for the ranking."""
         last = self._last
         if last is None or last.now != now or last.chain is not chain:
-            last = _Levels(now, chain, self._hot.levels(now, chain))
+            levels = self._hot.levels(now, chain, priority > EVEN_PRIORITY)
+            last = _Levels(now, chain, levels)
             self._last = last
         return last.levels
 
@@ -213,7 +224,7 @@
             failure_domain=request.failure_domain,
             exclude=request.exclude,
             weights=weights,
-            levels=self._levels(now, chain),
+            levels=self._levels(now, chain, request.priority),
             now=now,
             stores=request.stores,
         )
--- a/berylnotch/placement/settings.py
+++ b/berylnotch/placement/settings.py
@@ -24,6 +24,9 @@
     warm_s : float, default=16.0
         Time between two uses within which an engine keeps a prefix. Higher
         values give a prefix more homes.
+    busy_warm_s : float, default=4.0
+        The same for an organisation above its share, so that its copies do not
+        fill the caches of the others.
     hot_tau_s : float, default=10.0
         Time constant of the prefix rates.
     hot_warmup_s : float, default=3.0
@@ -66,6 +69,7 @@
     bytes_per_token: int = 4
     cold_depth: int = 8
     warm_s: float = 16.0
+    busy_warm_s: float = 4.0
     hot_tau_s: float = 10.0
     hot_warmup_s: float = 3.0
     hot_max: int = 32_768
--- a/berylnotch/server/attempts.py
+++ b/berylnotch/server/attempts.py
@@ -162,8 +162,13 @@
     def _request(
         self, job: Job, weights: str, exclude: frozenset[str]
     ) -> PlacementRequest:
-        domain = self._context.settings.failure_domain
-        return PlacementRequest(job.prompt, domain, exclude, weights)
+        return PlacementRequest(
+            job.prompt,
+            self._context.settings.failure_domain,
+            exclude,
+            weights,
+            priority=self._context.quota.priority(job.organisation_name),
+        )
 
     def _shortlist(
         self, now: float, job: Job, request: PlacementRequest
--- a/tests/test_placement/test_placer.py
+++ b/tests/test_placement/test_placer.py
@@ -91,12 +91,14 @@
 
 
 def test_hot_prompt_gets_more_homes_than_a_cold_one():
-    hot = HotPrefixes(evolve(SETTINGS, warm_s=4.0))
+    hot = HotPrefixes(evolve(SETTINGS, warm_s=4.0, busy_warm_s=1.0))
     warm, cold = request(b"w" * 32), request(b"c" * 32)
     for step in range(100):
         hot.count(step / 10.0, warm.prompt.chain("v1"))
     hot.count(10.0, cold.prompt.chain("v1"))
     assert hot.levels(10.0, warm.prompt.chain("v1"))[0].homes >= 64
+    above = hot.levels(10.0, warm.prompt.chain("v1"), above_share=True)[0].homes
+    assert above < hot.levels(10.0, warm.prompt.chain("v1"))[0].homes
     assert hot.levels(10.0, cold.prompt.chain("v1"))[0].homes == 1
 
 
