--- a/benchmarks/plot.py
+++ b/benchmarks/plot.py
@@ -47,7 +47,8 @@
             axis.set_xticklabels(labels, rotation=30, ha="right", fontsize=8)
             if is_log:
                 axis.set_yscale("log")
-    axes[0][0].legend(fontsize=8)
-    figure.tight_layout()
+    handles, labels = axes[0][0].get_legend_handles_labels()
+    figure.legend(handles, labels, loc="upper center", ncols=len(policies))
+    figure.tight_layout(rect=(0.0, 0.0, 1.0, 0.96))
     figure.savefig(path, dpi=70)
     pyplot.close(figure)
