router: let the event loop have the interpreter within 0.2 ms

The loop releases the interpreter at each send and got it back up to 5 ms later whenever a pool thread was busy.

--- a/berylnotch/cmd/daemon.py
+++ b/berylnotch/cmd/daemon.py
@@ -24,6 +24,11 @@
 EXIT_FAILURE = 1
 EXIT_BAD_INPUT = 2
 
+#: Seconds that a thread may compute while another waits for the interpreter.
+#: The event loop of a router lets go of it with each byte that it sends, and
+#: would wait for Python's 5 ms whenever a thread of the pool is busy.
+ROUTER_SWITCH_INTERVAL_S = 0.0002
+
 
 def get_parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
@@ -93,6 +98,7 @@
     settings = read_router(args.settings)
     set_up_logs(f"router/{settings.name}", args.log_level)
     stop = _stop_event()
+    sys.setswitchinterval(ROUTER_SWITCH_INTERVAL_S)
     router = Router(settings)
     router.start()
     print(f"listening {router.http_address}", flush=True)
