--- a/benchmarks/slow_callers.py
+++ b/benchmarks/slow_callers.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import shutil
+import socket
 import sys
 import tempfile
 import time
@@ -17,13 +18,22 @@
 from benchmarks.stream_check import StreamCheck
 from berylnotch.standins.fleet import LocalFleet
 
-_ENGINE = ("--slots", "500", "--first-ms", "1", "--interval-ms", "1")
+_ENGINE = ("--slots", "500", "--first-ms", "1", "--interval-ms", "0.2")
 _READ_BYTES = 64 * 1024
+_RECEIVE_BUFFER_BYTES = 16 * 1024
+_TIMEOUT_S = 120
 
 
 def open_stream(address: str, key: str, number: int, tokens: int):
     """Send a request and return the answer, unread."""
-    connection = http.client.HTTPConnection(address, timeout=120)
+    host, _, port = address.rpartition(":")
+    sock = socket.socket()
+    # Else the kernel would hold megabytes for a caller that doesn't read.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+    sock.settimeout(_TIMEOUT_S)
+    sock.connect((host, int(port)))
+    connection = http.client.HTTPConnection(host, int(port))
+    connection.sock = sock
     body = {
         "model": "sake-1",
         "prompt": f"slow {number}",
@@ -49,8 +59,8 @@
         prog="python -m benchmarks.slow_callers",
         description="Measure a router's memory while callers don't read.",
     )
-    parser.add_argument("--callers", type=int, default=50)
-    parser.add_argument("--tokens", type=int, default=8000)
+    parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--tokens", type=int, default=30000)
     parser.add_argument("--stall-s", type=float, default=20.0)
     return parser
 
