--- a/berylnotch/server/attempts.py
+++ b/berylnotch/server/attempts.py
@@ -80,13 +80,16 @@
         now = time.monotonic()
         apart = self._context.guard.avoid(now, job.fingerprint)
         ranked = self._rank(now, job, action, action.exclude | apart)
+        if not ranked and apart:
+            # Suspects run apart if they can, but none is given up for it.
+            ranked = self._rank(now, job, action, action.exclude)
         if not ranked:
             # An ejected target may be back; one that just failed this request
             # is not.
-            ranked = self._rank(now, job, action, action.exclude | apart, True)
+            ranked = self._rank(now, job, action, action.exclude, True)
         if not ranked and action.exclude:
             # A target that failed before is better than none.
-            ranked = self._rank(now, job, action, apart)
+            ranked = self._rank(now, job, action, frozenset())
         self._record(job, ranked)
         if not ranked:
             return None
@@ -172,8 +175,13 @@
     def _request(
         self, job: Job, weights: str, exclude: frozenset[str]
     ) -> PlacementRequest:
-        domain = self._context.settings.failure_domain
-        return PlacementRequest(job.prompt, domain, exclude, weights)
+        return PlacementRequest(
+            job.prompt,
+            self._context.settings.failure_domain,
+            exclude,
+            weights,
+            priority=self._context.quota.priority(job.organisation_name),
+        )
 
     def _shortlist(
         self, now: float, job: Job, request: PlacementRequest
