quota: tests for repeated requests and for a silent router's loan

Dropping the owner's sequence check now fails a test of its own. Writing loans off a second early still passes: the bucket is refilled only up to the loan's own end, so that the level is the same; the second test pins that level down.

--- a/tests/test_quota/test_grants.py
+++ b/tests/test_quota/test_grants.py
@@ -207,3 +207,23 @@
     router.want("clinic", 300)
     exchange(owner, router, now, LIMITS)
     assert router.charge(now, "clinic", 300)
+
+
+def test_repeated_and_overtaken_requests_change_nothing(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 50)
+    overtaken = request(router, now)
+    newest = request(router, now)
+    owner.grant(now, newest, LIMITS)
+    for message in (newest, overtaken):
+        assert owner.grant(now, message, LIMITS).grants == ()
+    assert owner.level(now, "clinic") == 950
+
+
+def test_silent_router_keeps_its_loan_until_the_owner_has_waited_it_out(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 500)
+    exchange(owner, router, now, LIMITS)
+    ends = now + SETTINGS.owner_lifetime_s
+    assert owner.level(ends - 0.001, "clinic") == 500
+    assert owner.level(ends + 1, "clinic") == pytest.approx(600)
