--- a/berylnotch/daemon/controller/core.py
+++ b/berylnotch/daemon/controller/core.py
@@ -113,7 +113,6 @@
         self._on_failure = on_failure
         self._address = address
         self._storage = storage
-        self._recovered = recovered
         self._peers = peers
         self._make_replica = make_replica
         self._state = ControlState()
@@ -208,6 +207,13 @@
             applied = self._replica.applied
             self._vouching.tick(now, self._leader_address(), applied)
         self._compact()
+        if self._closing and self._replica.has_lease(now):
+            self._hand_over(now)
+
+    def _hand_over(self, now: float) -> None:
+        # Without it the others would wait for an election timeout.
+        self._replica.transfer(now)
+        self._save_and_apply()
 
     def _take_batch(self) -> list[Inbound]:
         batch: list[Inbound] = []
@@ -284,9 +290,9 @@
         self, message: BootstrapRequest, reply: Callable[[object], None]
     ) -> None:
         if not self.members():
-            recovered = bootstrap(self._recovered, message.members)
+            # The replica may have voted since the start; that vote must stand.
+            recovered = bootstrap(self._replica.recovered, message.members)
             self._storage.save(first_ready(recovered))
-            self._recovered = recovered
             self._replica = self._make_replica(recovered)
             logger.info("event=bootstrap members={}", len(message.members.members))
         reply(BootstrapReply(self._replica.members))
