--- a/berylnotch/consensus/storage.py
+++ b/berylnotch/consensus/storage.py
@@ -53,6 +53,9 @@
         self._lock_file: IO[bytes] | None = None
         self._file: IO[bytes] | None = None
         self._mutex = threading.Lock()
+        #: Held while the snapshot's file is replaced.
+        self._snapshot_mutex = threading.Lock()
+        self._snapshot_index = 0
         self._hard_state = HardState()
         #: Highest entry index in each segment, by its number.
         self._segments: dict[int, int] = {}
@@ -101,10 +104,15 @@
     def save_snapshot(self, snapshot: Snapshot) -> None:
         """Make a snapshot of the own state durable, then drop what it holds.
 
-        It may run on another thread than `save`.
+        It may run on another thread than `save`. A snapshot that is older than
+        one from the leader, installed meanwhile, is left out.
         """
         try:
-            write_snapshot(self._folder, snapshot)
+            with self._snapshot_mutex:
+                if snapshot.last_index <= self._snapshot_index:
+                    return
+                write_snapshot(self._folder, snapshot)
+                self._snapshot_index = snapshot.last_index
         except OSError as error:
             raise StorageError(f"{self._folder}: {error}") from error
         with self._mutex:
@@ -126,6 +134,7 @@
         if identity is None:
             return self._start_empty()
         snapshot = read_snapshot(self._folder)
+        self._snapshot_index = snapshot.last_index if snapshot else 0
         entries = self._read_log()
         fitting = _fit(self._folder, snapshot, entries)
         if fitting != entries:
@@ -186,7 +195,9 @@
         if ready.hard_state is not None:
             self._hard_state = ready.hard_state
         if ready.snapshot is not None:
-            write_snapshot(self._folder, ready.snapshot)
+            with self._snapshot_mutex:
+                write_snapshot(self._folder, ready.snapshot)
+                self._snapshot_index = ready.snapshot.last_index
             self._start_over()
         elif self._file.tell() >= SEGMENT_BYTES:
             self._open_segment(max(self._segments) + 1)
--- a/berylnotch/daemon/controller/core.py
+++ b/berylnotch/daemon/controller/core.py
@@ -8,6 +8,7 @@
 from concurrent.futures import Future, ThreadPoolExecutor, wait
 from typing import TYPE_CHECKING, Any
 
+from attrs import evolve
 from loguru import logger
 
 from berylnotch.consensus.bootstrap import bootstrap, first_ready
@@ -51,8 +52,9 @@
 
 if TYPE_CHECKING:
     from berylnotch.consensus.messages import Entry, Member
-    from berylnotch.consensus.replica import Ready, Replica
-    from berylnotch.consensus.storage import LogStorage, Recovered
+    from berylnotch.consensus.replica import Replica
+    from berylnotch.consensus.state import Ready, Recovered, Snapshot
+    from berylnotch.consensus.storage import LogStorage
     from berylnotch.settings.controller import ControllerSettings
     from berylnotch.transport.peers import Peers
     from berylnotch.util.loop import Loop
@@ -129,6 +131,8 @@
         self._member_changes = MemberChanges(peers, self._deliver_call)
         self._inbox: queue.SimpleQueue[Inbound | None] = queue.SimpleQueue()
         self._executor = ThreadPoolExecutor(1, thread_name_prefix="core")
+        self._packer = ThreadPoolExecutor(1, thread_name_prefix="snapshot")
+        self._snapshotting = False
         self._finished: Future[None] | None = None
         self._closing = False
 
@@ -158,6 +162,7 @@
             wait([self._finished])
         self._outside.close()
         self._executor.shutdown()
+        self._packer.shutdown()
         self._storage.close()
 
     def submit(
@@ -341,10 +346,27 @@
                 self._proposals.fail_all(NotLeader(self._leader_address()))
 
     def _compact(self) -> None:
-        if not self._replica.is_snapshot_due:
+        if self._snapshotting or not self._replica.is_snapshot_due:
             return
-        snapshot = self._replica.build_snapshot(self._state.snapshot())
-        self._storage.save_snapshot(snapshot)
+        # Packing a large state takes longer than a lease, so that only the
+        # collecting of its records is done in this thread.
+        self._snapshotting = True
+        pack = self._state.freeze()
+        empty = self._replica.build_snapshot(b"")
+        self._packer.submit(lambda: self._save_snapshot(empty, pack))
+
+    def _save_snapshot(self, empty: Snapshot, pack: Callable[[], bytes]) -> None:
+        try:
+            snapshot = evolve(empty, data=pack())
+            self._storage.save_snapshot(snapshot)
+        except Exception:
+            logger.exception("event=snapshot_failed")
+            self._on_failure()
+            return
+        self._deliver_call(lambda: self._snapshot_saved(snapshot))
+
+    def _snapshot_saved(self, snapshot: Snapshot) -> None:
+        self._snapshotting = False
         self._replica.compact(snapshot)
         logger.info("event=snapshot_saved index={}", snapshot.last_index)
 
--- a/berylnotch/daemon/router/heartbeat.py
+++ b/berylnotch/daemon/router/heartbeat.py
@@ -15,12 +15,10 @@
     from berylnotch.transport.peers import Peers
     from berylnotch.util.loop import Loop, Timer
 
-#: Seconds between two reports while organisations are active.
-ACTIVE_INTERVAL_S = 0.15
 #: Seconds between two reports of an idle router.
 IDLE_INTERVAL_S = 0.5
-#: Fewest seconds between two reports while requests wait for tokens.
-URGENT_INTERVAL_S = 0.02
+#: Fewest seconds between an answer and the next report.
+_MIN_DELAY_S = 0.005
 _TIMEOUT_S = 1.0
 
 
@@ -92,7 +90,7 @@
             return
         self._urgent = True
         if not self._busy:
-            self._schedule(URGENT_INTERVAL_S)
+            self._schedule(True)
 
     def _send(self) -> None:
         if self._busy or self._closed:
@@ -133,13 +131,13 @@
         else:
             self._hint = ""
             self._controller += 1
-        interval_s = ACTIVE_INTERVAL_S if active else IDLE_INTERVAL_S
-        if self._urgent:
-            interval_s = URGENT_INTERVAL_S
-        self._schedule(interval_s)
+        self._schedule(active or self._urgent)
 
-    def _schedule(self, interval_s: float) -> None:
+    def _schedule(self, is_active: bool) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        due = self._sent_at + interval_s - time.monotonic()
-        self._timer = self._loop.call_later(max(due, 0.0), self._send)
+        due = self._quota.next_ask_at
+        if not is_active:
+            due = max(due, self._sent_at + IDLE_INTERVAL_S)
+        delay_s = max(due - time.monotonic(), _MIN_DELAY_S)
+        self._timer = self._loop.call_later(delay_s, self._send)
--- a/berylnotch/server/attempts.py
+++ b/berylnotch/server/attempts.py
@@ -18,6 +18,7 @@
 from berylnotch.placement.model import Candidate, Query
 from berylnotch.placement.placer import PlacementRequest
 from berylnotch.placement.rank import rank
+from berylnotch.util.metrics import Label
 
 if TYPE_CHECKING:
     from berylnotch.fleet.model import Target
@@ -102,6 +103,13 @@
         if job.prompt is not None:
             request = self._request(job, "", frozenset())
             self._context.placer.sent(time.monotonic(), request, choice.ranked)
+            self._count_pieces(job, choice)
+
+    def _count_pieces(self, job: Job, choice: Choice) -> None:
+        metrics, label = self._context.metrics, Label("service", job.service.name)
+        cached = choice.ranked.cached_pieces
+        metrics.count("berylnotch_prompt_pieces_total", label, amount=job.prompt.pieces)
+        metrics.count("berylnotch_expected_hit_pieces_total", label, amount=cached)
 
     def build(
         self, job: Job, target: Target, action: StartAttempt, timeout_s: float
--- a/berylnotch/server/claims.py
+++ b/berylnotch/server/claims.py
@@ -33,8 +33,9 @@
     from berylnotch.server.context import Context
     from berylnotch.server.job import Job
 
-#: Longest wait, in seconds, for a claim to be agreed.
-OPEN_LIMIT_S = 5.0
+#: Longest time, in seconds, from asking for a claim to sending its request;
+#: shorter than the silence after which a router is taken for lost.
+OPEN_LIMIT_S = 4.0
 #: Seconds for which an outcome is proposed again and again.
 _CLOSE_LIMIT_S = 60.0
 #: Seconds after which the caller gets its answer although the outcome is not agreed.
@@ -74,10 +75,14 @@
             router=router_id(self._context.settings.name, self._context.incarnation),
             attempt=attempt,
         )
-        limit_s = min(OPEN_LIMIT_S, job.deadline - time.monotonic())
+        asked_at = time.monotonic()
+        limit_s = min(OPEN_LIMIT_S, job.deadline - asked_at)
 
         def answered(result: Result | None) -> None:
-            if result is None:
+            # A router that was stopped meanwhile may be taken for lost, and its
+            # claim may be settled as not run: it must not run any more.
+            is_late = time.monotonic() - asked_at > OPEN_LIMIT_S
+            if result is None or (is_late and result.status is Status.OK):
                 # The claim may be agreed all the same, and must not stay open.
                 self._propose_close(job, attempt, ClaimState.NOT_RUN)
                 refuse(_unreachable())
--- a/berylnotch/server/queueing.py
+++ b/berylnotch/server/queueing.py
@@ -74,6 +74,10 @@
         if organisation is not None and job.cost_tokens > organisation.burst:
             self._refuse(job, _too_large(job))
             return
+        retry_ms = self._retry_after_ms(job, now)
+        if retry_ms:
+            self._refuse(job, _rate_limited(retry_ms / 1000))
+            return
         ticket = self._ticket(job, now)
         refusal = self._queue(job.service.name).offer(now, ticket)
         if refusal is not None:
@@ -123,6 +127,14 @@
                 self._forget(job)
                 self._refuse(job, self._expired(job))
 
+    def _retry_after_ms(self, job: Job, now: float) -> int:
+        """Return when to come back if the organisation is beyond its rate."""
+        name = job.organisation_name
+        quota = self._context.quota
+        if not job.cost_tokens or quota.balance(now, name) >= job.cost_tokens:
+            return 0
+        return quota.retry_after_ms(name)
+
     def _queue(self, service: str) -> FairQueue:
         queue = self._queues.get(service)
         if queue is None:
--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from berylnotch.admission.retry import RetryBudget
 from berylnotch.control.commands import ReportCrash
 from berylnotch.gateways.engine import read_engine_head
 from berylnotch.gateways.errors import BadAnswerError, ForbiddenRequestError
@@ -81,6 +82,7 @@
         self._claims = claims
         self._on_over = on_over
         self._delivery: Delivery | None = None
+        self._budgets: dict[str, RetryBudget] = {}
 
     def set_delivery(self, delivery: Delivery) -> None:
         """Set where answers go."""
@@ -175,6 +177,9 @@
         now = time.monotonic()
         if self._is_poison(job, now):
             return job.exchange.no_target(now, action.number, _POISON)
+        if not self._may_attempt(job, action):
+            message = f"too many requests to {job.service.name} fail at present"
+            return job.exchange.no_target(now, action.number, message, 1.0)
         choice = self._attempts.choose(job, action)
         if choice is None:
             message = f"no target of {job.service.name} can take the request"
@@ -201,6 +206,20 @@
         )
         return actions
 
+    def _may_attempt(self, job: Job, action: StartAttempt) -> bool:
+        """Hold retries to a part of the first attempts.
+
+        A stream that has begun is resumed all the same.
+        """
+        budget = self._budgets.get(job.service.name)
+        if budget is None:
+            budget = RetryBudget(self._context.settings.retry)
+            self._budgets[job.service.name] = budget
+        if action.number == 1:
+            budget.earn()
+            return True
+        return bool(action.resume_after) or budget.spend()
+
     def _is_poison(self, job: Job, now: float) -> bool:
         job.is_poison = self._context.guard.is_refused(
             now, job.fingerprint, self._context.shared_losses
--- a/berylnotch/settings/router.py
+++ b/berylnotch/settings/router.py
@@ -4,6 +4,7 @@
 
 from attrs import Factory, field, frozen
 
+from berylnotch.admission.retry import RetrySettings
 from berylnotch.admission.settings import AdmissionSettings
 from berylnotch.fleet import values
 from berylnotch.membership.settings import MembershipSettings
@@ -141,6 +142,7 @@
     membership: MembershipSettings = Factory(MembershipSettings)
     placement: PlacementSettings = Factory(PlacementSettings)
     quota: QuotaSettings = Factory(QuotaSettings)
+    retry: RetrySettings = Factory(RetrySettings)
     exchange: ExchangeSettings = Factory(ExchangeSettings)
 
 
--- a/berylnotch/transport/codec.py
+++ b/berylnotch/transport/codec.py
@@ -148,13 +148,15 @@
     _fill(builder.init(field), value)
 
 
-def encode(message: object) -> bytes:
+def encode(message: object, packed: bool = False) -> bytes:
     """Encode a message.
 
     Parameters
     ----------
     message : object
         Instance of one of `message_classes`.
+    packed : bool, default=False
+        Whether to leave out zero bytes, as between processes.
 
     Returns
     -------
@@ -163,11 +165,11 @@
     """
     body = _schema.Body.new_message()
     _fill(body.init(camel(type(message).__name__)), message)
-    return body.to_bytes()
+    return body.to_bytes_packed() if packed else body.to_bytes()
 
 
-def decode(data: bytes) -> Any:
-    """Decode bytes that `encode` made.
+def decode(data: bytes, packed: bool = False) -> Any:
+    """Decode bytes that `encode` made in the same form.
 
     Returns
     -------
@@ -180,8 +182,14 @@
         If the bytes do not hold a valid message.
     """
     try:
+        if packed:
+            return _read_body(_schema.Body.from_bytes_packed(data))
         with _schema.Body.from_bytes(data) as body:
-            field = body.which()
-            return _read(getattr(body, str(field)), _by_field[str(field)])
+            return _read_body(body)
     except (capnp.KjException, ValueError, KeyError, UnicodeDecodeError) as error:
         raise CodecError(f"invalid message of {len(data)} bytes") from error
+
+
+def _read_body(body: Any) -> Any:
+    field = str(body.which())
+    return _read(getattr(body, field), _by_field[field])
--- a/berylnotch/transport/session.py
+++ b/berylnotch/transport/session.py
@@ -93,7 +93,7 @@
         """
         if not self.is_open:
             raise FrameError("the connection is not open yet")
-        data = encode(Envelope(call, reply, encode(message)))
+        data = encode(Envelope(call, reply, encode(message, packed=True)))
         if len(data) > MAX_MESSAGE_BYTES:
             raise FrameError(
                 f"message of {len(data)} bytes, at most {MAX_MESSAGE_BYTES}"
@@ -145,7 +145,7 @@
             envelope = decode(data)
             if not isinstance(envelope, Envelope):
                 raise FrameError("frame without an envelope")
-            return envelope, decode(envelope.body)
+            return envelope, decode(envelope.body, packed=True)
         except CodecError as error:
             raise FrameError(str(error)) from error
 
--- a/tests/test_consensus/test_storage.py
+++ b/tests/test_consensus/test_storage.py
@@ -317,3 +317,12 @@
 def test_members_survive_in_a_snapshot(folder):
     write(folder, Ready(entries=entries(1, 3)), snapshot(3))
     assert read(folder).snapshot.members == MEMBERS != Members()
+
+
+def test_older_own_snapshot_does_not_replace_an_installed_one(folder):
+    storage = LogStorage(folder)
+    storage.start()
+    storage.save(Ready(snapshot=snapshot(20, 3)))
+    storage.save_snapshot(snapshot(10, 2))
+    storage.close()
+    assert LogStorage(folder).start().snapshot.last_index == 20
--- a/tests/test_transport/test_codec.py
+++ b/tests/test_transport/test_codec.py
@@ -31,11 +31,13 @@
 def test_list_round_trip(events):
     reply = SyncReply(7, -1, "127.0.0.1:1", tuple(events))
     assert decode(encode(reply)) == reply
+    assert decode(encode(reply, packed=True), packed=True) == reply
 
 
 @given(st.binary(max_size=200))
 def test_garbage_is_an_error(data):
-    try:
-        decode(data)
-    except CodecError:
-        return
+    for packed in (False, True):
+        try:
+            decode(data, packed)
+        except CodecError:
+            continue
