benchmarks: the same run under every hash seed

Cause: the requests of a crashed engine failed in the order of a set of objects, so the case with an engine lost differed between runs.

--- a/benchmarks/engine.py
+++ b/benchmarks/engine.py
@@ -177,7 +177,7 @@
 
     def _clear(self) -> None:
         self._queue: list[tuple[int, int, Job]] = []
-        self._running: set[Job] = set()
+        self._running: dict[Job, None] = {}
         self._cache: OrderedDict[bytes, None] = OrderedDict()
         self._pins: Counter[bytes] = Counter()
         self._prefilling: Job | None = None
@@ -217,7 +217,7 @@
         return entry
 
     def _begin(self, job: Job) -> None:
-        self._running.add(job)
+        self._running[job] = None
         job.cached = self.cached_pieces(job.chain)
         self._touch(job.chain[: job.cached])
         self._pins.update(job.chain)
@@ -255,7 +255,7 @@
         self._at(job.output_tokens * token_s, lambda: self._end(job))
 
     def _end(self, job: Job) -> None:
-        self._running.discard(job)
+        self._running.pop(job, None)
         for prefix in job.chain:
             self._pins[prefix] -= 1
             if not self._pins[prefix]:
