--- a/tests/test_consensus/test_election.py
+++ b/tests/test_consensus/test_election.py
@@ -2,12 +2,19 @@
 
 import random
 
+import attrs
 import pytest
 
 from berylnotch.consensus.bootstrap import bootstrap, first_ready
-from berylnotch.consensus.errors import BootstrapError, NotLeaderError, OverloadedError
+from berylnotch.consensus.errors import (
+    BootstrapError,
+    NotLeaderError,
+    OverloadedError,
+    PayloadError,
+)
 from berylnotch.consensus.messages import (
     AppendReply,
+    AppendRequest,
     Entry,
     EntryKind,
     VoteReply,
@@ -17,6 +24,7 @@
 from berylnotch.consensus.settings import ConsensusSettings
 from berylnotch.consensus.state import HardState, Recovered
 from berylnotch.errors import ConfigurationError
+from berylnotch.transport.codec import MAX_MESSAGE_BYTES, encode
 from tests.test_consensus.group import SETTINGS, Group, MemoryDisk, Node, members_of
 
 IDS = ("a/1", "b/1", "c/1")
@@ -212,6 +220,18 @@
         group[leader].propose(group.now, b"x")
 
 
+def test_a_payload_that_no_message_holds_is_refused(group):
+    leader = group.elect()
+    last = group[leader].last_index
+    with pytest.raises(PayloadError, match="exceeds"):
+        group[leader].propose(group.now, bytes(SETTINGS.max_entry_bytes + 1))
+    assert group[leader].last_index == last
+    index = group[leader].propose(group.now, bytes(SETTINGS.max_entry_bytes))
+    entry = group[leader].recovered.entries[-1]
+    request = AppendRequest(2, leader, index - 1, 2, 0, 1, (entry,))
+    assert len(encode(request)) < MAX_MESSAGE_BYTES
+
+
 def test_bootstrap_is_idempotent_and_only_for_empty_folders(state):
     assert bootstrap(state, members_of(*IDS)) == state
     assert first_ready(state).entries == state.entries
@@ -221,6 +241,24 @@
         bootstrap(Recovered("d/1"), members_of(*IDS))
 
 
+def test_bootstrap_keeps_a_vote_given_before_it():
+    node = Node(MemoryDisk(Recovered("a/1")), 0.0)
+    assert ask(node, 5.0, "b/1", 2).granted
+    state = bootstrap(node.replica.recovered, members_of(*IDS))
+    assert state.hard_state == HardState(2, "b/1")
+    assert first_ready(state).hard_state == HardState(2, "b/1")
+
+
+def test_recovered_is_what_a_restart_finds(group):
+    leader = group.elect()
+    group.propose(leader, *[b"%d" % i for i in range(20)])
+    group.nodes[leader].compact()
+    group.advance(1)
+    found, kept = group[leader].recovered, group.nodes[leader].disk.recovered
+    # The oldest kept entry only gives the term of the base.
+    assert found == attrs.evolve(kept, entries=kept.entries[1:])
+
+
 def test_settings_check_the_order_of_times():
     with pytest.raises(ConfigurationError, match="lease_s < election_min_s"):
         ConsensusSettings(lease_s=1.0)
--- a/tests/test_quota/test_grants.py
+++ b/tests/test_quota/test_grants.py
@@ -194,3 +194,36 @@
     router.receive(now + 1.9, reply)
     assert other.balance(later, "clinic") == 600
     assert router.balance(later, "clinic") == 0
+
+
+def test_half_of_the_burst_is_kept_for_work_that_waits(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 600)
+    exchange(owner, router, now, LIMITS)
+    assert router.charge(now, "clinic", 600)
+    router.want("clinic", 0)
+    reply = exchange(owner, router, now, LIMITS)
+    assert reply.grants[0].tokens == 0
+    router.want("clinic", 300)
+    exchange(owner, router, now, LIMITS)
+    assert router.charge(now, "clinic", 300)
+
+
+def test_repeated_and_overtaken_requests_change_nothing(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 50)
+    overtaken = request(router, now)
+    newest = request(router, now)
+    owner.grant(now, newest, LIMITS)
+    for message in (newest, overtaken):
+        assert owner.grant(now, message, LIMITS).grants == ()
+    assert owner.level(now, "clinic") == 950
+
+
+def test_silent_router_keeps_its_loan_until_the_owner_has_waited_it_out(owner, router):
+    now = STEADY + 20
+    router.want("clinic", 500)
+    exchange(owner, router, now, LIMITS)
+    ends = now + SETTINGS.owner_lifetime_s
+    assert owner.level(ends - 0.001, "clinic") == 500
+    assert owner.level(ends + 1, "clinic") == pytest.approx(600)
