--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Texts of fleets, settings of processes, and programs that use parts."""
