--- /dev/null
+++ b/tests/test_daemon/test_new_group.py
@@ -0,0 +1,39 @@
+"""A new group of controllers, after the old one was given up for good."""
+
+from __future__ import annotations
+
+import time
+
+from berylnotch.standins.caller import CallerClient
+from berylnotch.standins.fleet import wait_for
+from berylnotch.standins.texts import DOMAINS, small_text
+from tests.test_daemon.conftest import callers_at, start_small
+
+NAMES = ("c1", "c2", "c3")
+#: Seconds in which a router takes a new group's state, or stops to be fresh.
+_CHANGE_S = 10.0
+
+
+def test_router_takes_no_key_of_a_group_that_was_given_up(fleet):
+    fleet.start_controllers(NAMES, DOMAINS[:3])
+    small = start_small(fleet)
+    old = fleet.give_key("importer-desk")
+    caller = callers_at(small, old)[0]
+    for name in NAMES:
+        fleet.children[name].kill()
+        fleet.data_folder(name).rename(fleet.folder / f"{name}-given-up")
+    fleet.start_all([lambda name=name: fleet.restart(name) for name in NAMES])
+    fleet.bootstrap(NAMES)
+    assert fleet.apply(small_text(small), 0).revision == 1
+    key = fleet.give_key("importer-desk")
+    caller_of_new = CallerClient(small.routers[0][1], key.key)
+    deadline = time.monotonic() + _CHANGE_S
+    wait_for(
+        lambda: (
+            caller_of_new.send("GET", "/v1/models").status == 200
+            or time.monotonic() > deadline
+        ),
+        "new key in force, or the time is over",
+    )
+    assert caller_of_new.send("GET", "/v1/models").status == 200
+    assert caller.send("GET", "/v1/models").status == 401
