--- a/berylnotch/quota/settings.py
+++ b/berylnotch/quota/settings.py
@@ -37,7 +37,7 @@
     grace_s : float, default=15.0
         Time after a change of owner in which no organisation is refused for
         lack of tokens, since the new owner cannot know its earlier use.
-    usage_window_s : float, default=10.0
+    usage_window_s : float, default=60.0
         Time constant of the average use behind the priority.
     """
 
@@ -50,7 +50,7 @@
     demand_window_s: float = field(default=3.0, validator=gt(0))
     wait_s: float = field(default=5.0, validator=ge(0))
     grace_s: float = field(default=15.0, validator=ge(0))
-    usage_window_s: float = field(default=10.0, validator=gt(0))
+    usage_window_s: float = field(default=60.0, validator=gt(0))
 
     @property
     def owner_lifetime_s(self) -> float:
--- a/berylnotch/server/app.py
+++ b/berylnotch/server/app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import time
 from collections.abc import Callable, Iterable
@@ -64,6 +65,7 @@
         self._path = path
         self._key_secret = key_secret
         self._stream_secret = stream_secret
+        self._turns = itertools.count()
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -239,6 +241,7 @@
             request.args.get("organisation", ""),
             request.args.get("failure-domain", ""),
             self._context.settings.membership,
+            next(self._turns),
         )
         fields = {"addresses": list(answer.addresses), "keep_s": answer.keep_s}
         status = 200 if answer.addresses else 503
