--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,11 @@
 	$(BIN)/ruff check .
 
 bench: .venv/installed
+	$(BIN)/python -m benchmarks.control
+	$(BIN)/python -m benchmarks.control_state
+	$(BIN)/python -m benchmarks.consensus
+	$(BIN)/python -m benchmarks.quota
+	$(BIN)/python -m benchmarks.router_cost
 	$(BIN)/python -m benchmarks.decision_time
 	$(BIN)/python -m benchmarks.policies --plot docs/design/policies.png
 
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -65,6 +65,7 @@
         fleet.apply(_text(1), 0)
         measure_claims(fleet, args.claims, args.in_flight)
         measure_subscribers(fleet, args.subscribers, args.seconds)
+        measure_router(fleet, args.seconds)
         measure_failover(fleet, args.failovers)
         measure_restart(fleet, args.changes)
     finally:
@@ -158,6 +159,22 @@
     peers.close()
 
 
+def measure_router(fleet: LocalFleet, seconds: float) -> None:
+    """Let a router follow the control state without callers."""
+    router = fleet.start_router("entry-1", DOMAINS[0])
+    time.sleep(2.0)
+    before = read_process_stat(router.pid)
+    began = time.monotonic()
+    time.sleep(seconds)
+    elapsed_s = time.monotonic() - began
+    after = read_process_stat(router.pid)
+    router.kill()
+    print(
+        f"router without callers: {100 * (after.cpu_s - before.cpu_s) / elapsed_s:.1f}% "
+        f"of a core, {after.rss_mb:.0f} MB"
+    )
+
+
 def measure_failover(fleet: LocalFleet, times: int) -> None:
     """Kill the leader and wait for the next acknowledged read."""
     histogram = HdrHistogram(1, 60_000_000, 3)
@@ -252,9 +269,8 @@
 
 
 def _text(number: int) -> str:
-    return small_text(
-        SmallFleet((("entry-1", "127.0.0.1:8001"),), (), (), rate=1000 + number % 7)
-    )
+    vms = (("entry-1", "127.0.0.1:8001"),)
+    return small_text(SmallFleet(vms, (), (), rate=1000 + number % 7))
 
 
 if __name__ == "__main__":
