Show the operators' tool in the demo; split the request path's larger files

The judging of attempts (health, crashes, retry budget) left the runner, and the two ways to build a job share one. Claims need an organisation: on an open route callers' keys could collide. A plain service gets the path as it came: a decoded space was refused as malformed (test). Refusals before the loop are counted too.

--- a/berylnotch/daemon/controller/core.py
+++ b/berylnotch/daemon/controller/core.py
@@ -44,8 +44,8 @@
 from berylnotch.daemon.controller.members import MemberChanges
 from berylnotch.daemon.controller.outside import Outside
 from berylnotch.daemon.controller.proposals import Proposals
-from berylnotch.daemon.controller.syncing import SyncServer
 from berylnotch.daemon.controller.vouching import Vouching
+from berylnotch.daemon.syncing import SyncServer
 from berylnotch.errors import BerylnotchError
 from berylnotch.transport.codec import decode, encode
 from berylnotch.transport.identity import is_vm, operator_name
--- a/berylnotch/daemon/router/router.py
+++ b/berylnotch/daemon/router/router.py
@@ -13,10 +13,10 @@
 
 from berylnotch.control.protocol import Refused, SyncRequest, WhyRequest
 from berylnotch.control.view import View
-from berylnotch.daemon.controller.syncing import SyncServer
 from berylnotch.daemon.router.follower import Follower
 from berylnotch.daemon.router.heartbeat import Heartbeat
 from berylnotch.daemon.router.proposer import Proposer
+from berylnotch.daemon.syncing import SyncServer
 from berylnotch.gateways.transfers import Upstreams
 from berylnotch.keys.freshness import Freshness
 from berylnotch.membership.crashes import CrashGuard
--- a/berylnotch/server/app.py
+++ b/berylnotch/server/app.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Any
 
+from attrs import field, frozen
 from loguru import logger
 from werkzeug import Request, Response
 
@@ -21,6 +22,7 @@
 from berylnotch.server.job import Job
 from berylnotch.streams.errors import StreamReferenceError
 from berylnotch.streams.reference import fingerprint, verify
+from berylnotch.util.metrics import Label
 
 if TYPE_CHECKING:
     from berylnotch.fleet.model import Organisation, Route, Service
@@ -36,6 +38,40 @@
 _STREAM_LIMIT_S = 3600.0
 
 
+@frozen
+class _Accepted:
+    """A request whose key and route were found."""
+
+    caller: intake.CallerRequest
+    key: str = field(repr=False)
+    key_hash: bytes = field(repr=False)
+    organisation: Organisation | None
+    route: Route
+    arrived_at: float
+
+    @property
+    def organisation_name(self) -> str:
+        """Name of the organisation; empty on an open route."""
+        return self.organisation.name if self.organisation is not None else ""
+
+    def job(
+        self, service: Service, mark: bytes, limit_s: float, is_idempotent: bool
+    ) -> Job:
+        """Return the job of this request, without what a language call adds."""
+        return Job(
+            request=self.caller,
+            key=self.key,
+            key_hash=self.key_hash,
+            organisation=self.organisation,
+            route=self.route,
+            service=service,
+            fingerprint=mark,
+            arrived_at=self.arrived_at,
+            deadline=self.arrived_at + limit_s,
+            idempotent=is_idempotent,
+        )
+
+
 class App:
     """Reads and checks requests, and hands them to the request path.
 
@@ -80,6 +116,11 @@
             found = self._serve(request, caller)
         except Refusal as refusal:
             request_id = caller.request_id if caller else intake.request_id(request)
+            self._context.metrics.count(
+                "berylnotch_refusals_total",
+                Label("organisation", ""),
+                Label("reason", refusal.code),
+            )
             found = _refusal_response(refusal, request_id)
         if isinstance(found, Response):
             return found(environ, start_response)
@@ -98,15 +139,12 @@
             key_hash = hash_key(self._key_secret, key)
             organisation = self._organisation(self._held_key(key, key_hash))
         service = self._context.view.fleet.services[route.service]
-        if service.kind is ServiceKind.LANGUAGE:
-            if request.path == route.prefix.rstrip("/") + intake.MODELS:
-                return self._models(caller)
-            return self._language_job(
-                caller, key, key_hash, organisation, route, service, arrived_at
-            )
-        return self._plain_job(
-            caller, key, key_hash, organisation, route, service, arrived_at
-        )
+        accepted = _Accepted(caller, key, key_hash, organisation, route, arrived_at)
+        if service.kind is not ServiceKind.LANGUAGE:
+            return self._plain_job(accepted, service)
+        if request.path == route.prefix.rstrip("/") + intake.MODELS:
+            return self._models(caller)
+        return self._language_job(accepted, service)
 
     def _held_key(self, key: str, key_hash: bytes) -> HeldKey:
         if not key:
@@ -129,69 +167,35 @@
             raise Refusal(401, "invalid_key", "the key's organisation is not served")
         return organisation
 
-    def _language_job(
-        self,
-        caller: intake.CallerRequest,
-        key: str,
-        key_hash: bytes,
-        organisation: Organisation | None,
-        route: Route,
-        service: Service,
-        arrived_at: float,
-    ) -> Job:
-        is_chat = _is_chat(caller, route)
-        call = intake.read_language_call(caller.body, is_chat)
-        service = self._service_of(call.model, service)
-        name = organisation.name if organisation else ""
-        mark = fingerprint(name, caller.path, caller.body)
+    def _language_job(self, accepted: _Accepted, routed: Service) -> Job:
+        caller, route = accepted.caller, accepted.route
+        call = intake.read_language_call(caller.body, _is_chat(caller, route))
+        service = self._service_of(call.model, routed)
+        name = accepted.organisation_name
         piece_bytes = self._context.settings.placement.piece_bytes
         prompt = Prompt(name, service.name, call.prompt, piece_bytes)
         # Hashing belongs in this thread; the loop finds the chain made.
         prompt.chain(service.weights)
-        limit_s = _STREAM_LIMIT_S if call.stream else route.timeout_s
-        job = Job(
-            request=caller,
-            key=key,
-            key_hash=key_hash,
-            organisation=organisation,
-            route=route,
-            service=service,
-            language=call,
-            fingerprint=mark,
-            prompt=prompt,
-            arrived_at=arrived_at,
-            deadline=arrived_at + limit_s,
-            idempotent=True,
+        job = accepted.job(
+            service,
+            fingerprint(name, caller.path, caller.body),
+            limit_s=_STREAM_LIMIT_S if call.stream else route.timeout_s,
+            is_idempotent=True,
         )
+        job.language = call
+        job.prompt = prompt
         if caller.last_event_id and call.stream:
             self._resume(job, caller.last_event_id)
         return job
 
-    def _plain_job(
-        self,
-        caller: intake.CallerRequest,
-        key: str,
-        key_hash: bytes,
-        organisation: Organisation | None,
-        route: Route,
-        service: Service,
-        arrived_at: float,
-    ) -> Job:
-        name = organisation.name if organisation else ""
-        target = f"{caller.method} {caller.path}?{caller.query}"
-        return Job(
-            request=caller,
-            key=key,
-            key_hash=key_hash,
-            organisation=organisation,
-            route=route,
-            service=service,
-            language=None,
-            fingerprint=fingerprint(name, target, caller.body),
-            prompt=None,
-            arrived_at=arrived_at,
-            deadline=arrived_at + route.timeout_s,
-            idempotent=caller.method in route.idempotent_methods,
+    def _plain_job(self, accepted: _Accepted, service: Service) -> Job:
+        caller, route = accepted.caller, accepted.route
+        asked = f"{caller.method} {caller.path}?{caller.query}"
+        return accepted.job(
+            service,
+            fingerprint(accepted.organisation_name, asked, caller.body),
+            limit_s=route.timeout_s,
+            is_idempotent=caller.method in route.idempotent_methods,
         )
 
     def _service_of(self, model: str, routed: Service) -> Service:
--- a/berylnotch/server/attempts.py
+++ b/berylnotch/server/attempts.py
@@ -4,6 +4,7 @@
 
 import time
 from typing import TYPE_CHECKING
+from urllib.parse import quote
 
 from attrs import evolve, frozen
 
@@ -30,6 +31,8 @@
 
 #: Expected work of a request at a plain service, in seconds.
 _PLAIN_WORK_S = 0.01
+#: Characters that stand in a path as they are.
+_PATH_SAFE = "/:@!$&'()*+,;=~-._"
 #: Paths of an engine, by whether the request is a chat.
 _PATHS = {True: "/v1/chat/completions", False: "/v1/completions"}
 
@@ -130,7 +133,7 @@
             return build_generation(address, generation, timeout_s, resume)
         plain = PlainRequest(
             method=job.request.method,
-            path=job.request.path,
+            path=quote(job.request.path, safe=_PATH_SAFE),
             query=job.request.query,
             headers=job.request.headers,
             body=job.request.body,
--- a/berylnotch/server/engine.py
+++ b/berylnotch/server/engine.py
@@ -153,7 +153,9 @@
             if refusal is not None:
                 self._refuse(job, refusal)
                 return
-        if job.idempotent or not job.request.idempotency_key:
+        # Keys of callers without an organisation could collide.
+        may_claim = job.request.idempotency_key and job.organisation is not None
+        if job.idempotent or not may_claim:
             self._start(job)
             return
         self._claims.open(
--- a/berylnotch/server/job.py
+++ b/berylnotch/server/job.py
@@ -58,12 +58,8 @@
         Route that matched.
     service : Service
         Service that answers.
-    language : LanguageCall or None
-        What is asked of a language service.
     fingerprint : bytes
         Identity of organisation and body, for crash reports.
-    prompt : Prompt or None
-        Prompt of a language request, with its prefix hashes.
     arrived_at : float
         Monotonic time of arrival.
     deadline : float
@@ -72,6 +68,10 @@
         The caller's connection.
     idempotent : bool
         Whether a second run does no harm.
+    language : LanguageCall or None
+        What is asked of a language service.
+    prompt : Prompt or None
+        Prompt of a language request, with its prefix hashes.
     """
 
     request: CallerRequest
@@ -80,12 +80,12 @@
     organisation: Organisation | None
     route: Route
     service: Service
-    language: LanguageCall | None
     fingerprint: bytes
-    prompt: Prompt | None
     arrived_at: float
     deadline: float
     idempotent: bool
+    language: LanguageCall | None = None
+    prompt: Prompt | None = None
     resume_after: int = 0
     resume_weights: str = ""
     caller: Caller | None = None
--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -9,19 +9,17 @@
 
 from loguru import logger
 
-from berylnotch.admission.retry import RetryBudget
-from berylnotch.control.commands import ReportCrash
 from berylnotch.gateways.engine import read_engine_head
 from berylnotch.gateways.errors import BadAnswerError, ForbiddenRequestError
 from berylnotch.gateways.plain import read_plain_head
 from berylnotch.server import responses
 from berylnotch.server.errors import Refusal
 from berylnotch.server.job import Attempt
+from berylnotch.server.judging import Judging
 from berylnotch.streams.actions import (
     Action,
     AttemptFailed,
     CancelAttempt,
-    FailureCause,
     Finish,
     FinishReason,
     PauseUpstream,
@@ -43,11 +41,6 @@
     from berylnotch.server.delivery import Delivery
     from berylnotch.server.job import Job
 
-#: Causes that speak of a lost target rather than of one that answers badly.
-_LOSSES = (FailureCause.LOST, FailureCause.EMPTY)
-#: Causes that tell nothing bad of the target.
-_NEUTRAL = (FailureCause.REFUSED, FailureCause.WEIGHTS)
-_REPORT_S = 10.0
 _POISON = "request_crashes_targets"
 
 
@@ -82,7 +75,7 @@
         self._claims = claims
         self._on_over = on_over
         self._delivery: Delivery | None = None
-        self._budgets: dict[str, RetryBudget] = {}
+        self._judging = Judging(context)
 
     def set_delivery(self, delivery: Delivery) -> None:
         """Set where answers go."""
@@ -153,7 +146,7 @@
         elif isinstance(action, CancelAttempt):
             self._cancel(job)
         elif isinstance(action, AttemptFailed):
-            self._failed(job, action)
+            self._judging.failed(job, action)
         elif isinstance(action, PauseUpstream):
             self._pause_upstream(job)
         elif isinstance(action, ResumeUpstream):
@@ -175,9 +168,9 @@
 
     def _start_attempt(self, job: Job, action: StartAttempt) -> tuple[Action, ...]:
         now = time.monotonic()
-        if self._is_poison(job, now):
+        if self._judging.is_refused(job, now):
             return job.exchange.no_target(now, action.number, _POISON)
-        if not self._may_attempt(job, action):
+        if not self._judging.may_attempt(job, action):
             message = f"too many requests to {job.service.name} fail at present"
             return job.exchange.no_target(now, action.number, message, 1.0)
         choice = self._attempts.choose(job, action)
@@ -206,32 +199,12 @@
         )
         return actions
 
-    def _may_attempt(self, job: Job, action: StartAttempt) -> bool:
-        """Hold retries to a part of the first attempts.
-
-        A stream that has begun is resumed all the same.
-        """
-        budget = self._budgets.get(job.service.name)
-        if budget is None:
-            budget = RetryBudget(self._context.settings.retry)
-            self._budgets[job.service.name] = budget
-        if action.number == 1:
-            budget.earn()
-            return True
-        return bool(action.resume_after) or budget.spend()
-
-    def _is_poison(self, job: Job, now: float) -> bool:
-        job.is_poison = self._context.guard.is_refused(
-            now, job.fingerprint, self._context.shared_losses
-        )
-        return job.is_poison
-
     def _on_head(self, job: Job, attempt: Attempt, lines: tuple[bytes, ...]) -> None:
         read = read_engine_head if job.language is not None else read_plain_head
         now = time.monotonic()
         try:
             attempt.head = read(lines)
-            self._observe(attempt)
+            self._judging.answered(attempt)
         except BadAnswerError:
             end = UpstreamEnd(complete=False, sent=True)
             self._context.upstreams.cancel(attempt.transfer)
@@ -240,11 +213,6 @@
             actions = job.exchange.head(now, attempt.number, attempt.head)
         self.perform(job, actions)
 
-    def _observe(self, attempt: Attempt) -> None:
-        incarnation = attempt.head.incarnation
-        if incarnation and self._context.health.observe(attempt.target, incarnation):
-            self._context.placer.target_lost(attempt.target)
-
     def _on_body(self, job: Job, attempt: Attempt, data: bytes) -> None:
         now = time.monotonic()
         self._context.health.first_token(attempt.dispatch)
@@ -265,34 +233,6 @@
         if attempt is not None and attempt.transfer is not None:
             self._context.upstreams.cancel(attempt.transfer)
 
-    def _failed(self, job: Job, action: AttemptFailed) -> None:
-        now = time.monotonic()
-        if action.cause in _NEUTRAL:
-            self._context.health.abandon(job.attempt.dispatch)
-        else:
-            self._context.health.finish(now, job.attempt.dispatch, False)
-        labels = Label("target", action.target), Label("cause", action.cause.value)
-        self._context.metrics.count("berylnotch_attempts_failed_total", *labels)
-        logger.info(
-            "event=attempt_failed request={} organisation={} target={} cause={}",
-            job.request.request_id,
-            job.organisation_name,
-            action.target,
-            action.cause.value,
-        )
-        if action.cause in _LOSSES:
-            self._suspect(job, action, now)
-        self._context.guard.ended(job.fingerprint, action.target)
-
-    def _suspect(self, job: Job, action: AttemptFailed, now: float) -> None:
-        guard, shared = self._context.guard, self._context.shared_losses
-        verdict = guard.lost(now, action.target, (job.fingerprint,), shared)
-        head = job.attempt.head
-        incarnation = head.incarnation if head is not None else ""
-        for fingerprint in verdict.reported:
-            command = ReportCrash(fingerprint, action.target, incarnation)
-            self._context.proposer.propose(command, _REPORT_S, lambda _result: None)
-
     def _pause_upstream(self, job: Job) -> None:
         if job.attempt is not None and job.attempt.transfer is not None:
             self._context.upstreams.pause(job.attempt.transfer)
@@ -305,10 +245,7 @@
         if job.timer is not None:
             job.timer.cancel()
         now = time.monotonic()
-        self._end_attempt(job, action, now)
-        if action.reason is FinishReason.TARGET_FAILED:
-            # The loss that ended it may have been the second.
-            self._is_poison(job, now)
+        self._judging.finished(job, action, now)
         if action.reason is not FinishReason.COMPLETE:
             self._delivery.drop_unpaid(job)
         if job.claim_attempt:
@@ -316,17 +253,6 @@
         else:
             self._conclude(job, action)
 
-    def _end_attempt(self, job: Job, action: Finish, now: float) -> None:
-        attempt = job.attempt
-        if attempt is None:
-            return
-        self._context.guard.ended(job.fingerprint, attempt.target)
-        if action.reason is FinishReason.COMPLETE:
-            self._context.guard.completed(job.fingerprint, now)
-            self._context.health.finish(now, attempt.dispatch, True)
-        else:
-            self._context.health.abandon(attempt.dispatch)
-
     def _release(self, job: Job, action: Finish) -> None:
         held, job.held = job.held, []
         job.claim_attempt = ""
--- a/berylnotch/standins/demo.py
+++ b/berylnotch/standins/demo.py
@@ -3,18 +3,24 @@
 from __future__ import annotations
 
 import argparse
+import io
+import json
+import re
 import shutil
 import sys
 import tempfile
 from collections.abc import Sequence
 from pathlib import Path
 
+from berylnotch.cmd import tool
 from berylnotch.errors import BerylnotchError
 from berylnotch.standins.caller import CallerClient
-from berylnotch.standins.fleet import ConditionError, LocalFleet, wait_for
+from berylnotch.standins.fleet import OPERATOR, ConditionError, LocalFleet, wait_for
 from berylnotch.standins.process import ChildError
 from berylnotch.standins.texts import DOMAINS, SmallFleet, small_text
+from berylnotch.transport.identity import OPERATOR_PREFIX, identity_key
 
+_KEY = re.compile(r"bn-[0-9a-f]{12}-[A-Za-z0-9_-]+")
 _PROMPT = "Importer contract, clause by clause. " * 400
 
 
@@ -44,25 +50,53 @@
 
 def _run(fleet: LocalFleet) -> None:
     small = _start(fleet)
-    _say("operator: apply the text that lists services, targets and organisations")
-    text = small_text(small)
-    (fleet.folder / "fleet.ini").write_text(text, encoding="utf-8")
-    result = fleet.apply(text, base_revision=0)
-    _say(f"          {result.status.value}: {result.message} is in force")
-    key = fleet.give_key("importer-desk")
-    _say(f"operator: give importer-desk a key ({key.key_id})")
+    text_file = fleet.folder / "fleet.ini"
+    text_file.write_text(small_text(small), encoding="utf-8")
+    operator = _Operator(fleet)
+    operator.run("check", str(text_file))
+    operator.run("apply", str(text_file), "--base", "0")
+    given = json.loads(operator.run("keys", "give", "importer-desk", "--json"))
     address = _ask_address(small)
-    caller = CallerClient(address, key.key)
+    caller = CallerClient(address, given["key"])
     wait_for(lambda: caller.send("GET", "/v1/models").status == 200, "key in force")
     _use(caller)
-    fleet.withdraw_key(key.key_id)
-    _say("operator: withdraw the key")
+    operator.run("keys", "withdraw", given["key_id"])
     wait_for(lambda: caller.send("GET", "/stock").status == 401, "key withdrawn")
     refused = caller.send("GET", "/stock")
     _say(f"caller:   GET /stock -> {refused.status}, run={refused.run}")
+    operator.run("status")
     _stop(fleet)
 
 
+class _Operator:
+    """Runs the operators' tool and shows its commands and what they print."""
+
+    def __init__(self, fleet: LocalFleet) -> None:
+        self._settings = fleet.folder / "operator.ini"
+        key = identity_key(fleet.secret, OPERATOR_PREFIX + OPERATOR)
+        key_file = fleet.folder / "operator.key"
+        key_file.write_text(key.hex(), encoding="utf-8")
+        controllers = "".join(f"{n} = {a}\n" for n, a in fleet.controllers.items())
+        self._settings.write_text(
+            f"[operator]\nname = {OPERATOR}\nkey-file = {key_file}\n"
+            f"[controllers]\n{controllers}",
+            encoding="utf-8",
+        )
+
+    def run(self, *arguments: str) -> str:
+        """Run one command and return its output."""
+        shown = " ".join(Path(a).name if "/" in a else a for a in arguments)
+        _say(f"operator: berylnotch {shown}")
+        out = io.StringIO()
+        code = tool.main(["--settings", str(self._settings), *arguments], out=out)
+        text = out.getvalue()
+        for line in text.splitlines():
+            _say(f"            {_KEY.sub('KEY', line)}")
+        if code:
+            raise ConditionError(f"berylnotch {shown} ended with {code}")
+        return text
+
+
 def _start(fleet: LocalFleet) -> SmallFleet:
     _say("start three controllers and form their group")
     fleet.start_controllers(("c1", "c2", "c3"), DOMAINS[:3])
--- a/tests/test_daemon/test_requests.py
+++ b/tests/test_daemon/test_requests.py
@@ -130,3 +130,12 @@
     answer = shared_callers[0].send("POST", PATH, body)
     assert (answer.status, answer.run) == (status, "not-run")
     assert answer.json()["error"]["message"]
+
+
+def test_encoded_path_reaches_the_plain_service_as_it_came(
+    shared_small, shared_callers
+):
+    answer = shared_callers[0].send("GET", "/stock/bottle%20size%2bcork")
+    assert answer.run == "ran"
+    paths = [s["path"] for s in seen(shared_small.plain[0][1])]
+    assert any(path.startswith("/stock/bottle%20size") for path in paths)
