--- a/berylnotch/daemon/router/heartbeat.py
+++ b/berylnotch/daemon/router/heartbeat.py
@@ -19,6 +19,8 @@
 IDLE_INTERVAL_S = 0.5
 #: Fewest seconds between an answer and the next report.
 _MIN_DELAY_S = 0.005
+#: Seconds before a report that another controller named the leader for.
+_REDIRECT_S = 0.05
 _TIMEOUT_S = 1.0
 
 
@@ -125,19 +127,23 @@
             self._quota.receive(sent_at, answer)
             self._on_grant()
         elif isinstance(answer, NotLeader):
-            self._urgent = bool(answer.leader_address)
             self._hint = answer.leader_address
             self._controller += 1
+            if answer.leader_address:
+                self._arm(_REDIRECT_S)
+                return
         else:
             self._hint = ""
             self._controller += 1
         self._schedule(active or self._urgent)
 
     def _schedule(self, is_active: bool) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
         due = self._quota.next_ask_at
         if not is_active:
             due = max(due, self._sent_at + IDLE_INTERVAL_S)
-        delay_s = max(due - time.monotonic(), _MIN_DELAY_S)
+        self._arm(max(due - time.monotonic(), _MIN_DELAY_S))
+
+    def _arm(self, delay_s: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
         self._timer = self._loop.call_later(delay_s, self._send)
