Remove a function and a setting that nothing used

stream_headers was left from before answers got their head from the exchange; answer_keep_s from before the operators' text held address-keep. No caller, test or page names them. Lint and the tests of server, membership and the whole path were run; the whole suite was not run again.

--- a/berylnotch/membership/settings.py
+++ b/berylnotch/membership/settings.py
@@ -24,9 +24,6 @@
     answer_vms : int, default=3
         Addresses in one address answer. More spread an organisation over more
         routers, and its grants with it.
-    answer_keep_s : int, default=30
-        How long callers keep an address answer; a graceful stop takes at least
-        as long.
     crash_limit : int, default=2
         Engines lost with the same request before it is refused.
     crash_keep_s : float, default=3600.0
@@ -41,7 +38,6 @@
     eject_share: float = 0.5
     report_max_age_s: float = 10.0
     answer_vms: int = 3
-    answer_keep_s: int = 30
     crash_limit: int = 2
     crash_keep_s: float = 3600.0
     crash_max: int = 4096
--- a/berylnotch/server/responses.py
+++ b/berylnotch/server/responses.py
@@ -9,7 +9,6 @@
 from werkzeug.datastructures import Headers
 
 from berylnotch.server.errors import Refusal
-from berylnotch.streams.actions import RunMark
 
 #: Header that tells whether a target ran the request.
 RUN_HEADER = "X-Berylnotch-Run"
@@ -79,16 +78,5 @@
 LAST_CHUNK = b"0\r\n\r\n"
 
 
-def stream_headers(request_id: str) -> Headers:
-    """Return the headers of a streamed answer."""
-    headers = Headers()
-    headers["Content-Type"] = "text/event-stream; charset=utf-8"
-    headers["Cache-Control"] = "no-cache"
-    headers["Transfer-Encoding"] = "chunked"
-    headers[REQUEST_ID_HEADER] = request_id
-    headers[RUN_HEADER] = RunMark.RAN.value
-    return headers
-
-
 #: Seconds after which a caller may come back when a short outage is the cause.
 SHORT_RETRY_S = 1.0
