--- a/berylnotch/admission/retry.py
+++ b/berylnotch/admission/retry.py
@@ -84,6 +84,11 @@
         """Whether another retry may be made."""
         return self._balance >= 1
 
+    def resize(self, settings: RetrySettings) -> None:
+        """Take other bounds; the balance never rises by it."""
+        self._settings = settings
+        self._balance = min(self._balance, settings.reserve)
+
     def earn(self) -> None:
         """Count a first attempt."""
         earned = self._balance + self._settings.ratio
--- /dev/null
+++ b/berylnotch/cmd/fleetd.py
@@ -0,0 +1,114 @@
+"""The daemon of a fleet on the users' platform: ``router`` or ``controller``."""
+
+from __future__ import annotations
+
+import argparse
+import signal
+import sys
+from collections.abc import Callable, Sequence
+
+from berylnotch import __version__
+from berylnotch.errors import BerylnotchError
+from berylnotch.settings.fleet import FleetSettings, read_fleet_settings
+from berylnotch.util.lines import FLUSH_S, EventLog, log_loop_errors, set_up
+from berylnotch.util.loop import Loop
+
+#: Exit codes.
+EXIT_OK = 0
+EXIT_FAILURE = 1
+EXIT_BAD_INPUT = 2
+
+#: Seconds between the end of serving and that of the process, for last messages.
+_LAST_S = 0.15
+
+
+def get_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="berylnotch-fleetd",
+        description="Router or controller of a fleet on the users' platform.",
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    parser.add_argument("role", choices=("router", "controller"))
+    parser.add_argument("--settings", required=True, metavar="FILE")
+    return parser
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run a process of a fleet and return its exit code."""
+    args = get_parser().parse_args(argv)
+    try:
+        settings = read_fleet_settings(args.settings)
+    except BerylnotchError as error:
+        print(f"berylnotch-fleetd: {error}", file=sys.stderr)
+        return EXIT_BAD_INPUT
+    log = set_up(f"{args.role}/{settings.name}")
+    loop = Loop(args.role, on_error=log_loop_errors(log))
+    try:
+        start = _start_router if args.role == "router" else _start_controller
+        stop = start(settings, loop, log)
+    except (BerylnotchError, OSError) as error:
+        log.error("start_failed", reason=str(error))
+        log.flush()
+        return EXIT_FAILURE
+    _stop_on_signal(loop, stop, log)
+    loop.call_every(FLUSH_S, log.flush)
+    loop.run()
+    log.info("stopped")
+    log.flush()
+    return EXIT_OK
+
+
+def run() -> None:
+    """Run the daemon as a program."""
+    sys.exit(main())
+
+
+def _start_router(
+    settings: FleetSettings, loop: Loop, log: EventLog
+) -> Callable[[], None]:
+    from berylnotch.daemon.fleet.router import FleetRouter
+
+    router = FleetRouter(settings, loop, log)
+    router.start()
+
+    def end() -> None:
+        router.close()
+        loop.call_later(_LAST_S, loop.close)
+
+    return lambda: router.drain(end)
+
+
+def _start_controller(
+    settings: FleetSettings, loop: Loop, log: EventLog
+) -> Callable[[], None]:
+    from berylnotch.daemon.fleet.controller import FleetController
+
+    controller = FleetController(settings, loop, log)
+    controller.start()
+
+    def stop() -> None:
+        controller.close()
+        loop.call_later(2 * _LAST_S, loop.close)
+
+    return stop
+
+
+def _stop_on_signal(loop: Loop, stop: Callable[[], None], log: EventLog) -> None:
+    is_stopping = False
+
+    def on_signal(number: int, _frame: object) -> None:
+        nonlocal is_stopping
+        if not is_stopping:
+            is_stopping = True
+            log.info("stop_asked", signal=signal.Signals(number).name)
+            loop.call_soon(stop)
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    # Settings are read again when they are needed.
+    signal.signal(signal.SIGHUP, lambda _number, _frame: log.info("reload_asked"))
+
+
+if __name__ == "__main__":
+    run()
--- a/berylnotch/consensus/folder.py
+++ b/berylnotch/consensus/folder.py
@@ -65,9 +65,9 @@
         path.unlink()
 
 
-def make_identity(folder: Path, name: str) -> str:
-    """Give a new data folder its random replica id and return it."""
-    identity = f"{name}/{secrets.token_hex(8)}"
+def make_identity(folder: Path, name: str, identity: str = "") -> str:
+    """Give a new data folder its replica id, by default a random one; return it."""
+    identity = identity or f"{name}/{secrets.token_hex(8)}"
     path = folder / IDENTITY_FILE
     temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
     with open(temporary, "w", encoding="utf-8") as file:
--- a/berylnotch/consensus/members.py
+++ b/berylnotch/consensus/members.py
@@ -6,11 +6,14 @@
 
 from berylnotch.consensus.errors import MembershipError
 from berylnotch.consensus.messages import Member, Members, Role
-from berylnotch.transport.codec import decode, encode
+from berylnotch.transport.packing import pack, unpack
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+#: First byte of Cap'n Proto bytes; a packed message never begins with it.
+_OLD_FIRST_BYTE = b"\x00"
+
 
 def voters(members: Members) -> frozenset[str]:
     """Return the ids of the replicas that vote."""
@@ -64,9 +67,14 @@
 
 def encode_members(members: Members) -> bytes:
     """Return the payload of a MEMBERS entry."""
-    return encode(members)
+    return pack(members)
 
 
 def decode_members(payload: bytes) -> Members:
     """Return the members of a MEMBERS entry's payload."""
-    return decode(payload)
+    if payload.startswith(_OLD_FIRST_BYTE):
+        # Logs written before version 0.2 hold Cap'n Proto bytes.
+        from berylnotch.transport.codec import decode
+
+        return decode(payload)
+    return unpack(payload, (Members,))
--- a/berylnotch/consensus/storage.py
+++ b/berylnotch/consensus/storage.py
@@ -42,13 +42,21 @@
         First part of the id that a new folder gets.
     keep_entries : int, default=2000
         Entries to keep behind a snapshot.
+    first_identity : str, default=""
+        Replica id that a new folder gets instead of a random one. Only a member
+        that founds a group may name it, since no earlier folder can have had it.
     """
 
     def __init__(
-        self, folder: str | Path, name: str = "replica", keep_entries: int = 2000
+        self,
+        folder: str | Path,
+        name: str = "replica",
+        keep_entries: int = 2000,
+        first_identity: str = "",
     ) -> None:
         self._folder = Path(folder)
         self._name = name
+        self._first_identity = first_identity
         self._keep_entries = keep_entries
         self._lock_file: IO[bytes] | None = None
         self._file: IO[bytes] | None = None
@@ -149,7 +157,10 @@
                 f"{self._folder} holds a log but no {data_folder.IDENTITY_FILE} file"
             )
         self._open_segment(1)
-        return Recovered(data_folder.make_identity(self._folder, self._name))
+        identity = data_folder.make_identity(
+            self._folder, self._name, self._first_identity
+        )
+        return Recovered(identity)
 
     def _segment_numbers(self) -> list[int]:
         return sorted(int(p.name[4:]) for p in self._folder.glob("log-" + "[0-9]" * 10))
--- /dev/null
+++ b/berylnotch/daemon/fleet/controller.py
@@ -0,0 +1,167 @@
+"""Controller of a fleet: replicated configuration, and the leader's services."""
+
+from __future__ import annotations
+
+from berylnotch.consensus import messages as consensus
+from berylnotch.control.protocol import GrantRequest
+from berylnotch.daemon.fleet.leader import Leader
+from berylnotch.daemon.fleet.metrics import MetricsServer
+from berylnotch.daemon.fleet.operators import OperatorsInterface
+from berylnotch.daemon.fleet.peers import PeerLinks
+from berylnotch.daemon.fleet.replica_host import ReplicaHost
+from berylnotch.group.messages import (
+    CONTROLLER_MESSAGES,
+    JoinRequest,
+    Redirect,
+    RouterReport,
+)
+from berylnotch.group.state import FleetState
+from berylnotch.net.sockets import Acceptor
+from berylnotch.settings.fleet import FleetSettings
+from berylnotch.transport.link import Link, LinkSettings, accept_link
+from berylnotch.transport.packing import message_classes
+from berylnotch.util.lines import EventLog
+from berylnotch.util.loop import Loop
+from berylnotch.util.metrics import Metrics
+
+#: Seconds between two looks whether this controller leads.
+LEAD_CHECK_S = 0.05
+
+_CONSENSUS = message_classes(consensus)
+
+
+class FleetController:
+    """The process on a VM with a disk.
+
+    Parameters
+    ----------
+    settings : FleetSettings
+        Settings of the process.
+    loop : Loop
+        Loop in which everything runs.
+    log : EventLog
+        Log of the process.
+    """
+
+    def __init__(self, settings: FleetSettings, loop: Loop, log: EventLog) -> None:
+        self._settings = settings
+        self._loop = loop
+        self._log = log
+        self._link_settings = LinkSettings()
+        self._state = FleetState()
+        self._leader: Leader | None = None
+        self._links: set[Link] = set()
+        self._peers = PeerLinks(
+            loop, CONTROLLER_MESSAGES, self._receive, log, self._link_settings
+        )
+        self._host = ReplicaHost(
+            settings, loop, self._peers.send, self._state, log, self._applied
+        )
+        self._acceptor = Acceptor(loop, settings.internal, self._accept)
+        self.metrics = Metrics()
+        self._operators = OperatorsInterface(
+            settings, loop, self._host, self._state, log, self.metrics
+        )
+        self._metrics_server = MetricsServer(
+            loop, settings.metrics, self.metrics, self._measure
+        )
+
+    def start(self) -> None:
+        """Serve."""
+        self._acceptor.start()
+        self._host.start()
+        self._operators.start()
+        self._metrics_server.start()
+        self._loop.call_every(LEAD_CHECK_S, self._check_leadership)
+        self._log.info("started", internal=self._settings.internal)
+
+    def close(self) -> None:
+        """Hand leadership on and stop serving."""
+        self._stop_leading("stopping")
+        self._operators.close()
+        self._host.close()
+        self._loop.call_later(0.1, self._close_links)
+
+    def _close_links(self) -> None:
+        self._acceptor.close()
+        self._peers.close()
+        for link in tuple(self._links):
+            link.close("stopping")
+
+    def _accept(self, sock: object) -> None:
+        link = accept_link(
+            self._loop,
+            sock,
+            CONTROLLER_MESSAGES,
+            self._receive,
+            self._link_closed,
+            self._link_settings,
+        )
+        self._links.add(link)
+        link.start()
+
+    def _link_closed(self, link: Link, reason: str) -> None:
+        self._links.discard(link)
+        if self._leader is not None:
+            self._leader.registry.lost(link, reason)
+
+    def _receive(self, link: Link, message: object) -> None:
+        if isinstance(message, _CONSENSUS):
+            self._host.step(message)
+        elif isinstance(message, JoinRequest):
+            if not self._host.join(message):
+                link.send(self._redirect())
+        elif isinstance(message, Redirect):
+            self._host.learn(message)
+        elif isinstance(message, RouterReport):
+            self._check_leadership()
+            if self._leader is not None:
+                self._leader.take_report(link, message)
+            else:
+                link.send(self._redirect())
+        elif isinstance(message, GrantRequest):
+            if self._leader is not None and self._host.is_active():
+                self._leader.grant(link, message)
+
+    def _redirect(self) -> Redirect:
+        leader = self._host.leader_address
+        if leader == self._host.address:
+            leader = ""
+        return Redirect(leader, self._host.known_addresses)
+
+    def _applied(self) -> None:
+        if self._leader is not None:
+            self._leader.applied()
+
+    def _check_leadership(self) -> None:
+        is_active = self._host.is_active()
+        if is_active and self._leader is None:
+            self._log.info("leading", term=self._host.term, version=self._state.version)
+            self._leader = Leader(
+                self._settings, self._loop, self._host, self._state, self._log
+            )
+            self._leader.start()
+            self._leader.applied()
+        elif not is_active and self._leader is not None:
+            self._stop_leading("lease lost")
+
+    def _stop_leading(self, reason: str) -> None:
+        if self._leader is None:
+            return
+        self._log.warning("leading_ended", reason=reason, term=self._host.term)
+        self._leader.close()
+        self._leader = None
+        # Routers look for the next leader at once.
+        redirect = Redirect("", self._host.known_addresses)
+        for link in tuple(self._links):
+            link.send(redirect)
+
+    def _measure(self) -> None:
+        metrics = self.metrics
+        metrics.gauge("berylnotch_leader", float(self._leader is not None))
+        metrics.gauge("berylnotch_term", float(self._host.term))
+        metrics.gauge("berylnotch_group_members", float(self._host.voter_count))
+        metrics.gauge("berylnotch_configuration_version", float(self._state.version))
+        metrics.gauge("berylnotch_log_lines_dropped", float(self._log.dropped))
+        if self._leader is not None:
+            metrics.gauge("berylnotch_routers", float(self._leader.registry.count))
--- /dev/null
+++ b/berylnotch/daemon/fleet/leader.py
@@ -0,0 +1,185 @@
+"""What the leading controller does beside its log."""
+
+from __future__ import annotations
+
+from berylnotch.control.protocol import GrantRequest
+from berylnotch.daemon.fleet.registry import RouterRegistry
+from berylnotch.daemon.fleet.replica_host import ReplicaHost
+from berylnotch.daemon.fleet.watch import TargetWatch
+from berylnotch.daemon.fleet.weights import WeightsRollout
+from berylnotch.group.commands import TakeOrders
+from berylnotch.group.messages import RouterReport, TargetsUpdate
+from berylnotch.group.state import FleetState
+from berylnotch.membership.board import TargetBoard
+from berylnotch.membership.listing import ListedTarget
+from berylnotch.platform.configuration import decode_configuration
+from berylnotch.quota.bounds import FLEET_QUOTA, effective_limits
+from berylnotch.quota.owner import QuotaOwner
+from berylnotch.settings.fleet import FleetSettings
+from berylnotch.transport.link import Link
+from berylnotch.transport.packing import pack
+from berylnotch.util.clock import boot_time
+from berylnotch.util.lines import EventLog
+from berylnotch.util.loop import Loop
+
+#: Seconds that routers have to report to a new leader before callers are led by
+#: its roster.
+ROSTER_S = 1.5
+
+#: Seconds beyond the lease of orders that a new leader waits; timers may be late.
+ORDER_MARGIN_S = 0.3
+
+#: Seconds between two sums of the routers' loads.
+LOADS_S = 0.1
+
+
+class Leader:
+    """Services of one term of leadership.
+
+    Parameters
+    ----------
+    settings : FleetSettings
+        Settings of the process.
+    loop : Loop
+        Loop in which everything runs.
+    host : ReplicaHost
+        The log.
+    state : FleetState
+        Replicated state.
+    log : EventLog
+        Log of the process.
+    """
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        loop: Loop,
+        host: ReplicaHost,
+        state: FleetState,
+        log: EventLog,
+    ) -> None:
+        self._settings = settings
+        self._loop = loop
+        self._host = host
+        self._state = state
+        self._log = log
+        self._board = TargetBoard()
+        self.registry = RouterRegistry(state, log)
+        self._quota = QuotaOwner(FLEET_QUOTA, host.term, boot_time())
+        self._limits = {}
+        self._limits_version = 0
+        self._may_order = False
+        self._is_closed = False
+        self._rollout = WeightsRollout(
+            loop,
+            self._board,
+            lambda: {w.name: w.version for w in state.weights},
+            lambda: self._may_order and host.is_active(),
+            settings.name,
+            host.term,
+            self.push_targets,
+            log,
+        )
+        self._watch: TargetWatch | None = None
+        if settings.target_list is not None:
+            self._watch = TargetWatch(
+                loop,
+                settings.target_list,
+                settings.target_list_period_s,
+                self._take_list,
+                log,
+            )
+
+    @property
+    def board(self) -> TargetBoard:
+        """All targets."""
+        return self._board
+
+    def start(self) -> None:
+        """Begin to lead."""
+        if self._watch is not None:
+            self._watch.start()
+        self._loop.call_later(ROSTER_S, self._complete_roster)
+        self._loop.call_later(LOADS_S, self._push_loads)
+        holder = self._state.order_holder
+        wait_s = 0.0
+        if holder not in ("", self._settings.name):
+            wait_s = self._settings.bounds.order_lease_s + ORDER_MARGIN_S
+        self._loop.call_later(wait_s, self._take_orders)
+
+    def close(self) -> None:
+        """Stop leading."""
+        self._is_closed = True
+        self._rollout.close()
+        if self._watch is not None:
+            self._watch.close()
+
+    def applied(self) -> None:
+        """Act on a changed state."""
+        if self._state.version != self._limits_version:
+            self._limits_version = self._state.version
+            configuration = decode_configuration(self._state.content)
+            self._limits = effective_limits(
+                configuration.organisations or (), self._settings.bounds
+            )
+        self.registry.push_configuration()
+        self.push_targets()
+        self._rollout.advance()
+
+    def take_report(self, link: Link, report: RouterReport) -> None:
+        """Take a router's report."""
+        self.registry.take(link, report)
+
+    def grant(self, link: Link, request: GrantRequest) -> None:
+        """Answer a router's request for tokens."""
+        link.send(self._quota.grant(boot_time(), request, self._limits))
+
+    def push_targets(self) -> None:
+        """Send changed targets to the routers."""
+        if self._is_closed or self._board.listed_at is None:
+            return
+        update = TargetsUpdate(self._board.entries(), self._state.weights)
+        self.registry.push_targets(update)
+
+    def _take_list(self, targets: tuple[ListedTarget, ...]) -> None:
+        if self._is_closed or not self._host.is_active():
+            return
+        before = {t.target_id: t for t in self._board.targets()}
+        self._board.listed(boot_time(), targets)
+        for target in self._board.targets():
+            old = before.pop(target.target_id, None)
+            if old is None or old.is_leaving != target.is_leaving:
+                self._log.info(
+                    "target_listed",
+                    target=target.target_id,
+                    service=target.service,
+                    at=target.address,
+                    is_leaving=target.is_leaving,
+                )
+        for target_id in before:
+            self._log.info("target_gone", target=target_id)
+        self.push_targets()
+        self._rollout.advance()
+
+    def _take_orders(self) -> None:
+        if self._is_closed:
+            return
+        command = pack(TakeOrders(self._settings.name))
+
+        def done(is_committed: bool) -> None:
+            self._may_order = is_committed and not self._is_closed
+            self._log.info("orders_taken", committed=is_committed, epoch=self._host.term)
+            if self._may_order:
+                self._rollout.advance()
+
+        self._host.propose(command, done)
+
+    def _complete_roster(self) -> None:
+        if not self._is_closed:
+            self.registry.complete_roster()
+
+    def _push_loads(self) -> None:
+        if self._is_closed:
+            return
+        self._loop.call_later(LOADS_S, self._push_loads)
+        self.registry.push_loads()
--- /dev/null
+++ b/berylnotch/daemon/fleet/operators.py
@@ -0,0 +1,186 @@
+"""The operators' interface of a controller."""
+
+from __future__ import annotations
+
+from berylnotch.daemon.fleet.replica_host import ReplicaHost
+from berylnotch.errors import GatewayError
+from berylnotch.group.commands import NameWeights, PutConfiguration
+from berylnotch.group.state import FleetState
+from berylnotch.net.messages import Headers, HttpRequest
+from berylnotch.net.server import HttpLimits, HttpServer, ServerConnection
+from berylnotch.platform.configuration import decode_configuration
+from berylnotch.platform.operators import (
+    OperatorCall,
+    decode_call,
+    decode_weights_name,
+    error_body,
+)
+from berylnotch.routing.errors import InvalidConfigurationError
+from berylnotch.settings.fleet import FleetSettings
+from berylnotch.transport.packing import pack
+from berylnotch.util.address import Address, parse_address
+from berylnotch.util.clock import boot_time
+from berylnotch.util.lines import EventLog
+from berylnotch.util.loop import Loop
+from berylnotch.util.metrics import Label, Metrics
+
+#: What an operator may send; a configuration of thousands of routes fits.
+LIMITS = HttpLimits(body_bytes=4 * 1024 * 1024, idle_s=30.0)
+
+_JSON = ("Content-Type", "application/json")
+
+
+class OperatorsInterface:
+    """Takes configurations and names of weights, and reads them back.
+
+    Only the leader answers, since only it knows what is newest; the others send
+    callers on to it.
+
+    Parameters
+    ----------
+    settings : FleetSettings
+        Settings of the process.
+    loop : Loop
+        Loop in which everything runs.
+    host : ReplicaHost
+        The log.
+    state : FleetState
+        Replicated state.
+    log : EventLog
+        Log of the process.
+    metrics : Metrics
+        Counts of calls.
+    """
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        loop: Loop,
+        host: ReplicaHost,
+        state: FleetState,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._host = host
+        self._state = state
+        self._log = log
+        self._metrics = metrics
+        self._server = HttpServer(
+            loop, settings.listen, self._serve, lambda: LIMITS, self._refused
+        )
+
+    def start(self) -> None:
+        """Serve."""
+        self._server.start()
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._server.close()
+
+    def _refused(self, status: int, reason: str) -> None:
+        self._log.warning("operator_refused", status=status, reason=reason)
+
+    def _serve(self, connection: ServerConnection, request: HttpRequest) -> None:
+        call = decode_call(request)
+        if call is OperatorCall.UNKNOWN:
+            self._answer(connection, request, 404, "no such call")
+        elif not self._host.is_active():
+            self._send_on(connection, request)
+        elif call is OperatorCall.PUT_CONFIGURATION:
+            self._put_configuration(connection, request)
+        elif call is OperatorCall.GET_CONFIGURATION:
+            self._get_configuration(connection, request)
+        else:
+            self._name_weights(connection, request)
+
+    def _send_on(self, connection: ServerConnection, request: HttpRequest) -> None:
+        leader = self._host.leader_address
+        if not leader or leader == self._host.address:
+            self._answer(connection, request, 503, "no leader is known")
+            return
+        address = Address(parse_address(leader).host, self._settings.listen.port)
+        location = f"http://{address}{request.target}"
+        headers = Headers((("Location", location),))
+        self._note(request, 307, f"leader is {address}")
+        connection.respond(307, headers)
+
+    def _put_configuration(
+        self, connection: ServerConnection, request: HttpRequest
+    ) -> None:
+        try:
+            configuration = decode_configuration(request.body)
+        except InvalidConfigurationError as error:
+            self._answer(connection, request, 400, str(error))
+            return
+        version = configuration.version
+        if version <= self._state.version:
+            held = self._state.version
+            self._answer(connection, request, 200, f"{version} is not above {held}")
+            return
+        command = pack(PutConfiguration(version, request.body))
+        self._commit(connection, request, command, f"version {version}")
+
+    def _name_weights(self, connection: ServerConnection, request: HttpRequest) -> None:
+        try:
+            named = decode_weights_name(request)
+        except GatewayError as error:
+            self._answer(connection, request, 400, str(error))
+            return
+        if named.version <= self._state.wanted_version(named.name):
+            self._answer(connection, request, 200, "known already")
+            return
+        command = pack(NameWeights(named.name, named.version))
+        self._commit(connection, request, command, f"{named.name} {named.version}")
+
+    def _commit(
+        self,
+        connection: ServerConnection,
+        request: HttpRequest,
+        command: bytes,
+        what: str,
+    ) -> None:
+        started_at = boot_time()
+
+        def done(is_committed: bool) -> None:
+            took_s = boot_time() - started_at
+            if is_committed:
+                self._answer(connection, request, 200, f"{what} after {took_s:.3f} s")
+            else:
+                self._answer(connection, request, 503, f"{what}: outcome unknown")
+
+        self._host.propose(command, done)
+
+    def _get_configuration(
+        self, connection: ServerConnection, request: HttpRequest
+    ) -> None:
+        if not self._state.version:
+            self._answer(connection, request, 503, "no configuration yet")
+            return
+        self._note(request, 200, f"version {self._state.version}")
+        connection.respond(200, Headers((_JSON,)), self._state.content)
+
+    def _answer(
+        self,
+        connection: ServerConnection,
+        request: HttpRequest,
+        status: int,
+        reason: str,
+    ) -> None:
+        self._note(request, status, reason)
+        body = b"{}" if status == 200 else error_body(reason)
+        connection.respond(status, Headers((_JSON,)), body)
+
+    def _note(self, request: HttpRequest, status: int, reason: str) -> None:
+        write = self._log.info if status < 400 else self._log.warning
+        write(
+            "operator_call",
+            call=f"{request.method} {request.path}",
+            status=status,
+            reason=reason,
+            term=self._host.term,
+            held=self._state.version,
+        )
+        self._metrics.count(
+            "berylnotch_operator_calls_total", Label("status", str(status))
+        )
--- /dev/null
+++ b/berylnotch/daemon/fleet/registry.py
@@ -0,0 +1,169 @@
+"""Routers that report to the leader, and what is pushed to them."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from attrs import define
+
+from berylnotch.group.messages import (
+    ConfigurationUpdate,
+    CrashesUpdate,
+    CrashMark,
+    LoadsUpdate,
+    RosterUpdate,
+    RouterEntry,
+    RouterReport,
+    TargetLoad,
+    TargetsUpdate,
+)
+from berylnotch.group.state import FleetState
+from berylnotch.transport.link import Link
+from berylnotch.util.lines import EventLog
+
+#: Crash marks that are remembered; the oldest are forgotten first.
+MAX_CRASH_MARKS = 512
+
+
+@define
+class _Router:
+    """A router as its newest report tells."""
+
+    link: Link
+    report: RouterReport
+    sent_version: int = 0
+
+
+class RouterRegistry:
+    """Routers with an open link to this leader.
+
+    Parameters
+    ----------
+    state : FleetState
+        Configuration in force.
+    log : EventLog
+        Log of the process.
+    """
+
+    def __init__(self, state: FleetState, log: EventLog) -> None:
+        self._state = state
+        self._log = log
+        self._routers: dict[str, _Router] = {}
+        self._targets: TargetsUpdate | None = None
+        self._roster: RosterUpdate | None = None
+        self._is_roster_complete = False
+        self._loads = LoadsUpdate(())
+        self._crashes: dict[CrashMark, None] = {}
+
+    @property
+    def count(self) -> int:
+        """Routers that report."""
+        return len(self._routers)
+
+    def take(self, link: Link, report: RouterReport) -> None:
+        """Take a report; bring its router up to date."""
+        key = report.address
+        router = self._routers.get(key)
+        is_new = router is None or router.link is not link
+        if is_new:
+            self._log.info(
+                "router_reports",
+                router=report.name,
+                at=report.address,
+                version=report.configuration_version,
+            )
+            router = _Router(link, report, report.configuration_version)
+            self._routers[key] = router
+        was_leaving = router.report.is_leaving
+        router.report = report
+        self._send_configuration(router)
+        if is_new:
+            self._welcome(router)
+        if is_new or was_leaving != report.is_leaving:
+            self.push_roster()
+        self._take_crashes(report)
+
+    def lost(self, link: Link, reason: str) -> None:
+        """Note that a link has ended."""
+        for key, router in tuple(self._routers.items()):
+            if router.link is link:
+                del self._routers[key]
+                self._log.warning("router_lost", router=router.report.name, why=reason)
+                self.push_roster()
+
+    def push_configuration(self) -> None:
+        """Send the configuration in force to every router that lacks it."""
+        for router in self._routers.values():
+            self._send_configuration(router)
+
+    def push_targets(self, update: TargetsUpdate) -> None:
+        """Send the targets to all routers, if they changed."""
+        if update == self._targets:
+            return
+        self._targets = update
+        self._send_all(update)
+
+    def complete_roster(self) -> None:
+        """Begin to send rosters; all routers had the time to report."""
+        self._is_roster_complete = True
+        self.push_roster()
+
+    def push_roster(self) -> None:
+        """Send the routers that take requests to all routers, if they changed."""
+        if not self._is_roster_complete:
+            return
+        roster = RosterUpdate(
+            tuple(
+                RouterEntry(r.report.address, r.report.failure_domain)
+                for _, r in sorted(self._routers.items())
+                if not r.report.is_leaving
+            )
+        )
+        if roster != self._roster:
+            self._roster = roster
+            self._send_all(roster)
+
+    def push_loads(self) -> None:
+        """Send the sums of all routers' loads, if they changed."""
+        totals: Counter[str] = Counter()
+        for router in self._routers.values():
+            for load in router.report.loads:
+                totals[load.target_id] += load.requests
+        update = LoadsUpdate(tuple(TargetLoad(t, n) for t, n in sorted(totals.items())))
+        if update != self._loads:
+            self._loads = update
+            self._send_all(update)
+
+    def _welcome(self, router: _Router) -> None:
+        if self._targets is not None:
+            router.link.send(self._targets)
+        if self._roster is not None and self._is_roster_complete:
+            router.link.send(self._roster)
+        if self._crashes:
+            router.link.send(CrashesUpdate(tuple(self._crashes)))
+
+    def _send_configuration(self, router: _Router) -> None:
+        version = self._state.version
+        if version > router.sent_version:
+            router.sent_version = version
+            router.link.send(ConfigurationUpdate(version, self._state.content))
+
+    def _take_crashes(self, report: RouterReport) -> None:
+        new = tuple(mark for mark in report.crashes if mark not in self._crashes)
+        if not new:
+            return
+        for mark in new:
+            self._crashes[mark] = None
+            self._log.warning(
+                "crash_mark",
+                fingerprint=mark.fingerprint.hex(),
+                target=mark.target_id,
+                router=report.name,
+            )
+        while len(self._crashes) > MAX_CRASH_MARKS:
+            del self._crashes[next(iter(self._crashes))]
+        self._send_all(CrashesUpdate(new))
+
+    def _send_all(self, message: object) -> None:
+        for router in tuple(self._routers.values()):
+            router.link.send(message)
--- /dev/null
+++ b/berylnotch/daemon/fleet/router.py
@@ -0,0 +1,361 @@
+"""Router of a fleet: serves callers by what the leader tells it."""
+
+from __future__ import annotations
+
+import os
+
+from berylnotch.control.protocol import GrantReply
+from berylnotch.daemon.fleet.follower import LeaderLink
+from berylnotch.daemon.fleet.metrics import MetricsServer
+from berylnotch.entry.context import EntryContext
+from berylnotch.entry.exchange import Admitted, Exchange
+from berylnotch.entry.prompts import PromptMemory
+from berylnotch.entry.quota_gate import QuotaGate
+from berylnotch.entry.settings import EntrySettings
+from berylnotch.entry.targets import TargetTable
+from berylnotch.group.messages import (
+    ConfigurationUpdate,
+    CrashesUpdate,
+    CrashMark,
+    LoadsUpdate,
+    RosterUpdate,
+    RouterEntry,
+    RouterReport,
+    TargetLoad,
+    TargetsUpdate,
+)
+from berylnotch.membership.crashes import CrashGuard
+from berylnotch.net.messages import Headers, HttpRequest
+from berylnotch.net.server import HttpLimits, HttpServer, ServerConnection
+from berylnotch.platform.configuration import decode_configuration
+from berylnotch.platform.operators import (
+    ADDRESS_PATH,
+    READY_PATH,
+    address_body,
+    caller_domain,
+)
+from berylnotch.platform.requests import decode_request, refusal_headers
+from berylnotch.quota.bounds import FLEET_QUOTA
+from berylnotch.quota.local import LocalQuota
+from berylnotch.routing.table import RouteTable
+from berylnotch.settings.fleet import FleetSettings
+from berylnotch.transport.link import LinkSettings
+from berylnotch.util.clock import boot_time
+from berylnotch.util.lines import EventLog
+from berylnotch.util.loop import Loop
+from berylnotch.util.metrics import Label, Metrics
+
+#: Seconds between two reports to the leader.
+REPORT_S = 0.2
+
+#: Seconds between two looks at what waits for tokens.
+QUOTA_S = 0.05
+
+#: Seconds for which callers may keep an address answer. Some keep it three times
+#: as long, and a stopping router takes requests until then.
+ADDRESS_TTL_S = 1.2
+
+#: Most addresses in one answer.
+MAX_ADDRESSES = 64
+
+#: How many times its lifetime callers keep an address answer at the most.
+TTL_FACTOR = 3
+
+#: Seconds before the end of the time to stop in which the process exits.
+STOP_MARGIN_S = 0.7
+
+#: Seconds between two closings of connections that were idle for too long.
+IDLE_SWEEP_S = 1.0
+
+
+class FleetRouter:
+    """The process on an entry VM.
+
+    Parameters
+    ----------
+    settings : FleetSettings
+        Settings of the process.
+    loop : Loop
+        Loop in which everything runs.
+    log : EventLog
+        Log of the process.
+    """
+
+    def __init__(self, settings: FleetSettings, loop: Loop, log: EventLog) -> None:
+        self._settings = settings
+        self._loop = loop
+        self._log = log
+        self.metrics = Metrics()
+        entry_settings = EntrySettings()
+        gate = QuotaGate(LocalQuota(FLEET_QUOTA), entry_settings.quota_wait_s)
+        self._context = EntryContext(
+            settings=entry_settings,
+            fleet=settings,
+            loop=loop,
+            log=log,
+            metrics=self.metrics,
+            targets=TargetTable(loop, entry_settings),
+            gate=gate,
+            prompts=PromptMemory(),
+            crashes=CrashGuard(entry_settings.membership),
+            ask_quota=self._ask_quota_soon,
+        )
+        self._incarnation = os.urandom(8).hex()
+        self._roster: tuple[RouterEntry, ...] = ()
+        self._is_leaving = False
+        self._exchanges: set[Exchange] = set()
+        self._sent_loads: tuple[TargetLoad, ...] = ()
+        self._quota_sent_at = 0.0
+        self._is_quota_due = False
+        self._link = LeaderLink(
+            loop,
+            lambda: self._settings.seed_links,
+            self._report,
+            self._take,
+            log,
+            LinkSettings(),
+        )
+        self._callers = HttpServer(
+            loop, settings.listen, self._serve, self._limits, self._refused
+        )
+        self._side_servers = [
+            HttpServer(loop, address, self._serve_side)
+            for address in {settings.ready, settings.directory} - {None}
+        ]
+        self._metrics_server = MetricsServer(
+            loop, settings.metrics, self.metrics, self._measure
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return self._context.routes is not None and not self._is_leaving
+
+    def start(self) -> None:
+        """Serve."""
+        self._callers.start()
+        for server in self._side_servers:
+            server.start()
+        self._metrics_server.start()
+        self._link.start()
+        self._loop.call_every(REPORT_S, self._report)
+        self._loop.call_every(QUOTA_S, self._look_at_quota)
+        self._loop.call_every(IDLE_SWEEP_S, self._context.targets.close_old)
+        self._log.info("started", callers=self._settings.listen)
+
+    def drain(self, done: object) -> None:
+        """Leave: take requests until no caller uses this address, then stop."""
+        self._is_leaving = True
+        self._report()
+        self._log.info("draining", requests=len(self._exchanges))
+        lifetime_s = ADDRESS_TTL_S * TTL_FACTOR + REPORT_S
+        latest_s = max(0.0, self._settings.bounds.stop_s - STOP_MARGIN_S)
+        now = boot_time()
+        accept_until, latest = now + min(lifetime_s, latest_s), now + latest_s
+        self._callers.is_draining = True
+
+        def look() -> None:
+            now = boot_time()
+            is_done = now >= accept_until and not self._exchanges
+            if is_done and self._callers.busy_count == 0 or now >= latest:
+                self._log.info("drained", requests=len(self._exchanges))
+                done()
+                return
+            self._loop.call_later(0.05, look)
+
+        look()
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._link.close()
+        self._callers.close()
+
+    # Callers.
+
+    def _limits(self) -> HttpLimits:
+        routes = self._context.routes
+        return routes.configuration.limits if routes is not None else HttpLimits()
+
+    def _refused(self, status: int, reason: str) -> None:
+        self._log.warning("unreadable_request", status=status, reason=reason)
+        self.metrics.count(
+            "berylnotch_unreadable_requests_total", Label("status", str(status))
+        )
+
+    def _serve(self, connection: ServerConnection, request: HttpRequest) -> None:
+        routes = self._context.routes
+        caller = decode_request(request)
+        if routes is None:
+            self._turn_away(connection, caller.request_id, 503, "no configuration", 0.5)
+            return
+        route = routes.route(caller.host, request.path)
+        if route is None:
+            self._turn_away(connection, caller.request_id, 404, "no route")
+            return
+        organisation = None
+        if routes.needs_keys and not route.is_open:
+            organisation = routes.organisation(caller.key)
+            if organisation is None:
+                self._turn_away(connection, caller.request_id, 401, "unknown key")
+                return
+        admitted = Admitted(request, caller, route, organisation)
+        exchange = Exchange(
+            self._context, connection, admitted, self._exchanges.discard
+        )
+        self._exchanges.add(exchange)
+        exchange.start()
+
+    def _turn_away(
+        self,
+        connection: ServerConnection,
+        request_id: str,
+        status: int,
+        reason: str,
+        retry_s: float | None = None,
+    ) -> None:
+        routes = self._context.routes
+        self._log.warning(
+            "turned_away",
+            id=request_id,
+            status=status,
+            reason=reason,
+            configuration=routes.version if routes else 0,
+        )
+        connection.respond(status, refusal_headers(request_id, retry_s))
+
+    def _serve_side(self, connection: ServerConnection, request: HttpRequest) -> None:
+        if request.path == READY_PATH:
+            connection.respond(200 if self.is_ready else 503, Headers())
+        elif request.path == ADDRESS_PATH:
+            self._answer_address(connection, request)
+        else:
+            connection.respond(404, Headers())
+
+    def _answer_address(
+        self, connection: ServerConnection, request: HttpRequest
+    ) -> None:
+        own = str(self._settings.listen)
+        addresses = [r.address for r in self._roster if r.address != own]
+        if self.is_ready:
+            addresses.append(own)
+        if not addresses:
+            connection.respond(503, Headers())
+            return
+        ttl_s = min(ADDRESS_TTL_S, self._settings.bounds.address_ttl_s)
+        body = address_body(sorted(addresses)[:MAX_ADDRESSES], ttl_s)
+        headers = Headers((("Content-Type", "application/json"),))
+        connection.respond(200, headers, body)
+
+    # The leader.
+
+    def _report(self) -> None:
+        loads = tuple(
+            TargetLoad(target.target_id, target.in_flight)
+            for target in self._context.targets.all()
+            if target.in_flight
+        )
+        self._sent_loads = loads
+        routes = self._context.routes
+        self._link.send(
+            RouterReport(
+                self._settings.name,
+                self._incarnation,
+                str(self._settings.listen),
+                self._settings.failure_domain,
+                self._is_leaving or routes is None,
+                routes.version if routes else 0,
+                loads,
+            )
+        )
+
+    def _take(self, message: object) -> None:
+        if isinstance(message, ConfigurationUpdate):
+            self._take_configuration(message)
+        elif isinstance(message, TargetsUpdate):
+            self._take_targets(message)
+        elif isinstance(message, RosterUpdate):
+            self._roster = message.routers
+            self._context.resize_budgets(len(message.routers))
+        elif isinstance(message, LoadsUpdate):
+            self._take_loads(message)
+        elif isinstance(message, GrantReply):
+            self._context.gate.receive(boot_time(), self._quota_sent_at, message)
+        elif isinstance(message, CrashesUpdate):
+            self._take_crashes(message.crashes)
+
+    def _take_configuration(self, update: ConfigurationUpdate) -> None:
+        known = self._context.routes
+        if known is not None and update.version <= known.version:
+            return
+        self._context.routes = RouteTable(decode_configuration(update.content))
+        self._log.info(
+            "configuration",
+            version=update.version,
+            was=known.version if known else 0,
+            routes=len(self._context.routes.configuration.routes),
+        )
+        self._report()
+
+    def _take_targets(self, update: TargetsUpdate) -> None:
+        context, now = self._context, boot_time()
+        context.targets.update(update.targets)
+        for named in update.weights:
+            if context.wanted.get(named.name) != named.version:
+                context.wanted[named.name] = named.version
+                context.wanted_since[named.name] = now
+                self._log.info("weights", model=named.name, version=named.version)
+        if context.down_stores != frozenset(update.down_stores):
+            context.down_stores = frozenset(update.down_stores)
+            context.prompts.forget()
+
+    def _take_loads(self, update: LoadsUpdate) -> None:
+        own = {load.target_id: load.requests for load in self._sent_loads}
+        totals = {load.target_id: load.requests for load in update.loads}
+        for target in self._context.targets.all():
+            total = totals.get(target.target_id, 0)
+            target.others_in_flight = max(0, total - own.get(target.target_id, 0))
+
+    def _take_crashes(self, crashes: tuple[CrashMark, ...]) -> None:
+        now = boot_time()
+        for mark in crashes:
+            self._context.crashes.lost(now, mark.target_id, (mark.fingerprint,))
+
+    # Limits of the organisations.
+
+    def _ask_quota_soon(self) -> None:
+        if not self._is_quota_due:
+            self._is_quota_due = True
+            self._loop.call_soon(self._ask_quota_now)
+
+    def _ask_quota_now(self) -> None:
+        self._is_quota_due = False
+        self._look_at_quota()
+
+    def _look_at_quota(self) -> None:
+        gate, now = self._context.gate, boot_time()
+        gate.serve(now)
+        if now < gate.quota.next_ask_at:
+            return
+        request = gate.request(
+            now,
+            self._settings.name,
+            self._incarnation,
+            str(self._settings.listen),
+            self._settings.failure_domain,
+        )
+        if request.asks:
+            self._quota_sent_at = now
+            self._link.send(request)
+
+    def _measure(self) -> None:
+        context, metrics = self._context, self.metrics
+        version = context.routes.version if context.routes else 0
+        metrics.gauge("berylnotch_configuration_version", float(version))
+        metrics.gauge("berylnotch_ready", float(self.is_ready))
+        metrics.gauge("berylnotch_has_leader", float(self._link.has_leader))
+        metrics.gauge("berylnotch_requests_under_way", float(len(self._exchanges)))
+        metrics.gauge("berylnotch_log_lines_dropped", float(self._log.dropped))
+        for name, version in context.wanted.items():
+            metrics.gauge(
+                "berylnotch_weights_version", float(version), Label("model", name)
+            )
--- /dev/null
+++ b/berylnotch/daemon/fleet/watch.py
@@ -0,0 +1,103 @@
+"""Reads the platform's list of targets, page by page."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from berylnotch.errors import GatewayError
+from berylnotch.membership.listing import ListedTarget
+from berylnotch.net.client import fetch
+from berylnotch.net.messages import HttpResponse
+from berylnotch.platform.targets import decode_page, list_request
+from berylnotch.util.address import Address
+from berylnotch.util.lines import EventLog
+from berylnotch.util.loop import Loop
+
+#: Seconds in which a page must come.
+CALL_S = 0.8
+
+#: Pause in seconds after a failed reading.
+RETRY_S = 0.4
+
+#: Pages of one reading; more are cut off with a line in the log.
+MAX_PAGES = 200
+
+
+class TargetWatch:
+    """Periodic reading of the whole list.
+
+    Parameters
+    ----------
+    loop : Loop
+        Loop in which everything runs.
+    address : Address
+        Where the list is served.
+    period_s : float
+        Pause between two readings.
+    on_list : callable
+        Gets each whole list.
+    log : EventLog
+        Log of the process.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        period_s: float,
+        on_list: Callable[[tuple[ListedTarget, ...]], None],
+        log: EventLog,
+    ) -> None:
+        self._loop = loop
+        self._address = address
+        self._period_s = period_s
+        self._on_list = on_list
+        self._log = log
+        self._is_closed = False
+        self._targets: list[ListedTarget] = []
+        self._skipped = 0
+        self._pages = 0
+        self._is_failing = False
+
+    def start(self) -> None:
+        """Begin to read."""
+        self._begin()
+
+    def close(self) -> None:
+        """Read no further page."""
+        self._is_closed = True
+
+    def _begin(self) -> None:
+        self._targets, self._skipped, self._pages = [], 0, 0
+        self._read("")
+
+    def _read(self, page: str) -> None:
+        if self._is_closed:
+            return
+        request = list_request(str(self._address), page)
+        fetch(self._loop, self._address, request, CALL_S, self._take)
+
+    def _take(self, response: HttpResponse | None, why: str) -> None:
+        if self._is_closed:
+            return
+        try:
+            if response is None:
+                raise GatewayError(why)
+            page = decode_page(response)
+        except GatewayError as error:
+            if not self._is_failing:
+                self._log.warning("target_list_lost", reason=str(error))
+            self._is_failing = True
+            self._loop.call_later(RETRY_S, self._begin)
+            return
+        self._targets += page.targets
+        self._skipped += page.skipped
+        self._pages += 1
+        if page.next_page and self._pages < MAX_PAGES:
+            self._read(page.next_page)
+            return
+        if self._is_failing or page.next_page:
+            self._log.info("target_list_read", is_cut_off=bool(page.next_page))
+        self._is_failing = False
+        self._on_list(tuple(self._targets))
+        self._loop.call_later(self._period_s, self._begin)
--- /dev/null
+++ b/berylnotch/daemon/fleet/weights.py
@@ -0,0 +1,288 @@
+"""Rolls named weights out to the engines, by fenced orders of the leader."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from attrs import define
+
+from berylnotch.errors import GatewayError
+from berylnotch.membership.board import TargetBoard
+from berylnotch.membership.listing import ListedTarget, ModelVersion
+from berylnotch.net.client import fetch
+from berylnotch.net.messages import HttpRequest, HttpResponse
+from berylnotch.orders.rolling import WeightsLoad, next_loads
+from berylnotch.platform.targets import (
+    EngineReport,
+    WeightsOrder,
+    decode_report,
+    order_request,
+    report_request,
+)
+from berylnotch.util.address import parse_address
+from berylnotch.util.clock import boot_time
+from berylnotch.util.lines import EventLog
+from berylnotch.util.loop import Loop
+
+#: Seconds between marking an engine as loading and its order, so that routers
+#: have sent their last request there.
+SETTLE_S = 0.05
+
+#: Seconds in which an engine answers a call.
+CALL_S = 0.6
+
+#: Seconds from an order to the first look whether it was carried out; about the
+#: time that a load takes.
+FIRST_LOOK_S = 1.8
+
+#: Seconds between two looks.
+LOOK_S = 0.3
+
+#: Seconds after which an order that shows no effect is given again.
+ORDER_S = 5.0
+
+#: Pause in seconds before an engine that failed gets another order.
+FAILED_S = 1.0
+
+
+@define
+class _Load:
+    """A load that is under way."""
+
+    wanted: WeightsLoad
+    target: ListedTarget
+    begun_at: float
+    ordered_at: float = 0.0
+    has_ended: bool = False
+
+
+class WeightsRollout:
+    """Loads under way of one leader.
+
+    Parameters
+    ----------
+    loop : Loop
+        Loop in which everything runs.
+    board : TargetBoard
+        All targets.
+    wanted : callable
+        Returns the newest named version of each model.
+    may_order : callable
+        Returns whether this process leads, by a fresh clock.
+    holder : str
+        Name of this process in orders.
+    epoch : int
+        Fencing number of this leader.
+    on_change : callable
+        Called when an engine begins or ends to load.
+    log : EventLog
+        Log of the process.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        board: TargetBoard,
+        wanted: Callable[[], dict[str, int]],
+        may_order: Callable[[], bool],
+        holder: str,
+        epoch: int,
+        on_change: Callable[[], None],
+        log: EventLog,
+    ) -> None:
+        self._loop = loop
+        self._board = board
+        self._wanted = wanted
+        self._may_order = may_order
+        self._holder = holder
+        self._epoch = epoch
+        self._on_change = on_change
+        self._log = log
+        self._loads: dict[str, _Load] = {}
+        self._held_until: dict[str, float] = {}
+        self._is_closed = False
+
+    def close(self) -> None:
+        """Give no further order."""
+        self._is_closed = True
+
+    def advance(self) -> None:
+        """Begin the loads that are due."""
+        if self._is_closed or not self._may_order():
+            return
+        now = boot_time()
+        held_back = {name for name, until in self._held_until.items() if until > now}
+        loads = next_loads(
+            self._board.targets(), self._wanted(), self._loads.keys(), held_back
+        )
+        for wanted in loads:
+            target = self._board.target(wanted.target_id)
+            load = _Load(wanted, target, now)
+            self._loads[wanted.target_id] = load
+            self._board.began_loading(now, wanted.target_id)
+            self._loop.call_later(SETTLE_S, lambda load=load: self._ask(load))
+            self._log.info(
+                "load_begun",
+                target=wanted.target_id,
+                model=wanted.model,
+                version=wanted.version,
+                was=_version(target, wanted.model),
+                list_age_s=now - (self._board.listed_at or now),
+            )
+        if loads:
+            self._on_change()
+
+    def _call(
+        self,
+        load: _Load,
+        request: HttpRequest,
+        done: Callable[[HttpResponse | None, str], None],
+    ) -> None:
+        address = parse_address(load.target.address)
+        fetch(self._loop, address, request, CALL_S, done)
+
+    def _ask(self, load: _Load) -> None:
+        if self._is_over(load):
+            return
+        request = report_request(load.target.address)
+        self._call(load, request, lambda answer, why: self._asked(load, answer, why))
+
+    def _asked(self, load: _Load, answer: HttpResponse | None, why: str) -> None:
+        if self._is_over(load):
+            return
+        report = self._read(load, answer, why)
+        if report is None:
+            self._end(load, f"no report: {why}", FAILED_S)
+        elif self._is_done(load, report):
+            self._finish(load, report)
+        elif report.is_busy:
+            load.ordered_at = boot_time()
+            self._loop.call_later(LOOK_S, lambda: self._look(load))
+        elif not self._may_order():
+            self._end(load, "not the leader any more", FAILED_S)
+        else:
+            self._order(load, report)
+
+    def _order(self, load: _Load, report: EngineReport) -> None:
+        load.ordered_at = boot_time()
+        order = WeightsOrder(
+            load.wanted.model,
+            load.wanted.version,
+            self._holder,
+            self._epoch,
+            load.wanted.target_id,
+            report.orders_taken,
+        )
+        self._log.info(
+            "order_sent",
+            target=order.target_id,
+            model=order.model,
+            version=order.version,
+            epoch=order.epoch,
+            orders_taken=order.orders_taken,
+        )
+        request = order_request(load.target.address, order)
+        self._call(load, request, lambda answer, why: self._ordered(load, answer, why))
+
+    def _ordered(self, load: _Load, answer: HttpResponse | None, why: str) -> None:
+        if self._is_over(load):
+            return
+        status = answer.status if answer is not None else 0
+        self._log.info(
+            "order_answered",
+            target=load.wanted.target_id,
+            status=status or "none",
+            reason=why or "answered",
+        )
+        if status in (400, 412, 421):
+            self._end(load, f"order refused with {status}", FAILED_S)
+        elif status == 200:
+            self._loop.call_later(0.0, lambda: self._look(load))
+        elif status == 202:
+            self._loop.call_later(FIRST_LOOK_S, lambda: self._look(load))
+        else:
+            # It may have been accepted, or be carried out later.
+            self._loop.call_later(LOOK_S, lambda: self._look(load))
+
+    def _look(self, load: _Load) -> None:
+        if self._is_over(load):
+            return
+        request = report_request(load.target.address)
+        self._call(load, request, lambda answer, why: self._looked(load, answer, why))
+
+    def _looked(self, load: _Load, answer: HttpResponse | None, why: str) -> None:
+        if self._is_over(load):
+            return
+        report = self._read(load, answer, why)
+        waited_s = boot_time() - load.ordered_at
+        if report is None:
+            if waited_s > ORDER_S:
+                self._end(load, f"no report: {why}", FAILED_S)
+                return
+        elif self._is_done(load, report):
+            self._finish(load, report)
+            return
+        elif not report.is_busy and waited_s > FIRST_LOOK_S:
+            # Reports lag, so only a late one proves that nothing happens.
+            self._ask(load)
+            return
+        self._loop.call_later(LOOK_S, lambda: self._look(load))
+
+    def _read(
+        self, load: _Load, answer: HttpResponse | None, why: str
+    ) -> EngineReport | None:
+        if answer is None:
+            return None
+        try:
+            return decode_report(answer)
+        except GatewayError as error:
+            self._log.warning(
+                "report_unreadable", target=load.wanted.target_id, reason=str(error)
+            )
+            return None
+
+    def _is_done(self, load: _Load, report: EngineReport) -> bool:
+        if report.is_busy:
+            return False
+        wanted = load.wanted
+        return any(
+            m.name == wanted.model and m.version >= wanted.version
+            for m in report.models
+        )
+
+    def _finish(self, load: _Load, report: EngineReport) -> None:
+        for model in report.models:
+            if model.name == load.wanted.model:
+                version = ModelVersion(model.name, model.version)
+                self._board.loaded(boot_time(), load.wanted.target_id, version)
+        self._end(load, "", 0.0)
+
+    def _end(self, load: _Load, reason: str, hold_s: float) -> None:
+        target_id, now = load.wanted.target_id, boot_time()
+        load.has_ended = True
+        self._loads.pop(target_id, None)
+        self._board.stopped_loading(target_id)
+        if hold_s:
+            self._held_until[target_id] = now + hold_s
+        self._log.info(
+            "load_ended",
+            target=target_id,
+            version=load.wanted.version,
+            outcome=reason or "loaded",
+            took_s=now - load.begun_at,
+        )
+        self._on_change()
+        self.advance()
+
+    def _is_over(self, load: _Load) -> bool:
+        if self._is_closed or load.has_ended:
+            return True
+        current = self._board.target(load.wanted.target_id)
+        if current is None or current.born_ms != load.target.born_ms:
+            self._end(load, "target is gone or was restarted", 0.0)
+            return True
+        return False
+
+
+def _version(target: ListedTarget, model: str) -> int:
+    return next((m.version for m in target.models if m.name == model), 0)
--- /dev/null
+++ b/berylnotch/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Request path of a fleet's router: choice of targets, attempts, answers."""
--- /dev/null
+++ b/berylnotch/entry/attempt.py
@@ -0,0 +1,291 @@
+"""One sending of a request to one target."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
+
+from attrs import frozen
+
+from berylnotch.entry.events import MAX_EVENT_BYTES, EventSplitter
+from berylnotch.net.client import (
+    ClientConnection,
+    Failure,
+    ResponseHead,
+    ResponseSink,
+)
+from berylnotch.net.messages import Headers
+from berylnotch.platform.requests import (
+    TargetHeaders,
+    decode_answer,
+    encode_for_target,
+)
+from berylnotch.util.clock import boot_time
+
+if TYPE_CHECKING:
+    from berylnotch.entry.context import EntryContext
+    from berylnotch.entry.exchange import Admitted
+    from berylnotch.entry.targets import Target
+
+#: Largest answer that is not a stream, in bytes.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+#: Seconds for which a target that said it is full gets no request.
+FULL_S = 0.15
+
+
+class AttemptEnd(Enum):
+    """How an attempt ended."""
+
+    #: The target gave a whole answer.
+    ANSWERED = "answered"
+    #: The target's stream came to its end.
+    STREAM_COMPLETE = "stream complete"
+    #: The target did not run the request.
+    NOT_RUN = "not run"
+    #: The target may have run the request.
+    BROKEN = "broken"
+
+
+@frozen
+class AttemptResult:
+    """End of an attempt, with the answer if there is one.
+
+    ``is_lost`` tells that the connection broke while the target may have run it.
+    """
+
+    target: Target
+    end: AttemptEnd
+    reason: str = ""
+    status: int = 0
+    headers: Headers | None = None
+    body: bytes = b""
+    is_lost: bool = False
+
+
+class AttemptOwner(Protocol):
+    """What hears of an attempt."""
+
+    def stream_began(self, status: int, headers: Headers) -> None:
+        """Take the head of a stream."""
+
+    def event(self, data: bytes, number: int | None) -> bool:
+        """Take an event of a stream."""
+
+    def ended(self, result: AttemptResult) -> None:
+        """Take the end."""
+
+
+class Attempt(ResponseSink):
+    """A request at one target.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Shared state of the router.
+    target : Target
+        Where it is sent.
+    admitted : Admitted
+        The request.
+    told : TargetHeaders
+        What the target is told beside it.
+    owner : AttemptOwner
+        Hears of the answer.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        target: Target,
+        admitted: Admitted,
+        told: TargetHeaders,
+        owner: AttemptOwner,
+    ) -> None:
+        self._context = context
+        self._target = target
+        self._admitted = admitted
+        self._told = told
+        self._owner = owner
+        self._connection: ClientConnection | None = None
+        self._head: ResponseHead | None = None
+        self._is_stream = False
+        self._splitter = EventSplitter()
+        self._body = bytearray()
+        self._sent_at = 0.0
+        self._is_over = False
+        self._number = id(self)
+
+    @property
+    def has_sent(self) -> bool:
+        """Whether the target may have seen the request."""
+        return self._connection is not None and self._connection.has_sent
+
+    def start(self, _left_s: float) -> None:
+        """Send the request."""
+        target, route = self._target, self._admitted.route
+        request = encode_for_target(self._admitted.request, self._told)
+        self._connection = self._context.targets.connect(target, route.is_repeatable)
+        target.in_flight += 1
+        self._sent_at = boot_time()
+        target.ejection.sent(self._sent_at, self._number)
+        self._connection.send(request, self)
+
+    def pause(self) -> None:
+        """Stop reading for a slow caller."""
+        if self._connection is not None:
+            self._connection.pause()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self._connection is not None:
+            self._connection.resume()
+
+    def cancel(self) -> None:
+        """End the attempt; the target stops working on it."""
+        if not self._is_over:
+            self._target.ejection.abandoned(self._number)
+            self._leave()
+            self._connection.close()
+
+    # Answer of the target.
+
+    def on_head(self, head: ResponseHead) -> bool:
+        """Take the head; one of another request is skipped."""
+        answer = decode_answer(head.status, head.headers)
+        own_id = self._admitted.caller.request_id
+        if answer.request_id != own_id and (answer.request_id or head.status < 300):
+            self._context.log.warning(
+                "foreign_answer",
+                id=own_id,
+                target=self._target.target_id,
+                found=answer.request_id,
+                status=head.status,
+            )
+            return False
+        self._head = head
+        if head.headers.get("Connection").lower() == "close":
+            self._connection_closing(head)
+        content_type = head.headers.get("Content-Type").lower()
+        self._is_stream = head.status == 200 and "text/event-stream" in content_type
+        return True
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        if self._is_over:
+            return
+        if not self._is_stream:
+            self._body += data
+            if len(self._body) > MAX_ANSWER_BYTES:
+                self._break_off("answer too large")
+            return
+        if not decode_answer(200, self._head.headers).stamp:
+            self._break_off("stream without a stamp")
+            return
+        for event in self._splitter.feed(data):
+            self._owner.stream_began(200, self._head.headers.end_to_end())
+            self._owner.event(event.data, event.number)
+            if self._is_over:
+                return
+        if len(self._splitter.tail) > MAX_EVENT_BYTES:
+            self._break_off("event too large")
+
+    def on_complete(self) -> None:
+        """Judge a whole answer."""
+        if self._is_over:
+            return
+        answer = decode_answer(self._head.status, self._head.headers)
+        target, status = self._target, self._head.status
+        self._leave()
+        self._context.targets.keep(target, self._connection)
+        if answer.is_not_run:
+            self._refused(status)
+            return
+        if self._is_stream:
+            self._end_stream()
+            return
+        if status < 300 and not answer.stamp:
+            self._end(AttemptEnd.BROKEN, "answer without a stamp")
+            return
+        if status in (408, 421, 429, 503):
+            # To a caller these statuses promise that the request has not run.
+            self._end(AttemptEnd.BROKEN, f"status {status} without a promise")
+            return
+        if status < 500:
+            target.ejection.succeeded(self._number, self._sent_at)
+        else:
+            target.ejection.abandoned(self._number)
+        headers = self._head.headers.end_to_end().without(("content-length",))
+        self._owner.ended(
+            AttemptResult(
+                target,
+                AttemptEnd.ANSWERED,
+                status=status,
+                headers=headers,
+                body=bytes(self._body),
+            )
+        )
+
+    def on_failure(self, failure: Failure, reason: str) -> None:
+        """Judge a failed connection."""
+        if self._is_over:
+            return
+        self._leave()
+        target, now = self._target, boot_time()
+        target.ejection.failed(now, self._number)
+        self._context.log.warning(
+            "attempt_failed",
+            id=self._admitted.caller.request_id,
+            target=target.target_id,
+            failure=failure.value,
+            reason=reason,
+            after_s=now - self._sent_at,
+            failures=target.ejection.failures,
+        )
+        if failure is Failure.NOT_SENT:
+            self._end(AttemptEnd.NOT_RUN, reason)
+        else:
+            self._end(AttemptEnd.BROKEN, reason, is_lost=True)
+
+    def _refused(self, status: int) -> None:
+        """Act on a target that did not run the request."""
+        target = self._target
+        target.ejection.abandoned(self._number)
+        if status in (503, 429):
+            target.refused_until = boot_time() + FULL_S
+        self._context.log.warning(
+            "target_refused",
+            id=self._admitted.caller.request_id,
+            target=target.target_id,
+            status=status,
+            load=target.load,
+        )
+        self._end(AttemptEnd.NOT_RUN, f"refused with {status}")
+
+    def _end_stream(self) -> None:
+        self._target.ejection.succeeded(self._number, self._sent_at)
+        self._owner.stream_began(200, self._head.headers.end_to_end())
+        if self._splitter.tail:
+            self._owner.event(self._splitter.tail, None)
+        self._end(AttemptEnd.STREAM_COMPLETE, "")
+
+    def _connection_closing(self, head: ResponseHead) -> None:
+        """Expect a target that closes its connections to leave soon."""
+        self._context.log.info(
+            "target_closes",
+            target=self._target.target_id,
+            status=head.status,
+        )
+
+    def _break_off(self, reason: str) -> None:
+        self._leave()
+        self._connection.close()
+        self._end(AttemptEnd.BROKEN, reason)
+
+    def _leave(self) -> None:
+        self._is_over = True
+        self._target.in_flight -= 1
+
+    def _end(self, end: AttemptEnd, reason: str, is_lost: bool = False) -> None:
+        status = self._head.status if self._head else 0
+        result = AttemptResult(self._target, end, reason, status, is_lost=is_lost)
+        self._owner.ended(result)
--- /dev/null
+++ b/berylnotch/entry/context.py
@@ -0,0 +1,98 @@
+"""What the exchanges of a router share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from attrs import define, field
+
+from berylnotch.admission.retry import RetryBudget, RetrySettings
+from berylnotch.entry.prompts import PromptMemory
+from berylnotch.entry.quota_gate import QuotaGate
+from berylnotch.entry.settings import EntrySettings
+from berylnotch.entry.targets import TargetTable
+from berylnotch.membership.crashes import CrashGuard
+from berylnotch.routing.table import RouteTable
+from berylnotch.settings.fleet import FleetSettings
+from berylnotch.util.lines import EventLog
+from berylnotch.util.loop import Loop
+from berylnotch.util.metrics import Metrics
+
+
+@define(eq=False)
+class EntryContext:
+    """State of one router's request path.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Time limits.
+    fleet : FleetSettings
+        Settings of the process.
+    loop : Loop
+        Loop in which everything runs.
+    log : EventLog
+        Log of the process.
+    metrics : Metrics
+        Counters and histograms.
+    targets : TargetTable
+        Targets and connections.
+    gate : QuotaGate
+        Limits of the organisations.
+    prompts : PromptMemory
+        Prompts that engines and stores probably hold.
+    crashes : CrashGuard
+        Requests that crash targets.
+    routes : RouteTable or None
+        Configuration in force, None before the first.
+    wanted : dict of str to int
+        Newest named version of each model.
+    wanted_since : dict of str to float
+        Boot time at which that version was first heard of.
+    down_stores : frozenset of str
+        Stores that cannot be reached.
+    router_count : int
+        Routers that take requests.
+    ask_quota : callable
+        Asks the quota owner soon.
+    """
+
+    settings: EntrySettings
+    fleet: FleetSettings
+    loop: Loop
+    log: EventLog
+    metrics: Metrics
+    targets: TargetTable
+    gate: QuotaGate
+    prompts: PromptMemory
+    crashes: CrashGuard
+    routes: RouteTable | None = None
+    wanted: dict[str, int] = field(factory=dict)
+    wanted_since: dict[str, float] = field(factory=dict)
+    down_stores: frozenset[str] = frozenset()
+    router_count: int = 1
+    ask_quota: Callable[[], None] = lambda: None
+    _budgets: dict[str, RetryBudget] = field(factory=dict)
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service, at this router."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self._retry_settings())
+            self._budgets[service] = budget
+        return budget
+
+    def resize_budgets(self, router_count: int) -> None:
+        """Share the fleet's slack between this many routers."""
+        self.router_count = max(1, router_count)
+        for budget in self._budgets.values():
+            budget.resize(self._retry_settings())
+
+    def _retry_settings(self) -> RetrySettings:
+        bounds, part = self.fleet.bounds, self.settings.retry_part
+        reserve = bounds.retry_slack * part / self.router_count
+        return RetrySettings(
+            max_attempts=self.settings.max_sends,
+            ratio=bounds.retry_ratio * part,
+            reserve=max(1.0, reserve),
+        )
--- /dev/null
+++ b/berylnotch/entry/events.py
@@ -0,0 +1,46 @@
+"""Whole events out of a stream's bytes, which are handed on unchanged."""
+
+from __future__ import annotations
+
+import re
+
+from attrs import frozen
+
+#: Largest event that is held back until it is whole, in bytes.
+MAX_EVENT_BYTES = 1024 * 1024
+
+_BOUNDARY = re.compile(rb"\r?\n\r?\n")
+_ID = re.compile(rb"(?:\A|\n)id:[ \t]*(\d+)")
+
+
+@frozen
+class StreamEvent:
+    """An event as it came, and its number, or None if it has none."""
+
+    data: bytes
+    number: int | None
+
+
+class EventSplitter:
+    """Cuts a stream into events, however its bytes were cut before."""
+
+    def __init__(self) -> None:
+        self._tail = b""
+
+    @property
+    def tail(self) -> bytes:
+        """Bytes of an event that is not yet whole."""
+        return self._tail
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Return the events that these bytes complete."""
+        self._tail += data
+        events = []
+        start = 0
+        for match in _BOUNDARY.finditer(self._tail):
+            part = self._tail[start : match.end()]
+            found = _ID.search(part)
+            events.append(StreamEvent(part, int(found[1]) if found else None))
+            start = match.end()
+        self._tail = self._tail[start:]
+        return events
--- /dev/null
+++ b/berylnotch/entry/exchange.py
@@ -0,0 +1,457 @@
+"""One request of a caller: charge, choice, attempts, answer."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from attrs import define, frozen
+
+from berylnotch.entry.attempt import Attempt, AttemptEnd, AttemptResult
+from berylnotch.entry.choice import Placing, choose
+from berylnotch.entry.context import EntryContext
+from berylnotch.entry.quota_gate import Charge
+from berylnotch.entry.targets import Target
+from berylnotch.membership.crashes import fingerprint
+from berylnotch.net.messages import HttpRequest
+from berylnotch.net.server import ServerConnection
+from berylnotch.platform.requests import (
+    CallerRequest,
+    TargetHeaders,
+    refusal_headers,
+)
+from berylnotch.quota.bounds import is_limited
+from berylnotch.routing.model import Organisation, Route, RouteKind, Service
+from berylnotch.routing.table import pick_service
+from berylnotch.util.clock import boot_time
+from berylnotch.util.loop import Timer
+from berylnotch.util.metrics import Label
+
+#: Engine priorities of one organisation's rank: as many as routes have ranks.
+PRIORITIES_PER_RANK = 3
+
+#: Lowest urgency that engines know.
+LAST_PRIORITY = 9
+
+#: Engine answers that show a failure of the engine, not of the request.
+_RETRIED_STATUSES = frozenset((500, 502, 503, 504, 429))
+
+#: Seconds below which it makes no sense to send a request.
+MIN_LEFT_S = 0.02
+
+
+@frozen
+class Admitted:
+    """A request with its route and organisation."""
+
+    request: HttpRequest
+    caller: CallerRequest
+    route: Route
+    organisation: Organisation | None
+
+    @property
+    def cost(self) -> int:
+        """What the request counts against its organisation's limit."""
+        if self.organisation is None or not self.organisation.counts_tokens:
+            return 1
+        return self.caller.tokens or self.organisation.default_cost
+
+
+@define
+class _Progress:
+    """What the attempts of a request have come to."""
+
+    sends: int = 0
+    runs: int = 0
+    last_event: int | None = None
+    has_head: bool = False
+    first_event_at: float = 0.0
+
+
+class Exchange:
+    """Serves one request from its admission to its answer.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Shared state of the router.
+    connection : ServerConnection
+        The caller.
+    admitted : Admitted
+        The request.
+    on_end : callable
+        Called once when the request has its answer or the caller has left.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        connection: ServerConnection,
+        admitted: Admitted,
+        on_end: Callable[[Exchange], None],
+    ) -> None:
+        self._context = context
+        self._connection = connection
+        self._admitted = admitted
+        self._on_end = on_end
+        self._progress = _Progress()
+        self._attempt: Attempt | None = None
+        self._tried: set[str] = set()
+        self._service = ""
+        self._is_over = False
+        request, caller, route = admitted.request, admitted.caller, admitted.route
+        limit_s = route.timeout_s
+        if caller.deadline_s is not None:
+            limit_s = min(limit_s, caller.deadline_s)
+        self._started_at = request.received_at
+        self._deadline = request.received_at + limit_s
+        self._timer: Timer | None = None
+        self._fingerprint = b""
+
+    # Facts for the log.
+
+    @property
+    def _id(self) -> str:
+        return self._admitted.caller.request_id
+
+    @property
+    def _left_s(self) -> float:
+        return self._deadline - boot_time()
+
+    def start(self) -> None:
+        """Charge the request and send it."""
+        grace_s = self._context.settings.deadline_grace_s
+        self._timer = self._context.loop.call_later(
+            max(0.0, self._left_s) + grace_s, self._expire
+        )
+        self._connection.on_gone = self._caller_left
+        self._connection.on_drained = self._drained
+        organisation = self._admitted.organisation
+        if not is_limited(organisation):
+            self._charged(Charge.CHARGED, 0.0)
+            return
+        gate = self._context.gate
+        if gate.charge(
+            boot_time(), organisation.name, self._admitted.cost, self._charged
+        ):
+            self._context.ask_quota()
+
+    def _charged(self, outcome: Charge, retry_s: float) -> None:
+        if self._is_over:
+            return
+        if outcome is Charge.OVER_LIMIT:
+            self._refuse(429, "limit of the organisation", retry_s)
+        elif outcome is Charge.UNKNOWN:
+            self._refuse(503, "no grant of tokens", None)
+        else:
+            self._begin()
+
+    def _begin(self) -> None:
+        admitted = self._admitted
+        self._service = pick_service(admitted.route.splits, random.random())
+        organisation = admitted.organisation.name if admitted.organisation else ""
+        request = admitted.request
+        self._fingerprint = fingerprint(
+            organisation, request.target.encode() + b"\0" + request.body
+        )
+        if self._context.crashes.is_refused(boot_time(), self._fingerprint):
+            self._fail(502, "request crashes its targets")
+            return
+        self._context.budget(self._service).earn()
+        self._send()
+
+    # Choice.
+
+    def _placing(self, service: Service, excluded: set[str]) -> Placing:
+        context, caller = self._context, self._admitted.caller
+        now = boot_time()
+        model = caller.model if service.engine is not None else ""
+        wanted = context.wanted.get(model, 0)
+        since = context.wanted_since.get(model, now)
+        shared = caller.parts[0] if len(caller.parts) > 1 else None
+        return Placing(
+            now=now,
+            model=model,
+            wanted_version=wanted,
+            allows_old=now - since < context.settings.stale_weights_s,
+            shared_id=shared.part_id if shared else "",
+            shared_tokens=shared.tokens if shared else 0,
+            failure_domain=context.fleet.failure_domain,
+            excluded=excluded,
+        )
+
+    def _send(self) -> None:
+        if self._is_over:
+            return
+        if self._left_s < MIN_LEFT_S:
+            self._give_up("deadline")
+            return
+        service = self._context.routes.service(self._service)
+        if service is None:
+            self._give_up("service is gone")
+            return
+        placing = self._placing(service, self._tried)
+        choice = choose(self._context.targets.of(self._service), placing)
+        if choice is None:
+            self._give_up("no usable target")
+            return
+        target = choice.target
+        told = self._told(target, choice.home, placing, service)
+        self._progress.sends += 1
+        self._tried.add(target.target_id)
+        self._context.crashes.began(self._fingerprint, target.target_id)
+        self._context.log.info(
+            "sent",
+            id=self._id,
+            route=self._admitted.route.name,
+            target=target.target_id,
+            send=self._progress.sends,
+            load=target.load,
+            weights=told.weights_version,
+            wanted=placing.wanted_version,
+            home=choice.home.target_id if choice.home else "",
+            after=told.resume_after,
+            left_s=told.deadline_s,
+            configuration=self._context.routes.version,
+        )
+        self._attempt = Attempt(self._context, target, self._admitted, told, self)
+        self._attempt.start(self._left_s)
+
+    def _told(
+        self, target: Target, home: Target | None, placing: Placing, service: Service
+    ) -> TargetHeaders:
+        organisation = self._admitted.organisation
+        rank = organisation.priority if organisation else 0
+        priority = rank * PRIORITIES_PER_RANK + self._admitted.route.priority
+        version = target.version(placing.model) if placing.model else None
+        salt = fetch_from = save_to = ""
+        if placing.model:
+            salt = f"v{version}"
+            if organisation is not None and organisation.is_isolated:
+                salt += f"/{organisation.name}"
+        if placing.has_home:
+            store = self._context.routes.store_for(service)
+            address = store.store_address if store else ""
+            if address in self._context.down_stores:
+                address = ""
+            has_home_version = home is not None and (
+                home.version(placing.model) == version
+            )
+            fetch_from = home.listed.address if has_home_version else address
+            if address and self._context.prompts.should_save(
+                placing.now, salt, placing.shared_id
+            ):
+                save_to = address
+        resume_after = self._progress.last_event
+        if resume_after is None:
+            resume_after = self._admitted.caller.resume_after
+        return TargetHeaders(
+            deadline_s=self._left_s,
+            target_id=target.target_id,
+            organisation=organisation.name if organisation else "",
+            priority=min(LAST_PRIORITY, priority) if placing.model else None,
+            weights_version=version,
+            cache_salt=salt,
+            fetch_from=fetch_from,
+            save_to=save_to,
+            resume_after=resume_after,
+        )
+
+    # What the attempt reports.
+
+    def stream_began(self, status: int, headers: object) -> None:
+        """Send the head of a stream to the caller, of its first target only."""
+        if not self._progress.has_head:
+            self._progress.has_head = True
+            self._connection.start_stream(status, headers)
+
+    def event(self, data: bytes, number: int | None) -> bool:
+        """Send an event to the caller; return whether it fits the stream.
+
+        One that the caller has already is left out.
+        """
+        progress = self._progress
+        if number is not None:
+            if progress.last_event is not None and number <= progress.last_event:
+                return True
+            progress.last_event = number
+        if not progress.first_event_at:
+            progress.first_event_at = boot_time()
+            self._context.metrics.observe(
+                "berylnotch_first_event_seconds",
+                progress.first_event_at - self._started_at,
+                Label("route", self._admitted.route.name),
+            )
+        self._connection.send_piece(data)
+        if self._connection.is_congested and self._attempt is not None:
+            self._attempt.pause()
+        return True
+
+    def ended(self, result: AttemptResult) -> None:
+        """Act on the end of an attempt."""
+        target = result.target
+        self._attempt = None
+        if self._is_over:
+            return
+        self._context.crashes.ended(self._fingerprint, target.target_id)
+        if result.end is not AttemptEnd.NOT_RUN:
+            self._progress.runs += 1
+        if result.end is AttemptEnd.STREAM_COMPLETE:
+            self._context.crashes.completed(self._fingerprint, boot_time())
+            self._connection.end_stream()
+            self._finish("served", 200, target)
+        elif result.end is AttemptEnd.ANSWERED:
+            self._answered(result)
+        elif result.end is AttemptEnd.NOT_RUN:
+            self._retry(result, is_run=False)
+        else:
+            if result.is_lost:
+                self._context.crashes.lost(
+                    boot_time(), target.target_id, (self._fingerprint,)
+                )
+            self._retry(result, is_run=True)
+
+    def _answered(self, result: AttemptResult) -> None:
+        status, route = result.status, self._admitted.route
+        is_failure = status in _RETRIED_STATUSES
+        may_repeat = route.is_repeatable and self._progress.runs < route.max_attempts
+        if is_failure and may_repeat and not self._progress.has_head:
+            if self._left_s > MIN_LEFT_S and self._has_other_target():
+                if self._context.budget(self._service).spend():
+                    self._note_retry(result, f"status {status}")
+                    self._send()
+                    return
+        if not is_failure:
+            self._context.crashes.completed(self._fingerprint, boot_time())
+        self._connection.respond(status, result.headers, result.body)
+        self._finish("served" if status < 400 else "target_failed", status, result.target)
+
+    def _has_other_target(self) -> bool:
+        service = self._context.routes.service(self._service)
+        if service is None:
+            return False
+        placing = self._placing(service, self._tried)
+        return choose(self._context.targets.of(self._service), placing) is not None
+
+    def _retry(self, result: AttemptResult, is_run: bool) -> None:
+        """Send the request to another target, or give up."""
+        route, progress = self._admitted.route, self._progress
+        reason = result.reason
+        if is_run:
+            allowed = route.is_repeatable and progress.runs < route.max_attempts
+            if not allowed:
+                self._fail_run(reason, result)
+                return
+        if progress.sends >= self._context.settings.max_sends:
+            self._give_up(f"sent {progress.sends} times; {reason}")
+        elif not self._context.budget(self._service).spend():
+            self._give_up(f"retry budget spent; {reason}")
+        else:
+            self._note_retry(result, reason)
+            self._send()
+
+    def _note_retry(self, result: AttemptResult, reason: str) -> None:
+        self._context.metrics.count(
+            "berylnotch_retries_total", Label("service", self._service)
+        )
+        self._context.log.warning(
+            "sent_again",
+            id=self._id,
+            target=result.target.target_id,
+            reason=reason,
+            sends=self._progress.sends,
+            runs=self._progress.runs,
+            last_event=self._progress.last_event,
+        )
+
+    # Ends without an answer of a target.
+
+    def _give_up(self, reason: str) -> None:
+        """End a request that cannot be sent any more."""
+        if self._progress.runs or self._progress.has_head:
+            self._fail(502, reason)
+        else:
+            self._refuse(503, reason, None)
+
+    def _refuse(self, status: int, reason: str, retry_s: float | None) -> None:
+        """Answer that the request has not run and will not."""
+        if retry_s is None:
+            retry_s = self._context.settings.retry_after_s
+        self._respond_own(status, reason, retry_s)
+
+    def _fail_run(self, reason: str, result: AttemptResult) -> None:
+        status = 504 if self._left_s <= 0 else 502
+        self._fail(status, f"{result.target.target_id}: {reason}")
+
+    def _fail(self, status: int, reason: str) -> None:
+        """Answer that the outcome is unknown, or break a begun stream off."""
+        if self._progress.has_head:
+            self._connection.abort()
+            self._finish("broken_off", 0, None, reason)
+            return
+        self._respond_own(status, reason, None)
+
+    def _respond_own(self, status: int, reason: str, retry_s: float | None) -> None:
+        headers = refusal_headers(self._id, retry_s)
+        self._connection.respond(status, headers)
+        self._finish("refused" if status in (429, 503) else "failed", status, None, reason)
+
+    def _expire(self) -> None:
+        if self._is_over:
+            return
+        has_sent = self._attempt is not None and self._attempt.has_sent
+        if self._attempt is not None:
+            self._attempt.cancel()
+        if has_sent or self._progress.runs or self._progress.has_head:
+            self._fail(504, "deadline")
+        else:
+            self._refuse(503, "deadline before it was sent", None)
+
+    def _caller_left(self) -> None:
+        if self._is_over:
+            return
+        if self._attempt is not None:
+            self._attempt.cancel()
+        self._finish("caller_left", 0, None)
+
+    def _drained(self) -> None:
+        if self._attempt is not None:
+            self._attempt.resume()
+
+    def _finish(
+        self, outcome: str, status: int, target: Target | None, reason: str = ""
+    ) -> None:
+        self._is_over = True
+        self._attempt = None
+        if self._timer is not None:
+            self._timer.cancel()
+        took_s = boot_time() - self._started_at
+        admitted, context = self._admitted, self._context
+        write = context.log.info if outcome == "served" else context.log.warning
+        write(
+            "finished",
+            id=self._id,
+            route=admitted.route.name,
+            organisation=admitted.organisation.name if admitted.organisation else "",
+            outcome=outcome,
+            status=status,
+            reason=reason,
+            target=target.target_id if target else "",
+            sends=self._progress.sends,
+            runs=self._progress.runs,
+            took_s=took_s,
+            left_s=self._left_s,
+        )
+        context.metrics.count(
+            "berylnotch_requests_total",
+            Label("route", admitted.route.name),
+            Label("outcome", outcome),
+            Label("status", str(status)),
+        )
+        context.metrics.observe("berylnotch_request_seconds", max(took_s, 0.0))
+        self._on_end(self)
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is a stream of events."""
+        return self._admitted.route.kind is RouteKind.STREAM
--- /dev/null
+++ b/berylnotch/entry/settings.py
@@ -0,0 +1,59 @@
+"""Settings of a router's request path."""
+
+from __future__ import annotations
+
+from attrs import field, frozen
+
+from berylnotch.membership.settings import MembershipSettings
+
+
+@frozen
+class EntrySettings:
+    """Time limits and weights of the request path; times in seconds.
+
+    Parameters
+    ----------
+    connect_s : float, default=0.35
+        Longest wait for a connection; some hundred times what it usually takes.
+    dead_target_s : float, default=1.2
+        Silence of a target's kernel after which its connections are given up.
+    reuse_s : float, default=8.0
+        Longest idle time of a kept connection that gets a repeatable request.
+    reuse_unrepeatable_s : float, default=1.0
+        The same for a request that may not be repeated.
+    keep_alive_margin_s : float, default=1.0
+        Time by which a connection is given up before its target closes it.
+    max_idle : int, default=8
+        Kept connections to one target.
+    deadline_grace_s : float, default=0.08
+        Time beyond a request's deadline for the target's own answer to arrive.
+    max_sends : int, default=4
+        Targets that one request is sent to, with those that refused to run it.
+    retry_part : float, default=0.8
+        Part of the fleet's retry budget that routers use; the rest is for what
+        they do not know of each other.
+    retry_after_s : float, default=0.5
+        When a refused caller shall come back if nothing better is known.
+    stale_weights_s : float, default=12.0
+        Time after new weights were named in which engines still serve older ones.
+    quota_wait_s : float, default=0.25
+        Longest wait for tokens of an organisation's limit.
+    membership : MembershipSettings
+        When a target that fails is left out.
+    """
+
+    connect_s: float = 0.35
+    dead_target_s: float = 1.2
+    reuse_s: float = 8.0
+    reuse_unrepeatable_s: float = 1.0
+    keep_alive_margin_s: float = 1.0
+    max_idle: int = 8
+    deadline_grace_s: float = 0.08
+    max_sends: int = 4
+    retry_part: float = 0.8
+    retry_after_s: float = 0.5
+    stale_weights_s: float = 12.0
+    quota_wait_s: float = 0.25
+    membership: MembershipSettings = field(
+        factory=lambda: MembershipSettings(eject_after=2, eject_s=0.5, eject_max_s=4.0)
+    )
--- /dev/null
+++ b/berylnotch/entry/targets.py
@@ -0,0 +1,174 @@
+"""A router's picture of the targets, and its connections to them."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from berylnotch.entry.settings import EntrySettings
+from berylnotch.group.messages import TargetEntry
+from berylnotch.membership.ejection import Ejection
+from berylnotch.membership.listing import ListedTarget
+from berylnotch.net.client import ClientConnection
+from berylnotch.util.address import parse_address
+from berylnotch.util.clock import boot_time
+from berylnotch.util.loop import Loop
+
+
+@define(eq=False)
+class Target:
+    """A target as this router sees it.
+
+    Parameters
+    ----------
+    listed : ListedTarget
+        What the list says.
+    ejection : Ejection
+        Failures seen by this router.
+    is_loading : bool
+        Whether it loads weights.
+    is_leaving : bool
+        Whether it gets no new work, by the list or by its own word.
+    in_flight : int
+        Requests of this router that it has.
+    others_in_flight : int
+        Requests of the other routers, as last summed up.
+    uncached_tokens : int
+        Prompt tokens of this router's requests that it probably still reads.
+    """
+
+    listed: ListedTarget
+    ejection: Ejection
+    is_loading: bool = False
+    is_leaving: bool = False
+    in_flight: int = 0
+    others_in_flight: int = 0
+    uncached_tokens: int = 0
+    idle: deque[ClientConnection] = field(factory=deque)
+    refused_until: float = 0.0
+
+    @property
+    def target_id(self) -> str:
+        """Identity of the target."""
+        return self.listed.target_id
+
+    @property
+    def load(self) -> int:
+        """Requests of all routers that it probably has."""
+        return self.in_flight + self.others_in_flight
+
+    def version(self, model: str) -> int | None:
+        """Return the version of a model's weights, None if it does not run it."""
+        for known in self.listed.models:
+            if known.name == model:
+                return known.version
+        return None
+
+    def is_usable(self, now: float) -> bool:
+        """Whether it may get a new request."""
+        if self.is_leaving or self.is_loading or now < self.refused_until:
+            return False
+        return not self.ejection.blocks(now)
+
+
+class TargetTable:
+    """Targets by service, and the connections to them.
+
+    Parameters
+    ----------
+    loop : Loop
+        Loop that serves the connections.
+    settings : EntrySettings
+        Time limits.
+    """
+
+    def __init__(self, loop: Loop, settings: EntrySettings) -> None:
+        self._loop = loop
+        self._settings = settings
+        self._targets: dict[str, Target] = {}
+        self._by_service: dict[str, list[Target]] = {}
+
+    def of(self, service: str) -> list[Target]:
+        """Return the targets of a service, usable or not."""
+        return self._by_service.get(service, [])
+
+    def all(self) -> Iterable[Target]:
+        """Return all targets."""
+        return self._targets.values()
+
+    def get(self, target_id: str) -> Target | None:
+        """Return a target by identity."""
+        return self._targets.get(target_id)
+
+    def update(self, entries: Iterable[TargetEntry]) -> None:
+        """Take all targets anew; one that started again is another one."""
+        known, self._targets = self._targets, {}
+        for entry in entries:
+            listed = entry.target
+            target = known.get(listed.target_id)
+            if target is not None and _is_same(target.listed, listed):
+                del known[listed.target_id]
+                target.listed = listed
+            else:
+                target = Target(listed, Ejection(self._settings.membership))
+            target.is_loading = entry.is_loading
+            target.is_leaving = target.is_leaving or listed.is_leaving
+            self._targets[listed.target_id] = target
+        for gone in known.values():
+            self._drop_idle(gone)
+        self._by_service = {}
+        for target in self._targets.values():
+            self._by_service.setdefault(target.listed.service, []).append(target)
+
+    def connect(self, target: Target, is_repeatable: bool) -> ClientConnection:
+        """Return a connection for a request.
+
+        A request that may not be repeated gets a kept connection only if that
+        was used a moment ago: on one that the target has dropped meanwhile, the
+        request would be lost with an unknown outcome.
+        """
+        now = boot_time()
+        limit_s = self._settings.reuse_s
+        if not is_repeatable:
+            limit_s = self._settings.reuse_unrepeatable_s
+        while target.idle:
+            connection = target.idle.pop()
+            allowed_s = limit_s
+            if connection.keep_alive_s is not None:
+                margin_s = self._settings.keep_alive_margin_s
+                allowed_s = min(limit_s, connection.keep_alive_s - margin_s)
+            if connection.is_reusable and now - connection.idle_since < allowed_s:
+                return connection
+            connection.close()
+        return ClientConnection(
+            self._loop,
+            parse_address(target.listed.address),
+            self._settings.dead_target_s,
+            self._settings.connect_s,
+        )
+
+    def keep(self, target: Target, connection: ClientConnection) -> None:
+        """Keep a connection for a later request, if it may serve one."""
+        if target.is_leaving or target.target_id not in self._targets:
+            connection.close()
+        elif connection.is_reusable:
+            target.idle.append(connection)
+            while len(target.idle) > self._settings.max_idle:
+                target.idle.popleft().close()
+
+    def close_old(self) -> None:
+        """Close the connections that were idle for too long."""
+        oldest = boot_time() - self._settings.reuse_s
+        for target in self._targets.values():
+            while target.idle and target.idle[0].idle_since < oldest:
+                target.idle.popleft().close()
+
+    def _drop_idle(self, target: Target) -> None:
+        while target.idle:
+            target.idle.pop().close()
+
+
+def _is_same(one: ListedTarget, other: ListedTarget) -> bool:
+    return one.address == other.address and one.born_ms == other.born_ms
--- /dev/null
+++ b/berylnotch/group/messages.py
@@ -0,0 +1,140 @@
+"""Messages between the routers and controllers of a fleet."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from berylnotch.consensus import messages as consensus
+from berylnotch.control.protocol import GrantReply, GrantRequest
+from berylnotch.membership.listing import ListedTarget, ModelVersion
+from berylnotch.transport.packing import message_classes
+
+
+@frozen
+class JoinRequest:
+    """A controller outside the group asks to be added."""
+
+    name: str
+    replica: str
+    address: str
+    failure_domain: str
+
+
+@frozen
+class Redirect:
+    """Answer of a controller that does not lead.
+
+    ``leader`` is empty if it knows none; ``members`` are all controllers that it
+    knows.
+    """
+
+    leader: str
+    members: tuple[str, ...]
+
+
+@frozen
+class TargetLoad:
+    """Requests that one router has under way at a target."""
+
+    target_id: str
+    requests: int
+
+
+@frozen
+class CrashMark:
+    """A request, by its fingerprint, that was running when a target was lost."""
+
+    fingerprint: bytes
+    target_id: str
+
+
+@frozen
+class RouterReport:
+    """What a router tells the leader.
+
+    ``incarnation`` changes with each start. ``address`` is where callers connect.
+    """
+
+    name: str
+    incarnation: str
+    address: str
+    failure_domain: str
+    is_leaving: bool
+    configuration_version: int
+    loads: tuple[TargetLoad, ...] = ()
+    crashes: tuple[CrashMark, ...] = ()
+
+
+@frozen
+class ConfigurationUpdate:
+    """The configuration in force, as the operator wrote it."""
+
+    version: int
+    content: bytes
+
+
+@frozen
+class TargetEntry:
+    """A target and whether it is loading weights, and so refuses work."""
+
+    target: ListedTarget
+    is_loading: bool = False
+
+
+@frozen
+class TargetsUpdate:
+    """All targets, the newest weights that were named, and stores out of reach.
+
+    ``expected_s`` is when the first loading target is expected to be back.
+    """
+
+    targets: tuple[TargetEntry, ...]
+    weights: tuple[ModelVersion, ...]
+    down_stores: tuple[str, ...] = ()
+
+
+@frozen
+class RouterEntry:
+    """A router that callers may be sent to."""
+
+    address: str
+    failure_domain: str
+
+
+@frozen
+class RosterUpdate:
+    """Routers that take requests."""
+
+    routers: tuple[RouterEntry, ...]
+
+
+@frozen
+class LoadsUpdate:
+    """Requests under way at each target over all routers."""
+
+    loads: tuple[TargetLoad, ...]
+
+
+@frozen
+class CrashesUpdate:
+    """Suspicions of requests that other routers reported."""
+
+    crashes: tuple[CrashMark, ...]
+
+
+#: Messages between controllers.
+GROUP_MESSAGES = (*message_classes(consensus), JoinRequest, Redirect)
+
+#: Messages that a controller takes.
+CONTROLLER_MESSAGES = (*GROUP_MESSAGES, RouterReport, GrantRequest)
+
+#: Messages that a router takes.
+ROUTER_MESSAGES = (
+    Redirect,
+    ConfigurationUpdate,
+    TargetsUpdate,
+    RosterUpdate,
+    LoadsUpdate,
+    CrashesUpdate,
+    GrantReply,
+)
--- /dev/null
+++ b/berylnotch/membership/board.py
@@ -0,0 +1,90 @@
+"""The leader's picture of all targets: the list, and what engines said since."""
+
+from __future__ import annotations
+
+from attrs import define, evolve
+
+from berylnotch.group.messages import TargetEntry
+from berylnotch.membership.listing import ListedTarget, ModelVersion
+
+#: Seconds for which an engine's own word on its weights counts more than the list,
+#: which is some seconds late.
+OWN_WORD_S = 4.0
+
+
+@define
+class _Loaded:
+    """Version that an engine reported, and when."""
+
+    version: ModelVersion
+    at: float
+    born_ms: int
+
+
+class TargetBoard:
+    """Targets by identity, with the loads of weights that are under way."""
+
+    def __init__(self) -> None:
+        self._listed: dict[str, ListedTarget] = {}
+        self._loaded: dict[str, _Loaded] = {}
+        self._loading: dict[str, float] = {}
+        self._listed_at: float | None = None
+
+    @property
+    def listed_at(self) -> float | None:
+        """When the list was last read in full, None if never."""
+        return self._listed_at
+
+    @property
+    def loading(self) -> frozenset[str]:
+        """Targets that load weights."""
+        return frozenset(self._loading)
+
+    def targets(self) -> tuple[ListedTarget, ...]:
+        """Return all targets, with the weights that they are known to run."""
+        return tuple(self._listed[name] for name in sorted(self._listed))
+
+    def entries(self) -> tuple[TargetEntry, ...]:
+        """Return all targets for routers."""
+        return tuple(
+            TargetEntry(target, target.target_id in self._loading)
+            for target in self.targets()
+        )
+
+    def target(self, target_id: str) -> ListedTarget | None:
+        """Return a target, or None if it is not listed."""
+        return self._listed.get(target_id)
+
+    def listed(self, now: float, targets: tuple[ListedTarget, ...]) -> None:
+        """Take a whole list."""
+        self._listed_at = now
+        self._listed = {t.target_id: self._correct(now, t) for t in targets}
+        for name in self._loading.keys() - self._listed.keys():
+            del self._loading[name]
+        for name in self._loaded.keys() - self._listed.keys():
+            del self._loaded[name]
+
+    def began_loading(self, now: float, target_id: str) -> None:
+        """Note that a target gets an order to load weights."""
+        self._loading[target_id] = now
+
+    def stopped_loading(self, target_id: str) -> None:
+        """Note that a target serves again, whatever its weights."""
+        self._loading.pop(target_id, None)
+
+    def loaded(self, now: float, target_id: str, version: ModelVersion) -> None:
+        """Note the weights that an engine reports."""
+        target = self._listed.get(target_id)
+        if target is None:
+            return
+        self._loaded[target_id] = _Loaded(version, now, target.born_ms)
+        self._listed[target_id] = self._correct(now, target)
+
+    def _correct(self, now: float, target: ListedTarget) -> ListedTarget:
+        known = self._loaded.get(target.target_id)
+        if known is None or known.born_ms != target.born_ms:
+            return target
+        if now - known.at > OWN_WORD_S:
+            return target
+        others = (m for m in target.models if m.name != known.version.name)
+        return evolve(target, models=(*others, known.version))
--- /dev/null
+++ b/berylnotch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; nothing here decides."""
--- a/berylnotch/quota/bucket.py
+++ b/berylnotch/quota/bucket.py
@@ -49,13 +49,17 @@
     rate, burst : float
         Tokens a second, and most tokens at once.
     refill_from : float
-        Time from which the bucket, then empty, is refilled.
+        Time from which the bucket is refilled.
+    level : float, default=0.0
+        Tokens that it holds at first.
     """
 
-    def __init__(self, rate: float, burst: float, refill_from: float) -> None:
+    def __init__(
+        self, rate: float, burst: float, refill_from: float, level: float = 0.0
+    ) -> None:
         self._rate = rate
         self._burst = burst
-        self._level = 0.0
+        self._level = level
         self._lent = 0
         self._updated = refill_from
         #: Loans by router, the first to end first.
--- a/berylnotch/quota/owner.py
+++ b/berylnotch/quota/owner.py
@@ -64,7 +64,8 @@
         self._term = term
         self._started = now
         self._now = now
-        self._steady_from = now + settings.owner_lifetime_s
+        is_waiting = not settings.takeover_part
+        self._steady_from = now + (settings.owner_lifetime_s if is_waiting else 0.0)
         self._accounts: dict[str, _Account] = {}
         self._routers: dict[str, _Router] = {}
         self._total_use = UsageAverage(settings.usage_window_s, now)
@@ -167,7 +168,7 @@
         account = self._accounts.get(name)
         if account is None:
             account = _Account(
-                Bucket(limit.rate, limit.burst, self._steady_from),
+                self._new_bucket(limit),
                 UsageAverage(self._settings.usage_window_s, self._now),
                 WaitingLine(self._settings.lifetime_s / 2),
                 limit.share,
@@ -179,6 +180,10 @@
         account.share = limit.share
         return account
 
+    def _new_bucket(self, limit: Limit) -> Bucket:
+        first = limit.burst * self._settings.takeover_part
+        return Bucket(limit.rate, limit.burst, self._steady_from, first)
+
     def _size(self, account: _Account, router: str, ask: QuotaAsk) -> int:
         """Return the tokens to lend: nothing, or enough for the first work."""
         waiting = account.waiting
--- a/berylnotch/quota/settings.py
+++ b/berylnotch/quota/settings.py
@@ -39,6 +39,10 @@
         lack of tokens, since the new owner cannot know its earlier use.
     usage_window_s : float, default=60.0
         Time constant of the average use behind the priority.
+    takeover_part : float, default=0.0
+        Part of the burst that a new owner lends at once. With 0 it waits until the
+        grants of an earlier owner are over; else a window with a change of owner
+        may be charged so much more.
     """
 
     lifetime_s: float = field(default=2.0, validator=gt(0))
@@ -51,6 +55,7 @@
     wait_s: float = field(default=5.0, validator=ge(0))
     grace_s: float = field(default=15.0, validator=ge(0))
     usage_window_s: float = field(default=60.0, validator=gt(0))
+    takeover_part: float = field(default=0.0, validator=ge(0))
 
     @property
     def owner_lifetime_s(self) -> float:
--- /dev/null
+++ b/berylnotch/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Whole configurations of a fleet: routes, services, organisations and limits."""
--- /dev/null
+++ b/berylnotch/routing/checks.py
@@ -0,0 +1,74 @@
+"""Rules that a fleet configuration has to meet."""
+
+from __future__ import annotations
+
+from berylnotch.routing.errors import InvalidConfigurationError
+from berylnotch.routing.model import FleetConfiguration, Route
+
+
+def check(configuration: FleetConfiguration) -> None:
+    """Check that a configuration does not contradict itself.
+
+    Raises
+    ------
+    InvalidConfigurationError
+        With the first rule that is broken.
+    """
+    if configuration.version < 1:
+        raise InvalidConfigurationError(
+            f"version {configuration.version} is not positive"
+        )
+    _check_services(configuration)
+    places: dict[tuple[str, str], str] = {}
+    services = {service.name for service in configuration.services}
+    for route in configuration.routes:
+        _check_route(route, services)
+        other = places.setdefault((route.host, route.prefix), route.name)
+        if other is not route.name:
+            raise InvalidConfigurationError(
+                f"routes {other!r} and {route.name!r} share {route.host}{route.prefix}"
+            )
+    _check_organisations(configuration)
+
+
+def _check_services(configuration: FleetConfiguration) -> None:
+    seen: set[str] = set()
+    for service in configuration.services:
+        if service.name in seen:
+            raise InvalidConfigurationError(f"service {service.name!r} is listed twice")
+        seen.add(service.name)
+
+
+def _check_route(route: Route, services: set[str]) -> None:
+    if not route.prefix.startswith("/") or not route.prefix.endswith("/"):
+        raise InvalidConfigurationError(
+            f"route {route.name!r}: prefix {route.prefix!r} needs a slash at both ends"
+        )
+    if route.timeout_s <= 0:
+        raise InvalidConfigurationError(f"route {route.name!r}: timeout must exceed 0")
+    for split in route.splits:
+        if split.service not in services:
+            raise InvalidConfigurationError(
+                f"route {route.name!r}: unknown service {split.service!r}"
+            )
+        if split.weight < 0:
+            raise InvalidConfigurationError(f"route {route.name!r}: negative weight")
+    if sum(split.weight for split in route.splits) <= 0:
+        raise InvalidConfigurationError(f"route {route.name!r}: weights add up to 0")
+
+
+def _check_organisations(configuration: FleetConfiguration) -> None:
+    holders: dict[str, str] = {}
+    names: set[str] = set()
+    for organisation in configuration.organisations or ():
+        if organisation.name in names:
+            raise InvalidConfigurationError(
+                f"organisation {organisation.name!r} is listed twice"
+            )
+        names.add(organisation.name)
+        for key in organisation.keys:
+            holder = holders.setdefault(key, organisation.name)
+            if holder != organisation.name:
+                raise InvalidConfigurationError(
+                    f"organisations {holder!r} and {organisation.name!r} share a key"
+                )
--- /dev/null
+++ b/berylnotch/routing/table.py
@@ -0,0 +1,98 @@
+"""Lookup of routes and keys in one configuration."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from berylnotch.routing.model import (
+    FleetConfiguration,
+    Organisation,
+    Route,
+    RouteKind,
+    Service,
+    Split,
+)
+
+
+class RouteTable:
+    """Index of one configuration.
+
+    Parameters
+    ----------
+    configuration : FleetConfiguration
+        A checked configuration.
+    """
+
+    def __init__(self, configuration: FleetConfiguration) -> None:
+        self.configuration = configuration
+        self._by_host: dict[str, dict[str, Route]] = defaultdict(dict)
+        for route in configuration.routes:
+            self._by_host[route.host][route.prefix] = route
+        self._services = {service.name: service for service in configuration.services}
+        self._by_key: dict[str, Organisation] = {}
+        for organisation in configuration.organisations or ():
+            for key in organisation.keys:
+                self._by_key[key] = organisation
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration."""
+        return self.configuration.version
+
+    @property
+    def needs_keys(self) -> bool:
+        """Whether requests on routes that are not open need a key."""
+        return self.configuration.organisations is not None
+
+    def service(self, name: str) -> Service | None:
+        """Return a service by name."""
+        return self._services.get(name)
+
+    def organisation(self, key: str) -> Organisation | None:
+        """Return the organisation that holds a key."""
+        return self._by_key.get(key)
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        routes = self._by_host.get(host.partition(":")[0].lower())
+        if not routes:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = routes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+    def store_for(self, service: Service) -> Service | None:
+        """Return the store of KV cache that engines of a service may use."""
+        if service.engine is None:
+            return None
+        stores = (s for s in self.configuration.services if s.store_address)
+        return next(stores, None)
+
+    def kinds_of(self, service: str) -> frozenset[RouteKind]:
+        """Return the kinds of the routes that lead to a service."""
+        return frozenset(
+            route.kind
+            for route in self.configuration.routes
+            if any(split.service == service for split in route.splits)
+        )
+
+
+def pick_service(splits: tuple[Split, ...], draw: float) -> str:
+    """Return the service of a split route.
+
+    Parameters
+    ----------
+    splits : tuple of Split
+        Services and weights, at least one of them positive.
+    draw : float
+        Evenly distributed number, 0 <= draw < 1.
+    """
+    position = draw * sum(split.weight for split in splits)
+    for split in splits:
+        position -= split.weight
+        if position < 0:
+            return split.service
+    return next(split.service for split in reversed(splits) if split.weight > 0)
--- /dev/null
+++ b/berylnotch/settings/fleet.py
@@ -0,0 +1,177 @@
+"""Settings of the processes of a fleet, read from INI."""
+
+from __future__ import annotations
+
+import configparser
+from pathlib import Path
+
+from attrs import field, frozen
+
+from berylnotch.errors import ConfigurationError
+from berylnotch.util.address import Address, parse_address
+
+
+@frozen
+class FleetBounds:
+    """Bounds that the operators set for the whole fleet; times in seconds.
+
+    Parameters
+    ----------
+    address_ttl_s : float
+        Longest time for which an address answer counts.
+    stop_s : float
+        Time between SIGTERM and the end of a process.
+    order_lease_s : float
+        Pause between orders of two controllers to one engine.
+    retry_ratio : float
+        Requests sent again, in parts of those sent first.
+    retry_window_s : float
+        Window in which they are counted.
+    retry_slack : float
+        Requests sent again that are allowed beside that, over all routers.
+    quota_window_s : float
+        Window in which an organisation's use is counted.
+    quota_overshoot : float
+        Part by which its use may exceed rate and burst.
+    quota_slack : float
+        Tokens that its use may exceed them by, beside that.
+    """
+
+    address_ttl_s: float = 5.0
+    stop_s: float = 8.0
+    order_lease_s: float = 3.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 50.0
+    quota_window_s: float = 8.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 0.0
+
+
+@frozen
+class FleetSettings:
+    """What a process of a fleet is told.
+
+    Parameters
+    ----------
+    name : str
+        Name of the process.
+    ip : str
+        Address of its VM.
+    failure_domain : str
+        Where the VM runs.
+    listen : Address
+        Where callers connect, or the operators and engines at a controller.
+    ready : Address or None
+        Where a router answers whether it is ready.
+    directory : Address or None
+        Where a router tells callers which router to use.
+    internal_port : int
+        Port of the links between processes.
+    metrics : Address
+        Where metrics are served.
+    seeds : tuple of Address
+        Controllers to ask first, by their ``listen`` addresses.
+    founds_group : bool
+        Whether the whole fleet starts for the first time, with empty disks.
+    data : Path or None
+        Data folder of a controller.
+    target_list : Address or None
+        Where the platform lists the targets.
+    target_list_period_s : float
+        Pause between two readings of the list.
+    bounds : FleetBounds
+        Bounds of the fleet.
+    """
+
+    name: str
+    ip: str
+    failure_domain: str
+    listen: Address
+    ready: Address | None
+    directory: Address | None
+    internal_port: int
+    metrics: Address
+    seeds: tuple[Address, ...]
+    founds_group: bool
+    data: Path | None
+    target_list: Address | None
+    target_list_period_s: float = 1.0
+    bounds: FleetBounds = field(factory=FleetBounds)
+
+    @property
+    def internal(self) -> Address:
+        """Where links of other processes are accepted."""
+        return Address(self.ip, self.internal_port)
+
+    @property
+    def seed_links(self) -> tuple[str, ...]:
+        """Addresses of the seeds' links; all controllers use the same port."""
+        return tuple(str(Address(seed.host, self.internal_port)) for seed in self.seeds)
+
+
+def read_fleet_settings(path: str | Path) -> FleetSettings:
+    """Read the settings file of a process.
+
+    Raises
+    ------
+    ConfigurationError
+        If the file cannot be read or a setting is missing or wrong.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with open(path, encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        raise ConfigurationError(str(error), str(path)) from error
+    try:
+        return _settings(parser)
+    except (ValueError, configparser.Error) as error:
+        raise ConfigurationError(str(error), str(path)) from error
+
+
+def _settings(parser: configparser.ConfigParser) -> FleetSettings:
+    process = parser["process"]
+    ports = process.get("internal-ports").split(",")
+    internal_port, metrics_port = int(ports[0]), int(ports[0]) + 1
+    ip = process.get("ip")
+    data = process.get("data", "")
+    return FleetSettings(
+        name=process.get("name"),
+        ip=ip,
+        failure_domain=process.get("failure-domain"),
+        listen=parse_address(process.get("listen")),
+        ready=_optional(process.get("ready", "")),
+        directory=_optional(process.get("directory", "")),
+        internal_port=internal_port,
+        metrics=Address(ip, metrics_port),
+        seeds=tuple(parse_address(s) for s in process.get("seeds").split(",") if s),
+        founds_group=process.getboolean("founds-group"),
+        data=Path(data) if data else None,
+        target_list=_optional(process.get("target-list", "")),
+        target_list_period_s=process.getfloat("target-list-period-s", 1.0),
+        bounds=_bounds(parser["bounds"] if parser.has_section("bounds") else {}),
+    )
+
+
+def _bounds(values: configparser.SectionProxy | dict[str, str]) -> FleetBounds:
+    names = {
+        "address-ttl-s": "address_ttl_s",
+        "stop-s": "stop_s",
+        "order-lease-s": "order_lease_s",
+        "retry-ratio": "retry_ratio",
+        "retry-window-s": "retry_window_s",
+        "retry-slack": "retry_slack",
+        "quota-window-s": "quota_window_s",
+        "quota-overshoot": "quota_overshoot",
+        "quota-slack": "quota_slack",
+    }
+    read = {names[name]: float(values[name]) for name in names if values.get(name)}
+    # Milliseconds are taken too, for settings that a platform renders in them.
+    if values.get("order-lease-ms"):
+        read["order_lease_s"] = float(values["order-lease-ms"]) / 1000
+    return FleetBounds(**read)
+
+
+def _optional(text: str) -> Address | None:
+    return parse_address(text) if text else None
--- a/berylnotch/transport/channel.py
+++ b/berylnotch/transport/channel.py
@@ -6,13 +6,16 @@
 import socket
 from collections.abc import Callable
 from concurrent.futures import Future
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from berylnotch.errors import TransportError
 from berylnotch.transport.errors import CallTimeoutError, ConnectionLostError
-from berylnotch.transport.session import Session
 from berylnotch.util.loop import Loop, Timer
 
+if TYPE_CHECKING:
+    from berylnotch.transport.plain import PlainSession
+    from berylnotch.transport.session import Session
+
 #: Sends the answer to a request.
 Reply = Callable[[object], None]
 
@@ -55,7 +58,7 @@
         self,
         loop: Loop,
         sock: socket.socket,
-        session: Session,
+        session: Session | PlainSession,
         handler: Handler,
         on_close: Callable[[Channel, str], None],
     ) -> None:
--- a/berylnotch/util/loop.py
+++ b/berylnotch/util/loop.py
@@ -12,8 +12,6 @@
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 
-from loguru import logger
-
 #: Longest wait, in seconds, for a socket or timer before the loop looks again.
 _MAX_WAIT_S = 0.2
 
@@ -42,6 +40,13 @@
             call()
 
 
+def _log_error(error: Exception) -> None:
+    # Imported on first use: processes that log in another way do not pay for it.
+    from loguru import logger
+
+    logger.opt(exception=error).error("event=loop_call_failed")
+
+
 class Loop:
     """Single-threaded scheduler of socket events, timers and calls.
 
@@ -49,9 +54,14 @@
     ----------
     name : str
         Name of the thread.
+    on_error : callable, optional
+        Gets an error that a call raised; it is logged by default.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(
+        self, name: str, on_error: Callable[[Exception], None] = _log_error
+    ) -> None:
+        self._on_error = on_error
         self._selector = selectors.DefaultSelector()
         self._calls: deque[Callable[[], None]] = deque()
         self._timers: list[tuple[float, int, Timer]] = []
@@ -59,7 +69,8 @@
         self._wake_in, self._wake_out = socket.socketpair()
         self._wake_in.setblocking(False)
         self._wake_out.setblocking(False)
-        self._executor = ThreadPoolExecutor(1, thread_name_prefix=name)
+        self._name = name
+        self._executor: ThreadPoolExecutor | None = None
         self._closing = False
         self._thread_id = 0
         self._finished: Future[None] | None = None
@@ -70,17 +81,27 @@
         return threading.get_ident() == self._thread_id
 
     def start(self) -> None:
-        """Start the thread."""
-        self._selector.register(self._wake_out, selectors.EVENT_READ, self._drain)
-        self._finished = self._executor.submit(self._run)
+        """Serve in a thread of its own until `close`."""
+        self._executor = ThreadPoolExecutor(1, thread_name_prefix=self._name)
+        self._finished = self._executor.submit(self.run)
 
     def close(self) -> None:
-        """Stop the thread after the calls that are already queued."""
+        """Stop serving after the calls that are already queued."""
         self.call_soon(self._stop)
         if self._finished is not None and not self.in_thread:
             self._finished.result()
             self._executor.shutdown()
 
+    def run(self) -> None:
+        """Serve in the present thread until `close`."""
+        self._selector.register(self._wake_out, selectors.EVENT_READ, self._drain)
+        self._thread_id = threading.get_ident()
+        while not self._closing:
+            self._run_once()
+        self._selector.close()
+        self._wake_in.close()
+        self._wake_out.close()
+
     def call_soon(self, call: Callable[[], None]) -> None:
         """Run ``call`` in the loop's thread; any thread may ask."""
         self._calls.append(call)
@@ -118,14 +139,6 @@
         elif known.events != events or known.data is not call:
             self._selector.modify(sock, events, call)
 
-    def _run(self) -> None:
-        self._thread_id = threading.get_ident()
-        while not self._closing:
-            self._run_once()
-        self._selector.close()
-        self._wake_in.close()
-        self._wake_out.close()
-
     def _run_once(self) -> None:
         ready = self._selector.select(self._wait_s())
         for position, (key, events) in enumerate(ready, start=1):
@@ -159,8 +172,8 @@
         # An error in one call must not stop the others.
         try:
             call()
-        except Exception:
-            logger.exception("event=loop_call_failed")
+        except Exception as error:
+            self._on_error(error)
 
     def _stop(self) -> None:
         self._closing = True
