consensus: take a folder back under other inode numbers where the platform does so

Ruled out: damaged records (each folder read well). Change: the check is a parameter of LogStorage, off for fleets.

--- a/berylnotch/consensus/folder.py
+++ b/berylnotch/consensus/folder.py
@@ -81,9 +81,11 @@
     return identity
 
 
-def read_identity(folder: Path) -> str | None:
+def read_identity(folder: Path, checks_copy: bool = True) -> str | None:
     """Return the folder's replica id, or None if it has none.
 
+    With ``checks_copy``, the folder must be the one that the id was made with.
+
     Raises
     ------
     CopiedFolderError
@@ -97,7 +99,7 @@
     lines = path.read_text(encoding="utf-8", errors="replace").splitlines()
     if len(lines) != 2 or "/" not in lines[0]:
         raise StorageError(f"{path} is damaged")
-    if lines[1] != f"{folder.stat().st_ino} {path.stat().st_ino}":
+    if checks_copy and lines[1] != f"{folder.stat().st_ino} {path.stat().st_ino}":
         raise CopiedFolderError(
             f"{folder} was copied or restored, so its votes and log may be older "
             f"than what {lines[0]} acknowledged; empty it and add this VM as a "
--- a/berylnotch/consensus/storage.py
+++ b/berylnotch/consensus/storage.py
@@ -45,6 +45,10 @@
     first_identity : str, default=""
         Replica id that a new folder gets instead of a random one. Only a member
         that founds a group may name it, since no earlier folder can have had it.
+    checks_copy : bool, default=True
+        Whether a folder whose files have other inode numbers than it was made with
+        is refused as a copy. Platforms that bring a disk back under new numbers
+        need it off; they must never bring back an older state of a disk.
     """
 
     def __init__(
@@ -53,10 +57,12 @@
         name: str = "replica",
         keep_entries: int = 2000,
         first_identity: str = "",
+        checks_copy: bool = True,
     ) -> None:
         self._folder = Path(folder)
         self._name = name
         self._first_identity = first_identity
+        self._checks_copy = checks_copy
         self._keep_entries = keep_entries
         self._lock_file: IO[bytes] | None = None
         self._file: IO[bytes] | None = None
@@ -138,7 +144,7 @@
         self._folder.mkdir(parents=True, exist_ok=True)
         self._lock_file = data_folder.lock(self._folder)
         data_folder.remove_temporary(self._folder)
-        identity = data_folder.read_identity(self._folder)
+        identity = data_folder.read_identity(self._folder, self._checks_copy)
         if identity is None:
             return self._start_empty()
         snapshot = read_snapshot(self._folder)
--- a/berylnotch/daemon/fleet/replica_host.py
+++ b/berylnotch/daemon/fleet/replica_host.py
@@ -196,7 +196,11 @@
         founds = self._settings.founds_group and self.address in founders
         identity = f"{self.address}/{FOUNDER}" if founds else ""
         storage = LogStorage(
-            folder, self.address, CONSENSUS.keep_entries, first_identity=identity
+            folder,
+            self.address,
+            CONSENSUS.keep_entries,
+            first_identity=identity,
+            checks_copy=False,
         )
         try:
             Path(folder).parent.mkdir(parents=True, exist_ok=True)
