fleet: serve through a change of leader

Change: all room above an organisation's rate is burst, routers hold an even part of it, a silent controller is asked last and an unanswered link ends after 0.4 s, elections take 0.7 to 1.1 s, a new leader asks engines what they run.

--- a/berylnotch/daemon/fleet/follower.py
+++ b/berylnotch/daemon/fleet/follower.py
@@ -9,11 +9,21 @@
 from berylnotch.group.messages import ROUTER_MESSAGES, Redirect
 from berylnotch.transport.link import Link, LinkSettings, open_link
 from berylnotch.util.address import parse_address
+from berylnotch.util.clock import boot_time
 from berylnotch.util.lines import EventLog
 from berylnotch.util.loop import Loop
 
 #: Pause in seconds before the next controller is asked.
-RETRY_S = 0.15
+RETRY_S = 0.1
+
+#: Seconds in which a controller must answer a first report.
+ANSWER_S = 0.4
+
+#: Seconds for which a controller that fell silent is asked last.
+AVOID_S = 3.0
+
+#: Reason of a link's end when another controller leads.
+NOT_LEADER = "not the leader"
 
 
 class LeaderLink:
@@ -56,6 +66,7 @@
         self._turn = itertools.count()
         self._is_closed = False
         self._has_leader = False
+        self._silent_until: dict[str, float] = {}
 
     @property
     def has_leader(self) -> bool:
@@ -95,12 +106,21 @@
             self._log.warning("controller_unreachable", at=address, reason=str(error))
             self._loop.call_later(RETRY_S, self._connect)
             return
-        self._link.start()
+        link = self._link
+        link.start()
         self._on_open()
+        self._loop.call_later(ANSWER_S, lambda: self._check_answer(link))
+
+    def _check_answer(self, link: Link) -> None:
+        if link is self._link and not self._has_leader and not link.is_closed:
+            link.close(f"no answer within {ANSWER_S:g} s")
 
     def _any(self) -> str:
+        now = boot_time()
         addresses = sorted({*self._known, *self._seeds()})
-        return addresses[next(self._turn) % len(addresses)]
+        willing = [a for a in addresses if self._silent_until.get(a, 0.0) < now]
+        choices = willing or addresses
+        return choices[next(self._turn) % len(choices)]
 
     def _receive(self, link: Link, message: object) -> None:
         if link is not self._link:
@@ -112,14 +132,17 @@
             self._on_message(message)
             return
         self._known = message.members
-        if message.leader and message.leader != link.peer:
+        is_silent = self._silent_until.get(message.leader, 0.0) > boot_time()
+        if message.leader and message.leader != link.peer and not is_silent:
             self._next = message.leader
-        link.close("not the leader")
+        link.close(NOT_LEADER)
 
     def _closed(self, link: Link, reason: str) -> None:
         if link is not self._link:
             return
         self._link = None
+        if reason != NOT_LEADER:
+            self._silent_until[link.peer] = boot_time() + AVOID_S
         if self._has_leader:
             self._log.warning("leader_lost", at=link.peer, reason=reason)
         self._has_leader = False
--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -29,6 +29,9 @@
 #: Seconds beyond the lease of orders that a new leader waits; timers may be late.
 ORDER_MARGIN_S = 0.3
 
+#: Term of a group's first leader, before which there was none to give orders.
+FIRST_LEADER_TERM = 2
+
 #: Seconds between two sums of the routers' loads.
 LOADS_S = 0.1
 
@@ -144,6 +147,7 @@
     def _take_list(self, targets: tuple[ListedTarget, ...]) -> None:
         if self._is_closed or not self._host.is_active():
             return
+        is_first = self._board.listed_at is None
         before = {t.target_id: t for t in self._board.targets()}
         self._board.listed(boot_time(), targets)
         for target in self._board.targets():
@@ -158,6 +162,8 @@
                 )
         for target_id in before:
             self._log.info("target_gone", target=target_id)
+        if is_first and self._host.term > FIRST_LEADER_TERM:
+            self._rollout.survey()
         self.push_targets()
         self._rollout.advance()
 
--- a/berylnotch/daemon/fleet/replica_host.py
+++ b/berylnotch/daemon/fleet/replica_host.py
@@ -39,8 +39,13 @@
 #: Gets whether a command was committed under the term in which it was proposed.
 Committed = Callable[[bool], None]
 
-#: Sizes for a state of a few hundred KB on a disk of about 100 MB.
+#: Sizes for a state of a few hundred KB on a disk of about 100 MB, and a failover
+#: in about a second, which bounds how long no grant or order is given.
 CONSENSUS = ConsensusSettings(
+    heartbeat_s=0.1,
+    lease_s=0.55,
+    election_min_s=0.7,
+    election_max_s=1.1,
     snapshot_every_entries=500,
     snapshot_every_bytes=8 * 1024 * 1024,
     keep_entries=20,
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -35,7 +35,7 @@
     caller_domain,
 )
 from berylnotch.platform.requests import decode_request, refusal_headers
-from berylnotch.quota.bounds import FLEET_QUOTA
+from berylnotch.quota.bounds import FLEET_QUOTA, HELD_PART, effective_limits
 from berylnotch.quota.local import LocalQuota
 from berylnotch.routing.table import RouteTable
 from berylnotch.settings.fleet import FleetSettings
@@ -276,6 +276,7 @@
         elif isinstance(message, RosterUpdate):
             self._roster = message.routers
             self._context.resize_budgets(len(message.routers))
+            self._share_quota()
         elif isinstance(message, LoadsUpdate):
             self._take_loads(message)
         elif isinstance(message, GrantReply):
@@ -294,6 +295,7 @@
             was=known.version if known else 0,
             routes=len(self._context.routes.configuration.routes),
         )
+        self._share_quota()
         self._report()
 
     def _take_targets(self, update: TargetsUpdate) -> None:
@@ -322,6 +324,17 @@
 
     # Limits of the organisations.
 
+    def _share_quota(self) -> None:
+        """Hold an even part of what routers may hold of each organisation."""
+        routes = self._context.routes
+        if routes is None:
+            return
+        organisations = routes.configuration.organisations or ()
+        limits = effective_limits(organisations, self._settings.bounds)
+        part = HELD_PART / self._context.router_count
+        for name, limit in limits.items():
+            self._context.gate.quota.keep(name, int(limit.burst * part))
+
     def _ask_quota_soon(self) -> None:
         if not self._is_quota_due:
             self._is_quota_due = True
--- a/berylnotch/daemon/fleet/weights.py
+++ b/berylnotch/daemon/fleet/weights.py
@@ -35,8 +35,11 @@
 #: time that a load takes.
 FIRST_LOOK_S = 1.8
 
-#: Seconds between two looks.
-LOOK_S = 0.3
+#: Seconds between two looks; a look costs less than an idle engine.
+LOOK_S = 0.12
+
+#: Seconds after which an engine that is not busy carries no order out.
+IDLE_S = 0.8
 
 #: Seconds after which an order that shows no effect is given again.
 ORDER_S = 5.0
@@ -106,6 +109,53 @@
         """Give no further order."""
         self._is_closed = True
 
+    def survey(self) -> None:
+        """Ask all engines what they run; the list is some seconds behind."""
+        for target in self._board.targets():
+            if target.models:
+                address = parse_address(target.address)
+
+                def done(
+                    answer: HttpResponse | None, why: str, target: ListedTarget = target
+                ) -> None:
+                    self._surveyed(target, answer, why)
+
+                fetch(
+                    self._loop, address, report_request(target.address), CALL_S, done
+                )
+
+    def _surveyed(
+        self, target: ListedTarget, answer: HttpResponse | None, why: str
+    ) -> None:
+        if self._is_closed or answer is None:
+            return
+        try:
+            report = decode_report(answer)
+        except GatewayError as error:
+            self._log.warning(
+                "report_unreadable", target=target.target_id, reason=str(error)
+            )
+            return
+        wanted = self._wanted()
+        for model in report.models:
+            self._board.loaded(boot_time(), target.target_id, model)
+        model = next((m for m in report.models if m.name in wanted), None)
+        if report.is_busy and model is not None:
+            self._follow(target, model.name, wanted[model.name])
+        self._on_change()
+        self.advance()
+
+    def _follow(self, target: ListedTarget, model: str, version: int) -> None:
+        """Watch a load that an earlier leader ordered."""
+        if target.target_id in self._loads:
+            return
+        now = boot_time()
+        wanted = WeightsLoad(target.target_id, model, version)
+        load = _Load(wanted, target, now, ordered_at=now)
+        self._loads[target.target_id] = load
+        self._board.began_loading(now, target.target_id)
+        self._loop.call_later(LOOK_S, lambda: self._look(load))
+
     def advance(self) -> None:
         """Begin the loads that are due."""
         if self._is_closed or not self._may_order():
@@ -222,9 +272,9 @@
         elif self._is_done(load, report):
             self._finish(load, report)
             return
-        elif not report.is_busy and waited_s > FIRST_LOOK_S:
+        elif not report.is_busy and waited_s > IDLE_S:
             # Reports lag, so only a late one proves that nothing happens.
-            self._ask(load)
+            self._finish(load, report)
             return
         self._loop.call_later(LOOK_S, lambda: self._look(load))
 
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -33,6 +33,10 @@
 #: Seconds for which a target that said it is full gets no request.
 FULL_S = 0.15
 
+#: Seconds for which a target that is not the expected one, or runs other weights,
+#: gets no request; by then the leader knows more.
+MISDIRECTED_S = 0.4
+
 
 class AttemptEnd(Enum):
     """How an attempt ended."""
@@ -250,8 +254,8 @@
         """Act on a target that did not run the request."""
         target = self._target
         target.ejection.abandoned(self._number)
-        if status in (503, 429):
-            target.refused_until = boot_time() + FULL_S
+        pause_s = FULL_S if status in (503, 429) else MISDIRECTED_S
+        target.refused_until = boot_time() + pause_s
         self._context.log.warning(
             "target_refused",
             id=self._admitted.caller.request_id,
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -118,6 +118,12 @@
     def _left_s(self) -> float:
         return self._deadline - boot_time()
 
+    @property
+    def _first_event_s(self) -> float:
+        """Seconds to the first event of a stream, 0 if there was none."""
+        first_at = self._progress.first_event_at
+        return first_at - self._started_at if first_at else 0.0
+
     def start(self) -> None:
         """Charge the request and send it."""
         grace_s = self._context.settings.deadline_grace_s
@@ -195,7 +201,7 @@
         if choice is None:
             self._give_up("no usable target")
             return
-        target = choice.target
+        target, caller = choice.target, self._admitted.caller
         told = self._told(target, choice.home, placing, service)
         self._progress.sends += 1
         self._tried.add(target.target_id)
@@ -207,6 +213,11 @@
             target=target.target_id,
             send=self._progress.sends,
             load=target.load,
+            own_load=target.in_flight,
+            prompt=caller.prompt_tokens,
+            shared=placing.shared_id,
+            fetch=told.fetch_from,
+            save=told.save_to,
             weights=told.weights_version,
             wanted=placing.wanted_version,
             home=choice.home.target_id if choice.home else "",
@@ -439,6 +450,7 @@
             target=target.target_id if target else "",
             sends=self._progress.sends,
             runs=self._progress.runs,
+            first_s=self._first_event_s,
             took_s=took_s,
             left_s=self._left_s,
         )
--- a/berylnotch/quota/bounds.py
+++ b/berylnotch/quota/bounds.py
@@ -10,20 +10,25 @@
 from berylnotch.routing.model import Organisation
 from berylnotch.settings.fleet import FleetBounds
 
-#: Part of the tolerated slack that is added to the burst; the rest covers the
-#: tokens that a new owner lends before it knows what the earlier one lent.
-SLACK_PART = 0.4
+#: Part of the room above the rate that is lent; the rest covers the tokens that a
+#: new owner lends before it knows what the earlier one lent.
+LENT_PART = 0.7
+
+#: Part of an organisation's burst that the routers may hold for use to come, so
+#: that they serve on while there is no owner.
+HELD_PART = 0.45
 
 #: Lending in a fleet: grants outlast a change of leader, and a new owner lends a
-#: part of the burst at once instead of waiting for earlier grants to end.
+#: part of the burst at once instead of waiting for earlier grants to end. That
+#: part of what is lent is the rest that `LENT_PART` leaves.
 FLEET_QUOTA = QuotaSettings(
-    lifetime_s=6.0,
+    lifetime_s=7.0,
     ask_interval_s=0.25,
     min_ask_gap_s=0.005,
-    horizon_s=2.0,
+    horizon_s=3.0,
     wait_s=0.3,
     grace_s=0.0,
-    takeover_part=0.35,
+    takeover_part=(1 - LENT_PART) / LENT_PART,
 )
 
 
@@ -42,17 +47,18 @@
     """Return what is enforced for each organisation with a limit.
 
     What is charged in any window stays below rate and burst with the overshoot
-    and the slack, so that as little as possible is refused that is allowed.
+    and the slack. All the room above the rate goes into the burst, so that as
+    little as possible is refused that is allowed.
     """
     factor = 1 + bounds.quota_overshoot
-    return {
-        organisation.name: EffectiveLimit(
-            organisation.rate * factor,
-            organisation.burst * factor + bounds.quota_slack * SLACK_PART,
-        )
-        for organisation in organisations
-        if organisation.rate > 0
-    }
+    limits = {}
+    for organisation in organisations:
+        if organisation.rate > 0:
+            in_window = organisation.rate * bounds.quota_window_s
+            room = (in_window + organisation.burst) * factor + bounds.quota_slack
+            burst = (room - in_window) * LENT_PART
+            limits[organisation.name] = EffectiveLimit(organisation.rate, burst)
+    return limits
 
 
 def is_limited(organisation: Organisation | None) -> bool:
--- a/berylnotch/quota/holding.py
+++ b/berylnotch/quota/holding.py
@@ -48,6 +48,8 @@
         From the owner, 0 (best) to 9.
     retry_at : float, default=-inf
         When refused work should come back.
+    floor : int, default=0
+        Tokens that are held in any case while the organisation is in use.
     """
 
     settings: QuotaSettings
@@ -62,6 +64,7 @@
     first: int = 0
     priority: int = BEST_PRIORITY
     retry_at: float = -math.inf
+    floor: int = 0
 
     def balance(self, now: float) -> int:
         """Return the tokens that may be charged at ``now``."""
@@ -114,7 +117,10 @@
             self.retry_at = counted_from + grant.retry_after_ms / 1000
 
     def _target(self, now: float) -> int:
-        ahead = int(self.usage.per_s(now) * self.settings.horizon_s)
+        use = self.usage.per_s(now)
+        ahead = int(use * self.settings.horizon_s)
+        if use >= 1:
+            ahead = max(ahead, self.floor)
         return ahead + self.want
 
     def _is_due(self, now: float, target: int) -> bool:
--- a/berylnotch/quota/local.py
+++ b/berylnotch/quota/local.py
@@ -127,6 +127,10 @@
         holding.want = tokens
         holding.first = tokens if first is None else min(first, tokens)
 
+    def keep(self, organisation: str, tokens: int) -> None:
+        """State how many tokens should be held while an organisation is in use."""
+        self._holding(organisation).floor = tokens
+
     def release(self, now: float) -> None:
         """Give up all tokens, for a planned stop; the next `asks` says so."""
         self._advance(now)
--- a/berylnotch/transport/link.py
+++ b/berylnotch/transport/link.py
@@ -22,18 +22,18 @@
 
     Parameters
     ----------
-    heartbeat_s : float, default=0.4
+    heartbeat_s : float, default=0.25
         Pause after which a heartbeat is sent; a third of `silence_s`, so that one
         lost packet does not end a link.
-    silence_s : float, default=1.2
+    silence_s : float, default=0.9
         Silence of the other side after which a link is given up. It lies below
         the shortest time in which a VM counts as being in touch.
     retry_s : float, default=0.2
         Pause before a link that ended is opened again.
     """
 
-    heartbeat_s: float = 0.4
-    silence_s: float = 1.2
+    heartbeat_s: float = 0.25
+    silence_s: float = 0.9
     retry_s: float = 0.2
 
 
