entry: place requests by expected delay

Change: unread prompt tokens are summed over all routers, prompts that engines hold are noted and spread, the choice is the least expected delay.

--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -11,6 +11,8 @@
     CrashesUpdate,
     CrashMark,
     LoadsUpdate,
+    PromptNote,
+    PromptsUpdate,
     RosterUpdate,
     RouterEntry,
     RouterReport,
@@ -54,6 +56,7 @@
         self._is_roster_complete = False
         self._loads = LoadsUpdate(())
         self._crashes: dict[CrashMark, None] = {}
+        self._prompts: list[PromptNote] = []
 
     @property
     def count(self) -> int:
@@ -82,6 +85,7 @@
         if is_new or was_leaving != report.is_leaving:
             self.push_roster()
         self._take_crashes(report)
+        self._prompts.extend(report.prompts)
 
     def lost(self, link: Link, reason: str) -> None:
         """Note that a link has ended."""
@@ -125,14 +129,21 @@
 
     def push_loads(self) -> None:
         """Send the sums of all routers' loads, if they changed."""
-        totals: Counter[str] = Counter()
+        requests: Counter[str] = Counter()
+        unread: Counter[str] = Counter()
         for router in self._routers.values():
             for load in router.report.loads:
-                totals[load.target_id] += load.requests
-        update = LoadsUpdate(tuple(TargetLoad(t, n) for t, n in sorted(totals.items())))
+                requests[load.target_id] += load.requests
+                unread[load.target_id] += load.unread
+        update = LoadsUpdate(
+            tuple(TargetLoad(t, n, unread[t]) for t, n in sorted(requests.items()))
+        )
         if update != self._loads:
             self._loads = update
             self._send_all(update)
+        if self._prompts:
+            notes, self._prompts = tuple(self._prompts), []
+            self._send_all(PromptsUpdate(notes))
 
     def _welcome(self, router: _Router) -> None:
         if self._targets is not None:
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -18,6 +18,8 @@
     CrashesUpdate,
     CrashMark,
     LoadsUpdate,
+    PromptNote,
+    PromptsUpdate,
     RosterUpdate,
     RouterEntry,
     RouterReport,
@@ -46,7 +48,7 @@
 from berylnotch.util.metrics import Label, Metrics
 
 #: Seconds between two reports to the leader.
-REPORT_S = 0.2
+REPORT_S = 0.15
 
 #: Seconds between two looks at what waits for tokens.
 QUOTA_S = 0.05
@@ -250,7 +252,7 @@
 
     def _report(self) -> None:
         loads = tuple(
-            TargetLoad(target.target_id, target.in_flight)
+            TargetLoad(target.target_id, target.in_flight, target.unread)
             for target in self._context.targets.all()
             if target.in_flight
         )
@@ -265,6 +267,7 @@
                 self._is_leaving or routes is None,
                 routes.version if routes else 0,
                 loads,
+                prompts=self._context.prompts.take_notes(),
             )
         )
 
@@ -283,6 +286,8 @@
             self._context.gate.receive(boot_time(), self._quota_sent_at, message)
         elif isinstance(message, CrashesUpdate):
             self._take_crashes(message.crashes)
+        elif isinstance(message, PromptsUpdate):
+            self._take_prompts(message.prompts)
 
     def _take_configuration(self, update: ConfigurationUpdate) -> None:
         known = self._context.routes
@@ -300,7 +305,8 @@
 
     def _take_targets(self, update: TargetsUpdate) -> None:
         context, now = self._context, boot_time()
-        context.targets.update(update.targets)
+        for gone in context.targets.update(update.targets):
+            context.prompts.forget_engine(gone)
         for named in update.weights:
             if context.wanted.get(named.name) != named.version:
                 context.wanted[named.name] = named.version
@@ -308,14 +314,25 @@
                 self._log.info("weights", model=named.name, version=named.version)
         if context.down_stores != frozenset(update.down_stores):
             context.down_stores = frozenset(update.down_stores)
-            context.prompts.forget()
+            context.prompts.forget_stores()
 
     def _take_loads(self, update: LoadsUpdate) -> None:
-        own = {load.target_id: load.requests for load in self._sent_loads}
-        totals = {load.target_id: load.requests for load in update.loads}
+        own = {load.target_id: load for load in self._sent_loads}
+        totals = {load.target_id: load for load in update.loads}
         for target in self._context.targets.all():
-            total = totals.get(target.target_id, 0)
-            target.others_in_flight = max(0, total - own.get(target.target_id, 0))
+            none = TargetLoad(target.target_id, 0)
+            total = totals.get(target.target_id, none)
+            mine = own.get(target.target_id, none)
+            target.others_in_flight = max(0, total.requests - mine.requests)
+            target.others_unread = max(0, total.unread - mine.unread)
+
+    def _take_prompts(self, notes: tuple[PromptNote, ...]) -> None:
+        now, context = boot_time(), self._context
+        for note in notes:
+            target = context.targets.get(note.holder)
+            capacity = context.cache_tokens(target) if target else None
+            if target is not None or ":" in note.holder:
+                context.prompts.hear(now, note, capacity)
 
     def _take_crashes(self, crashes: tuple[CrashMark, ...]) -> None:
         now = boot_time()
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -7,7 +7,9 @@
 
 from attrs import frozen
 
+from berylnotch.entry.choice import MIN_HOME_TOKENS
 from berylnotch.entry.events import MAX_EVENT_BYTES, EventSplitter
+from berylnotch.group.messages import PromptNote
 from berylnotch.net.client import (
     ClientConnection,
     Failure,
@@ -23,6 +25,7 @@
 from berylnotch.util.clock import boot_time
 
 if TYPE_CHECKING:
+    from berylnotch.entry.choice import Choice
     from berylnotch.entry.context import EntryContext
     from berylnotch.entry.exchange import Admitted
     from berylnotch.entry.targets import Target
@@ -87,7 +90,7 @@
     ----------
     context : EntryContext
         Shared state of the router.
-    target : Target
+    choice : Choice
         Where it is sent.
     admitted : Admitted
         The request.
@@ -100,13 +103,14 @@
     def __init__(
         self,
         context: EntryContext,
-        target: Target,
+        choice: Choice,
         admitted: Admitted,
         told: TargetHeaders,
         owner: AttemptOwner,
     ) -> None:
         self._context = context
-        self._target = target
+        self._target = choice.target
+        self._unread = choice.unread
         self._admitted = admitted
         self._told = told
         self._owner = owner
@@ -124,12 +128,13 @@
         """Whether the target may have seen the request."""
         return self._connection is not None and self._connection.has_sent
 
-    def start(self, _left_s: float) -> None:
+    def start(self) -> None:
         """Send the request."""
         target, route = self._target, self._admitted.route
         request = encode_for_target(self._admitted.request, self._told)
         self._connection = self._context.targets.connect(target, route.is_repeatable)
         target.in_flight += 1
+        target.unread += self._unread
         self._sent_at = boot_time()
         target.ejection.sent(self._sent_at, self._number)
         self._connection.send(request, self)
@@ -185,6 +190,8 @@
         if not decode_answer(200, self._head.headers).stamp:
             self._break_off("stream without a stamp")
             return
+        if self._unread:
+            self._has_read()
         for event in self._splitter.feed(data):
             self._owner.stream_began(200, self._head.headers.end_to_end())
             self._owner.event(event.data, event.number)
@@ -285,9 +292,26 @@
         self._connection.close()
         self._end(AttemptEnd.BROKEN, reason)
 
+    def _has_read(self) -> None:
+        """Note that the target has read the prompt."""
+        self._target.unread -= self._unread
+        self._unread = 0
+        parts = self._admitted.caller.parts
+        if len(parts) > 1 and parts[0].tokens >= MIN_HOME_TOKENS:
+            note = PromptNote(
+                self._told.cache_salt,
+                parts[0].part_id,
+                parts[0].tokens,
+                self._target.target_id,
+            )
+            capacity = self._context.cache_tokens(self._target)
+            self._context.prompts.read(note, capacity)
+
     def _leave(self) -> None:
         self._is_over = True
         self._target.in_flight -= 1
+        self._target.unread -= self._unread
+        self._unread = 0
 
     def _end(self, end: AttemptEnd, reason: str, is_lost: bool = False) -> None:
         status = self._head.status if self._head else 0
--- a/berylnotch/entry/choice.py
+++ b/berylnotch/entry/choice.py
@@ -1,8 +1,13 @@
-"""Choice of the target for a request."""
+"""Choice of the target for a request.
+
+It answers this load: long prompts that share an opening, mixed with many short
+ones. An engine reads one prompt after the other, so a long prompt that it does not
+hold delays all that comes after; and its memory holds few openings.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from attrs import frozen
 
@@ -13,13 +18,26 @@
 #: holds them: reading so many takes longer than an engine's usual step.
 MIN_HOME_TOKENS = 1024
 
+#: Prompt tokens that an engine reads in a ms, by the users' sheet of engines.
+READ_TOKENS_PER_MS = 60.0
+
+#: Prompt tokens in a ms that one engine takes over from another.
+FETCH_TOKENS_PER_MS = 1500.0
+
+#: Prompt tokens in a ms that an engine takes from a store.
+STORE_TOKENS_PER_MS = 100.0
+
 #: Cost of a request that is under way at an engine, in ms: what each adds to the
 #: steps of the others.
-LOAD_MS = 6.0
+LOAD_MS = 5.0
 
-#: Cost of an engine that does not hold a shared prompt, in ms for 1,000 tokens,
-#: when another engine hands it over.
-FETCH_MS_PER_K = 3.0
+#: Cost of an engine that does not hold the shared prompt, beside its transfer, in
+#: ms: the copy displaces another prompt.
+COPY_MS = 80.0
+
+#: Advantage, in ms, of the engine that all routers compute as home of a prompt
+#: which none holds.
+HOME_MS = 80.0
 
 #: Cost of running on weights older than the newest named, in ms.
 OLD_WEIGHTS_MS = 400.0
@@ -27,6 +45,12 @@
 #: Cost of another failure domain, in ms: the longer way.
 DOMAIN_MS = 1.5
 
+#: Cost of a failure in a row at a target, in ms.
+FAILURE_MS = 30.0
+
+#: Cost of a request beyond the slots of a plain target, in ms: it waits for one.
+QUEUED_MS = 60.0
+
 
 @frozen
 class Placing:
@@ -46,10 +70,16 @@
         Identity of the shared part of the prompt, empty if there is none.
     shared_tokens : int
         Tokens of it.
+    prompt_tokens : int
+        Tokens of the whole prompt.
     failure_domain : str
         Where the router is.
     excluded : collection of str
         Targets that must not be chosen.
+    holds : callable
+        Tells whether a target probably holds the shared part.
+    is_saved : callable
+        Tells whether a store probably holds it, for use by a target.
     """
 
     now: float
@@ -58,50 +88,79 @@
     allows_old: bool = True
     shared_id: str = ""
     shared_tokens: int = 0
+    prompt_tokens: int = 0
     failure_domain: str = ""
     excluded: Collection[str] = ()
+    holds: Callable[[Target], bool] = lambda target: False
+    is_saved: Callable[[Target], bool] = lambda target: False
 
     @property
     def has_home(self) -> bool:
-        """Whether the request belongs to the engine that holds its prompt."""
+        """Whether the request belongs to an engine that holds its prompt."""
         return bool(self.shared_id) and self.shared_tokens >= MIN_HOME_TOKENS
 
 
 @frozen
 class Choice:
-    """A chosen target, and the target that probably holds the shared prompt.
+    """A chosen target.
 
-    ``home`` is None if the chosen one is the home, or the request has none.
+    Parameters
+    ----------
+    target : Target
+        Where the request goes.
+    source : Target or None
+        Engine from which it takes the shared part, if it does not hold it.
+    from_store : bool
+        Whether it takes the shared part from a store.
+    unread : int
+        Prompt tokens that it probably has to read.
     """
 
     target: Target
-    home: Target | None
+    source: Target | None = None
+    from_store: bool = False
+    unread: int = 0
 
 
 def choose(targets: Iterable[Target], placing: Placing) -> Choice | None:
-    """Return the cheapest usable target, or None.
+    """Return the target with the least expected delay, or None.
 
-    A long shared prompt has an order of engines that every router computes alike,
-    so each part of the traffic keeps to few engines without any exchange. Engines
-    that are away for a moment keep their place in it. The load moves requests to
-    the next engine, which takes the cache entries from the first.
+    A long shared prompt that no engine holds goes to an engine that every router
+    computes alike, so that it is read once. Later requests follow it, and the
+    queue of unread prompts moves them on to other engines, which copy it.
     """
-    listed = [t for t in targets if not t.listed.is_leaving]
-    usable = [t for t in listed if _is_candidate(t, placing)]
+    usable = [t for t in targets if _is_candidate(t, placing)]
     if not usable:
         return None
     if not placing.has_home:
-        best = min(usable, key=lambda t: (_cost_ms(t, placing), mix(t.target_id, "")))
-        return Choice(best, None)
-    order = sorted(usable, key=lambda t: mix(t.target_id, placing.shared_id))
-    home = order[0]
-    miss_ms = FETCH_MS_PER_K * placing.shared_tokens / 1000
-
-    def cost_ms(target: Target) -> float:
-        return _cost_ms(target, placing) + (0.0 if target is home else miss_ms)
-
-    best = min(order, key=cost_ms)
-    return Choice(best, None if best is home else home)
+        best = min(usable, key=lambda t: (_queue_ms(t, placing), mix(t.target_id, "")))
+        return Choice(best, unread=placing.prompt_tokens)
+    home = min(usable, key=lambda t: mix(t.target_id, placing.shared_id))
+    holders = [t for t in usable if placing.holds(t)]
+    choices = [_price(t, placing, home, holders) for t in usable]
+    return min(choices, key=lambda priced: (priced[0], priced[1].target is not home))[1]
+
+
+def _price(
+    target: Target, placing: Placing, home: Target, holders: list[Target]
+) -> tuple[float, Choice]:
+    """Return the expected delay at a target, in ms, and how it gets the prompt."""
+    own = max(0, placing.prompt_tokens - placing.shared_tokens)
+    cost = _queue_ms(target, placing) + own / READ_TOKENS_PER_MS
+    if target in holders:
+        return cost, Choice(target, unread=own)
+    version = target.version(placing.model)
+    source = next((t for t in holders if t.version(placing.model) == version), None)
+    if source is not None:
+        cost += COPY_MS + placing.shared_tokens / FETCH_TOKENS_PER_MS
+        return cost, Choice(target, source=source, unread=own)
+    if target is home:
+        cost -= HOME_MS
+    if placing.is_saved(target):
+        cost += placing.shared_tokens / STORE_TOKENS_PER_MS
+        return cost, Choice(target, from_store=True, unread=own)
+    cost += placing.shared_tokens / READ_TOKENS_PER_MS
+    return cost, Choice(target, unread=placing.prompt_tokens)
 
 
 def _is_candidate(target: Target, placing: Placing) -> bool:
@@ -115,16 +174,15 @@
     return placing.allows_old or version >= placing.wanted_version
 
 
-def _cost_ms(target: Target, placing: Placing) -> float:
-    cost = LOAD_MS * target.load
-    if placing.model and (target.version(placing.model) or 0) < placing.wanted_version:
-        cost += OLD_WEIGHTS_MS
-    if not placing.model:
-        # A plain target queues what exceeds its slots.
-        over = target.load - max(1, target.listed.slots)
-        cost += max(0, over + 1) * 10 * LOAD_MS
+def _queue_ms(target: Target, placing: Placing) -> float:
+    """Return the expected delay at a target before it reads the prompt, in ms."""
+    cost = FAILURE_MS * target.ejection.failures
     if target.listed.failure_domain != placing.failure_domain:
         cost += DOMAIN_MS
-    if target.ejection.failures:
-        cost += 5 * LOAD_MS * target.ejection.failures
+    if not placing.model:
+        over = target.load + 1 - max(1, target.listed.slots)
+        return cost + LOAD_MS * target.load + QUEUED_MS * max(0, over)
+    cost += LOAD_MS * target.load + target.total_unread / READ_TOKENS_PER_MS
+    if (target.version(placing.model) or 0) < placing.wanted_version:
+        cost += OLD_WEIGHTS_MS
     return cost
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -10,7 +10,7 @@
 from berylnotch.entry.prompts import PromptMemory
 from berylnotch.entry.quota_gate import QuotaGate
 from berylnotch.entry.settings import EntrySettings
-from berylnotch.entry.targets import TargetTable
+from berylnotch.entry.targets import Target, TargetTable
 from berylnotch.membership.crashes import CrashGuard
 from berylnotch.routing.table import RouteTable
 from berylnotch.settings.fleet import FleetSettings
@@ -82,6 +82,13 @@
             self._budgets[service] = budget
         return budget
 
+    def cache_tokens(self, target: Target) -> int:
+        """Return the tokens that an engine's memory holds, 0 if it is no engine."""
+        service = self.routes.service(target.listed.service) if self.routes else None
+        if service is None or service.engine is None:
+            return 0
+        return service.engine.cache_tokens
+
     def resize_budgets(self, router_count: int) -> None:
         """Share the fleet's slack between this many routers."""
         self.router_count = max(1, router_count)
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -8,10 +8,11 @@
 from attrs import define, frozen
 
 from berylnotch.entry.attempt import Attempt, AttemptEnd, AttemptResult
-from berylnotch.entry.choice import Placing, choose
+from berylnotch.entry.choice import Choice, Placing, choose
 from berylnotch.entry.context import EntryContext
 from berylnotch.entry.quota_gate import Charge
 from berylnotch.entry.targets import Target
+from berylnotch.group.messages import PromptNote
 from berylnotch.membership.crashes import fingerprint
 from berylnotch.net.messages import HttpRequest
 from berylnotch.net.server import ServerConnection
@@ -175,6 +176,16 @@
         wanted = context.wanted.get(model, 0)
         since = context.wanted_since.get(model, now)
         shared = caller.parts[0] if len(caller.parts) > 1 else None
+        store = self._store(service)
+
+        def holds(target: Target) -> bool:
+            salt = self._salt(target, model)
+            return context.prompts.holds(target.target_id, salt, shared.part_id)
+
+        def is_saved(target: Target) -> bool:
+            salt = self._salt(target, model)
+            return context.prompts.is_saved(now, store, salt, shared.part_id)
+
         return Placing(
             now=now,
             model=model,
@@ -182,6 +193,9 @@
             allows_old=now - since < context.settings.stale_weights_s,
             shared_id=shared.part_id if shared else "",
             shared_tokens=shared.tokens if shared else 0,
+            prompt_tokens=caller.prompt_tokens if model else 0,
+            holds=holds,
+            is_saved=is_saved,
             failure_domain=context.fleet.failure_domain,
             excluded=excluded,
         )
@@ -202,7 +216,7 @@
             self._give_up("no usable target")
             return
         target, caller = choice.target, self._admitted.caller
-        told = self._told(target, choice.home, placing, service)
+        told = self._told(choice, placing, service)
         self._progress.sends += 1
         self._tried.add(target.target_id)
         self._context.crashes.began(self._fingerprint, target.target_id)
@@ -220,39 +234,48 @@
             save=told.save_to,
             weights=told.weights_version,
             wanted=placing.wanted_version,
-            home=choice.home.target_id if choice.home else "",
+            unread=choice.unread,
             after=told.resume_after,
             left_s=told.deadline_s,
             configuration=self._context.routes.version,
         )
-        self._attempt = Attempt(self._context, target, self._admitted, told, self)
-        self._attempt.start(self._left_s)
-
-    def _told(
-        self, target: Target, home: Target | None, placing: Placing, service: Service
-    ) -> TargetHeaders:
+        self._attempt = Attempt(
+            self._context, choice, self._admitted, told, self
+        )
+        self._attempt.start()
+
+    def _store(self, service: Service) -> str:
+        """Return the address of the store that a service may use, or empty."""
+        store = self._context.routes.store_for(service)
+        if store is None or store.store_address in self._context.down_stores:
+            return ""
+        return store.store_address
+
+    def _salt(self, target: Target, model: str) -> str:
+        """Return what separates cache entries that may not be shared."""
+        salt = f"v{target.version(model)}"
         organisation = self._admitted.organisation
+        if organisation is not None and organisation.is_isolated:
+            salt += f"/{organisation.name}"
+        return salt
+
+    def _told(self, choice: Choice, placing: Placing, service: Service) -> TargetHeaders:
+        organisation, target = self._admitted.organisation, choice.target
         rank = organisation.priority if organisation else 0
         priority = rank * PRIORITIES_PER_RANK + self._admitted.route.priority
         version = target.version(placing.model) if placing.model else None
-        salt = fetch_from = save_to = ""
-        if placing.model:
-            salt = f"v{version}"
-            if organisation is not None and organisation.is_isolated:
-                salt += f"/{organisation.name}"
+        salt = self._salt(target, placing.model) if placing.model else ""
+        fetch_from = save_to = ""
         if placing.has_home:
-            store = self._context.routes.store_for(service)
-            address = store.store_address if store else ""
-            if address in self._context.down_stores:
-                address = ""
-            has_home_version = home is not None and (
-                home.version(placing.model) == version
-            )
-            fetch_from = home.listed.address if has_home_version else address
-            if address and self._context.prompts.should_save(
-                placing.now, salt, placing.shared_id
-            ):
-                save_to = address
+            store = self._store(service)
+            if choice.source is not None:
+                fetch_from = choice.source.listed.address
+            elif choice.from_store:
+                fetch_from = store
+            if store and not placing.is_saved(target):
+                save_to = store
+                note = PromptNote(salt, placing.shared_id, placing.shared_tokens, store)
+                self._context.prompts.saved(placing.now, note)
         resume_after = self._progress.last_event
         if resume_after is None:
             resume_after = self._admitted.caller.resume_after
--- a/berylnotch/entry/prompts.py
+++ b/berylnotch/entry/prompts.py
@@ -1,34 +1,104 @@
-"""Which shared prompts engines and stores probably hold, as this router saw."""
+"""Which shared prompts engines and stores probably hold, over all routers.
+
+Each router notes the prompts that its requests had read, and hears the notes of the
+others. An engine's memory is mirrored as a list of least recently used prompts.
+"""
 
 from __future__ import annotations
 
 from collections import OrderedDict
 
-#: Prompts that are remembered at once.
-MAX_PROMPTS = 4096
+from attrs import define, field
+
+from berylnotch.group.messages import PromptNote
+
+#: Part of an engine's memory that holds shared prompts; running requests and their
+#: own parts take the rest.
+SHARED_PART = 0.7
+
+#: Seconds for which a prompt that was sent to a store counts as held there. A store
+#: drops what was not used for longest.
+SAVED_S = 60.0
+
+#: Prompts of stores that are remembered at once.
+MAX_SAVED = 8192
 
-#: Seconds for which a prompt that was saved to a store counts as held there.
-SAVED_S = 25.0
+#: Notes that wait for the next report; more are dropped.
+MAX_NOTES = 256
+
+
+@define
+class _Memory:
+    """Prompts of one engine, the least recently used first, with their tokens."""
+
+    prompts: OrderedDict[tuple[str, str], int] = field(factory=OrderedDict)
+    tokens: int = 0
 
 
 class PromptMemory:
-    """Recent saves of shared prompts, by cache salt and part."""
+    """Mirror of what engines and stores hold."""
 
     def __init__(self) -> None:
-        self._saved: OrderedDict[tuple[str, str], float] = OrderedDict()
-
-    def should_save(self, now: float, salt: str, part_id: str) -> bool:
-        """Tell whether a prompt should be saved, and remember that it is."""
-        key = (salt, part_id)
-        saved_at = self._saved.get(key)
-        if saved_at is not None and now - saved_at < SAVED_S:
-            return False
+        self._engines: dict[str, _Memory] = {}
+        self._saved: OrderedDict[tuple[str, str, str], float] = OrderedDict()
+        self._notes: list[PromptNote] = []
+
+    def holds(self, target_id: str, salt: str, part_id: str) -> bool:
+        """Tell whether an engine probably holds a prompt."""
+        memory = self._engines.get(target_id)
+        return memory is not None and (salt, part_id) in memory.prompts
+
+    def is_saved(self, now: float, store: str, salt: str, part_id: str) -> bool:
+        """Tell whether a store probably holds a prompt."""
+        saved_at = self._saved.get((store, salt, part_id))
+        return saved_at is not None and now - saved_at < SAVED_S
+
+    def read(self, note: PromptNote, capacity: int) -> None:
+        """Note that an engine has read a prompt, and tell the other routers."""
+        self._take_read(note, capacity)
+        self._add(note)
+
+    def saved(self, now: float, note: PromptNote) -> None:
+        """Note that a prompt is sent to a store, and tell the other routers."""
+        self._take_saved(now, note)
+        self._add(note)
+
+    def hear(self, now: float, note: PromptNote, capacity: int | None) -> None:
+        """Take a note of another router; a store has no capacity."""
+        if capacity is None:
+            self._take_saved(now, note)
+        else:
+            self._take_read(note, capacity)
+
+    def take_notes(self) -> tuple[PromptNote, ...]:
+        """Return the notes for the other routers, and forget them."""
+        notes, self._notes = tuple(self._notes), []
+        return notes
+
+    def forget_engine(self, target_id: str) -> None:
+        """Forget what an engine held, since it started again or is gone."""
+        self._engines.pop(target_id, None)
+
+    def forget_stores(self) -> None:
+        """Forget what stores hold, as after a loss of one."""
+        self._saved.clear()
+
+    def _add(self, note: PromptNote) -> None:
+        if len(self._notes) < MAX_NOTES:
+            self._notes.append(note)
+
+    def _take_saved(self, now: float, note: PromptNote) -> None:
+        key = (note.holder, note.salt, note.part_id)
         self._saved[key] = now
         self._saved.move_to_end(key)
-        while len(self._saved) > MAX_PROMPTS:
+        while len(self._saved) > MAX_SAVED:
             self._saved.popitem(last=False)
-        return True
 
-    def forget(self) -> None:
-        """Forget all saves, as after the loss of a store."""
-        self._saved.clear()
+    def _take_read(self, note: PromptNote, capacity: int) -> None:
+        memory = self._engines.setdefault(note.holder, _Memory())
+        key = (note.salt, note.part_id)
+        memory.tokens += note.tokens - memory.prompts.pop(key, 0)
+        memory.prompts[key] = note.tokens
+        while memory.tokens > capacity * SHARED_PART and len(memory.prompts) > 1:
+            _, tokens = memory.prompts.popitem(last=False)
+            memory.tokens -= tokens
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -35,8 +35,10 @@
         Requests of this router that it has.
     others_in_flight : int
         Requests of the other routers, as last summed up.
-    uncached_tokens : int
-        Prompt tokens of this router's requests that it probably still reads.
+    unread : int
+        Prompt tokens of this router's requests that it probably has yet to read.
+    others_unread : int
+        The same of the other routers, as last summed up.
     """
 
     listed: ListedTarget
@@ -45,7 +47,8 @@
     is_leaving: bool = False
     in_flight: int = 0
     others_in_flight: int = 0
-    uncached_tokens: int = 0
+    unread: int = 0
+    others_unread: int = 0
     idle: deque[ClientConnection] = field(factory=deque)
     refused_until: float = 0.0
 
@@ -59,6 +62,11 @@
         """Requests of all routers that it probably has."""
         return self.in_flight + self.others_in_flight
 
+    @property
+    def total_unread(self) -> int:
+        """Prompt tokens of all routers that it probably has yet to read."""
+        return self.unread + self.others_unread
+
     def version(self, model: str) -> int | None:
         """Return the version of a model's weights, None if it does not run it."""
         for known in self.listed.models:
@@ -102,8 +110,14 @@
         """Return a target by identity."""
         return self._targets.get(target_id)
 
-    def update(self, entries: Iterable[TargetEntry]) -> None:
-        """Take all targets anew; one that started again is another one."""
+    def update(self, entries: Iterable[TargetEntry]) -> list[str]:
+        """Take all targets anew; one that started again is another one.
+
+        Returns
+        -------
+        list of str
+            Identities whose earlier target is gone.
+        """
         known, self._targets = self._targets, {}
         for entry in entries:
             listed = entry.target
@@ -121,6 +135,7 @@
         self._by_service = {}
         for target in self._targets.values():
             self._by_service.setdefault(target.listed.service, []).append(target)
+        return list(known)
 
     def connect(self, target: Target, is_repeatable: bool) -> ClientConnection:
         """Return a connection for a request.
--- a/berylnotch/group/messages.py
+++ b/berylnotch/group/messages.py
@@ -34,10 +34,28 @@
 
 @frozen
 class TargetLoad:
-    """Requests that one router has under way at a target."""
+    """Work that one router, or all, have under way at a target.
+
+    ``unread`` are prompt tokens that the target probably has yet to read.
+    """
 
     target_id: str
     requests: int
+    unread: int = 0
+
+
+@frozen
+class PromptNote:
+    """A shared prompt that a target has just read, or a store was sent.
+
+    ``salt`` separates cache entries that may not be shared. ``holder`` is a
+    target's identity or a store's address.
+    """
+
+    salt: str
+    part_id: str
+    tokens: int
+    holder: str
 
 
 @frozen
@@ -63,6 +81,7 @@
     configuration_version: int
     loads: tuple[TargetLoad, ...] = ()
     crashes: tuple[CrashMark, ...] = ()
+    prompts: tuple[PromptNote, ...] = ()
 
 
 @frozen
@@ -115,6 +134,13 @@
     loads: tuple[TargetLoad, ...]
 
 
+@frozen
+class PromptsUpdate:
+    """Notes of other routers since the last update."""
+
+    prompts: tuple[PromptNote, ...]
+
+
 @frozen
 class CrashesUpdate:
     """Suspicions of requests that other routers reported."""
@@ -136,5 +162,6 @@
     RosterUpdate,
     LoadsUpdate,
     CrashesUpdate,
+    PromptsUpdate,
     GrantReply,
 )
