entry: a prompt that is being read counts as held; idle engines load first

Cause: requests of one opening that came together went to several engines, and a store was asked before it was sent the opening.

--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -78,6 +78,7 @@
             self._board,
             lambda: {w.name: w.version for w in state.weights},
             lambda: self._may_order and host.is_active(),
+            self.registry.requests,
             settings.name,
             host.term,
             self.push_targets,
--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -145,6 +145,10 @@
             notes, self._prompts = tuple(self._prompts), []
             self._send_all(PromptsUpdate(notes))
 
+    def requests(self) -> dict[str, int]:
+        """Return the requests under way at each target, as last summed up."""
+        return {load.target_id: load.requests for load in self._loads.loads}
+
     def _welcome(self, router: _Router) -> None:
         if self._targets is not None:
             router.link.send(self._targets)
--- a/berylnotch/daemon/fleet/weights.py
+++ b/berylnotch/daemon/fleet/weights.py
@@ -72,6 +72,8 @@
         Returns the newest named version of each model.
     may_order : callable
         Returns whether this process leads, by a fresh clock.
+    busy : callable
+        Returns the requests under way at each target.
     holder : str
         Name of this process in orders.
     epoch : int
@@ -88,6 +90,7 @@
         board: TargetBoard,
         wanted: Callable[[], dict[str, int]],
         may_order: Callable[[], bool],
+        busy: Callable[[], dict[str, int]],
         holder: str,
         epoch: int,
         on_change: Callable[[], None],
@@ -97,6 +100,7 @@
         self._board = board
         self._wanted = wanted
         self._may_order = may_order
+        self._busy = busy
         self._holder = holder
         self._epoch = epoch
         self._on_change = on_change
@@ -163,7 +167,11 @@
         now = boot_time()
         held_back = {name for name, until in self._held_until.items() if until > now}
         loads = next_loads(
-            self._board.targets(), self._wanted(), self._loads.keys(), held_back
+            self._board.targets(),
+            self._wanted(),
+            self._loads.keys(),
+            held_back,
+            self._busy(),
         )
         for wanted in loads:
             target = self._board.target(wanted.target_id)
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -135,6 +135,7 @@
         self._connection = self._context.targets.connect(target, route.is_repeatable)
         target.in_flight += 1
         target.unread += self._unread
+        self._note_prompt(is_ready=False)
         self._sent_at = boot_time()
         target.ejection.sent(self._sent_at, self._number)
         self._connection.send(request, self)
@@ -296,16 +297,20 @@
         """Note that the target has read the prompt."""
         self._target.unread -= self._unread
         self._unread = 0
+        self._note_prompt(is_ready=True)
+
+    def _note_prompt(self, is_ready: bool) -> None:
+        """Note where the shared part of the prompt is read, and saved."""
         parts = self._admitted.caller.parts
-        if len(parts) > 1 and parts[0].tokens >= MIN_HOME_TOKENS:
-            note = PromptNote(
-                self._told.cache_salt,
-                parts[0].part_id,
-                parts[0].tokens,
-                self._target.target_id,
-            )
-            capacity = self._context.cache_tokens(self._target)
-            self._context.prompts.read(note, capacity)
+        if len(parts) < 2 or parts[0].tokens < MIN_HOME_TOKENS:
+            return
+        salt, part, prompts = self._told.cache_salt, parts[0], self._context.prompts
+        holder = self._target.target_id
+        note = PromptNote(salt, part.part_id, part.tokens, holder, is_ready)
+        prompts.read(note, self._context.cache_tokens(self._target))
+        if is_ready and self._told.save_to:
+            note = PromptNote(salt, part.part_id, part.tokens, self._told.save_to)
+            prompts.saved(boot_time(), note)
 
     def _leave(self) -> None:
         self._is_over = True
--- a/berylnotch/entry/choice.py
+++ b/berylnotch/entry/choice.py
@@ -11,6 +11,7 @@
 
 from attrs import frozen
 
+from berylnotch.entry.prompts import Holding
 from berylnotch.entry.targets import Target
 from berylnotch.placement.mixing import mix
 
@@ -76,7 +77,7 @@
         Where the router is.
     excluded : collection of str
         Targets that must not be chosen.
-    holds : callable
+    holding : callable
         Tells whether a target probably holds the shared part.
     is_saved : callable
         Tells whether a store probably holds it, for use by a target.
@@ -91,7 +92,7 @@
     prompt_tokens: int = 0
     failure_domain: str = ""
     excluded: Collection[str] = ()
-    holds: Callable[[Target], bool] = lambda target: False
+    holding: Callable[[Target], Holding] = lambda target: Holding.NONE
     is_saved: Callable[[Target], bool] = lambda target: False
 
     @property
@@ -109,16 +110,14 @@
     target : Target
         Where the request goes.
     source : Target or None
-        Engine from which it takes the shared part, if it does not hold it.
-    from_store : bool
-        Whether it takes the shared part from a store.
+        Engine from which it takes the shared part, if it does not hold it and a
+        ready one does.
     unread : int
         Prompt tokens that it probably has to read.
     """
 
     target: Target
     source: Target | None = None
-    from_store: bool = False
     unread: int = 0
 
 
@@ -136,18 +135,24 @@
         best = min(usable, key=lambda t: (_queue_ms(t, placing), mix(t.target_id, "")))
         return Choice(best, unread=placing.prompt_tokens)
     home = min(usable, key=lambda t: mix(t.target_id, placing.shared_id))
-    holders = [t for t in usable if placing.holds(t)]
-    choices = [_price(t, placing, home, holders) for t in usable]
+    held = {t.target_id: placing.holding(t) for t in usable}
+    holders = [t for t in usable if held[t.target_id] is Holding.READY]
+    choices = [_price(t, placing, home, holders, held[t.target_id]) for t in usable]
     return min(choices, key=lambda priced: (priced[0], priced[1].target is not home))[1]
 
 
 def _price(
-    target: Target, placing: Placing, home: Target, holders: list[Target]
+    target: Target,
+    placing: Placing,
+    home: Target,
+    holders: list[Target],
+    holding: Holding,
 ) -> tuple[float, Choice]:
     """Return the expected delay at a target, in ms, and how it gets the prompt."""
     own = max(0, placing.prompt_tokens - placing.shared_tokens)
     cost = _queue_ms(target, placing) + own / READ_TOKENS_PER_MS
-    if target in holders:
+    if holding is not Holding.NONE:
+        # What it still reads of the shared part is in its queue already.
         return cost, Choice(target, unread=own)
     version = target.version(placing.model)
     source = next((t for t in holders if t.version(placing.model) == version), None)
@@ -158,7 +163,7 @@
         cost -= HOME_MS
     if placing.is_saved(target):
         cost += placing.shared_tokens / STORE_TOKENS_PER_MS
-        return cost, Choice(target, from_store=True, unread=own)
+        return cost, Choice(target, unread=own)
     cost += placing.shared_tokens / READ_TOKENS_PER_MS
     return cost, Choice(target, unread=placing.prompt_tokens)
 
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -10,9 +10,9 @@
 from berylnotch.entry.attempt import Attempt, AttemptEnd, AttemptResult
 from berylnotch.entry.choice import Choice, Placing, choose
 from berylnotch.entry.context import EntryContext
+from berylnotch.entry.prompts import Holding
 from berylnotch.entry.quota_gate import Charge
 from berylnotch.entry.targets import Target
-from berylnotch.group.messages import PromptNote
 from berylnotch.membership.crashes import fingerprint
 from berylnotch.net.messages import HttpRequest
 from berylnotch.net.server import ServerConnection
@@ -178,9 +178,9 @@
         shared = caller.parts[0] if len(caller.parts) > 1 else None
         store = self._store(service)
 
-        def holds(target: Target) -> bool:
+        def holding(target: Target) -> Holding:
             salt = self._salt(target, model)
-            return context.prompts.holds(target.target_id, salt, shared.part_id)
+            return context.prompts.holding(target.target_id, salt, shared.part_id)
 
         def is_saved(target: Target) -> bool:
             salt = self._salt(target, model)
@@ -194,7 +194,7 @@
             shared_id=shared.part_id if shared else "",
             shared_tokens=shared.tokens if shared else 0,
             prompt_tokens=caller.prompt_tokens if model else 0,
-            holds=holds,
+            holding=holding,
             is_saved=is_saved,
             failure_domain=context.fleet.failure_domain,
             excluded=excluded,
@@ -270,12 +270,11 @@
             store = self._store(service)
             if choice.source is not None:
                 fetch_from = choice.source.listed.address
-            elif choice.from_store:
+            else:
+                # A store that lacks the prompt costs about a ms.
                 fetch_from = store
             if store and not placing.is_saved(target):
                 save_to = store
-                note = PromptNote(salt, placing.shared_id, placing.shared_tokens, store)
-                self._context.prompts.saved(placing.now, note)
         resume_after = self._progress.last_event
         if resume_after is None:
             resume_after = self._admitted.caller.resume_after
--- a/berylnotch/entry/prompts.py
+++ b/berylnotch/entry/prompts.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from enum import Enum
 
 from attrs import define, field
 
@@ -27,11 +28,27 @@
 MAX_NOTES = 256
 
 
+class Holding(Enum):
+    """Whether an engine probably holds a prompt."""
+
+    NONE = "none"
+    READING = "reading"
+    READY = "ready"
+
+
+@define
+class _Entry:
+    """A prompt in an engine's memory."""
+
+    tokens: int
+    is_ready: bool
+
+
 @define
 class _Memory:
-    """Prompts of one engine, the least recently used first, with their tokens."""
+    """Prompts of one engine, the least recently used first."""
 
-    prompts: OrderedDict[tuple[str, str], int] = field(factory=OrderedDict)
+    prompts: OrderedDict[tuple[str, str], _Entry] = field(factory=OrderedDict)
     tokens: int = 0
 
 
@@ -43,10 +60,13 @@
         self._saved: OrderedDict[tuple[str, str, str], float] = OrderedDict()
         self._notes: list[PromptNote] = []
 
-    def holds(self, target_id: str, salt: str, part_id: str) -> bool:
-        """Tell whether an engine probably holds a prompt."""
+    def holding(self, target_id: str, salt: str, part_id: str) -> Holding:
+        """Tell whether an engine probably holds a prompt, or is about to."""
         memory = self._engines.get(target_id)
-        return memory is not None and (salt, part_id) in memory.prompts
+        entry = memory.prompts.get((salt, part_id)) if memory is not None else None
+        if entry is None:
+            return Holding.NONE
+        return Holding.READY if entry.is_ready else Holding.READING
 
     def is_saved(self, now: float, store: str, salt: str, part_id: str) -> bool:
         """Tell whether a store probably holds a prompt."""
@@ -54,7 +74,7 @@
         return saved_at is not None and now - saved_at < SAVED_S
 
     def read(self, note: PromptNote, capacity: int) -> None:
-        """Note that an engine has read a prompt, and tell the other routers."""
+        """Note that an engine reads a prompt, and tell the other routers."""
         self._take_read(note, capacity)
         self._add(note)
 
@@ -97,8 +117,10 @@
     def _take_read(self, note: PromptNote, capacity: int) -> None:
         memory = self._engines.setdefault(note.holder, _Memory())
         key = (note.salt, note.part_id)
-        memory.tokens += note.tokens - memory.prompts.pop(key, 0)
-        memory.prompts[key] = note.tokens
+        known = memory.prompts.pop(key, None)
+        was_ready = known is not None and known.is_ready
+        memory.tokens += note.tokens - (known.tokens if known else 0)
+        memory.prompts[key] = _Entry(note.tokens, note.is_ready or was_ready)
         while memory.tokens > capacity * SHARED_PART and len(memory.prompts) > 1:
-            _, tokens = memory.prompts.popitem(last=False)
-            memory.tokens -= tokens
+            _, dropped = memory.prompts.popitem(last=False)
+            memory.tokens -= dropped.tokens
--- a/berylnotch/group/messages.py
+++ b/berylnotch/group/messages.py
@@ -46,16 +46,18 @@
 
 @frozen
 class PromptNote:
-    """A shared prompt that a target has just read, or a store was sent.
+    """A shared prompt that a target reads or has read, or a store was sent.
 
     ``salt`` separates cache entries that may not be shared. ``holder`` is a
-    target's identity or a store's address.
+    target's identity or a store's address. ``is_ready`` tells that it was read,
+    so that others may take it over from there.
     """
 
     salt: str
     part_id: str
     tokens: int
     holder: str
+    is_ready: bool = True
 
 
 @frozen
--- a/berylnotch/orders/rolling.py
+++ b/berylnotch/orders/rolling.py
@@ -27,6 +27,7 @@
     wanted: Mapping[str, int],
     loading: Collection[str],
     held_back: Collection[str],
+    busy: Mapping[str, int],
 ) -> tuple[WeightsLoad, ...]:
     """Return the loads that may begin now.
 
@@ -44,6 +45,9 @@
         Targets that load now.
     held_back : collection of str
         Targets that wait after a failure, or cannot be reached.
+    busy : mapping of str to int
+        Requests under way at each target. An idle one loads sooner, since an
+        engine finishes its requests first.
     """
     loads: list[WeightsLoad] = []
     by_service: dict[str, list[ListedTarget]] = {}
@@ -53,7 +57,7 @@
     for service in sorted(by_service):
         engines = by_service[service]
         room = _room(engines, loading, held_back)
-        outdated = _outdated(engines, wanted, {*loading, *held_back})
+        outdated = _outdated(engines, wanted, {*loading, *held_back}, busy)
         loads.extend(outdated[:room])
     return tuple(loads)
 
@@ -68,7 +72,10 @@
 
 
 def _outdated(
-    engines: list[ListedTarget], wanted: Mapping[str, int], excluded: set[str]
+    engines: list[ListedTarget],
+    wanted: Mapping[str, int],
+    excluded: set[str],
+    busy: Mapping[str, int],
 ) -> list[WeightsLoad]:
     behind = []
     for engine in engines:
@@ -78,5 +85,6 @@
             missing = wanted.get(model.name, 0) - model.version
             if missing > 0:
                 load = WeightsLoad(engine.target_id, model.name, wanted[model.name])
-                behind.append((-missing, engine.target_id, load))
-    return [load for _, _, load in sorted(behind, key=lambda item: item[:2])]
+                order = (-missing, busy.get(engine.target_id, 0), engine.target_id)
+                behind.append((order, load))
+    return [load for _, load in sorted(behind, key=lambda item: item[0])]
