--- a/berylnotch/daemon/fleet/follower.py
+++ b/berylnotch/daemon/fleet/follower.py
@@ -7,7 +7,7 @@
 
 from berylnotch.errors import ConfigurationError
 from berylnotch.group.messages import ROUTER_MESSAGES, Redirect
-from berylnotch.transport.link import Link, LinkSettings, open_link
+from berylnotch.transport.link import SILENT, Link, LinkSettings, open_link
 from berylnotch.util.address import parse_address
 from berylnotch.util.clock import boot_time
 from berylnotch.util.lines import EventLog
@@ -19,7 +19,7 @@
 #: Seconds in which a controller must answer a first report.
 ANSWER_S = 0.4
 
-#: Seconds for which a controller that fell silent is asked last.
+#: Seconds for which a leader that fell silent is asked last.
 AVOID_S = 3.0
 
 #: Reason of a link's end when another controller leads.
@@ -113,7 +113,7 @@
 
     def _check_answer(self, link: Link) -> None:
         if link is self._link and not self._has_leader and not link.is_closed:
-            link.close(f"no answer within {ANSWER_S:g} s")
+            link.close(f"{SILENT}: no answer within {ANSWER_S:g} s")
 
     def _any(self) -> str:
         now = boot_time()
@@ -141,8 +141,10 @@
         if link is not self._link:
             return
         self._link = None
-        if reason != NOT_LEADER:
-            self._silent_until[link.peer] = boot_time() + AVOID_S
+        if reason.startswith(SILENT):
+            # A frozen leader is named by the others until they elect another one.
+            pause_s = AVOID_S if self._has_leader else ANSWER_S
+            self._silent_until[link.peer] = boot_time() + pause_s
         if self._has_leader:
             self._log.warning("leader_lost", at=link.peer, reason=reason)
         self._has_leader = False
--- a/berylnotch/transport/link.py
+++ b/berylnotch/transport/link.py
@@ -16,6 +16,10 @@
 from berylnotch.util.loop import Loop
 
 
+#: First word of the reason of a link that ended since nothing was heard.
+SILENT = "silent"
+
+
 @frozen
 class LinkSettings:
     """Timing of a link, in seconds.
@@ -124,7 +128,7 @@
             return
         now = boot_time()
         if now - self._heard_at > self._settings.silence_s:
-            self.close(f"silent for {now - self._heard_at:.1f} s")
+            self.close(f"{SILENT} for {now - self._heard_at:.1f} s")
             return
         if now - self._sent_at >= self._settings.heartbeat_s:
             self.send(Heartbeat())
