entry: move stalled requests, price failing targets, share crash marks, follow new seeds

Cause, found by reading: a target that hangs was never left out; a request that crashes targets was known to one router only, and one unlucky repeat was blamed after two losses; SIGHUP and new seeds were only logged; a stream's own length header would have gone out beside chunks.

--- a/berylnotch/cmd/fleetd.py
+++ b/berylnotch/cmd/fleetd.py
@@ -9,7 +9,11 @@
 
 from berylnotch import __version__
 from berylnotch.errors import BerylnotchError
-from berylnotch.settings.fleet import FleetSettings, read_fleet_settings
+from berylnotch.settings.fleet import (
+    FleetSettings,
+    SeedSource,
+    read_fleet_settings,
+)
 from berylnotch.util.lines import FLUSH_S, EventLog, log_loop_errors, set_up
 from berylnotch.util.loop import Loop
 
@@ -46,12 +50,13 @@
     loop = Loop(args.role, on_error=log_loop_errors(log))
     try:
         start = _start_router if args.role == "router" else _start_controller
-        stop = start(settings, loop, log)
+        stop = start(settings, _seeds(args.settings, settings, log), loop, log)
     except (BerylnotchError, OSError) as error:
         log.error("start_failed", reason=str(error))
         log.flush()
         return EXIT_FAILURE
     _stop_on_signal(loop, stop, log)
+    _note_reloads(log)
     loop.call_every(FLUSH_S, log.flush)
     loop.run()
     log.info("stopped")
@@ -64,12 +69,21 @@
     sys.exit(main())
 
 
+def _seeds(path: str, settings: FleetSettings, log: EventLog) -> SeedSource:
+    return SeedSource(
+        path,
+        settings,
+        lambda seeds: log.info("seeds_changed", seeds=seeds),
+        lambda error: log.warning("settings_unreadable", reason=str(error)),
+    )
+
+
 def _start_router(
-    settings: FleetSettings, loop: Loop, log: EventLog
+    settings: FleetSettings, seeds: SeedSource, loop: Loop, log: EventLog
 ) -> Callable[[], None]:
     from berylnotch.daemon.fleet.router import FleetRouter
 
-    router = FleetRouter(settings, loop, log)
+    router = FleetRouter(settings, seeds, loop, log)
     router.start()
 
     def end() -> None:
@@ -80,11 +94,11 @@
 
 
 def _start_controller(
-    settings: FleetSettings, loop: Loop, log: EventLog
+    settings: FleetSettings, seeds: SeedSource, loop: Loop, log: EventLog
 ) -> Callable[[], None]:
     from berylnotch.daemon.fleet.controller import FleetController
 
-    controller = FleetController(settings, loop, log)
+    controller = FleetController(settings, seeds, loop, log)
     controller.start()
 
     def stop() -> None:
@@ -106,7 +120,10 @@
 
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
-    # Settings are read again when they are needed.
+
+
+def _note_reloads(log: EventLog) -> None:
+    # The seeds are read from the file each time that they are needed.
     signal.signal(signal.SIGHUP, lambda _number, _frame: log.info("reload_asked"))
 
 
--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from berylnotch.consensus import messages as consensus
 from berylnotch.control.protocol import GrantRequest
 from berylnotch.daemon.fleet.leader import Leader
@@ -37,13 +39,21 @@
     ----------
     settings : FleetSettings
         Settings of the process.
+    seeds : callable
+        Returns the addresses of controllers to ask first.
     loop : Loop
         Loop in which everything runs.
     log : EventLog
         Log of the process.
     """
 
-    def __init__(self, settings: FleetSettings, loop: Loop, log: EventLog) -> None:
+    def __init__(
+        self,
+        settings: FleetSettings,
+        seeds: Callable[[], tuple[str, ...]],
+        loop: Loop,
+        log: EventLog,
+    ) -> None:
         self._settings = settings
         self._loop = loop
         self._log = log
@@ -55,7 +65,7 @@
             loop, CONTROLLER_MESSAGES, self._receive, log, self._link_settings
         )
         self._host = ReplicaHost(
-            settings, loop, self._peers.send, self._state, log, self._applied
+            settings, seeds, loop, self._peers.send, self._state, log, self._applied
         )
         self._acceptor = Acceptor(loop, settings.internal, self._accept)
         self.metrics = Metrics()
--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -175,7 +175,9 @@
 
         def done(is_committed: bool) -> None:
             self._may_order = is_committed and not self._is_closed
-            self._log.info("orders_taken", committed=is_committed, epoch=self._host.term)
+            self._log.info(
+                "orders_taken", committed=is_committed, epoch=self._host.term
+            )
             if self._may_order:
                 self._rollout.advance()
 
--- a/berylnotch/daemon/fleet/replica_host.py
+++ b/berylnotch/daemon/fleet/replica_host.py
@@ -67,6 +67,8 @@
     ----------
     settings : FleetSettings
         Settings of the process.
+    seeds : callable
+        Returns the addresses of controllers to ask first.
     loop : Loop
         Loop in which everything runs.
     send : callable
@@ -82,6 +84,7 @@
     def __init__(
         self,
         settings: FleetSettings,
+        seeds: Callable[[], tuple[str, ...]],
         loop: Loop,
         send: Callable[[str, object], None],
         state: FleetState,
@@ -89,6 +92,7 @@
         on_applied: Callable[[], None],
     ) -> None:
         self._settings = settings
+        self._seeds = seeds
         self._group_settings = GroupSettings()
         self._loop = loop
         self._send = send
@@ -379,7 +383,7 @@
             self.address,
             self._settings.failure_domain,
         )
-        for address in {*self._settings.seed_links, *self.known_addresses}:
+        for address in {*self._seeds(), *self.known_addresses}:
             if address != self.address:
                 self._send(address, request)
 
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
 
 from berylnotch.control.protocol import GrantReply
 from berylnotch.daemon.fleet.follower import LeaderLink
@@ -34,7 +35,6 @@
     ADDRESS_PATH,
     READY_PATH,
     address_body,
-    caller_domain,
 )
 from berylnotch.platform.requests import decode_request, refusal_headers
 from berylnotch.quota.bounds import FLEET_QUOTA, HELD_PART, effective_limits
@@ -77,13 +77,21 @@
     ----------
     settings : FleetSettings
         Settings of the process.
+    seeds : callable
+        Returns the addresses of controllers to ask first.
     loop : Loop
         Loop in which everything runs.
     log : EventLog
         Log of the process.
     """
 
-    def __init__(self, settings: FleetSettings, loop: Loop, log: EventLog) -> None:
+    def __init__(
+        self,
+        settings: FleetSettings,
+        seeds: Callable[[], tuple[str, ...]],
+        loop: Loop,
+        log: EventLog,
+    ) -> None:
         self._settings = settings
         self._loop = loop
         self._log = log
@@ -111,7 +119,7 @@
         self._is_quota_due = False
         self._link = LeaderLink(
             loop,
-            lambda: self._settings.seed_links,
+            seeds,
             self._report,
             self._take,
             log,
@@ -145,7 +153,7 @@
         self._loop.call_every(IDLE_SWEEP_S, self._context.targets.close_old)
         self._log.info("started", callers=self._settings.listen)
 
-    def drain(self, done: object) -> None:
+    def drain(self, done: Callable[[], None]) -> None:
         """Leave: take requests until no caller uses this address, then stop."""
         self._is_leaving = True
         self._report()
@@ -258,6 +266,7 @@
         )
         self._sent_loads = loads
         routes = self._context.routes
+        crashes, self._context.crash_marks = self._context.crash_marks, []
         self._link.send(
             RouterReport(
                 self._settings.name,
@@ -267,6 +276,7 @@
                 self._is_leaving or routes is None,
                 routes.version if routes else 0,
                 loads,
+                crashes=tuple(crashes),
                 prompts=self._context.prompts.take_notes(),
             )
         )
@@ -335,9 +345,8 @@
                 context.prompts.hear(now, note, capacity)
 
     def _take_crashes(self, crashes: tuple[CrashMark, ...]) -> None:
-        now = boot_time()
         for mark in crashes:
-            self._context.crashes.lost(now, mark.target_id, (mark.fingerprint,))
+            self._context.losses.add(mark.fingerprint, mark.target_id)
 
     # Limits of the organisations.
 
--- a/berylnotch/daemon/fleet/weights.py
+++ b/berylnotch/daemon/fleet/weights.py
@@ -124,9 +124,7 @@
                 ) -> None:
                     self._surveyed(target, answer, why)
 
-                fetch(
-                    self._loop, address, report_request(target.address), CALL_S, done
-                )
+                fetch(self._loop, address, report_request(target.address), CALL_S, done)
 
     def _surveyed(
         self, target: ListedTarget, answer: HttpResponse | None, why: str
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -79,6 +79,9 @@
     def event(self, data: bytes, number: int | None) -> bool:
         """Take an event of a stream."""
 
+    def may_move(self) -> bool:
+        """Tell whether the request may go to another target now."""
+
     def ended(self, result: AttemptResult) -> None:
         """Take the end."""
 
@@ -120,6 +123,7 @@
         self._splitter = EventSplitter()
         self._body = bytearray()
         self._sent_at = 0.0
+        self._heard_at = 0.0
         self._is_over = False
         self._number = id(self)
 
@@ -139,6 +143,7 @@
         self._sent_at = boot_time()
         target.ejection.sent(self._sent_at, self._number)
         self._connection.send(request, self)
+        self._watch_answer()
 
     def pause(self) -> None:
         """Stop reading for a slow caller."""
@@ -150,12 +155,41 @@
         if self._connection is not None:
             self._connection.resume()
 
-    def cancel(self) -> None:
-        """End the attempt; the target stops working on it."""
-        if not self._is_over:
+    def cancel(self, is_overdue: bool = False) -> None:
+        """End the attempt; the target stops working on it.
+
+        Parameters
+        ----------
+        is_overdue : bool, default=False
+            Whether the target should have answered by now.
+        """
+        if self._is_over:
+            return
+        if is_overdue and self._head is None:
+            self._target.ejection.failed(boot_time(), self._number)
+            self._target.note_outcome(has_failed=True)
+        else:
             self._target.ejection.abandoned(self._number)
-            self._leave()
-            self._connection.close()
+        self._leave()
+        self._connection.close()
+
+    def _watch_answer(self) -> None:
+        """Give up a repeatable request whose answer does not come or go on."""
+        if self._is_over or not self._admitted.route.is_repeatable:
+            return
+        settings, now = self._context.settings, boot_time()
+        route = self._admitted.route
+        if self._is_stream and self._heard_at:
+            overdue_at = self._heard_at + settings.stall_s
+        else:
+            overdue_at = self._sent_at + settings.slow_factor * route.target_latency_s
+        if now < overdue_at or not route.target_latency_s:
+            delay_s = max(0.05, overdue_at - now)
+            self._context.loop.call_later(delay_s, self._watch_answer)
+        elif self._owner.may_move():
+            waited_s = now - (self._heard_at or self._sent_at)
+            self.cancel(is_overdue=True)
+            self._end(AttemptEnd.BROKEN, f"nothing heard for {waited_s:.2f} s")
 
     # Answer of the target.
 
@@ -183,6 +217,7 @@
         """Take a part of the body."""
         if self._is_over:
             return
+        self._heard_at = boot_time()
         if not self._is_stream:
             self._body += data
             if len(self._body) > MAX_ANSWER_BYTES:
@@ -194,7 +229,7 @@
         if self._unread:
             self._has_read()
         for event in self._splitter.feed(data):
-            self._owner.stream_began(200, self._head.headers.end_to_end())
+            self._owner.stream_began(200, self._stream_headers())
             self._owner.event(event.data, event.number)
             if self._is_over:
                 return
@@ -226,6 +261,7 @@
             target.ejection.succeeded(self._number, self._sent_at)
         else:
             target.ejection.abandoned(self._number)
+        target.note_outcome(status >= 500, boot_time() - self._sent_at)
         headers = self._head.headers.end_to_end().without(("content-length",))
         self._owner.ended(
             AttemptResult(
@@ -244,6 +280,7 @@
         self._leave()
         target, now = self._target, boot_time()
         target.ejection.failed(now, self._number)
+        target.note_outcome(has_failed=True)
         self._context.log.warning(
             "attempt_failed",
             id=self._admitted.caller.request_id,
@@ -275,11 +312,15 @@
 
     def _end_stream(self) -> None:
         self._target.ejection.succeeded(self._number, self._sent_at)
-        self._owner.stream_began(200, self._head.headers.end_to_end())
+        self._target.note_outcome(has_failed=False)
+        self._owner.stream_began(200, self._stream_headers())
         if self._splitter.tail:
             self._owner.event(self._splitter.tail, None)
         self._end(AttemptEnd.STREAM_COMPLETE, "")
 
+    def _stream_headers(self) -> Headers:
+        return self._head.headers.end_to_end().without(("content-length",))
+
     def _connection_closing(self, head: ResponseHead) -> None:
         """Expect a target that closes its connections to leave soon."""
         self._context.log.info(
--- a/berylnotch/entry/choice.py
+++ b/berylnotch/entry/choice.py
@@ -49,6 +49,9 @@
 #: Cost of a failure in a row at a target, in ms.
 FAILURE_MS = 30.0
 
+#: Cost of a target that fails each request, in ms; one that fails some costs a part.
+ALWAYS_FAILS_MS = 400.0
+
 #: Cost of a request beyond the slots of a plain target, in ms: it waits for one.
 QUEUED_MS = 60.0
 
@@ -141,6 +144,18 @@
     return min(choices, key=lambda priced: (priced[0], priced[1].target is not home))[1]
 
 
+def usable_in_s(targets: Iterable[Target], placing: Placing) -> float | None:
+    """Return seconds until the first target may be usable, None if unknown."""
+    times = [
+        target.usable_at(placing.now)
+        for target in targets
+        if not target.is_leaving and target.target_id not in placing.excluded
+    ]
+    if not times:
+        return None
+    return max(0.0, min(times) - placing.now)
+
+
 def _price(
     target: Target,
     placing: Placing,
@@ -182,10 +197,12 @@
 def _queue_ms(target: Target, placing: Placing) -> float:
     """Return the expected delay at a target before it reads the prompt, in ms."""
     cost = FAILURE_MS * target.ejection.failures
+    cost += ALWAYS_FAILS_MS * target.failure_rate
     if target.listed.failure_domain != placing.failure_domain:
         cost += DOMAIN_MS
     if not placing.model:
         over = target.load + 1 - max(1, target.listed.slots)
+        cost += 1000 * target.latency_s
         return cost + LOAD_MS * target.load + QUEUED_MS * max(0, over)
     cost += LOAD_MS * target.load + target.total_unread / READ_TOKENS_PER_MS
     if (target.version(placing.model) or 0) < placing.wanted_version:
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -11,9 +11,12 @@
 from berylnotch.entry.quota_gate import QuotaGate
 from berylnotch.entry.settings import EntrySettings
 from berylnotch.entry.targets import Target, TargetTable
+from berylnotch.group.messages import CrashMark
 from berylnotch.membership.crashes import CrashGuard
+from berylnotch.membership.marks import SharedLosses
 from berylnotch.routing.table import RouteTable
 from berylnotch.settings.fleet import FleetSettings
+from berylnotch.util.clock import boot_time
 from berylnotch.util.lines import EventLog
 from berylnotch.util.loop import Loop
 from berylnotch.util.metrics import Metrics
@@ -43,6 +46,10 @@
         Prompts that engines and stores probably hold.
     crashes : CrashGuard
         Requests that crash targets.
+    losses : SharedLosses
+        Losses of targets that other routers saw.
+    crash_marks : list of CrashMark
+        Losses for the next report to the leader.
     routes : RouteTable or None
         Configuration in force, None before the first.
     wanted : dict of str to int
@@ -66,6 +73,8 @@
     gate: QuotaGate
     prompts: PromptMemory
     crashes: CrashGuard
+    losses: SharedLosses = field(factory=SharedLosses)
+    crash_marks: list[CrashMark] = field(factory=list)
     routes: RouteTable | None = None
     wanted: dict[str, int] = field(factory=dict)
     wanted_since: dict[str, float] = field(factory=dict)
@@ -82,6 +91,17 @@
             self._budgets[service] = budget
         return budget
 
+    def lost_target(self, target_id: str, fingerprint: bytes) -> None:
+        """Note that a target was lost while it ran a request."""
+        now = boot_time()
+        verdict = self.crashes.lost(now, target_id, (fingerprint,), self.losses)
+        for reported in verdict.reported:
+            self.crash_marks.append(CrashMark(reported, target_id))
+        for blamed in verdict.blamed:
+            self.log.warning(
+                "request_blamed", fingerprint=blamed.hex(), target=target_id
+            )
+
     def cache_tokens(self, target: Target) -> int:
         """Return the tokens that an engine's memory holds, 0 if it is no engine."""
         service = self.routes.service(target.listed.service) if self.routes else None
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -8,7 +8,7 @@
 from attrs import define, frozen
 
 from berylnotch.entry.attempt import Attempt, AttemptEnd, AttemptResult
-from berylnotch.entry.choice import Choice, Placing, choose
+from berylnotch.entry.choice import Choice, Placing, choose, usable_in_s
 from berylnotch.entry.context import EntryContext
 from berylnotch.entry.prompts import Holding
 from berylnotch.entry.quota_gate import Charge
@@ -40,6 +40,9 @@
 #: Seconds below which it makes no sense to send a request.
 MIN_LEFT_S = 0.02
 
+#: Seconds below which a slow request stays where it is.
+MIN_MOVE_S = 0.15
+
 
 @frozen
 class Admitted:
@@ -154,14 +157,14 @@
             self._begin()
 
     def _begin(self) -> None:
-        admitted = self._admitted
+        admitted, context = self._admitted, self._context
         self._service = pick_service(admitted.route.splits, random.random())
         organisation = admitted.organisation.name if admitted.organisation else ""
         request = admitted.request
         self._fingerprint = fingerprint(
             organisation, request.target.encode() + b"\0" + request.body
         )
-        if self._context.crashes.is_refused(boot_time(), self._fingerprint):
+        if context.crashes.is_refused(boot_time(), self._fingerprint, context.losses):
             self._fail(502, "request crashes its targets")
             return
         self._context.budget(self._service).earn()
@@ -213,7 +216,8 @@
         placing = self._placing(service, self._tried)
         choice = choose(self._context.targets.of(self._service), placing)
         if choice is None:
-            self._give_up("no usable target")
+            wait_s = usable_in_s(self._context.targets.of(self._service), placing)
+            self._give_up("no usable target", wait_s)
             return
         target, caller = choice.target, self._admitted.caller
         told = self._told(choice, placing, service)
@@ -239,9 +243,7 @@
             left_s=told.deadline_s,
             configuration=self._context.routes.version,
         )
-        self._attempt = Attempt(
-            self._context, choice, self._admitted, told, self
-        )
+        self._attempt = Attempt(self._context, choice, self._admitted, told, self)
         self._attempt.start()
 
     def _store(self, service: Service) -> str:
@@ -259,7 +261,9 @@
             salt += f"/{organisation.name}"
         return salt
 
-    def _told(self, choice: Choice, placing: Placing, service: Service) -> TargetHeaders:
+    def _told(
+        self, choice: Choice, placing: Placing, service: Service
+    ) -> TargetHeaders:
         organisation, target = self._admitted.organisation, choice.target
         rank = organisation.priority if organisation else 0
         priority = rank * PRIORITIES_PER_RANK + self._admitted.route.priority
@@ -320,6 +324,13 @@
             self._attempt.pause()
         return True
 
+    def may_move(self) -> bool:
+        """Tell whether another target and the budget allow one more attempt."""
+        has_attempts = self._progress.runs + 1 < self._admitted.route.max_attempts
+        has_budget = self._context.budget(self._service).has_room
+        has_time = self._left_s > MIN_MOVE_S
+        return has_attempts and has_budget and has_time and self._has_other_target()
+
     def ended(self, result: AttemptResult) -> None:
         """Act on the end of an attempt."""
         target = result.target
@@ -339,9 +350,7 @@
             self._retry(result, is_run=False)
         else:
             if result.is_lost:
-                self._context.crashes.lost(
-                    boot_time(), target.target_id, (self._fingerprint,)
-                )
+                self._context.lost_target(target.target_id, self._fingerprint)
             self._retry(result, is_run=True)
 
     def _answered(self, result: AttemptResult) -> None:
@@ -357,7 +366,9 @@
         if not is_failure:
             self._context.crashes.completed(self._fingerprint, boot_time())
         self._connection.respond(status, result.headers, result.body)
-        self._finish("served" if status < 400 else "target_failed", status, result.target)
+        self._finish(
+            "served" if status < 400 else "target_failed", status, result.target
+        )
 
     def _has_other_target(self) -> bool:
         service = self._context.routes.service(self._service)
@@ -399,12 +410,12 @@
 
     # Ends without an answer of a target.
 
-    def _give_up(self, reason: str) -> None:
+    def _give_up(self, reason: str, wait_s: float | None = None) -> None:
         """End a request that cannot be sent any more."""
         if self._progress.runs or self._progress.has_head:
             self._fail(502, reason)
         else:
-            self._refuse(503, reason, None)
+            self._refuse(503, reason, wait_s or None)
 
     def _refuse(self, status: int, reason: str, retry_s: float | None) -> None:
         """Answer that the request has not run and will not."""
@@ -427,14 +438,16 @@
     def _respond_own(self, status: int, reason: str, retry_s: float | None) -> None:
         headers = refusal_headers(self._id, retry_s)
         self._connection.respond(status, headers)
-        self._finish("refused" if status in (429, 503) else "failed", status, None, reason)
+        self._finish(
+            "refused" if status in (429, 503) else "failed", status, None, reason
+        )
 
     def _expire(self) -> None:
         if self._is_over:
             return
         has_sent = self._attempt is not None and self._attempt.has_sent
         if self._attempt is not None:
-            self._attempt.cancel()
+            self._attempt.cancel(is_overdue=True)
         if has_sent or self._progress.runs or self._progress.has_head:
             self._fail(504, "deadline")
         else:
@@ -443,8 +456,10 @@
     def _caller_left(self) -> None:
         if self._is_over:
             return
+        waited_s = boot_time() - self._started_at
+        target_latency_s = self._admitted.route.target_latency_s
         if self._attempt is not None:
-            self._attempt.cancel()
+            self._attempt.cancel(is_overdue=waited_s > 3 * target_latency_s)
         self._finish("caller_left", 0, None)
 
     def _drained(self) -> None:
--- a/berylnotch/entry/settings.py
+++ b/berylnotch/entry/settings.py
@@ -38,6 +38,13 @@
         Time after new weights were named in which engines still serve older ones.
     quota_wait_s : float, default=0.25
         Longest wait for tokens of an organisation's limit.
+    slow_factor : float, default=2.5
+        Multiple of a route's target latency after which a repeatable request
+        without an answer goes to another target; callers wait four times as long.
+    stall_s : float, default=2.0
+        Pause in a resumable stream after which it goes on at another target.
+    load_s : float, default=2.2
+        Time that an engine usually takes to load weights.
     membership : MembershipSettings
         When a target that fails is left out.
     """
@@ -54,6 +61,11 @@
     retry_after_s: float = 0.5
     stale_weights_s: float = 12.0
     quota_wait_s: float = 0.25
+    slow_factor: float = 2.5
+    stall_s: float = 2.0
+    load_s: float = 2.2
     membership: MembershipSettings = field(
-        factory=lambda: MembershipSettings(eject_after=2, eject_s=0.5, eject_max_s=4.0)
+        factory=lambda: MembershipSettings(
+            eject_after=2, eject_s=0.5, eject_max_s=4.0, crash_limit=3
+        )
     )
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -16,6 +16,9 @@
 from berylnotch.util.clock import boot_time
 from berylnotch.util.loop import Loop
 
+#: Weight of the newest outcome in a moving average: about the last ten count.
+AVERAGE_STEP = 0.12
+
 
 @define(eq=False)
 class Target:
@@ -35,6 +38,16 @@
         Requests of this router that it has.
     others_in_flight : int
         Requests of the other routers, as last summed up.
+    idle : deque of ClientConnection
+        Kept connections, the longest idle first.
+    refused_until : float
+        Boot time until which it is left out since it refused a request.
+    loading_until : float
+        Boot time at which it probably has its weights loaded.
+    failure_rate : float
+        Part of its recent requests that failed, as a moving average.
+    latency_s : float
+        Moving average of its answer times, plain targets only.
     unread : int
         Prompt tokens of this router's requests that it probably has yet to read.
     others_unread : int
@@ -51,6 +64,9 @@
     others_unread: int = 0
     idle: deque[ClientConnection] = field(factory=deque)
     refused_until: float = 0.0
+    loading_until: float = 0.0
+    failure_rate: float = 0.0
+    latency_s: float = 0.0
 
     @property
     def target_id(self) -> str:
@@ -74,6 +90,22 @@
                 return known.version
         return None
 
+    def note_outcome(self, has_failed: bool, latency_s: float | None = None) -> None:
+        """Count the end of a request in the moving averages."""
+        self.failure_rate += (has_failed - self.failure_rate) * AVERAGE_STEP
+        if latency_s is not None:
+            step = AVERAGE_STEP if self.latency_s else 1.0
+            self.latency_s += (latency_s - self.latency_s) * step
+
+    def usable_at(self, now: float) -> float:
+        """Return when it may get a request again, as far as that is known."""
+        times = [now, self.refused_until]
+        if self.is_loading:
+            times.append(self.loading_until)
+        if self.ejection.blocks(now):
+            times.append(self.ejection.until)
+        return max(times)
+
     def is_usable(self, now: float) -> bool:
         """Whether it may get a new request."""
         if self.is_leaving or self.is_loading or now < self.refused_until:
@@ -127,6 +159,8 @@
                 target.listed = listed
             else:
                 target = Target(listed, Ejection(self._settings.membership))
+            if entry.is_loading and not target.is_loading:
+                target.loading_until = boot_time() + self._settings.load_s
             target.is_loading = entry.is_loading
             target.is_leaving = target.is_leaving or listed.is_leaving
             self._targets[listed.target_id] = target
--- a/berylnotch/net/client.py
+++ b/berylnotch/net/client.py
@@ -277,9 +277,7 @@
         if not self._is_delimited or not self._parser.should_keep_alive():
             self._is_reusable = False
         self._read_keep_alive()
-        head = ResponseHead(
-            self._parser.get_status_code(), headers, self._is_delimited
-        )
+        head = ResponseHead(self._parser.get_status_code(), headers, self._is_delimited)
         if self._sink is not None and not self._sink.on_head(head):
             self._is_skipping = True
             self._is_reusable = False
@@ -367,7 +365,9 @@
             self.finish(None, f"answer over {self._max_bytes} bytes")
 
     def on_complete(self) -> None:
-        response = HttpResponse(self._head.status, self._head.headers, bytes(self._body))
+        response = HttpResponse(
+            self._head.status, self._head.headers, bytes(self._body)
+        )
         self.finish(response, "")
 
     def on_failure(self, failure: Failure, reason: str) -> None:
@@ -410,4 +410,6 @@
     connection = ClientConnection(loop, address, timeout_s, timeout_s)
     sink = _Fetch(connection, max_bytes, done)
     connection.send(request, sink)
-    loop.call_later(timeout_s, lambda: sink.finish(None, f"no answer in {timeout_s:g} s"))
+    loop.call_later(
+        timeout_s, lambda: sink.finish(None, f"no answer in {timeout_s:g} s")
+    )
--- a/berylnotch/quota/bounds.py
+++ b/berylnotch/quota/bounds.py
@@ -64,4 +64,3 @@
 def is_limited(organisation: Organisation | None) -> bool:
     """Whether requests of an organisation are charged."""
     return organisation is not None and organisation.rate > 0
-
--- a/berylnotch/settings/fleet.py
+++ b/berylnotch/settings/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import configparser
+from collections.abc import Callable
 from pathlib import Path
 
 from attrs import field, frozen
@@ -130,6 +131,46 @@
         raise ConfigurationError(str(error), str(path)) from error
 
 
+class SeedSource:
+    """Seeds of the settings file, which may change while the process runs.
+
+    Parameters
+    ----------
+    path : str or Path
+        Settings file.
+    settings : FleetSettings
+        Settings as they were read at the start.
+    on_change : callable
+        Gets new seeds, as text.
+    on_error : callable
+        Gets the error of a file that cannot be read; the seeds then stay.
+    """
+
+    def __init__(
+        self,
+        path: str | Path,
+        settings: FleetSettings,
+        on_change: Callable[[str], None] = lambda seeds: None,
+        on_error: Callable[[ConfigurationError], None] = lambda error: None,
+    ) -> None:
+        self._path = path
+        self._seeds = settings.seed_links
+        self._on_change = on_change
+        self._on_error = on_error
+
+    def __call__(self) -> tuple[str, ...]:
+        """Return the addresses of the seeds' links, as the file has them now."""
+        try:
+            seeds = read_fleet_settings(self._path).seed_links
+        except ConfigurationError as error:
+            self._on_error(error)
+            return self._seeds
+        if seeds and seeds != self._seeds:
+            self._seeds = seeds
+            self._on_change(",".join(seeds))
+        return self._seeds
+
+
 def _settings(parser: configparser.ConfigParser) -> FleetSettings:
     process = parser["process"]
     ports = process.get("internal-ports").split(",")
--- a/berylnotch/transport/link.py
+++ b/berylnotch/transport/link.py
@@ -15,7 +15,6 @@
 from berylnotch.util.clock import boot_time
 from berylnotch.util.loop import Loop
 
-
 #: First word of the reason of a link that ended since nothing was heard.
 SILENT = "silent"
 
--- a/berylnotch/transport/packing.py
+++ b/berylnotch/transport/packing.py
@@ -51,7 +51,9 @@
     return tuple(
         value
         for value in vars(module).values()
-        if isinstance(value, type) and attrs.has(value) and value.__module__ == module.__name__
+        if isinstance(value, type)
+        and attrs.has(value)
+        and value.__module__ == module.__name__
     )
 
 
