tests: a fleet of real processes before a stand-in of the platform

Found by it: a router that had not yet served an organisation held no tokens of it and refused its first request while the leader was down. A part of the floor is now held always.

--- a/berylnotch/quota/holding.py
+++ b/berylnotch/quota/holding.py
@@ -19,6 +19,10 @@
 #: Part of the lifetime after which held tokens are renewed, and use reported.
 RENEW_PART = 0.5
 
+#: Part of the floor that is held for an organisation without requests, so that its
+#: first one is served while there is no owner.
+IDLE_PART = 0.25
+
 
 @define
 class Holding:
@@ -49,7 +53,8 @@
     retry_at : float, default=-inf
         When refused work should come back.
     floor : int, default=0
-        Tokens that are held in any case while the organisation is in use.
+        Tokens that are held while the organisation is in use; a part of them is
+        held always.
     """
 
     settings: QuotaSettings
@@ -119,9 +124,8 @@
     def _target(self, now: float) -> int:
         use = self.usage.per_s(now)
         ahead = int(use * self.settings.horizon_s)
-        if use >= 1:
-            ahead = max(ahead, self.floor)
-        return ahead + self.want
+        floor = self.floor if use >= 1 else int(self.floor * IDLE_PART)
+        return max(ahead, floor) + self.want
 
     def _is_due(self, now: float, target: int) -> bool:
         held = self.balance(now)
--- /dev/null
+++ b/tests/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and processes for tests of a fleet."""
--- /dev/null
+++ b/tests/fleet/platform.py
@@ -0,0 +1,219 @@
+"""Stand-in of the users' platform: list of targets, engines, plain targets.
+
+It speaks the platform's protocol on loopback, in a thread of its own, and keeps what
+it saw. Times and sizes are small, so that tests are quick.
+"""
+
+from __future__ import annotations
+
+import json
+import threading
+
+from attrs import define, field
+
+from berylnotch.net.messages import Headers, HttpRequest
+from berylnotch.net.server import HttpServer, ServerConnection
+from berylnotch.util.address import Address
+from berylnotch.util.loop import Loop
+
+MODEL = "model-1"
+
+
+@define(eq=False)
+class StandInTarget:
+    """A target, its faults and what it ran."""
+
+    target_id: str
+    service: str
+    server: HttpServer
+    version: int | None = None
+    is_leaving: bool = False
+    events: int = 3
+    event_pause_s: float = 0.0
+    load_s: float = 0.05
+    is_loading: bool = False
+    orders_taken: int = 0
+    #: Requests that ran, by request id.
+    runs: list[str] = field(factory=list)
+    #: Headers of the requests that arrived.
+    seen: list[dict[str, str]] = field(factory=list)
+    bodies: list[bytes] = field(factory=list)
+    orders: list[dict] = field(factory=list)
+    #: How requests are answered: ok, refuse, error, hang, reset, cut, no_stamp, foreign.
+    mood: str = "ok"
+
+    @property
+    def address(self) -> str:
+        return str(self.server.address)
+
+    def entry(self) -> dict:
+        """Return the target as the list shows it."""
+        models = []
+        if self.version is not None:
+            models = [{"name": MODEL, "version": self.version, "adapters": []}]
+        return {
+            "id": self.target_id,
+            "service": self.service,
+            "address": self.address,
+            "zone": "north",
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if self.is_leaving else "ready",
+            "coldRemainingMs": 0,
+            "born": 1000,
+            "models": models,
+        }
+
+
+class PlatformStandIn:
+    """The platform of one test."""
+
+    def __init__(self) -> None:
+        self.loop = Loop("platform")
+        self.targets: dict[str, StandInTarget] = {}
+        self.foreign_entries: list[object] = []
+        self.list_calls = 0
+        self._list = HttpServer(self.loop, Address("127.0.0.1", 0), self._serve_list)
+        self._lock = threading.Lock()
+
+    @property
+    def list_address(self) -> str:
+        return str(self._list.address)
+
+    def start(self) -> None:
+        self.loop.start()
+        self.loop.call_soon(self._list.start)
+
+    def close(self) -> None:
+        self.loop.close()
+
+    def add(
+        self, target_id: str, service: str, version: int | None = None
+    ) -> StandInTarget:
+        """Start a target; one with a version is an engine."""
+        target: StandInTarget
+
+        def serve(connection: ServerConnection, request: HttpRequest) -> None:
+            self._serve_target(target, connection, request)
+
+        server = HttpServer(self.loop, Address("127.0.0.1", 0), serve)
+        target = StandInTarget(target_id, service, server, version)
+        self.targets[target_id] = target
+        self.loop.call_soon(server.start)
+        return target
+
+    def stop(self, target_id: str) -> None:
+        """Kill a target: its connections are reset and nothing listens."""
+        self.loop.call_soon(self.targets[target_id].server.close)
+
+    def _serve_list(self, connection: ServerConnection, request: HttpRequest) -> None:
+        self.list_calls += 1
+        entries = [target.entry() for target in self.targets.values()]
+        body = {"instances": [*entries, *self.foreign_entries], "nextToken": None}
+        connection.respond(200, Headers(), json.dumps(body).encode())
+
+    def _serve_target(
+        self, target: StandInTarget, connection: ServerConnection, request: HttpRequest
+    ) -> None:
+        if request.path == "/report":
+            self._report(target, connection)
+        elif request.path == "/order":
+            self._order(target, connection, request)
+        elif request.path == "/kv-events":
+            body = {"bootEpoch": 1, "nextToken": 0, "lost": False, "events": []}
+            connection.respond(200, Headers(), json.dumps(body).encode())
+        else:
+            self._run(target, connection, request)
+
+    def _report(self, target: StandInTarget, connection: ServerConnection) -> None:
+        entry = target.entry()
+        body = {
+            "id": target.target_id,
+            "born": 1000,
+            "models": entry["models"],
+            "busy": target.is_loading,
+            "seqNo": target.orders_taken,
+        }
+        connection.respond(200, Headers(), json.dumps(body).encode())
+
+    def _order(
+        self, target: StandInTarget, connection: ServerConnection, request: HttpRequest
+    ) -> None:
+        order = json.loads(request.body)
+        target.orders.append(order)
+        if order.get("expectedRev", target.orders_taken) != target.orders_taken:
+            connection.respond(409, Headers())
+            return
+        target.orders_taken += 1
+        target.is_loading = True
+
+        def loaded() -> None:
+            target.version = order["version"]
+            target.is_loading = False
+
+        self.loop.call_later(target.load_s, loaded)
+        connection.respond(202, Headers())
+
+    def _run(
+        self, target: StandInTarget, connection: ServerConnection, request: HttpRequest
+    ) -> None:
+        headers = {name.lower(): value for name, value in request.headers}
+        target.seen.append(headers)
+        target.bodies.append(request.body)
+        request_id = headers.get("berylnotch-request-id", "")
+        expected = headers.get("berylnotch-expect-version")
+        if expected is not None and int(expected) != target.version:
+            connection.respond(421, Headers())
+            return
+        if target.is_loading or target.mood == "refuse":
+            refusal = Headers((("Berylnotch-Not-Executed", "1"),))
+            connection.respond(503, refusal)
+            return
+        target.runs.append(request_id)
+        answer = Headers((("Berylnotch-Request-Id", request_id),))
+        if target.mood != "no_stamp":
+            answer.add("Berylnotch-Server-Stamp", f"stamp-{target.target_id}")
+        if target.mood == "hang":
+            return
+        if target.mood == "reset":
+            connection.abort()
+        elif target.mood == "error":
+            connection.respond(500, answer, b"failed")
+        elif target.mood == "foreign":
+            other = Headers(
+                (
+                    ("Berylnotch-Request-Id", "somebody-else"),
+                    ("Berylnotch-Server-Stamp", "stamp"),
+                )
+            )
+            connection.respond(200, other, b"another answer")
+        elif target.version is None:
+            connection.respond(200, answer, b"answer to " + request_id.encode())
+        else:
+            after = int(headers.get("last-event-id", "0"))
+            self._stream(target, connection, answer, after)
+
+    def _stream(
+        self,
+        target: StandInTarget,
+        connection: ServerConnection,
+        answer: Headers,
+        after: int,
+    ) -> None:
+        answer.add("Content-Type", "text/event-stream")
+        connection.start_stream(200, answer)
+
+        def send(number: int) -> None:
+            if connection.is_closed:
+                return
+            if target.mood == "cut" and number == after + 3:
+                connection.send_piece(b"id: %d\nda" % number)
+                connection.abort()
+                return
+            if number > target.events:
+                connection.end_stream()
+                return
+            connection.send_piece(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            self.loop.call_later(target.event_pause_s, lambda: send(number + 1))
+
+        send(after + 1)
--- /dev/null
+++ b/tests/fleet/processes.py
@@ -0,0 +1,342 @@
+"""Real processes of a fleet on loopback, and a caller for them."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+from attrs import define, field
+
+from tests.fleet.platform import MODEL, PlatformStandIn
+
+#: Longest wait for a condition, in seconds; conditions usually hold at once.
+PATIENCE_S = 30.0
+
+KEY = "key-of-alpha"
+
+_SETTINGS = """[process]
+name = {name}
+ip = {ip}
+failure-domain = north
+listen = {ip}:{listen}
+ready = {ready}
+directory = {directory}
+internal-ports = {internal},{last}
+seeds = {seeds}
+founds-group = {founds}
+data = {data}
+target-list = {target_list}
+target-list-period-s = 0.1
+
+[bounds]
+address-ttl-s = 5
+stop-s = 8
+order-lease-ms = 300
+retry-ratio = 0.2
+retry-window-s = 10
+retry-slack = 50
+quota-window-s = 8
+quota-overshoot = 0.1
+quota-slack = 100000
+"""
+
+
+def until(condition, what: str, patience_s: float = PATIENCE_S):
+    """Wait for a condition and return its value."""
+    deadline = time.monotonic() + patience_s
+    while time.monotonic() < deadline:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise AssertionError(f"not within {patience_s:g} s: {what}")
+
+
+def configuration(version: int, **changes: object) -> dict:
+    """Return a configuration with a stream route and two plain ones."""
+    base = {
+        "host": "app.example",
+        "timeoutMs": 5000,
+    }
+    base.update(changes)
+    routes = [
+        _route("chat", "/chat/", "streaming", "llm", base, resumable=True),
+        _route("book", "/book/", "non_idempotent", "desk", base),
+        _route("read", "/read/", "idempotent", "desk", base),
+    ]
+    engine = {"slots": 8, "kvCapacityTokens": 100000, "models": [{"name": MODEL}]}
+    services = [
+        {"name": "llm", "healthPath": "/healthz", "maxConns": 99, "engine": engine},
+        {"name": "desk", "healthPath": "/healthz", "maxConns": 99},
+    ]
+    tenant = {
+        "name": "alpha",
+        "apiKeys": base.get("keys", [KEY]),
+        "priority": 1,
+        "unit": "tokens",
+        "uncachedTokens": 200,
+        "isolated": False,
+        "ratePerS": 50000,
+        "burst": 100000,
+    }
+    return {
+        "version": version,
+        "routes": routes + list(base.get("more", [])),
+        "services": services,
+        "tenants": [tenant],
+        "limits": {"headerTimeoutMs": 1000, "idleTimeoutMs": 15000},
+    }
+
+
+def _route(name, prefix, kind, service, base, resumable=False) -> dict:
+    return {
+        "name": name,
+        "hostname": base["host"],
+        "pathPrefix": prefix,
+        "routeType": kind,
+        "timeoutMs": base["timeoutMs"],
+        "targetLatencyMs": 400,
+        "priority": 0,
+        "service": service,
+        "maxAttempts": 2,
+        "public": False,
+        "sticky": kind == "streaming",
+        "resumable": resumable,
+        "gapTargetMs": 250,
+    }
+
+
+@define(eq=False)
+class FleetProcess:
+    """A started process, its settings and its log."""
+
+    name: str
+    role: str
+    ip: str
+    port: int
+    settings: Path
+    log: Path
+    data: Path | None = None
+    process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        out = open(self.log, "ab")
+        command = [sys.executable, "-m", "berylnotch.cmd.fleetd", self.role]
+        self.process = subprocess.Popen(
+            [*command, "--settings", str(self.settings)], stdout=out, stderr=out
+        )
+        out.close()
+
+    def signal(self, number: int) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        self.process.wait()
+
+    def lines(self) -> list[dict[str, str]]:
+        """Return the events of the log, as fields."""
+        return [_fields(line) for line in self.log.read_text().splitlines()]
+
+
+def _fields(line: str) -> dict[str, str]:
+    fields, rest = {}, line
+    while "=" in rest:
+        name, _, rest = rest.partition("=")
+        if rest.startswith('"'):
+            end = rest.index('"', 1)
+            while rest[end - 1] == "\\":
+                end = rest.index('"', end + 1)
+            value, rest = rest[1:end], rest[end + 1 :]
+        else:
+            value, _, rest = rest.partition(" ")
+        fields[name.strip()] = value
+    return fields
+
+
+class Answer:
+    """What a caller got."""
+
+    def __init__(self, status: int, headers, body: bytes, is_whole: bool) -> None:
+        self.status, self.headers, self.body = status, headers, body
+        self.is_whole = is_whole
+
+
+@define(eq=False)
+class FleetOfProcesses:
+    """Controllers and routers on 127.0.0.x addresses with the same ports."""
+
+    folder: Path
+    platform: PlatformStandIn
+    controllers: list[FleetProcess] = field(factory=list)
+    routers: list[FleetProcess] = field(factory=list)
+    base_port: int = 0
+
+    def start(self, controllers: int = 3, routers: int = 2) -> None:
+        net = (os.getpid() * 7 + id(self)) % 200 + 20
+        self.base_port = 20000 + (os.getpid() * 31) % 20000
+        ips = [f"127.{net}.0.{number + 1}" for number in range(20)]
+        for number in range(controllers):
+            self.controllers.append(
+                self._process(f"core-{number + 1}", "controller", ips[number], ips)
+            )
+        for number in range(routers):
+            ip = ips[10 + number]
+            self.routers.append(
+                self._process(f"entry-{number + 1}", "router", ip, ips)
+            )
+        for process in (*self.controllers, *self.routers):
+            process.start()
+
+    def _process(self, name, role, ip, ips, founds=True) -> FleetProcess:
+        base = self.base_port
+        seeds = ",".join(f"{seed}:{base}" for seed in ips[:3])
+        data = self.folder / name / "data"
+        settings = self.folder / f"{name}.ini"
+        is_router = role == "router"
+        settings.write_text(
+            _SETTINGS.format(
+                name=name,
+                ip=ip,
+                listen=base + (1 if is_router else 0),
+                ready=f"{ip}:{base + 2}" if is_router else "",
+                directory=f"{ip}:{base + 3}" if is_router else "",
+                internal=base + 10,
+                last=base + 15,
+                seeds=seeds,
+                founds="true" if founds else "false",
+                data="" if is_router else data,
+                target_list=self.platform.list_address,
+            )
+        )
+        port = base + (1 if is_router else 0)
+        log = self.folder / f"{name}.log"
+        return FleetProcess(name, role, ip, port, settings, log, data)
+
+    def close(self) -> None:
+        for process in (*self.controllers, *self.routers):
+            if process.process is not None and process.process.poll() is None:
+                process.kill()
+
+    def operator(self, method: str, path: str, body: bytes = b"") -> Answer | None:
+        """Make an operator's call at any controller, following redirects."""
+        for controller in self.controllers:
+            answer = self._call(controller, method, path, body)
+            if answer is not None and answer.status == 307:
+                host, port = answer.headers["Location"].split("/")[2].split(":")
+                answer = _request(host, int(port), method, path, {}, body, 3.0)
+            if answer is not None and answer.status < 500 and answer.status != 307:
+                return answer
+        return None
+
+    def _call(self, controller, method, path, body) -> Answer | None:
+        if controller.process.poll() is not None:
+            return None
+        return _request(controller.ip, controller.port, method, path, {}, body, 2.0)
+
+    def put(self, values: dict | bytes) -> Answer:
+        """Put a configuration until there is a clear answer."""
+        body = values if isinstance(values, bytes) else json.dumps(values).encode()
+        return until(lambda: self.operator("PUT", "/config", body), "answer to PUT")
+
+    def name_weights(self, version: int) -> Answer:
+        body = json.dumps({"model": MODEL, "version": version}).encode()
+        return until(
+            lambda: self.operator("POST", "/version-put", body), "answer to weights"
+        )
+
+    def ask(
+        self,
+        router: FleetProcess,
+        path: str,
+        request_id: str,
+        method: str = "POST",
+        body: bytes = b"{}",
+        key: str = KEY,
+        **more: str,
+    ) -> Answer | None:
+        """Send a caller's request."""
+        headers = {
+            "Host": "app.example",
+            "Authorization": f"Bearer {key}",
+            "Berylnotch-Request-Id": request_id,
+            "Berylnotch-Deadline-Ms": more.pop("deadline_ms", "4000"),
+        }
+        if path.startswith("/chat/"):
+            headers["Berylnotch-Model"] = MODEL
+            headers["Berylnotch-Token-Count"] = "3000,20"
+            headers["Berylnotch-Prefix-Hash"] = "aa01:2000,bb02:1000"
+        headers.update({name.replace("_", "-"): v for name, v in more.items()})
+        return _request(router.ip, router.port, method, path, headers, body, 8.0)
+
+    def wait_ready(self) -> None:
+        """Wait until each router is ready and knows the targets."""
+        for router in self.routers:
+            until(lambda r=router: self._is_ready(r), f"{router.name} ready")
+        for router in self.routers:
+            until(lambda r=router: self._serves(r), f"{router.name} serves")
+
+    def _is_ready(self, router: FleetProcess) -> bool:
+        answer = _request(
+            router.ip, self.base_port + 2, "GET", "/readyz", {}, b"", 1.0
+        )
+        return answer is not None and answer.status == 200
+
+    def _serves(self, router: FleetProcess) -> bool:
+        answer = self.ask(router, "/read/ready", f"ready-{time.monotonic()}", "GET")
+        return answer is not None and answer.status == 200
+
+    def leader(self) -> FleetProcess | None:
+        """Return the controller that leads, by the newest lines of the logs."""
+        for controller in self.controllers:
+            if controller.process.poll() is not None:
+                continue
+            events = [
+                f["event"]
+                for f in controller.lines()
+                if f.get("event") in ("leading", "leading_ended", "started")
+            ]
+            if events and events[-1] == "leading":
+                return controller
+        return None
+
+
+def _request(host, port, method, path, headers, body, timeout_s) -> Answer | None:
+    connection = http.client.HTTPConnection(host, port, timeout=timeout_s)
+    try:
+        connection.request(method, path, body=body or None, headers=headers)
+        response = connection.getresponse()
+        data, is_whole = b"", True
+        try:
+            data = response.read()
+        except http.client.IncompleteRead as error:
+            data, is_whole = error.partial, False
+        return Answer(response.status, response.headers, data, is_whole)
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
+
+
+def in_threads(calls) -> list:
+    """Run calls at the same time and return their results."""
+    results = [None] * len(calls)
+
+    def run(position):
+        results[position] = calls[position]()
+
+    threads = [threading.Thread(target=run, args=(n,)) for n in range(len(calls))]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return results
