--- a/tests/fleet/processes.py
+++ b/tests/fleet/processes.py
@@ -191,9 +191,7 @@
             )
         for number in range(routers):
             ip = ips[10 + number]
-            self.routers.append(
-                self._process(f"entry-{number + 1}", "router", ip, ips)
-            )
+            self.routers.append(self._process(f"entry-{number + 1}", "router", ip, ips))
         for process in (*self.controllers, *self.routers):
             process.start()
 
@@ -286,9 +284,7 @@
             until(lambda r=router: self._serves(r), f"{router.name} serves")
 
     def _is_ready(self, router: FleetProcess) -> bool:
-        answer = _request(
-            router.ip, self.base_port + 2, "GET", "/readyz", {}, b"", 1.0
-        )
+        answer = _request(router.ip, self.base_port + 2, "GET", "/readyz", {}, b"", 1.0)
         return answer is not None and answer.status == 200
 
     def _serves(self, router: FleetProcess) -> bool:
--- a/tests/test_daemon/test_fleet.py
+++ b/tests/test_daemon/test_fleet.py
@@ -121,7 +121,9 @@
     wiped.kill()
     for path in sorted(wiped.data.rglob("*"), reverse=True):
         path.unlink() if path.is_file() else path.rmdir()
-    text = wiped.settings.read_text().replace("founds-group = true", "founds-group = no")
+    text = wiped.settings.read_text().replace(
+        "founds-group = true", "founds-group = no"
+    )
     wiped.settings.write_text(text)
     wiped.start()
 
@@ -257,9 +259,7 @@
         time.sleep(0.3)
         router.signal(signal.SIGTERM)
 
-    calls = [
-        lambda n=n: fleet.ask(router, "/chat/x", f"stop-{n}") for n in range(5)
-    ]
+    calls = [lambda n=n: fleet.ask(router, "/chat/x", f"stop-{n}") for n in range(5)]
     results = in_threads([*calls, stop])[:-1]
     assert all(a is not None and a.status == 200 and a.is_whole for a in results)
     assert router.process.wait(timeout=10) == 0
--- /dev/null
+++ b/tests/test_orders/test_rolling.py
@@ -0,0 +1,65 @@
+"""Which engines load new weights next."""
+
+from attrs import evolve
+from hypothesis import given
+from hypothesis import strategies as st
+
+from berylnotch.membership.listing import ListedTarget, ModelVersion
+from berylnotch.orders.rolling import next_loads
+
+
+def engines(*versions):
+    return [
+        ListedTarget(
+            f"e{n}", "llm", f"10.0.0.{n}:1", "d", models=(ModelVersion("m", v),)
+        )
+        for n, v in enumerate(versions)
+    ]
+
+
+def ids(loads):
+    return [load.target_id for load in loads]
+
+
+def test_two_of_five_load_at_once():
+    targets = engines(1, 1, 1, 1, 1)
+    loads = next_loads(targets, {"m": 2}, (), (), {})
+    assert len(loads) == 2
+    assert ids(next_loads(targets, {"m": 2}, ("e0", "e1"), (), {})) == []
+
+
+def test_versions_between_are_skipped_and_the_oldest_go_first():
+    loads = next_loads(engines(3, 1, 2, 3, 4), {"m": 4}, (), (), {})
+    assert ids(loads) == ["e1", "e2"]
+    assert {load.version for load in loads} == {4}
+
+
+def test_idle_engines_go_before_busy_ones():
+    busy = {"e0": 9, "e1": 0, "e2": 5, "e3": 2, "e4": 9}
+    loads = next_loads(engines(1, 1, 1, 1, 1), {"m": 2}, (), (), busy)
+    assert ids(loads) == ["e1", "e3"]
+
+
+def test_held_back_and_leaving_engines_get_no_order():
+    targets = engines(1, 1, 1, 1, 1)
+    targets[2] = evolve(targets[2], is_leaving=True)
+    loads = next_loads(targets, {"m": 2}, (), ("e0", "e1"), {})
+    assert "e2" not in ids(loads) and not {"e0", "e1"} & set(ids(loads))
+
+
+def test_plain_targets_get_no_order():
+    plain = ListedTarget("p", "desk", "10.0.0.9:1", "d")
+    assert next_loads([plain], {"m": 2}, (), (), {}) == ()
+
+
+@given(
+    st.lists(st.integers(1, 4), min_size=2, max_size=12),
+    st.integers(1, 5),
+    st.sets(st.integers(0, 11)),
+)
+def test_a_service_is_never_empty(versions, wanted, loading):
+    targets = engines(*versions)
+    loads_now = {f"e{n}" for n in loading if n < len(targets)}
+    loads = next_loads(targets, {"m": wanted}, loads_now, (), {})
+    if len(loads_now) < len(targets):
+        assert len(loads_now | set(ids(loads))) < len(targets)
--- /dev/null
+++ b/tests/test_platform/test_requests.py
@@ -0,0 +1,95 @@
+"""Headers of callers, and what a target gets of them."""
+
+from berylnotch.net.messages import Headers, HttpRequest
+from berylnotch.platform.requests import (
+    PromptPart,
+    TargetHeaders,
+    decode_answer,
+    decode_request,
+    encode_for_target,
+    refusal_headers,
+)
+
+
+def request(*pairs, method="POST", body=b"body"):
+    return HttpRequest(method, "/a/b?c=d", Headers((("Host", "h"), *pairs)), body)
+
+
+def test_reads_a_model_request():
+    caller = decode_request(
+        request(
+            ("Authorization", "Bearer secret"),
+            ("Berylnotch-Request-Id", "id-1"),
+            ("Berylnotch-Deadline-Ms", "2500"),
+            ("Berylnotch-Model", "m"),
+            ("Berylnotch-Token-Count", "1460,80"),
+            ("Berylnotch-Prefix-Hash", "5c:800,91:410"),
+            ("Last-Event-Id", "12"),
+        )
+    )
+    assert caller.key == "secret" and caller.request_id == "id-1"
+    assert caller.deadline_s == 2.5 and caller.tokens == 1540
+    assert caller.parts == (PromptPart("5c", 800), PromptPart("91", 410))
+    assert caller.resume_after == 12
+
+
+def test_malformed_values_count_as_absent():
+    caller = decode_request(
+        request(
+            ("Authorization", "Basic secret"),
+            ("Berylnotch-Deadline-Ms", "soon"),
+            ("Berylnotch-Token-Count", "many"),
+            ("Berylnotch-Prefix-Hash", "5c:800,broken"),
+            ("Last-Event-Id", "-1"),
+        )
+    )
+    assert caller.key == "" and caller.deadline_s is None and caller.tokens == 0
+    assert caller.parts == (PromptPart("5c", 800),)
+    assert caller.resume_after is None
+
+
+def test_target_gets_no_key_and_nothing_that_only_the_system_sets():
+    sent = encode_for_target(
+        request(
+            ("Authorization", "Bearer secret"),
+            ("Berylnotch-Tenant", "forged"),
+            ("Berylnotch-Cache-Salt", "forged"),
+            ("Berylnotch-Kv-Fetch", "1.2.3.4:5"),
+            ("Berylnotch-Kv-Hold", "forged"),
+            ("Berylnotch-Pin-Ms", "9"),
+            ("Berylnotch-Kv-Backup", "1.2.3.4:5"),
+            ("Kv-From", "1.2.3.4:5/6"),
+            ("Connection", "close, x-odd"),
+            ("X-Odd", "1"),
+            ("X-Kept", "2"),
+        ),
+        TargetHeaders(deadline_s=1.25, target_id="t-1", organisation="alpha"),
+    )
+    text = sent.encode().decode()
+    assert "secret" not in text and "forged" not in text and "1.2.3.4" not in text
+    assert "X-Odd" not in text and "X-Kept: 2" in text
+    assert "Berylnotch-Deadline-Ms: 1250" in text
+    assert "Berylnotch-Expect-Instance: t-1" in text
+    assert "Berylnotch-Tenant: alpha" in text
+    assert text.startswith("POST /a/b?c=d HTTP/1.1\r\n") and text.endswith("body")
+
+
+def test_resume_replaces_the_callers_position():
+    sent = encode_for_target(
+        request(("Last-Event-Id", "2")),
+        TargetHeaders(deadline_s=1, target_id="t", resume_after=7),
+    )
+    assert sent.headers.get("Last-Event-Id") == "7"
+    assert sent.headers.count("Last-Event-Id") == 1
+
+
+def test_only_a_statement_of_the_target_counts_as_not_run():
+    assert not decode_answer(503, Headers()).is_not_run
+    assert decode_answer(503, Headers((("Berylnotch-Not-Executed", "1"),))).is_not_run
+    assert decode_answer(421, Headers()).is_not_run
+
+
+def test_refusal_tells_when_to_come_back():
+    headers = refusal_headers("id-1", 0.25)
+    assert headers.get("Retry-After") == "0.250"
+    assert refusal_headers("id-1", None).get("Retry-After") == ""
--- /dev/null
+++ b/tests/test_quota/test_bounds.py
@@ -0,0 +1,82 @@
+"""What a fleet enforces stays within the operators' bounds."""
+
+import random
+
+from berylnotch.entry.quota_gate import Charge, QuotaGate
+from berylnotch.quota.bounds import FLEET_QUOTA, HELD_PART, effective_limits, is_limited
+from berylnotch.quota.local import LocalQuota
+from berylnotch.quota.owner import QuotaOwner
+from berylnotch.routing.model import Organisation
+from berylnotch.settings.fleet import FleetBounds
+
+BOUNDS = FleetBounds(quota_window_s=8, quota_overshoot=0.1, quota_slack=190_000)
+ORGANISATION = Organisation("alpha", ("k",), 0, 55_000, 112_000, True, 200)
+
+#: Wait for tokens as in `berylnotch.entry.settings.EntrySettings`, in seconds.
+WAIT_S = 0.25
+
+
+def test_organisations_without_a_rate_are_not_limited():
+    assert not is_limited(None)
+    assert not is_limited(Organisation("free", ()))
+    assert effective_limits((Organisation("free", ()),), BOUNDS) == {}
+
+
+def play(seed, routers, wanted_per_s, seconds, failover_at):
+    """Return charges as pairs of time and tokens, over a change of owner."""
+    rng = random.Random(seed)
+    limits = effective_limits((ORGANISATION,), BOUNDS)
+    owner = QuotaOwner(FLEET_QUOTA, 1, 0.0)
+    gates = [QuotaGate(LocalQuota(FLEET_QUOTA), WAIT_S) for _ in range(routers)]
+    floor = int(limits["alpha"].burst * HELD_PART / routers)
+    for gate in gates:
+        gate.quota.keep("alpha", floor)
+    charges, refusals, now, step = [], [], 0.0, 0.02
+
+    def ask(gate, size):
+        def done(outcome, _retry_s):
+            if outcome is Charge.CHARGED:
+                charges.append((now, size))
+            else:
+                refusals.append((now, size))
+
+        gate.charge(now, "alpha", size, done)
+
+    while now < seconds:
+        now += step
+        if failover_at is not None and now >= failover_at:
+            owner, failover_at = QuotaOwner(FLEET_QUOTA, 2, now), None
+        for number, gate in enumerate(gates):
+            if rng.random() < wanted_per_s * step / routers / 4_535:
+                ask(gate, rng.choice((380, 380, 380, 17_000)))
+            gate.serve(now)
+            if now >= gate.quota.next_ask_at:
+                request = gate.request(now, f"r{number}", "i", "a", "d")
+                gate.receive(now, now, owner.grant(now, request, limits))
+    return charges, refusals
+
+
+def most_in_window(charges, window_s):
+    most, start, total = 0, 0, 0
+    for end, (at, tokens) in enumerate(charges):
+        total += tokens
+        while charges[start][0] <= at - window_s:
+            total -= charges[start][1]
+            start += 1
+        most = max(most, total)
+        assert end >= start
+    return most
+
+
+def test_no_window_exceeds_the_bound_over_a_change_of_owner():
+    bound = (55_000 * 8 + 112_000) * 1.1 + 190_000
+    for seed in range(4):
+        charges, _ = play(seed, 6, 400_000, 30, failover_at=12.0)
+        assert most_in_window(charges, 8.0) <= bound
+
+
+def test_use_below_the_rate_is_never_refused():
+    for seed in range(4):
+        charges, refusals = play(seed, 6, 30_000, 30, failover_at=None)
+        assert len(charges) > 100
+        assert refusals == []
--- /dev/null
+++ b/tests/test_transport/test_packing.py
@@ -0,0 +1,76 @@
+"""MessagePack codec and frames without proof of identity."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from berylnotch.consensus import messages as consensus
+from berylnotch.consensus.members import decode_members, encode_members
+from berylnotch.errors import CodecError, TransportError
+from berylnotch.group.messages import (
+    CONTROLLER_MESSAGES,
+    ROUTER_MESSAGES,
+    ConfigurationUpdate,
+    RouterReport,
+    TargetEntry,
+    TargetLoad,
+    TargetsUpdate,
+)
+from berylnotch.membership.listing import ListedTarget, ModelVersion
+from berylnotch.transport.codec import encode
+from berylnotch.transport.packing import pack, unpack
+from berylnotch.transport.plain import PlainSession
+
+ENTRY = consensus.Entry(3, 2, consensus.EntryKind.COMMAND, b"\x00\xff")
+
+MESSAGES = [
+    consensus.AppendRequest(2, "a/1", 2, 1, 2, 9, (ENTRY,), "h:1", "b/2"),
+    consensus.VoteReply(3, "a/1", True, True),
+    RouterReport("r", "i", "h:1", "d", False, 4, (TargetLoad("t", 2, 30),)),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda m: type(m).__name__)
+def test_messages_come_back_as_they_were(message):
+    assert unpack(pack(message), CONTROLLER_MESSAGES) == message
+
+
+def test_nested_messages_of_routers_come_back():
+    target = ListedTarget("t", "s", "h:1", "d", models=(ModelVersion("m", 2),))
+    update = TargetsUpdate((TargetEntry(target, True),), (ModelVersion("m", 3),))
+    assert unpack(pack(update), ROUTER_MESSAGES) == update
+
+
+def test_members_are_read_in_the_old_form_as_well():
+    members = consensus.Members((consensus.Member("a", "a/1", "h:1"),))
+    assert decode_members(encode_members(members)) == members
+    assert decode_members(encode(members)) == members
+
+
+@given(st.binary(max_size=200))
+def test_bytes_of_strangers_are_refused(data):
+    with pytest.raises(CodecError):
+        unpack(data, CONTROLLER_MESSAGES)
+
+
+def test_messages_for_others_are_refused():
+    with pytest.raises(CodecError):
+        unpack(pack(ConfigurationUpdate(1, b"")), CONTROLLER_MESSAGES)
+
+
+@given(st.integers(1, 40))
+def test_frames_survive_any_cut(size):
+    sender = PlainSession("x", CONTROLLER_MESSAGES)
+    for message in MESSAGES:
+        sender.send(0, False, message)
+    data = sender.take_output()
+    receiver = PlainSession("x", CONTROLLER_MESSAGES)
+    received = []
+    for start in range(0, len(data), size):
+        received += [m for _, m in receiver.feed(data[start : start + size])]
+    assert received == MESSAGES
+
+
+def test_a_frame_over_the_bound_ends_the_link():
+    with pytest.raises(TransportError):
+        PlainSession("x", ()).feed(b"\xff" * 9)
