entry: each prompt in one store; watch stores; own parts fill the mirrored memory

Cause: with three stores only the first was used (grown sites), its room was overrun; a store that is down costs each request some hundred ms.

--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -5,6 +5,7 @@
 from berylnotch.control.protocol import GrantRequest
 from berylnotch.daemon.fleet.registry import RouterRegistry
 from berylnotch.daemon.fleet.replica_host import ReplicaHost
+from berylnotch.daemon.fleet.stores import StoreWatch
 from berylnotch.daemon.fleet.watch import TargetWatch
 from berylnotch.daemon.fleet.weights import WeightsRollout
 from berylnotch.group.commands import TakeOrders
@@ -84,6 +85,7 @@
             self.push_targets,
             log,
         )
+        self._stores = StoreWatch(loop, self.push_targets, log)
         self._watch: TargetWatch | None = None
         if settings.target_list is not None:
             self._watch = TargetWatch(
@@ -115,6 +117,7 @@
         """Stop leading."""
         self._is_closed = True
         self._rollout.close()
+        self._stores.close()
         if self._watch is not None:
             self._watch.close()
 
@@ -126,6 +129,8 @@
             self._limits = effective_limits(
                 configuration.organisations or (), self._settings.bounds
             )
+            stores = {s.store_address for s in configuration.services}
+            self._stores.watch(stores - {""})
         self.registry.push_configuration()
         self.push_targets()
         self._rollout.advance()
@@ -142,7 +147,9 @@
         """Send changed targets to the routers."""
         if self._is_closed or self._board.listed_at is None:
             return
-        update = TargetsUpdate(self._board.entries(), self._state.weights)
+        update = TargetsUpdate(
+            self._board.entries(), self._state.weights, self._stores.down
+        )
         self.registry.push_targets(update)
 
     def _take_list(self, targets: tuple[ListedTarget, ...]) -> None:
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -347,7 +347,10 @@
             return
         salt, part, prompts = self._told.cache_salt, parts[0], self._context.prompts
         holder = self._target.target_id
-        note = PromptNote(salt, part.part_id, part.tokens, holder, is_ready)
+        own = 0
+        if not is_ready:
+            own = max(0, self._admitted.caller.prompt_tokens - part.tokens)
+        note = PromptNote(salt, part.part_id, part.tokens, holder, own, is_ready)
         prompts.read(note, self._context.cache_tokens(self._target))
         if is_ready and self._told.save_to:
             note = PromptNote(salt, part.part_id, part.tokens, self._told.save_to)
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -16,6 +16,7 @@
 from berylnotch.membership.crashes import fingerprint
 from berylnotch.net.messages import HttpRequest
 from berylnotch.net.server import ServerConnection
+from berylnotch.placement.mixing import mix
 from berylnotch.platform.requests import (
     CallerRequest,
     TargetHeaders,
@@ -179,7 +180,7 @@
         wanted = context.wanted.get(model, 0)
         since = context.wanted_since.get(model, now)
         shared = caller.parts[0] if len(caller.parts) > 1 else None
-        store = self._store(service)
+        store = self._store(service, shared.part_id) if shared else ""
 
         def holding(target: Target) -> Holding:
             salt = self._salt(target, model)
@@ -246,12 +247,17 @@
         self._attempt = Attempt(self._context, choice, self._admitted, told, self)
         self._attempt.start()
 
-    def _store(self, service: Service) -> str:
-        """Return the address of the store that a service may use, or empty."""
-        store = self._context.routes.store_for(service)
-        if store is None or store.store_address in self._context.down_stores:
+    def _store(self, service: Service, part_id: str) -> str:
+        """Return the address of the store that keeps a prompt, or empty.
+
+        All routers choose alike, so that each prompt is kept once.
+        """
+        if service.engine is None:
             return ""
-        return store.store_address
+        down = self._context.down_stores
+        addresses = [s.store_address for s in self._context.routes.stores]
+        up = [address for address in addresses if address not in down]
+        return min(up, key=lambda address: mix(address, part_id), default="")
 
     def _salt(self, target: Target, model: str) -> str:
         """Return what separates cache entries that may not be shared."""
@@ -271,7 +277,7 @@
         salt = self._salt(target, placing.model) if placing.model else ""
         fetch_from = save_to = ""
         if placing.has_home:
-            store = self._store(service)
+            store = self._store(service, placing.shared_id)
             if choice.source is not None:
                 fetch_from = choice.source.listed.address
             else:
--- a/berylnotch/entry/prompts.py
+++ b/berylnotch/entry/prompts.py
@@ -13,9 +13,9 @@
 
 from berylnotch.group.messages import PromptNote
 
-#: Part of an engine's memory that holds shared prompts; running requests and their
-#: own parts take the rest.
-SHARED_PART = 0.7
+#: Part of an engine's memory that holds long prompts; short ones and requests that
+#: run take the rest.
+LONG_PART = 0.85
 
 #: Seconds for which a prompt that was sent to a store counts as held there. A store
 #: drops what was not used for longest.
@@ -59,6 +59,7 @@
         self._engines: dict[str, _Memory] = {}
         self._saved: OrderedDict[tuple[str, str, str], float] = OrderedDict()
         self._notes: list[PromptNote] = []
+        self._reads = 0
 
     def holding(self, target_id: str, salt: str, part_id: str) -> Holding:
         """Tell whether an engine probably holds a prompt, or is about to."""
@@ -121,6 +122,11 @@
         was_ready = known is not None and known.is_ready
         memory.tokens += note.tokens - (known.tokens if known else 0)
         memory.prompts[key] = _Entry(note.tokens, note.is_ready or was_ready)
-        while memory.tokens > capacity * SHARED_PART and len(memory.prompts) > 1:
+        if note.own_tokens:
+            # The rest of a prompt is of no use to others, but takes its place.
+            self._reads += 1
+            memory.prompts[("", str(self._reads))] = _Entry(note.own_tokens, False)
+            memory.tokens += note.own_tokens
+        while memory.tokens > capacity * LONG_PART and len(memory.prompts) > 1:
             _, dropped = memory.prompts.popitem(last=False)
             memory.tokens -= dropped.tokens
--- a/berylnotch/group/messages.py
+++ b/berylnotch/group/messages.py
@@ -49,14 +49,16 @@
     """A shared prompt that a target reads or has read, or a store was sent.
 
     ``salt`` separates cache entries that may not be shared. ``holder`` is a
-    target's identity or a store's address. ``is_ready`` tells that it was read,
-    so that others may take it over from there.
+    target's identity or a store's address. ``own_tokens`` are those of the rest of
+    the prompt, which fill the target's memory as well. ``is_ready`` tells that it
+    was read, so that others may take it over from there.
     """
 
     salt: str
     part_id: str
     tokens: int
     holder: str
+    own_tokens: int = 0
     is_ready: bool = True
 
 
--- a/berylnotch/routing/table.py
+++ b/berylnotch/routing/table.py
@@ -64,12 +64,10 @@
                 return route
         return None
 
-    def store_for(self, service: Service) -> Service | None:
-        """Return the store of KV cache that engines of a service may use."""
-        if service.engine is None:
-            return None
-        stores = (s for s in self.configuration.services if s.store_address)
-        return next(stores, None)
+    @property
+    def stores(self) -> tuple[Service, ...]:
+        """Stores of KV cache."""
+        return tuple(s for s in self.configuration.services if s.store_address)
 
     def kinds_of(self, service: str) -> frozenset[RouteKind]:
         """Return the kinds of the routes that lead to a service."""
--- a/tests/fleet/platform.py
+++ b/tests/fleet/platform.py
@@ -39,7 +39,8 @@
     seen: list[dict[str, str]] = field(factory=list)
     bodies: list[bytes] = field(factory=list)
     orders: list[dict] = field(factory=list)
-    #: How requests are answered: ok, refuse, error, hang, reset, cut, no_stamp, foreign.
+    #: How requests are answered: ok, refuse, error, hang, reset, cut, no_stamp,
+    #: foreign.
     mood: str = "ok"
 
     @property
