entry: refuse what can't come in time; roll weights out by load; version ages

Change: delays by the engines' step model, a refusal where the first event can't come in time, one load at a time while busy, no move while the engine answers others, outdated since the first newer version.

--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -18,10 +18,12 @@
     RouterReport,
 )
 from berylnotch.group.state import FleetState
+from berylnotch.membership.naming import WeightsNames
 from berylnotch.net.sockets import Acceptor
 from berylnotch.settings.fleet import FleetSettings
 from berylnotch.transport.link import Link, LinkSettings, accept_link
 from berylnotch.transport.packing import message_classes
+from berylnotch.util.clock import boot_time
 from berylnotch.util.lines import EventLog
 from berylnotch.util.loop import Loop
 from berylnotch.util.metrics import Metrics
@@ -59,6 +61,7 @@
         self._log = log
         self._link_settings = LinkSettings()
         self._state = FleetState()
+        self._names = WeightsNames()
         self._leader: Leader | None = None
         self._links: set[Link] = set()
         self._peers = PeerLinks(
@@ -140,6 +143,8 @@
         return Redirect(leader, self._host.known_addresses)
 
     def _applied(self) -> None:
+        for named in self._state.weights:
+            self._names.note(named.name, named.version, boot_time())
         if self._leader is not None:
             self._leader.applied()
 
@@ -148,7 +153,12 @@
         if is_active and self._leader is None:
             self._log.info("leading", term=self._host.term, version=self._state.version)
             self._leader = Leader(
-                self._settings, self._loop, self._host, self._state, self._log
+                self._settings,
+                self._loop,
+                self._host,
+                self._state,
+                self._names,
+                self._log,
             )
             self._leader.start()
             self._leader.applied()
--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -13,6 +13,7 @@
 from berylnotch.group.state import FleetState
 from berylnotch.membership.board import TargetBoard
 from berylnotch.membership.listing import ListedTarget
+from berylnotch.membership.naming import WeightsNames
 from berylnotch.platform.configuration import decode_configuration
 from berylnotch.quota.bounds import FLEET_QUOTA, effective_limits
 from berylnotch.quota.owner import QuotaOwner
@@ -50,6 +51,8 @@
         The log.
     state : FleetState
         Replicated state.
+    names : WeightsNames
+        When weights were named.
     log : EventLog
         Log of the process.
     """
@@ -60,12 +63,14 @@
         loop: Loop,
         host: ReplicaHost,
         state: FleetState,
+        names: WeightsNames,
         log: EventLog,
     ) -> None:
         self._settings = settings
         self._loop = loop
         self._host = host
         self._state = state
+        self._names = names
         self._log = log
         self._board = TargetBoard()
         self.registry = RouterRegistry(state, log)
@@ -77,9 +82,10 @@
         self._rollout = WeightsRollout(
             loop,
             self._board,
-            lambda: {w.name: w.version for w in state.weights},
+            names,
             lambda: self._may_order and host.is_active(),
             self.registry.requests,
+            self.registry.unreachable,
             settings.name,
             host.term,
             self.push_targets,
@@ -148,7 +154,9 @@
         if self._is_closed or self._board.listed_at is None:
             return
         update = TargetsUpdate(
-            self._board.entries(), self._state.weights, self._stores.down
+            self._board.entries(),
+            self._names.export(boot_time()),
+            self._stores.down,
         )
         self.registry.push_targets(update)
 
@@ -199,3 +207,4 @@
             return
         self._loop.call_later(LOADS_S, self._push_loads)
         self.registry.push_loads()
+        self._rollout.advance()
--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -102,9 +102,9 @@
 
     def push_targets(self, update: TargetsUpdate) -> None:
         """Send the targets to all routers, if they changed."""
-        if update == self._targets:
+        known, self._targets = self._targets, update
+        if known is not None and _is_same(known, update):
             return
-        self._targets = update
         self._send_all(update)
 
     def complete_roster(self) -> None:
@@ -149,6 +149,13 @@
         """Return the requests under way at each target, as last summed up."""
         return {load.target_id: load.requests for load in self._loads.loads}
 
+    def unreachable(self) -> frozenset[str]:
+        """Return the targets that most routers have left out after failures."""
+        counts: Counter[str] = Counter()
+        for router in self._routers.values():
+            counts.update(router.report.ejected)
+        return frozenset(t for t, n in counts.items() if 2 * n > len(self._routers))
+
     def _welcome(self, router: _Router) -> None:
         if self._targets is not None:
             router.link.send(self._targets)
@@ -182,3 +189,13 @@
     def _send_all(self, message: object) -> None:
         for router in tuple(self._routers.values()):
             router.link.send(message)
+
+
+def _is_same(one: TargetsUpdate, other: TargetsUpdate) -> bool:
+    """Tell whether two updates differ in the ages of the weights at the most."""
+    return (
+        one.targets == other.targets
+        and one.down_stores == other.down_stores
+        and [(w.model, w.version) for w in one.weights]
+        == [(w.model, w.version) for w in other.weights]
+    )
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -278,6 +278,11 @@
                 loads,
                 crashes=tuple(crashes),
                 prompts=self._context.prompts.take_notes(),
+                ejected=tuple(
+                    target.target_id
+                    for target in self._context.targets.all()
+                    if target.ejection.is_out
+                ),
             )
         )
 
@@ -318,10 +323,14 @@
         for gone in context.targets.update(update.targets):
             context.prompts.forget_engine(gone)
         for named in update.weights:
-            if context.wanted.get(named.name) != named.version:
-                context.wanted[named.name] = named.version
-                context.wanted_since[named.name] = now
-                self._log.info("weights", model=named.name, version=named.version)
+            at = now - named.age_ms / 1000
+            if context.names.note(named.model, named.version, at):
+                self._log.info(
+                    "weights",
+                    model=named.model,
+                    version=named.version,
+                    age_s=named.age_ms / 1000,
+                )
         if context.down_stores != frozenset(update.down_stores):
             context.down_stores = frozenset(update.down_stores)
             context.prompts.forget_stores()
@@ -394,7 +403,7 @@
         metrics.gauge("berylnotch_has_leader", float(self._link.has_leader))
         metrics.gauge("berylnotch_requests_under_way", float(len(self._exchanges)))
         metrics.gauge("berylnotch_log_lines_dropped", float(self._log.dropped))
-        for name, version in context.wanted.items():
+        for name, version in context.names.versions().items():
             metrics.gauge(
                 "berylnotch_weights_version", float(version), Label("model", name)
             )
--- a/berylnotch/daemon/fleet/weights.py
+++ b/berylnotch/daemon/fleet/weights.py
@@ -9,6 +9,7 @@
 from berylnotch.errors import GatewayError
 from berylnotch.membership.board import TargetBoard
 from berylnotch.membership.listing import ListedTarget, ModelVersion
+from berylnotch.membership.naming import WeightsNames
 from berylnotch.net.client import fetch
 from berylnotch.net.messages import HttpRequest, HttpResponse
 from berylnotch.orders.rolling import WeightsLoad, next_loads
@@ -68,12 +69,14 @@
         Loop in which everything runs.
     board : TargetBoard
         All targets.
-    wanted : callable
-        Returns the newest named version of each model.
+    names : WeightsNames
+        Named versions, and when each was.
     may_order : callable
         Returns whether this process leads, by a fresh clock.
     busy : callable
         Returns the requests under way at each target.
+    unreachable : callable
+        Returns the targets that routers have left out.
     holder : str
         Name of this process in orders.
     epoch : int
@@ -88,9 +91,10 @@
         self,
         loop: Loop,
         board: TargetBoard,
-        wanted: Callable[[], dict[str, int]],
+        names: WeightsNames,
         may_order: Callable[[], bool],
         busy: Callable[[], dict[str, int]],
+        unreachable: Callable[[], frozenset[str]],
         holder: str,
         epoch: int,
         on_change: Callable[[], None],
@@ -98,9 +102,10 @@
     ) -> None:
         self._loop = loop
         self._board = board
-        self._wanted = wanted
+        self._names = names
         self._may_order = may_order
         self._busy = busy
+        self._unreachable = unreachable
         self._holder = holder
         self._epoch = epoch
         self._on_change = on_change
@@ -138,7 +143,7 @@
                 "report_unreadable", target=target.target_id, reason=str(error)
             )
             return
-        wanted = self._wanted()
+        wanted = self._names.versions()
         for model in report.models:
             self._board.loaded(boot_time(), target.target_id, model)
         model = next((m for m in report.models if m.name in wanted), None)
@@ -164,12 +169,14 @@
             return
         now = boot_time()
         held_back = {name for name, until in self._held_until.items() if until > now}
+        held_back |= self._unreachable()
         loads = next_loads(
             self._board.targets(),
-            self._wanted(),
+            self._names.versions(),
             self._loads.keys(),
             held_back,
             self._busy(),
+            lambda model, version: self._names.outdated_s(now, model, version),
         )
         for wanted in loads:
             target = self._board.target(wanted.target_id)
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -22,6 +22,7 @@
     decode_answer,
     encode_for_target,
 )
+from berylnotch.routing.model import RouteKind
 from berylnotch.util.clock import boot_time
 
 if TYPE_CHECKING:
@@ -145,6 +146,10 @@
         self._connection.send(request, self)
         self._watch_answer()
 
+    @property
+    def _admitted_as_stream(self) -> bool:
+        return self._admitted.route.kind is RouteKind.STREAM
+
     def pause(self) -> None:
         """Stop reading for a slow caller."""
         if self._connection is not None:
@@ -183,6 +188,9 @@
             overdue_at = self._heard_at + settings.stall_s
         else:
             overdue_at = self._sent_at + settings.slow_factor * route.target_latency_s
+        if self._head is None and self._admitted_as_stream:
+            # An engine that answers others is busy, not lost.
+            overdue_at = max(overdue_at, self._target.heard_at + settings.stall_s)
         if now < overdue_at or not route.target_latency_s:
             delay_s = max(0.05, overdue_at - now)
             self._context.loop.call_later(delay_s, self._watch_answer)
@@ -217,7 +225,7 @@
         """Take a part of the body."""
         if self._is_over:
             return
-        self._heard_at = boot_time()
+        self._heard_at = self._target.heard_at = boot_time()
         if not self._is_stream:
             self._body += data
             if len(self._body) > MAX_ANSWER_BYTES:
--- a/berylnotch/entry/choice.py
+++ b/berylnotch/entry/choice.py
@@ -19,8 +19,16 @@
 #: holds them: reading so many takes longer than an engine's usual step.
 MIN_HOME_TOKENS = 1024
 
-#: Prompt tokens that an engine reads in a ms, by the users' sheet of engines.
-READ_TOKENS_PER_MS = 60.0
+#: Prompt tokens that an engine reads in one step, by the users' sheet of engines.
+CHUNK_TOKENS = 1024
+
+#: Time to read that many, in ms, by the same sheet.
+CHUNK_MS = 17.0
+
+#: Time of a step beside what it reads, in ms, and for each request that runs in it,
+#: by the same sheet.
+STEP_MS = 4.5
+STEP_REQUEST_MS = 0.18
 
 #: Prompt tokens in a ms that one engine takes over from another.
 FETCH_TOKENS_PER_MS = 1500.0
@@ -32,10 +40,14 @@
 #: steps of the others.
 LOAD_MS = 5.0
 
-#: Cost of an engine that does not hold the shared prompt, beside its transfer, in
-#: ms: the copy displaces another prompt.
+#: Cost of a copy of a shared prompt, beside its transfer, in ms: it displaces another
+#: prompt.
 COPY_MS = 80.0
 
+#: Part of the queue of unread prompts that an urgent request waits for; engines
+#: admit it before the others.
+URGENT_PART = 0.3
+
 #: Advantage, in ms, of the engine that all routers compute as home of a prompt
 #: which none holds.
 HOME_MS = 80.0
@@ -43,6 +55,13 @@
 #: Cost of running on weights older than the newest named, in ms.
 OLD_WEIGHTS_MS = 400.0
 
+#: Cost of an answer that comes after its target latency, in ms: three times that of
+#: older weights, as a late answer is worth so much less.
+LATE_MS = 1200.0
+
+#: Part of the target latency up to which an answer is surely in time.
+SURELY_IN_TIME = 0.5
+
 #: Cost of another failure domain, in ms: the longer way.
 DOMAIN_MS = 1.5
 
@@ -68,14 +87,22 @@
         Model of the request, empty for plain services.
     wanted_version : int
         Newest named version of the model's weights.
-    allows_old : bool
-        Whether older weights may still be used.
+    outdated_s : callable
+        Returns for how long there is a newer version than a given one, in seconds.
+    fresh_s : float
+        Such a time up to which the older weights are as good.
+    stale_s : float
+        Such a time from which the older weights are not used any more.
+    target_latency_s : float
+        Time in which the first event should come.
     shared_id : str
         Identity of the shared part of the prompt, empty if there is none.
     shared_tokens : int
         Tokens of it.
     prompt_tokens : int
         Tokens of the whole prompt.
+    is_urgent : bool
+        Whether engines admit the request before most others.
     failure_domain : str
         Where the router is.
     excluded : collection of str
@@ -89,10 +116,14 @@
     now: float
     model: str = ""
     wanted_version: int = 0
-    allows_old: bool = True
+    outdated_s: Callable[[int], float] = lambda version: 0.0
+    fresh_s: float = 0.0
+    stale_s: float = float("inf")
+    target_latency_s: float = 0.0
     shared_id: str = ""
     shared_tokens: int = 0
     prompt_tokens: int = 0
+    is_urgent: bool = False
     failure_domain: str = ""
     excluded: Collection[str] = ()
     holding: Callable[[Target], Holding] = lambda target: Holding.NONE
@@ -117,9 +148,12 @@
         ready one does.
     unread : int
         Prompt tokens that it probably has to read.
+    delay_ms : float
+        Expected time until it has read the prompt.
     """
 
     target: Target
+    delay_ms: float
     source: Target | None = None
     unread: int = 0
 
@@ -135,13 +169,29 @@
     if not usable:
         return None
     if not placing.has_home:
-        best = min(usable, key=lambda t: (_queue_ms(t, placing), mix(t.target_id, "")))
-        return Choice(best, unread=placing.prompt_tokens)
+        unread = placing.prompt_tokens
+        choices = [
+            Choice(t, _queue_ms(t, placing) + _read_ms(t, unread), unread=unread)
+            for t in usable
+        ]
+        return min(
+            choices,
+            key=lambda c: (_worth_ms(c, placing), mix(c.target.target_id, "")),
+        )
     home = min(usable, key=lambda t: mix(t.target_id, placing.shared_id))
     held = {t.target_id: placing.holding(t) for t in usable}
     holders = [t for t in usable if held[t.target_id] is Holding.READY]
-    choices = [_price(t, placing, home, holders, held[t.target_id]) for t in usable]
-    return min(choices, key=lambda priced: (priced[0], priced[1].target is not home))[1]
+    choices = [_price(t, placing, holders, held[t.target_id]) for t in usable]
+
+    def cost_ms(choice: Choice) -> float:
+        cost = _worth_ms(choice, placing)
+        if held[choice.target.target_id] is not Holding.NONE:
+            return cost
+        if choice.source is not None:
+            return cost + COPY_MS
+        return cost - HOME_MS if choice.target is home else cost
+
+    return min(choices, key=lambda c: (cost_ms(c), c.target is not home))
 
 
 def usable_in_s(targets: Iterable[Target], placing: Placing) -> float | None:
@@ -157,30 +207,30 @@
 
 
 def _price(
-    target: Target,
-    placing: Placing,
-    home: Target,
-    holders: list[Target],
-    holding: Holding,
-) -> tuple[float, Choice]:
-    """Return the expected delay at a target, in ms, and how it gets the prompt."""
+    target: Target, placing: Placing, holders: list[Target], holding: Holding
+) -> Choice:
+    """Return the expected delay at a target, and how it gets the prompt."""
     own = max(0, placing.prompt_tokens - placing.shared_tokens)
-    cost = _queue_ms(target, placing) + own / READ_TOKENS_PER_MS
+    delay = _queue_ms(target, placing) + _read_ms(target, own)
     if holding is not Holding.NONE:
         # What it still reads of the shared part is in its queue already.
-        return cost, Choice(target, unread=own)
+        return Choice(target, delay, unread=own)
     version = target.version(placing.model)
     source = next((t for t in holders if t.version(placing.model) == version), None)
     if source is not None:
-        cost += COPY_MS + placing.shared_tokens / FETCH_TOKENS_PER_MS
-        return cost, Choice(target, source=source, unread=own)
-    if target is home:
-        cost -= HOME_MS
+        delay += placing.shared_tokens / FETCH_TOKENS_PER_MS
+        return Choice(target, delay, source=source, unread=own)
     if placing.is_saved(target):
-        cost += placing.shared_tokens / STORE_TOKENS_PER_MS
-        return cost, Choice(target, unread=own)
-    cost += placing.shared_tokens / READ_TOKENS_PER_MS
-    return cost, Choice(target, unread=placing.prompt_tokens)
+        delay += placing.shared_tokens / STORE_TOKENS_PER_MS
+        return Choice(target, delay, unread=own)
+    delay += _read_ms(target, placing.shared_tokens)
+    return Choice(target, delay, unread=placing.prompt_tokens)
+
+
+def _read_ms(target: Target, tokens: int) -> float:
+    """Return the time in which an engine reads so many prompt tokens."""
+    step_ms = CHUNK_MS + STEP_MS + STEP_REQUEST_MS * target.load
+    return tokens / CHUNK_TOKENS * step_ms
 
 
 def _is_candidate(target: Target, placing: Placing) -> bool:
@@ -191,7 +241,7 @@
     version = target.version(placing.model)
     if version is None:
         return False
-    return placing.allows_old or version >= placing.wanted_version
+    return placing.outdated_s(version) < placing.stale_s
 
 
 def _queue_ms(target: Target, placing: Placing) -> float:
@@ -204,7 +254,22 @@
         over = target.load + 1 - max(1, target.listed.slots)
         cost += 1000 * target.latency_s
         return cost + LOAD_MS * target.load + QUEUED_MS * max(0, over)
-    cost += LOAD_MS * target.load + target.total_unread / READ_TOKENS_PER_MS
-    if (target.version(placing.model) or 0) < placing.wanted_version:
+    queue_ms = _read_ms(target, target.total_unread)
+    cost += LOAD_MS * target.load
+    cost += URGENT_PART * queue_ms if placing.is_urgent else queue_ms
+    return cost
+
+
+def _worth_ms(choice: Choice, placing: Placing) -> float:
+    """Return the delay of a choice, and what it loses in worth as a delay, in ms."""
+    cost = choice.delay_ms
+    if not placing.model:
+        return cost
+    version = choice.target.version(placing.model) or 0
+    if placing.outdated_s(version) > placing.fresh_s:
         cost += OLD_WEIGHTS_MS
+    latency_ms = 1000 * placing.target_latency_s
+    if latency_ms:
+        over = (choice.delay_ms / latency_ms - SURELY_IN_TIME) / (1 - SURELY_IN_TIME)
+        cost += LATE_MS * min(1.0, max(0.0, over))
     return cost
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -14,6 +14,7 @@
 from berylnotch.group.messages import CrashMark
 from berylnotch.membership.crashes import CrashGuard
 from berylnotch.membership.marks import SharedLosses
+from berylnotch.membership.naming import WeightsNames
 from berylnotch.routing.table import RouteTable
 from berylnotch.settings.fleet import FleetSettings
 from berylnotch.util.clock import boot_time
@@ -52,10 +53,8 @@
         Losses for the next report to the leader.
     routes : RouteTable or None
         Configuration in force, None before the first.
-    wanted : dict of str to int
-        Newest named version of each model.
-    wanted_since : dict of str to float
-        Boot time at which that version was first heard of.
+    names : WeightsNames
+        Named versions of weights.
     down_stores : frozenset of str
         Stores that cannot be reached.
     router_count : int
@@ -76,8 +75,7 @@
     losses: SharedLosses = field(factory=SharedLosses)
     crash_marks: list[CrashMark] = field(factory=list)
     routes: RouteTable | None = None
-    wanted: dict[str, int] = field(factory=dict)
-    wanted_since: dict[str, float] = field(factory=dict)
+    names: WeightsNames = field(factory=WeightsNames)
     down_stores: frozenset[str] = frozenset()
     router_count: int = 1
     ask_quota: Callable[[], None] = lambda: None
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -7,6 +7,7 @@
 
 from attrs import define, frozen
 
+from berylnotch.entry.admission import judge
 from berylnotch.entry.attempt import Attempt, AttemptEnd, AttemptResult
 from berylnotch.entry.choice import Choice, Placing, choose, usable_in_s
 from berylnotch.entry.context import EntryContext
@@ -35,6 +36,9 @@
 #: Lowest urgency that engines know.
 LAST_PRIORITY = 9
 
+#: Engine priority below which a request counts as urgent.
+URGENT_PRIORITY = PRIORITIES_PER_RANK
+
 #: Engine answers that show a failure of the engine, not of the request.
 _RETRIED_STATUSES = frozenset((500, 502, 503, 504, 429))
 
@@ -177,8 +181,7 @@
         context, caller = self._context, self._admitted.caller
         now = boot_time()
         model = caller.model if service.engine is not None else ""
-        wanted = context.wanted.get(model, 0)
-        since = context.wanted_since.get(model, now)
+        names, settings = context.names, context.settings
         shared = caller.parts[0] if len(caller.parts) > 1 else None
         store = self._store(service, shared.part_id) if shared else ""
 
@@ -193,11 +196,15 @@
         return Placing(
             now=now,
             model=model,
-            wanted_version=wanted,
-            allows_old=now - since < context.settings.stale_weights_s,
+            wanted_version=names.newest(model),
+            outdated_s=lambda version: names.outdated_s(now, model, version),
+            fresh_s=settings.fresh_weights_s,
+            stale_s=settings.stale_weights_s,
+            target_latency_s=self._admitted.route.target_latency_s,
             shared_id=shared.part_id if shared else "",
             shared_tokens=shared.tokens if shared else 0,
             prompt_tokens=caller.prompt_tokens if model else 0,
+            is_urgent=self._priority() < URGENT_PRIORITY,
             holding=holding,
             is_saved=is_saved,
             failure_domain=context.fleet.failure_domain,
@@ -220,6 +227,13 @@
             wait_s = usable_in_s(self._context.targets.of(self._service), placing)
             self._give_up("no usable target", wait_s)
             return
+        if not self._progress.runs and self.is_stream:
+            latency_s = self._admitted.route.target_latency_s
+            verdict = judge(choice, latency_s, self._left_s)
+            if not verdict.is_admitted:
+                reason = f"first event expected after {choice.delay_ms:.0f} ms"
+                self._give_up(reason, verdict.retry_after_s)
+                return
         target, caller = choice.target, self._admitted.caller
         told = self._told(choice, placing, service)
         self._progress.sends += 1
@@ -240,6 +254,7 @@
             weights=told.weights_version,
             wanted=placing.wanted_version,
             unread=choice.unread,
+            expected_s=choice.delay_ms / 1000,
             after=told.resume_after,
             left_s=told.deadline_s,
             configuration=self._context.routes.version,
@@ -267,12 +282,17 @@
             salt += f"/{organisation.name}"
         return salt
 
+    def _priority(self) -> int:
+        """Return the urgency at engines, 0 first."""
+        organisation = self._admitted.organisation
+        rank = organisation.priority if organisation else 0
+        priority = rank * PRIORITIES_PER_RANK + self._admitted.route.priority
+        return min(LAST_PRIORITY, priority)
+
     def _told(
         self, choice: Choice, placing: Placing, service: Service
     ) -> TargetHeaders:
         organisation, target = self._admitted.organisation, choice.target
-        rank = organisation.priority if organisation else 0
-        priority = rank * PRIORITIES_PER_RANK + self._admitted.route.priority
         version = target.version(placing.model) if placing.model else None
         salt = self._salt(target, placing.model) if placing.model else ""
         fetch_from = save_to = ""
@@ -292,7 +312,7 @@
             deadline_s=self._left_s,
             target_id=target.target_id,
             organisation=organisation.name if organisation else "",
-            priority=min(LAST_PRIORITY, priority) if placing.model else None,
+            priority=self._priority() if placing.model else None,
             weights_version=version,
             cache_salt=salt,
             fetch_from=fetch_from,
--- a/berylnotch/entry/settings.py
+++ b/berylnotch/entry/settings.py
@@ -36,6 +36,8 @@
         When a refused caller shall come back if nothing better is known.
     stale_weights_s : float, default=12.0
         Time after new weights were named in which engines still serve older ones.
+    fresh_weights_s : float, default=1.2
+        Time after new weights were named in which older ones are as good.
     quota_wait_s : float, default=0.25
         Longest wait for tokens of an organisation's limit.
     slow_factor : float, default=2.5
@@ -60,6 +62,7 @@
     retry_part: float = 0.8
     retry_after_s: float = 0.5
     stale_weights_s: float = 12.0
+    fresh_weights_s: float = 1.2
     quota_wait_s: float = 0.25
     slow_factor: float = 2.5
     stall_s: float = 2.0
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -48,6 +48,8 @@
         Part of its recent requests that failed, as a moving average.
     latency_s : float
         Moving average of its answer times, plain targets only.
+    heard_at : float
+        Boot time at which it last sent a part of an answer.
     unread : int
         Prompt tokens of this router's requests that it probably has yet to read.
     others_unread : int
@@ -67,6 +69,7 @@
     loading_until: float = 0.0
     failure_rate: float = 0.0
     latency_s: float = 0.0
+    heard_at: float = 0.0
 
     @property
     def target_id(self) -> str:
--- a/berylnotch/group/messages.py
+++ b/berylnotch/group/messages.py
@@ -6,7 +6,8 @@
 
 from berylnotch.consensus import messages as consensus
 from berylnotch.control.protocol import GrantReply, GrantRequest
-from berylnotch.membership.listing import ListedTarget, ModelVersion
+from berylnotch.membership.listing import ListedTarget
+from berylnotch.membership.naming import NamedWeights
 from berylnotch.transport.packing import message_classes
 
 
@@ -75,6 +76,7 @@
     """What a router tells the leader.
 
     ``incarnation`` changes with each start. ``address`` is where callers connect.
+    ``ejected`` are targets that failed and are left out.
     """
 
     name: str
@@ -86,6 +88,7 @@
     loads: tuple[TargetLoad, ...] = ()
     crashes: tuple[CrashMark, ...] = ()
     prompts: tuple[PromptNote, ...] = ()
+    ejected: tuple[str, ...] = ()
 
 
 @frozen
@@ -106,13 +109,10 @@
 
 @frozen
 class TargetsUpdate:
-    """All targets, the newest weights that were named, and stores out of reach.
-
-    ``expected_s`` is when the first loading target is expected to be back.
-    """
+    """All targets, the weights that were named, and stores out of reach."""
 
     targets: tuple[TargetEntry, ...]
-    weights: tuple[ModelVersion, ...]
+    weights: tuple[NamedWeights, ...]
     down_stores: tuple[str, ...] = ()
 
 
--- a/berylnotch/orders/rolling.py
+++ b/berylnotch/orders/rolling.py
@@ -2,16 +2,29 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from attrs import frozen
 
 from berylnotch.membership.listing import ListedTarget
 
-#: Part of a service's engines that loads weights at the same time; beyond it each
-#: load takes longer.
+#: Part of a service's engines that loads weights at the same time while there is
+#: little to do; beyond it each load takes longer.
 LOADING_PART = 0.4
 
+#: The same while the engines are busy: those that stay serve cold for a while.
+BUSY_LOADING_PART = 0.2
+
+#: Requests under way at each serving engine from which a service counts as busy.
+BUSY_REQUESTS = 4.0
+
+#: The same from which no further engine is taken away.
+FULL_REQUESTS = 14.0
+
+#: Seconds for which an engine may be outdated before it loads, however busy it is;
+#: the rest of the time that operators allow is for the loads themselves.
+HURRY_S = 6.0
+
 
 @frozen
 class WeightsLoad:
@@ -28,6 +41,7 @@
     loading: Collection[str],
     held_back: Collection[str],
     busy: Mapping[str, int],
+    outdated_s: Callable[[str, int], float] = lambda model, version: 0.0,
 ) -> tuple[WeightsLoad, ...]:
     """Return the loads that may begin now.
 
@@ -48,6 +62,8 @@
     busy : mapping of str to int
         Requests under way at each target. An idle one loads sooner, since an
         engine finishes its requests first.
+    outdated_s : callable
+        Returns for how long there is a newer version than a model's version.
     """
     loads: list[WeightsLoad] = []
     by_service: dict[str, list[ListedTarget]] = {}
@@ -56,19 +72,36 @@
             by_service.setdefault(target.service, []).append(target)
     for service in sorted(by_service):
         engines = by_service[service]
-        room = _room(engines, loading, held_back)
+        is_late = any(
+            outdated_s(model.name, model.version) > HURRY_S
+            for engine in engines
+            for model in engine.models
+            if engine.target_id not in held_back
+        )
+        room = _room(engines, loading, held_back, {} if is_late else busy)
         outdated = _outdated(engines, wanted, {*loading, *held_back}, busy)
         loads.extend(outdated[:room])
     return tuple(loads)
 
 
 def _room(
-    engines: list[ListedTarget], loading: Collection[str], held_back: Collection[str]
+    engines: list[ListedTarget],
+    loading: Collection[str],
+    held_back: Collection[str],
+    busy: Mapping[str, int],
 ) -> int:
-    most = max(1, int(len(engines) * LOADING_PART))
-    if len(engines) > 1:
-        most = min(most, len(engines) - 1)
-    return most - sum(engine.target_id in loading for engine in engines)
+    """Return how many more engines may load."""
+    healthy = [e for e in engines if e.target_id not in held_back]
+    under_way = sum(engine.target_id in loading for engine in healthy)
+    serving = max(1, len(healthy) - under_way)
+    requests = sum(busy.get(engine.target_id, 0) for engine in healthy) / serving
+    if requests >= FULL_REQUESTS and under_way:
+        return 0
+    part = BUSY_LOADING_PART if requests >= BUSY_REQUESTS else LOADING_PART
+    most = max(1, int(len(healthy) * part))
+    if len(healthy) > 1:
+        most = min(most, len(healthy) - 1)
+    return most - under_way
 
 
 def _outdated(
