--- a/berylnotch/orders/rolling.py
+++ b/berylnotch/orders/rolling.py
@@ -101,7 +101,7 @@
     most = max(1, int(len(healthy) * part))
     if len(healthy) > 1:
         most = min(most, len(healthy) - 1)
-    return most - under_way
+    return max(0, most - under_way)
 
 
 def _outdated(
--- a/tests/test_orders/test_rolling.py
+++ b/tests/test_orders/test_rolling.py
@@ -49,6 +49,12 @@
     assert len(next_loads(targets, {"m": 2}, (), (), full)) == 1
 
 
+def test_no_engine_follows_when_more_load_than_the_load_allows_now():
+    targets = engines(1, 1, 1, 1, 1)
+    busy = {f"e{n}": 8 for n in range(5)}
+    assert next_loads(targets, {"m": 2}, ("e0", "e1"), (), busy) == ()
+
+
 def test_engines_out_of_reach_count_as_missing():
     targets = engines(1, 1, 1, 1, 1)
     assert len(next_loads(targets, {"m": 2}, (), ("e4",), {})) == 1
