--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -66,6 +66,14 @@
 #: Seconds before the end of the time to stop in which the process exits.
 STOP_MARGIN_S = 0.7
 
+#: Seconds from the start of a router until it usually has its configuration, also
+#: when all controllers start with it and elect a leader first.
+START_S = 2.0
+
+#: Shortest time in seconds after which a caller shall come back to a router that
+#: has no configuration yet.
+MIN_RETRY_S = 0.3
+
 #: Seconds between two closings of connections that were idle for too long.
 IDLE_SWEEP_S = 1.0
 
@@ -110,6 +118,7 @@
             crashes=CrashGuard(entry_settings.membership),
             ask_quota=self._ask_quota_soon,
         )
+        self._started_at = boot_time()
         self._incarnation = os.urandom(8).hex()
         self._roster: tuple[RouterEntry, ...] = ()
         self._is_leaving = False
@@ -196,7 +205,10 @@
         routes = self._context.routes
         caller = decode_request(request)
         if routes is None:
-            self._turn_away(connection, caller.request_id, 503, "no configuration", 0.5)
+            retry_s = max(MIN_RETRY_S, self._started_at + START_S - boot_time())
+            self._turn_away(
+                connection, caller.request_id, 503, "no configuration", retry_s
+            )
             return
         route = routes.route(caller.host, request.path)
         if route is None:
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -289,6 +289,9 @@
         target, now = self._target, boot_time()
         target.ejection.failed(now, self._number)
         target.note_outcome(has_failed=True)
+        if failure is Failure.NOT_SENT:
+            # Nothing listens there any more, and what it held is lost.
+            self._context.prompts.forget_engine(target.target_id)
         self._context.log.warning(
             "attempt_failed",
             id=self._admitted.caller.request_id,
@@ -348,6 +351,14 @@
         self._unread = 0
         self._note_prompt(is_ready=True)
 
+    def _forget_prompt(self) -> None:
+        """Note that the target did not come to read the prompt."""
+        parts = self._admitted.caller.parts
+        if len(parts) > 1:
+            self._context.prompts.not_read(
+                self._target.target_id, self._told.cache_salt, parts[0].part_id
+            )
+
     def _note_prompt(self, is_ready: bool) -> None:
         """Note where the shared part of the prompt is read, and saved."""
         parts = self._admitted.caller.parts
@@ -359,13 +370,16 @@
         if not is_ready:
             own = max(0, self._admitted.caller.prompt_tokens - part.tokens)
         note = PromptNote(salt, part.part_id, part.tokens, holder, own, is_ready)
-        prompts.read(note, self._context.cache_tokens(self._target))
+        capacity = self._context.cache_tokens(self._target)
+        prompts.read(boot_time(), note, capacity)
         if is_ready and self._told.save_to:
             note = PromptNote(salt, part.part_id, part.tokens, self._told.save_to)
             prompts.saved(boot_time(), note)
 
     def _leave(self) -> None:
         self._is_over = True
+        if self._unread:
+            self._forget_prompt()
         self._target.in_flight -= 1
         self._target.unread -= self._unread
         self._unread = 0
--- a/berylnotch/entry/choice.py
+++ b/berylnotch/entry/choice.py
@@ -48,6 +48,10 @@
 #: admit it before the others.
 URGENT_PART = 0.3
 
+#: Cost, in ms for 1,000 tokens, of reading a shared prompt that another engine has
+#: read or reads: it takes the time of that many other prompts.
+READ_AGAIN_MS_PER_K = 240.0
+
 #: Advantage, in ms, of the engine that all routers compute as home of a prompt
 #: which none holds.
 HOME_MS = 80.0
@@ -148,6 +152,8 @@
         ready one does.
     unread : int
         Prompt tokens that it probably has to read.
+    is_cold : bool
+        Whether it has to read the shared part as well.
     delay_ms : float
         Expected time until it has read the prompt.
     """
@@ -156,15 +162,17 @@
     delay_ms: float
     source: Target | None = None
     unread: int = 0
+    is_cold: bool = False
 
 
-def choose(targets: Iterable[Target], placing: Placing) -> Choice | None:
+def choose(targets: Collection[Target], placing: Placing) -> Choice | None:
     """Return the target with the least expected delay, or None.
 
     A long shared prompt that no engine holds goes to an engine that every router
     computes alike, so that it is read once. Later requests follow it, and the
     queue of unread prompts moves them on to other engines, which copy it.
     """
+    targets = list(targets)
     usable = [t for t in targets if _is_candidate(t, placing)]
     if not usable:
         return None
@@ -179,21 +187,51 @@
             key=lambda c: (_worth_ms(c, placing), mix(c.target.target_id, "")),
         )
     home = min(usable, key=lambda t: mix(t.target_id, placing.shared_id))
-    held = {t.target_id: placing.holding(t) for t in usable}
-    holders = [t for t in usable if held[t.target_id] is Holding.READY]
-    choices = [_price(t, placing, holders, held[t.target_id]) for t in usable]
+    holders = _Holders(targets, placing)
+    choices = [_price(t, placing, holders) for t in usable]
 
     def cost_ms(choice: Choice) -> float:
         cost = _worth_ms(choice, placing)
-        if held[choice.target.target_id] is not Holding.NONE:
+        if holders.holding(choice.target) is not Holding.NONE:
             return cost
         if choice.source is not None:
             return cost + COPY_MS
+        if choice.is_cold and holders.is_known(choice.target):
+            cost += READ_AGAIN_MS_PER_K * placing.shared_tokens / 1000
         return cost - HOME_MS if choice.target is home else cost
 
     return min(choices, key=lambda c: (cost_ms(c), c.target is not home))
 
 
+class _Holders:
+    """Which targets hold a shared prompt, by what the router knows."""
+
+    def __init__(self, targets: list[Target], placing: Placing) -> None:
+        self._model = placing.model
+        self._now = placing.now
+        self._held = {t.target_id: placing.holding(t) for t in targets}
+        self._holders = [t for t in targets if self.holding(t) is not Holding.NONE]
+
+    def holding(self, target: Target) -> Holding:
+        """Return whether a target holds the prompt."""
+        return self._held[target.target_id]
+
+    def is_known(self, target: Target) -> bool:
+        """Tell whether an engine with the same weights holds or reads the prompt."""
+        version = target.version(self._model)
+        return any(t.version(self._model) == version for t in self._holders)
+
+    def source(self, target: Target) -> Target | None:
+        """Return an engine from which a target may take the prompt over."""
+        version = target.version(self._model)
+        for holder in self._holders:
+            is_ready = self.holding(holder) is Holding.READY
+            if is_ready and holder.version(self._model) == version:
+                if not holder.is_loading and not holder.ejection.blocks(self._now):
+                    return holder
+        return None
+
+
 def usable_in_s(targets: Iterable[Target], placing: Placing) -> float | None:
     """Return seconds until the first target may be usable, None if unknown."""
     times = [
@@ -206,17 +244,14 @@
     return max(0.0, min(times) - placing.now)
 
 
-def _price(
-    target: Target, placing: Placing, holders: list[Target], holding: Holding
-) -> Choice:
+def _price(target: Target, placing: Placing, holders: _Holders) -> Choice:
     """Return the expected delay at a target, and how it gets the prompt."""
     own = max(0, placing.prompt_tokens - placing.shared_tokens)
     delay = _queue_ms(target, placing) + _read_ms(target, own)
-    if holding is not Holding.NONE:
+    if holders.holding(target) is not Holding.NONE:
         # What it still reads of the shared part is in its queue already.
         return Choice(target, delay, unread=own)
-    version = target.version(placing.model)
-    source = next((t for t in holders if t.version(placing.model) == version), None)
+    source = holders.source(target)
     if source is not None:
         delay += placing.shared_tokens / FETCH_TOKENS_PER_MS
         return Choice(target, delay, source=source, unread=own)
@@ -224,7 +259,7 @@
         delay += placing.shared_tokens / STORE_TOKENS_PER_MS
         return Choice(target, delay, unread=own)
     delay += _read_ms(target, placing.shared_tokens)
-    return Choice(target, delay, unread=placing.prompt_tokens)
+    return Choice(target, delay, unread=placing.prompt_tokens, is_cold=True)
 
 
 def _read_ms(target: Target, tokens: int) -> float:
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -187,7 +187,7 @@
 
         def holding(target: Target) -> Holding:
             salt = self._salt(target, model)
-            return context.prompts.holding(target.target_id, salt, shared.part_id)
+            return context.prompts.holding(now, target.target_id, salt, shared.part_id)
 
         def is_saved(target: Target) -> bool:
             salt = self._salt(target, model)
--- a/berylnotch/entry/prompts.py
+++ b/berylnotch/entry/prompts.py
@@ -21,6 +21,10 @@
 #: drops what was not used for longest.
 SAVED_S = 60.0
 
+#: Seconds after which a prompt that an engine was about to read counts as not held;
+#: callers leave about then, and the engine drops their requests.
+READING_S = 4.0
+
 #: Prompts of stores that are remembered at once.
 MAX_SAVED = 8192
 
@@ -42,6 +46,7 @@
 
     tokens: int
     is_ready: bool
+    noted_at: float = 0.0
 
 
 @define
@@ -61,24 +66,35 @@
         self._notes: list[PromptNote] = []
         self._reads = 0
 
-    def holding(self, target_id: str, salt: str, part_id: str) -> Holding:
+    def holding(self, now: float, target_id: str, salt: str, part_id: str) -> Holding:
         """Tell whether an engine probably holds a prompt, or is about to."""
         memory = self._engines.get(target_id)
         entry = memory.prompts.get((salt, part_id)) if memory is not None else None
         if entry is None:
             return Holding.NONE
-        return Holding.READY if entry.is_ready else Holding.READING
+        if entry.is_ready:
+            return Holding.READY
+        is_fresh = now - entry.noted_at < READING_S
+        return Holding.READING if is_fresh else Holding.NONE
 
     def is_saved(self, now: float, store: str, salt: str, part_id: str) -> bool:
         """Tell whether a store probably holds a prompt."""
         saved_at = self._saved.get((store, salt, part_id))
         return saved_at is not None and now - saved_at < SAVED_S
 
-    def read(self, note: PromptNote, capacity: int) -> None:
+    def read(self, now: float, note: PromptNote, capacity: int) -> None:
         """Note that an engine reads a prompt, and tell the other routers."""
-        self._take_read(note, capacity)
+        self._take_read(now, note, capacity)
         self._add(note)
 
+    def not_read(self, target_id: str, salt: str, part_id: str) -> None:
+        """Note that an engine has not read a prompt after all."""
+        memory = self._engines.get(target_id)
+        entry = memory.prompts.get((salt, part_id)) if memory is not None else None
+        if entry is not None and not entry.is_ready:
+            del memory.prompts[salt, part_id]
+            memory.tokens -= entry.tokens
+
     def saved(self, now: float, note: PromptNote) -> None:
         """Note that a prompt is sent to a store, and tell the other routers."""
         self._take_saved(now, note)
@@ -89,7 +105,7 @@
         if capacity is None:
             self._take_saved(now, note)
         else:
-            self._take_read(note, capacity)
+            self._take_read(now, note, capacity)
 
     def take_notes(self) -> tuple[PromptNote, ...]:
         """Return the notes for the other routers, and forget them."""
@@ -115,13 +131,13 @@
         while len(self._saved) > MAX_SAVED:
             self._saved.popitem(last=False)
 
-    def _take_read(self, note: PromptNote, capacity: int) -> None:
+    def _take_read(self, now: float, note: PromptNote, capacity: int) -> None:
         memory = self._engines.setdefault(note.holder, _Memory())
         key = (note.salt, note.part_id)
         known = memory.prompts.pop(key, None)
         was_ready = known is not None and known.is_ready
         memory.tokens += note.tokens - (known.tokens if known else 0)
-        memory.prompts[key] = _Entry(note.tokens, note.is_ready or was_ready)
+        memory.prompts[key] = _Entry(note.tokens, note.is_ready or was_ready, now)
         if note.own_tokens:
             # The rest of a prompt is of no use to others, but takes its place.
             self._reads += 1
--- /dev/null
+++ b/tests/test_entry/test_choice.py
@@ -0,0 +1,102 @@
+"""Choice of a target by expected delay."""
+
+from berylnotch.entry.choice import choose, usable_in_s
+from berylnotch.entry.prompts import Holding
+from tests.test_entry.support import long_request, make_target, short_request
+
+
+def names(count):
+    return [make_target(f"e{n}") for n in range(count)]
+
+
+def held_by(*targets, state=Holding.READY):
+    return lambda target: state if target in targets else Holding.NONE
+
+
+def test_every_router_computes_the_same_home():
+    engines = names(5)
+    first = choose(engines, long_request()).target.target_id
+    again = choose(list(reversed(engines)), long_request()).target.target_id
+    assert first == again
+    homes = {
+        choose(engines, long_request(shared_id=f"p{n}")).target.target_id
+        for n in range(50)
+    }
+    assert len(homes) == 5
+
+
+def test_a_holder_is_preferred_to_the_home():
+    engines = names(5)
+    home = choose(engines, long_request()).target
+    holder = next(e for e in engines if e is not home)
+    choice = choose(engines, long_request(holding=held_by(holder)))
+    assert choice.target is holder and choice.unread == 4000
+
+
+def test_a_reader_is_joined_but_is_no_source_yet():
+    engines = names(3)
+    reader = engines[0]
+    reader.unread = 17_000
+    holding = held_by(reader, state=Holding.READING)
+    assert choose(engines, long_request(holding=holding)).target is reader
+    reader.unread = 400_000
+    moved = choose(engines, long_request(holding=holding))
+    assert moved.target is not reader and moved.source is None
+
+
+def test_a_busy_holder_hands_its_prompt_to_an_idle_engine():
+    engines = names(3)
+    holder = engines[0]
+    holder.unread = 200_000
+    choice = choose(engines, long_request(holding=held_by(holder)))
+    assert choice.target is not holder and choice.source is holder
+
+
+def test_no_copy_is_taken_from_other_weights():
+    engines = [make_target("old", version=1), make_target("new", version=2)]
+    engines[0].unread = 300_000
+    placing = long_request(wanted_version=2, holding=held_by(engines[0]))
+    choice = choose(engines, placing)
+    assert choice.target is engines[1] and choice.source is None
+
+
+def test_older_weights_lose_unless_the_newer_ones_come_late():
+    old, new = make_target("old", version=1), make_target("new", version=2)
+    outdated = {1: 3.0, 2: 0.0}
+    placing = short_request(
+        wanted_version=2, outdated_s=outdated.get, fresh_s=1.2, stale_s=12.0
+    )
+    assert choose([old, new], placing).target is new
+    new.in_flight, new.unread = 60, 250_000
+    assert choose([old, new], placing).target is old
+
+
+def test_weights_outdated_for_too_long_are_not_used():
+    old = make_target("old", version=1)
+    placing = short_request(wanted_version=2, outdated_s=lambda v: 13.0, stale_s=12.0)
+    assert choose([old], placing) is None
+
+
+def test_unusable_targets_are_left_out():
+    loading, leaving, ejected, excluded, refused = names(5)
+    loading.is_loading = True
+    leaving.is_leaving = True
+    for number in range(2):
+        ejected.ejection.failed(99.9, number)
+    refused.refused_until = 100.5
+    placing = short_request(excluded={excluded.target_id})
+    engines = [loading, leaving, ejected, excluded, refused]
+    assert choose(engines, placing) is None
+    assert 0 < usable_in_s([refused], placing) <= 0.5
+
+
+def test_failing_and_slow_plain_targets_get_less():
+    good, failing, slow = (make_target(n, version=None, slots=6) for n in "abc")
+    for _ in range(8):
+        failing.note_outcome(True, 0.05)
+        good.note_outcome(False, 0.05)
+        slow.note_outcome(False, 0.5)
+    placing = short_request(model="", shared_id="")
+    assert choose([good, failing, slow], placing).target is good
+    good.in_flight = 40
+    assert choose([good, failing, slow], placing).target is not good
