--- a/berylnotch/net/client.py
+++ b/berylnotch/net/client.py
@@ -289,18 +289,16 @@
         self._sink.on_body(data)
 
     def on_message_complete(self) -> None:
-        """Note the end of an answer; an interim one does not count."""
-        if not self._is_head_read:
-            self._headers = Headers()
+        """Note the end of an answer; interim and skipped ones do not count."""
+        if self._is_head_read and not self._is_skipping:
+            self._is_complete = True
             return
-        self._is_complete = True
+        # The own answer follows, maybe in the same piece.
+        self._headers = Headers()
+        self._is_head_read = False
+        self._is_skipping = False
 
     def _message_ended(self) -> None:
-        if self._is_skipping:
-            # An answer to an earlier request; the own one follows.
-            self._is_skipping = False
-            self._new_parser()
-            return
         sink, self._sink = self._sink, None
         if self._output:
             # The target answered before it had read the request.
--- /dev/null
+++ b/tests/test_net/test_server.py
@@ -0,0 +1,148 @@
+"""Requests of callers: well-formed, smuggled, oversized, slow, pipelined."""
+
+import time
+
+import pytest
+
+from tests.test_net.support import Harness, echo, read_all
+
+
+@pytest.fixture
+def server():
+    harness = Harness(echo)
+    yield harness
+    harness.close()
+
+
+GET = b"GET /a?b=c HTTP/1.1\r\nHost: h\r\n\r\n"
+POST = b"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+CHUNKED = (
+    b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+)
+
+
+def test_answers_kept_and_pipelined_requests_in_order(server):
+    data = server.exchange(GET + POST + CHUNKED + GET)
+    answers = [part for part in data.split(b"HTTP/1.1 200 OK") if part]
+    assert len(answers) == 4
+    assert answers[0].endswith(b"GET /a?b=c ")
+    assert answers[1].endswith(b"POST /p abc")
+    assert answers[2].endswith(b"POST /c abcde")
+    assert answers[3].endswith(b"GET /a?b=c ")
+
+
+@pytest.mark.parametrize("size", [1, 2, 7, 33])
+def test_any_cut_of_the_bytes_gives_the_same_answers(server, size):
+    data = POST + GET
+    pieces = [data[start : start + size] for start in range(0, len(data), size)]
+    answer = server.exchange(*pieces, pause_s=0.002)
+    assert answer.count(b"HTTP/1.1 200 OK") == 2
+    assert b"POST /p abc" in answer and answer.endswith(b"GET /a?b=c ")
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Content-Length: 5\r\n\r\nabcde",
+            400,
+        ),
+        (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc", 400),
+        (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3, 3\r\n\r\nabc", 400),
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n"
+            b"0\r\n\r\n",
+            400,
+        ),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n b\x01\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 4000 + b"\r\n\r\n", 431),
+        (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n", 413),
+        (
+            b"GET / HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+            400,
+        ),
+    ],
+)
+def test_refuses_what_is_no_single_request(server, request_bytes, status):
+    data = server.exchange(request_bytes + GET)
+    assert data.startswith(f"HTTP/1.1 {status} ".encode())
+    assert b"Connection: close" in data and data.count(b"HTTP/1.1") == 1
+    assert server.requests == []
+    assert server.refused[0][0] == status and server.refused[0][1]
+
+
+def test_a_request_inside_the_body_of_another_is_not_run(server):
+    inner = b"GET /inner HTTP/1.1\r\nHost: h\r\n\r\n"
+    head = b"POST /outer HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+    server.exchange(head % len(inner) + inner)
+    assert [request.target for request in server.requests] == ["/outer"]
+    assert server.requests[0].body == inner
+
+
+def test_slow_headers_are_refused(server):
+    data = server.exchange(b"GET / HTTP/1.1\r\nHo", pause_s=1.2)
+    assert data.startswith(b"HTTP/1.1 408 ")
+
+
+def test_a_body_that_stops_is_refused(server):
+    data = server.exchange(POST[:-1], pause_s=1.8)
+    assert data.startswith(b"HTTP/1.1 408 ")
+
+
+def test_idle_connections_are_kept_for_the_idle_time_and_then_closed(server):
+    with server.connect() as sock:
+        sock.sendall(GET)
+        assert b"200 OK" in read_all(sock, 0.3)
+        sock.sendall(GET)
+        assert b"200 OK" in read_all(sock, 0.3)
+        sock.settimeout(3)
+        assert sock.recv(10) == b""
+
+
+def test_a_caller_that_leaves_is_seen_at_once():
+    gone = []
+
+    def hold(harness, connection, _request):
+        connection.on_gone = lambda: gone.append(time.monotonic())
+
+    harness = Harness(hold)
+    sock = harness.connect()
+    sock.sendall(GET)
+    time.sleep(0.1)
+    closed_at = time.monotonic()
+    sock.close()
+    deadline = closed_at + 2
+    while not gone and time.monotonic() < deadline:
+        time.sleep(0.01)
+    assert gone and gone[0] - closed_at < 0.5
+    harness.close()
+
+
+def test_a_stream_without_its_end_does_not_look_complete():
+    def cut(harness, connection, _request):
+        from berylnotch.net.messages import Headers
+
+        connection.start_stream(200, Headers())
+        connection.send_piece(b"part")
+        harness.loop.call_later(0.05, connection.abort)
+
+    harness = Harness(cut)
+    data = harness.exchange(GET)
+    assert b"part" in data and not data.endswith(b"0\r\n\r\n")
+    harness.close()
+
+
+def test_draining_closes_each_connection_after_its_answer(server):
+    server.server.is_draining = True
+    data = server.exchange(GET)
+    assert b"200 OK" in data and b"Connection: close" in data
--- /dev/null
+++ b/tests/test_util/test_lines.py
@@ -0,0 +1,85 @@
+"""The log is bounded and never blocks."""
+
+import os
+import time
+
+from berylnotch.util.lines import MAX_LINES_PER_S, MAX_WAITING_BYTES, SAMPLE, EventLog
+
+
+def read(descriptor):
+    os.set_blocking(descriptor, False)
+    data = b""
+    try:
+        while piece := os.read(descriptor, 1 << 20):
+            data += piece
+    except BlockingIOError:
+        pass
+    return data.decode()
+
+
+def drain(log, reader):
+    """Flush and read by turns until nothing comes any more."""
+    text = ""
+    while True:
+        log.flush()
+        piece = read(reader)
+        if not piece:
+            return text
+        text += piece
+
+
+def make_log(now=1000.0):
+    reader, writer = os.pipe()
+    return EventLog("router/r-1", writer, lambda: now), reader
+
+
+def test_a_line_has_time_level_process_event_and_fields():
+    log, reader = make_log()
+    log.warning("refused", id="a-1", reason='no "room" here', took_s=0.25)
+    log.flush()
+    assert read(reader) == (
+        "time=1970-01-01T00:16:40.000Z level=WARNING process=router/r-1 "
+        'event=refused id=a-1 reason="no \\"room\\" here" took_s=0.250\n'
+    )
+
+
+def test_line_breaks_in_values_stay_on_the_line():
+    log, reader = make_log()
+    log.error("odd", text="a\nevent=forged\r")
+    log.flush()
+    assert read(reader).count("\n") == 1
+
+
+def test_a_blocked_reader_costs_lines_and_not_time_or_memory():
+    log, reader = make_log()
+    started = time.monotonic()
+    for number in range(20_000):
+        log.warning("failed", id=number, reason="x" * 100)
+        if number % 100 == 0:
+            log.flush()
+    assert time.monotonic() - started < 5
+    assert len(log._waiting) <= MAX_WAITING_BYTES + 1000
+    lost = log.dropped
+    assert lost > 10_000
+    assert f"event=log_lines_dropped lines={lost}" in drain(log, reader)
+
+
+def test_good_news_in_mass_is_sampled_and_failures_are_not():
+    log, reader = make_log()
+    for number in range(1000):
+        log.info("served", id=number)
+        log.warning("failed", id=number)
+    text = drain(log, reader)
+    served = MAX_LINES_PER_S + (1000 - MAX_LINES_PER_S) // SAMPLE
+    assert text.count("event=served") == served
+    assert text.count("event=failed") == 1000
+    assert f"left_out={1000 - served}" in text
+
+
+def test_a_reader_that_is_gone_does_no_harm():
+    log, reader = make_log()
+    os.close(reader)
+    log.info("stopped")
+    log.flush()
+    log.info("again")
+    log.flush()
