--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -34,8 +34,12 @@
 #: Term of a group's first leader, before which there was none to give orders.
 FIRST_LEADER_TERM = 2
 
-#: Seconds between two sums of the routers' loads.
-LOADS_S = 0.1
+#: Seconds between two sums of the routers' loads, for each router: with many of them
+#: the messages of control stay within their share of a link.
+LOADS_PER_ROUTER_S = 0.004
+
+#: Shortest and longest time between two sums, in seconds.
+MIN_LOADS_S, MAX_LOADS_S = 0.1, 0.3
 
 
 class Leader:
@@ -112,7 +116,7 @@
         if self._watch is not None:
             self._watch.start()
         self._loop.call_later(ROSTER_S, self._complete_roster)
-        self._loop.call_later(LOADS_S, self._push_loads)
+        self._loop.call_later(MIN_LOADS_S, self._push_loads)
         holder = self._state.order_holder
         wait_s = 0.0
         if holder not in ("", self._settings.name):
@@ -205,6 +209,8 @@
     def _push_loads(self) -> None:
         if self._is_closed:
             return
-        self._loop.call_later(LOADS_S, self._push_loads)
+        pause_s = LOADS_PER_ROUTER_S * self.registry.count
+        pause_s = min(MAX_LOADS_S, max(MIN_LOADS_S, pause_s))
+        self._loop.call_later(pause_s, self._push_loads)
         self.registry.push_loads()
         self._rollout.advance()
--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -21,6 +21,7 @@
 )
 from berylnotch.group.state import FleetState
 from berylnotch.transport.link import Link
+from berylnotch.transport.packing import pack
 from berylnotch.util.lines import EventLog
 
 #: Crash marks that are remembered; the oldest are forgotten first.
@@ -187,8 +188,9 @@
         self._send_all(CrashesUpdate(new))
 
     def _send_all(self, message: object) -> None:
+        packed = pack(message)
         for router in tuple(self._routers.values()):
-            router.link.send(message)
+            router.link.send(packed)
 
 
 def _is_same(one: TargetsUpdate, other: TargetsUpdate) -> bool:
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -47,7 +47,11 @@
 from berylnotch.util.loop import Loop
 from berylnotch.util.metrics import Label, Metrics
 
-#: Seconds between two reports to the leader.
+#: Seconds between two reports to the leader, for each router of the fleet: the
+#: leader takes no more than about 250 of them a second.
+REPORT_PER_ROUTER_S = 0.004
+
+#: Shortest time between two reports, in seconds.
 REPORT_S = 0.15
 
 #: Seconds between two looks at what waits for tokens.
@@ -157,7 +161,7 @@
             server.start()
         self._metrics_server.start()
         self._link.start()
-        self._loop.call_every(REPORT_S, self._report)
+        self._loop.call_later(REPORT_S, self._report_on)
         self._loop.call_every(QUOTA_S, self._look_at_quota)
         self._loop.call_every(IDLE_SWEEP_S, self._context.targets.close_old)
         self._log.info("started", callers=self._settings.listen)
@@ -270,6 +274,11 @@
 
     # The leader.
 
+    def _report_on(self) -> None:
+        pause_s = max(REPORT_S, REPORT_PER_ROUTER_S * self._context.router_count)
+        self._loop.call_later(pause_s, self._report_on)
+        self._report()
+
     def _report(self) -> None:
         loads = tuple(
             TargetLoad(target.target_id, target.in_flight, target.unread)
--- a/berylnotch/transport/link.py
+++ b/berylnotch/transport/link.py
@@ -113,7 +113,7 @@
         self._channel.close(reason)
 
     def send(self, message: object) -> None:
-        """Send a message."""
+        """Send a message, or the bytes of one that is packed already."""
         self._sent_at = boot_time()
         self._channel.send(message)
 
--- a/berylnotch/transport/plain.py
+++ b/berylnotch/transport/plain.py
@@ -45,11 +45,8 @@
         self._output = bytearray()
 
     def send(self, call: int, reply: bool, message: object) -> None:
-        """Frame a message."""
-        self.send_packed(call, reply, pack(message))
-
-    def send_packed(self, call: int, reply: bool, data: bytes) -> None:
-        """Frame a message that is packed already."""
+        """Frame a message; one that goes to many is packed once, by its sender."""
+        data = message if isinstance(message, bytes) else pack(message)
         self._output += _HEADER.pack(len(data), call, reply)
         self._output += data
 
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,47 @@
+"""Command line of the soak: ``python -m soak --seeds 50``."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections import Counter
+from collections.abc import Sequence
+
+from soak.run import Soak
+
+
+def get_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(prog="soak", description="Seeded fault soak.")
+    parser.add_argument("--first-seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=5, help="runs, one seed each")
+    parser.add_argument("--seconds", type=float, default=8.0, help="time with faults")
+    parser.add_argument("--routers", type=int, default=2)
+    return parser
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the seeds, print a line for each, and return 1 if a promise broke."""
+    args = get_parser().parse_args(argv)
+    faults: Counter[str] = Counter()
+    failed = []
+    for seed in range(args.first_seed, args.first_seed + args.seeds):
+        report = Soak(seed, args.seconds, args.routers).run()
+        recovered_ms = report.faults.pop("recovered_ms", -1)
+        faults.update(report.faults)
+        outcome = "broken" if report.breaks else "kept"
+        print(
+            f"seed={seed} outcome={outcome} answers={report.answers} "
+            f"served={report.served} recovered_ms={recovered_ms}",
+            flush=True,
+        )
+        for what in report.breaks[:10]:
+            print(f"  {what}; logs in {report.folder}", flush=True)
+        if report.breaks:
+            failed.append(seed)
+    print(f"faults {dict(faults)}; failed seeds {failed or 'none'}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/fleet/platform.py
+++ b/tests/fleet/platform.py
@@ -42,10 +42,12 @@
     #: How requests are answered: ok, refuse, error, hang, reset, cut, no_stamp,
     #: foreign.
     mood: str = "ok"
+    #: Address in the list, if it differs from the server's.
+    listed_address: str = ""
 
     @property
     def address(self) -> str:
-        return str(self.server.address)
+        return self.listed_address or str(self.server.address)
 
     def entry(self) -> dict:
         """Return the target as the list shows it."""
