--- a/berylnotch/admission/retry.py
+++ b/berylnotch/admission/retry.py
@@ -79,6 +79,11 @@
         self._settings = settings
         self._balance = settings.reserve
 
+    @property
+    def balance(self) -> float:
+        """Retries that may be made now."""
+        return self._balance
+
     @property
     def has_room(self) -> bool:
         """Whether another retry may be made."""
--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -185,3 +185,7 @@
         metrics.gauge("berylnotch_log_lines_dropped", float(self._log.dropped))
         if self._leader is not None:
             metrics.gauge("berylnotch_routers", float(self._leader.registry.count))
+            listed_at = self._leader.board.listed_at
+            if listed_at is not None:
+                age_s = boot_time() - listed_at
+                metrics.gauge("berylnotch_target_list_age_seconds", age_s)
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -130,6 +130,7 @@
         self._sent_loads: tuple[TargetLoad, ...] = ()
         self._quota_sent_at = 0.0
         self._is_quota_due = False
+        self._targets_at = 0.0
         self._link = LeaderLink(
             loop,
             seeds,
@@ -341,6 +342,7 @@
 
     def _take_targets(self, update: TargetsUpdate) -> None:
         context, now = self._context, boot_time()
+        self._targets_at = now
         for gone in context.targets.update(update.targets):
             context.prompts.forget_engine(gone)
         for named in update.weights:
@@ -424,6 +426,10 @@
         metrics.gauge("berylnotch_has_leader", float(self._link.has_leader))
         metrics.gauge("berylnotch_requests_under_way", float(len(self._exchanges)))
         metrics.gauge("berylnotch_log_lines_dropped", float(self._log.dropped))
+        heard_s = boot_time() - (self._targets_at or self._started_at)
+        metrics.gauge("berylnotch_targets_heard_seconds", heard_s)
+        for service, left in context.budgets_left().items():
+            metrics.gauge("berylnotch_retry_budget", left, Label("service", service))
         for name, version in context.names.versions().items():
             metrics.gauge(
                 "berylnotch_weights_version", float(version), Label("model", name)
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -24,6 +24,7 @@
 )
 from berylnotch.routing.model import RouteKind
 from berylnotch.util.clock import boot_time
+from berylnotch.util.metrics import Label
 
 if TYPE_CHECKING:
     from berylnotch.entry.choice import Choice
@@ -175,6 +176,7 @@
             self._target.note_outcome(has_failed=True)
         else:
             self._target.ejection.abandoned(self._number)
+        self._count("overdue" if is_overdue else "cancelled")
         self._leave()
         self._connection.close()
 
@@ -270,6 +272,7 @@
         else:
             target.ejection.abandoned(self._number)
         target.note_outcome(status >= 500, boot_time() - self._sent_at)
+        self._count(f"status-{status // 100}xx")
         headers = self._head.headers.end_to_end().without(("content-length",))
         self._owner.ended(
             AttemptResult(
@@ -376,6 +379,13 @@
             note = PromptNote(salt, part.part_id, part.tokens, self._told.save_to)
             prompts.saved(boot_time(), note)
 
+    def _count(self, result: str) -> None:
+        self._context.metrics.count(
+            "berylnotch_attempts_total",
+            Label("service", self._target.listed.service),
+            Label("result", result),
+        )
+
     def _leave(self) -> None:
         self._is_over = True
         if self._unread:
@@ -385,6 +395,7 @@
         self._unread = 0
 
     def _end(self, end: AttemptEnd, reason: str, is_lost: bool = False) -> None:
+        self._count(end.value.replace(" ", "-"))
         status = self._head.status if self._head else 0
         result = AttemptResult(self._target, end, reason, status, is_lost=is_lost)
         self._owner.ended(result)
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -107,6 +107,10 @@
             return 0
         return service.engine.cache_tokens
 
+    def budgets_left(self) -> dict[str, float]:
+        """Return the retries that each service's budget allows now."""
+        return {service: budget.balance for service, budget in self._budgets.items()}
+
     def resize_budgets(self, router_count: int) -> None:
         """Share the fleet's slack between this many routers."""
         self.router_count = max(1, router_count)
--- a/berylnotch/entry/settings.py
+++ b/berylnotch/entry/settings.py
@@ -38,7 +38,7 @@
         Time after new weights were named in which engines still serve older ones.
     fresh_weights_s : float, default=1.2
         Time after new weights were named in which older ones are as good.
-    quota_wait_s : float, default=0.25
+    quota_wait_s : float, default=0.45
         Longest wait for tokens of an organisation's limit.
     slow_factor : float, default=2.5
         Multiple of a route's target latency after which a repeatable request
@@ -63,7 +63,7 @@
     retry_after_s: float = 0.5
     stale_weights_s: float = 12.0
     fresh_weights_s: float = 1.2
-    quota_wait_s: float = 0.25
+    quota_wait_s: float = 0.45
     slow_factor: float = 2.5
     stall_s: float = 2.0
     load_s: float = 2.2
--- a/tests/fleet/processes.py
+++ b/tests/fleet/processes.py
@@ -291,6 +291,13 @@
         answer = self.ask(router, "/read/ready", f"ready-{time.monotonic()}", "GET")
         return answer is not None and answer.status == 200
 
+    def metrics(self, process: FleetProcess) -> str:
+        """Return the metrics of a process."""
+        answer = _request(
+            process.ip, self.base_port + 11, "GET", "/metrics", {}, b"", 2.0
+        )
+        return answer.body.decode()
+
     def leader(self) -> FleetProcess | None:
         """Return the controller that leads, by the newest lines of the logs."""
         for controller in self.controllers:
--- a/tests/test_daemon/test_fleet.py
+++ b/tests/test_daemon/test_fleet.py
@@ -293,3 +293,22 @@
     assert found[1]["failure"] == "broken"
     assert found[2]["outcome"] == "failed" and found[2]["status"] == "502"
     assert found[0]["target"] in found[2]["reason"]
+
+
+def test_metrics_tell_what_happened(fleet, platform):
+    _ready(fleet)
+    router = fleet.routers[0]
+    assert fleet.ask(router, "/chat/x", "m-1").status == 200
+    for name in ("desk-1", "desk-2"):
+        platform.targets[name].mood = "refuse"
+    assert fleet.ask(router, "/book/x", "m-2").status == 503
+    text = fleet.metrics(router)
+    assert 'berylnotch_first_event_seconds{route="chat",quantile="0.99"}' in text
+    assert 'berylnotch_attempts_total{service="desk",result="not-run"}' in text
+    assert "berylnotch_refusals_total{reason=" in text
+    assert "berylnotch_configuration_version 3" in text
+    assert "berylnotch_ready 1" in text and "berylnotch_has_leader 1" in text
+    leader = until(fleet.leader, "a leader")
+    text = fleet.metrics(leader)
+    assert "berylnotch_leader 1" in text and "berylnotch_routers 2" in text
+    assert "berylnotch_target_list_age_seconds" in text
