--- a/tests/test_daemon/test_fleet.py
+++ b/tests/test_daemon/test_fleet.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from berylnotch.cmd import why_request
 from tests.fleet.platform import PlatformStandIn
 from tests.fleet.processes import FleetOfProcesses, configuration, in_threads, until
 
@@ -312,3 +313,59 @@
     text = fleet.metrics(leader)
     assert "berylnotch_leader 1" in text and "berylnotch_routers 2" in text
     assert "berylnotch_target_list_age_seconds" in text
+
+
+def _why(fleet, request_id, capsys):
+    """Return what the tool tells of a request, once it has ended."""
+    logs = [str(p.log) for p in (*fleet.controllers, *fleet.routers)]
+
+    def told():
+        code = why_request.main([request_id, *logs])
+        text = capsys.readouterr().out
+        return text if code == 0 and "not finished" not in text else None
+
+    return until(told, "an explanation")
+
+
+def test_the_logs_explain_a_refusal(fleet, platform, capsys):
+    _ready(fleet)
+    for name in ("desk-1", "desk-2"):
+        platform.targets[name].mood = "refuse"
+    fleet.ask(fleet.routers[0], "/book/x", "why-1")
+    text = _why(fleet, "why-1", capsys)
+    assert text.startswith("request why-1: refused with status 503")
+    assert "run by 0" in text and "refused with 503" in text
+    assert "event=target_refused id=why-1 target=desk-" in text
+
+
+def test_the_logs_explain_an_unknown_outcome(fleet, platform, capsys):
+    _ready(fleet)
+    for name in ("desk-1", "desk-2"):
+        platform.targets[name].mood = "reset"
+    fleet.ask(fleet.routers[0], "/book/x", "why-2")
+    text = _why(fleet, "why-2", capsys)
+    assert text.startswith(
+        "request why-2: failed with status 502, sent 1 times, run by 1"
+    )
+    assert "reason: target-lost: desk-" in text
+    assert "failure=broken" in text
+
+
+def test_the_logs_explain_a_broken_stream(fleet, platform, capsys):
+    _ready(fleet)
+    for name in ("llm-1", "llm-2"):
+        platform.targets[name].events = 8
+        platform.targets[name].mood = "cut"
+    answer = fleet.ask(fleet.routers[0], "/chat/x", "why-3")
+    assert not answer.is_whole
+    text = _why(fleet, "why-3", capsys)
+    assert text.startswith("request why-3: broken_off")
+    assert "event=sent_again id=why-3" in text and "last_event=2" in text
+    assert "event=target_listed" in text or "event=configuration" in text
+
+
+def test_the_tool_tells_of_unknown_requests_and_files(fleet, capsys):
+    log = str(fleet.routers[0].log)
+    assert why_request.main(["nobody", log]) == why_request.EXIT_NOT_FOUND
+    assert why_request.main(["x", "/nowhere.log"]) == why_request.EXIT_BAD_INPUT
+    assert "nowhere" in capsys.readouterr().err
--- a/tests/test_quota/test_bounds.py
+++ b/tests/test_quota/test_bounds.py
@@ -3,7 +3,14 @@
 import random
 
 from berylnotch.entry.quota_gate import Charge, QuotaGate
-from berylnotch.quota.bounds import FLEET_QUOTA, HELD_PART, effective_limits, is_limited
+from berylnotch.entry.settings import EntrySettings
+from berylnotch.quota.bounds import (
+    FLEET_QUOTA,
+    HELD_PART,
+    EffectiveLimit,
+    effective_limits,
+    is_limited,
+)
 from berylnotch.quota.local import LocalQuota
 from berylnotch.quota.owner import QuotaOwner
 from berylnotch.routing.model import Organisation
@@ -80,3 +87,22 @@
         charges, refusals = play(seed, 6, 30_000, 30, failover_at=None)
         assert len(charges) > 100
         assert refusals == []
+
+
+def test_routers_wait_longer_than_the_owner_expects():
+    # The owner names a time to come back only beyond its own wait. A router that gave
+    # up earlier would refuse what it is about to get.
+    assert EntrySettings().quota_wait_s > FLEET_QUOTA.wait_s
+    limits = {"alpha": EffectiveLimit(10_000, 20_000)}
+    owner = QuotaOwner(FLEET_QUOTA, 1, 0.0)
+    gate = QuotaGate(LocalQuota(FLEET_QUOTA), EntrySettings().quota_wait_s)
+    outcomes, now = [], 0.0
+    gate.charge(now, "alpha", 8_500, lambda *outcome: outcomes.append((now, *outcome)))
+    gate.charge(now, "alpha", 2_300, lambda *outcome: outcomes.append((now, *outcome)))
+    while now < 1.0:
+        now += 0.05
+        gate.serve(now)
+        if now >= gate.quota.next_ask_at:
+            request = gate.request(now, "r", "i", "a", "d")
+            gate.receive(now, now, owner.grant(now, request, limits))
+    assert [outcome for _, outcome, _ in outcomes] == [Charge.CHARGED] * 2
