fleet: processes without a cryptographic library and the older control plane's modules

Cause: messages of limits stood in the control plane's protocol, so each router imported all of it; a fingerprint needed a 3.5 MB library.

--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -8,8 +8,8 @@
 
 from attrs import define, field, frozen
 
-from berylnotch.control.protocol import GrantRequest
 from berylnotch.quota.local import LocalQuota
+from berylnotch.quota.messages import GrantRequest
 from berylnotch.quota.owner import QuotaOwner
 from berylnotch.quota.settings import QuotaSettings
 
--- a/benchmarks/quota_driver.py
+++ b/benchmarks/quota_driver.py
@@ -13,15 +13,15 @@
 
 from attrs import Factory, define, field, frozen
 
-from berylnotch.control.protocol import GrantRequest
 from berylnotch.quota import LocalQuota, QuotaOwner
+from berylnotch.quota.messages import GrantRequest
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-    from berylnotch.control.protocol import GrantReply
     from berylnotch.quota import QuotaSettings
     from berylnotch.quota.bucket import Limit
+    from berylnotch.quota.messages import GrantReply
 
 #: Length of a step, and time that a message is under way, in seconds.
 STEP_S = 0.01
--- a/benchmarks/quota_load.py
+++ b/benchmarks/quota_load.py
@@ -10,8 +10,8 @@
 from attrs import Factory, define, frozen
 from hdrh.histogram import HdrHistogram
 
-from berylnotch.control.protocol import GrantRequest
 from berylnotch.quota import LocalQuota, QuotaOwner
+from berylnotch.quota.messages import GrantRequest
 from berylnotch.transport.codec import decode, encode
 
 if TYPE_CHECKING:
--- a/berylnotch/daemon/controller/core.py
+++ b/berylnotch/daemon/controller/core.py
@@ -26,7 +26,6 @@
 from berylnotch.control.protocol import (
     BootstrapReply,
     BootstrapRequest,
-    GrantRequest,
     JoinReply,
     JoinRequest,
     MemberChangeRequest,
@@ -47,6 +46,7 @@
 from berylnotch.daemon.controller.vouching import Vouching
 from berylnotch.daemon.syncing import SyncServer
 from berylnotch.errors import BerylnotchError
+from berylnotch.quota.messages import GrantRequest
 from berylnotch.transport.codec import decode, encode
 from berylnotch.transport.identity import is_vm, operator_name
 
--- a/berylnotch/daemon/controller/leader.py
+++ b/berylnotch/daemon/controller/leader.py
@@ -7,10 +7,11 @@
 from typing import TYPE_CHECKING
 
 from berylnotch.control.commands import ExpireClaims
-from berylnotch.control.protocol import GrantReply, GrantRequest, RouterLine
+from berylnotch.control.protocol import RouterLine
 from berylnotch.daemon.controller.ordering import Ordering
 from berylnotch.daemon.controller.routers import Routers
 from berylnotch.daemon.controller.targets import TargetWatch
+from berylnotch.quota.messages import GrantReply, GrantRequest
 from berylnotch.quota.owner import QuotaOwner
 
 if TYPE_CHECKING:
--- a/berylnotch/daemon/controller/routers.py
+++ b/berylnotch/daemon/controller/routers.py
@@ -8,7 +8,8 @@
 from attrs import frozen
 
 from berylnotch.control.commands import LifeState, SetLifeState, Subject
-from berylnotch.control.protocol import GrantRequest, RouterLine
+from berylnotch.control.protocol import RouterLine
+from berylnotch.quota.messages import GrantRequest
 
 if TYPE_CHECKING:
     from berylnotch.control.commands import ClaimRecord
--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 
 from berylnotch.consensus import messages as consensus
-from berylnotch.control.protocol import GrantRequest
 from berylnotch.daemon.fleet.leader import Leader
 from berylnotch.daemon.fleet.metrics import MetricsServer
 from berylnotch.daemon.fleet.operators import OperatorsInterface
@@ -20,6 +19,7 @@
 from berylnotch.group.state import FleetState
 from berylnotch.membership.naming import WeightsNames
 from berylnotch.net.sockets import Acceptor
+from berylnotch.quota.messages import GrantRequest
 from berylnotch.settings.fleet import FleetSettings
 from berylnotch.transport.link import Link, LinkSettings, accept_link
 from berylnotch.transport.packing import message_classes
--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from berylnotch.control.protocol import GrantRequest
 from berylnotch.daemon.fleet.registry import RouterRegistry
 from berylnotch.daemon.fleet.replica_host import ReplicaHost
 from berylnotch.daemon.fleet.stores import StoreWatch
@@ -16,6 +15,7 @@
 from berylnotch.membership.naming import WeightsNames
 from berylnotch.platform.configuration import decode_configuration
 from berylnotch.quota.bounds import FLEET_QUOTA, effective_limits
+from berylnotch.quota.messages import GrantRequest
 from berylnotch.quota.owner import QuotaOwner
 from berylnotch.settings.fleet import FleetSettings
 from berylnotch.transport.link import Link
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -5,7 +5,6 @@
 import os
 from collections.abc import Callable
 
-from berylnotch.control.protocol import GrantReply
 from berylnotch.daemon.fleet.follower import LeaderLink
 from berylnotch.daemon.fleet.metrics import MetricsServer
 from berylnotch.entry.context import EntryContext
@@ -39,6 +38,7 @@
 from berylnotch.platform.requests import decode_request, refusal_headers
 from berylnotch.quota.bounds import FLEET_QUOTA, HELD_PART, effective_limits
 from berylnotch.quota.local import LocalQuota
+from berylnotch.quota.messages import GrantReply
 from berylnotch.routing.table import RouteTable
 from berylnotch.settings.fleet import FleetSettings
 from berylnotch.transport.link import LinkSettings
--- a/berylnotch/daemon/router/heartbeat.py
+++ b/berylnotch/daemon/router/heartbeat.py
@@ -7,7 +7,8 @@
 from concurrent.futures import Future
 from typing import TYPE_CHECKING, Any
 
-from berylnotch.control.protocol import GrantReply, GrantRequest, NotLeader
+from berylnotch.control.protocol import NotLeader
+from berylnotch.quota.messages import GrantReply, GrantRequest
 
 if TYPE_CHECKING:
     from berylnotch.quota.local import LocalQuota
--- a/berylnotch/daemon/router/proposer.py
+++ b/berylnotch/daemon/router/proposer.py
@@ -7,12 +7,7 @@
 from concurrent.futures import Future
 from typing import TYPE_CHECKING, Any
 
-from berylnotch.control.protocol import (
-    NotLeader,
-    ProposeReply,
-    ProposeRequest,
-    Refused,
-)
+from berylnotch.control.protocol import NotLeader, ProposeReply, ProposeRequest, Refused
 from berylnotch.transport.codec import encode
 
 if TYPE_CHECKING:
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -15,7 +15,7 @@
 from berylnotch.entry.quota_gate import Charge
 from berylnotch.entry.refusals import Reason
 from berylnotch.entry.targets import Target
-from berylnotch.membership.crashes import fingerprint
+from berylnotch.membership.crashes import light_fingerprint
 from berylnotch.net.messages import HttpRequest
 from berylnotch.net.server import ServerConnection
 from berylnotch.placement.mixing import mix
@@ -170,7 +170,7 @@
         self._service = pick_service(admitted.route.splits, random.random())
         organisation = admitted.organisation.name if admitted.organisation else ""
         request = admitted.request
-        self._fingerprint = fingerprint(
+        self._fingerprint = light_fingerprint(
             organisation, request.target.encode() + b"\0" + request.body
         )
         if context.crashes.is_refused(boot_time(), self._fingerprint, context.losses):
--- a/berylnotch/entry/quota_gate.py
+++ b/berylnotch/entry/quota_gate.py
@@ -8,8 +8,8 @@
 
 from attrs import frozen
 
-from berylnotch.control.protocol import GrantReply, GrantRequest
 from berylnotch.quota.local import LocalQuota
+from berylnotch.quota.messages import GrantReply, GrantRequest
 
 
 class Charge(Enum):
--- a/berylnotch/group/messages.py
+++ b/berylnotch/group/messages.py
@@ -5,9 +5,9 @@
 from attrs import frozen
 
 from berylnotch.consensus import messages as consensus
-from berylnotch.control.protocol import GrantReply, GrantRequest
 from berylnotch.membership.listing import ListedTarget
 from berylnotch.membership.naming import NamedWeights
+from berylnotch.quota.messages import GrantReply, GrantRequest
 from berylnotch.transport.packing import message_classes
 
 
--- a/berylnotch/membership/crashes.py
+++ b/berylnotch/membership/crashes.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-import hashlib
+import struct
+import zlib
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
@@ -21,11 +22,24 @@
 
 def fingerprint(organisation: str, body: bytes) -> bytes:
     """Identify a request by its organisation and body."""
+    # Processes of a fleet do without this library, which takes 3.5 MB of each.
+    import hashlib
+
     digest = hashlib.sha256(organisation.encode() + b"\0")
     digest.update(body)
     return digest.digest()[:FINGERPRINT_BYTES]
 
 
+def light_fingerprint(organisation: str, body: bytes) -> bytes:
+    """Identify a request by two checksums and its length.
+
+    It tells chance apart, not intent: a caller who makes two bodies with the same
+    one only blames the own requests.
+    """
+    data = organisation.encode() + b"\0" + body
+    return struct.pack("<III", zlib.crc32(data), zlib.adler32(data), len(data))
+
+
 @frozen
 class Verdict:
     """What a loss tells of the requests that ran.
--- a/berylnotch/quota/__init__.py
+++ b/berylnotch/quota/__init__.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from berylnotch.control.protocol import Grant, GrantReply, GrantRequest, QuotaAsk
 from berylnotch.quota.errors import InvalidChargeError, QuotaError
 from berylnotch.quota.local import LocalQuota
+from berylnotch.quota.messages import Grant, GrantReply, GrantRequest, QuotaAsk
 from berylnotch.quota.owner import QuotaOwner
 from berylnotch.quota.settings import QuotaSettings
 
--- a/berylnotch/quota/holding.py
+++ b/berylnotch/quota/holding.py
@@ -6,7 +6,7 @@
 
 from attrs import define
 
-from berylnotch.control.protocol import Grant, QuotaAsk
+from berylnotch.quota.messages import Grant, QuotaAsk
 from berylnotch.quota.settings import QuotaSettings
 from berylnotch.quota.usage import BEST_PRIORITY, UsageAverage
 
--- a/berylnotch/quota/local.py
+++ b/berylnotch/quota/local.py
@@ -10,7 +10,7 @@
 from berylnotch.quota.usage import BEST_PRIORITY, UsageAverage
 
 if TYPE_CHECKING:
-    from berylnotch.control.protocol import GrantReply, QuotaAsk
+    from berylnotch.quota.messages import GrantReply, QuotaAsk
     from berylnotch.quota.settings import QuotaSettings
 
 
--- a/berylnotch/quota/owner.py
+++ b/berylnotch/quota/owner.py
@@ -7,16 +7,16 @@
 
 from attrs import define
 
-from berylnotch.control.protocol import Grant, GrantReply
 from berylnotch.quota.bucket import Bucket
+from berylnotch.quota.messages import Grant, GrantReply
 from berylnotch.quota.usage import BEST_PRIORITY, UsageAverage, usage_priority
 from berylnotch.quota.waiting import WaitingLine
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from berylnotch.control.protocol import GrantRequest, QuotaAsk
     from berylnotch.quota.bucket import Limit
+    from berylnotch.quota.messages import GrantRequest, QuotaAsk
     from berylnotch.quota.settings import QuotaSettings
 
 #: Time between two passes over all organisations and routers, in seconds.
--- a/berylnotch/settings/__init__.py
+++ b/berylnotch/settings/__init__.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
-from berylnotch.settings.base import ControllerAddress, read_secret
-from berylnotch.settings.controller import ControllerSettings, read_controller
-from berylnotch.settings.router import RouterSettings, read_router
+from importlib import import_module
+from typing import Any
 
-__all__ = [
-    "ControllerAddress",
-    "ControllerSettings",
-    "RouterSettings",
-    "read_controller",
-    "read_router",
-    "read_secret",
-]
+#: Modules of the public names, imported on first use: a process of a fleet needs
+#: only its own settings.
+_MODULES = {
+    "ControllerAddress": "base",
+    "ControllerSettings": "controller",
+    "RouterSettings": "router",
+    "read_controller": "controller",
+    "read_router": "router",
+    "read_secret": "base",
+}
+
+__all__ = list(_MODULES)
+
+
+def __getattr__(name: str) -> Any:
+    module = _MODULES.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f"{__name__}.{module}"), name)
--- a/berylnotch/transport/codec.py
+++ b/berylnotch/transport/codec.py
@@ -20,11 +20,12 @@
 from berylnotch.consensus import messages as consensus
 from berylnotch.control import commands, events, protocol, records
 from berylnotch.errors import CodecError
+from berylnotch.quota import messages as quota
 from berylnotch.transport import messages as connection
 
 T = TypeVar("T")
 
-_MODULES = (connection, consensus, commands, events, protocol, records)
+_MODULES = (connection, consensus, commands, events, protocol, quota, records)
 
 #: Largest encoded message, in bytes.
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
--- a/tests/test_daemon/test_routers.py
+++ b/tests/test_daemon/test_routers.py
@@ -10,9 +10,9 @@
     SetLifeState,
     Subject,
 )
-from berylnotch.control.protocol import GrantRequest
 from berylnotch.control.state import ControlState
 from berylnotch.daemon.controller.routers import LOST_AFTER_S, SOURCE, Routers
+from berylnotch.quota.messages import GrantRequest
 from berylnotch.standins.texts import SmallFleet, small_text
 from berylnotch.transport.codec import encode
 
--- a/tests/test_quota/fakes.py
+++ b/tests/test_quota/fakes.py
@@ -4,8 +4,8 @@
 
 from attrs import frozen
 
-from berylnotch.control.protocol import GrantReply, GrantRequest
 from berylnotch.quota import LocalQuota
+from berylnotch.quota.messages import GrantReply, GrantRequest
 
 
 @frozen
--- a/tests/test_quota/test_bound.py
+++ b/tests/test_quota/test_bound.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from berylnotch.control.protocol import GrantReply, GrantRequest
 from berylnotch.quota import LocalQuota, QuotaOwner, QuotaSettings
+from berylnotch.quota.messages import GrantReply, GrantRequest
 from tests.test_quota.fakes import Limits
 
 SETTINGS = QuotaSettings(lifetime_s=2.0, drift=1.0, grace_s=0.0)
