--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -24,6 +24,9 @@
 from berylnotch.transport.packing import pack
 from berylnotch.util.lines import EventLog
 
+#: Routers that must have left a target out before all others avoid it.
+SUSPECT_ROUTERS = 2
+
 #: Crash marks that are remembered; the oldest are forgotten first.
 MAX_CRASH_MARKS = 512
 
@@ -137,7 +140,8 @@
                 requests[load.target_id] += load.requests
                 unread[load.target_id] += load.unread
         update = LoadsUpdate(
-            tuple(TargetLoad(t, n, unread[t]) for t, n in sorted(requests.items()))
+            tuple(TargetLoad(t, n, unread[t]) for t, n in sorted(requests.items())),
+            tuple(sorted(self._left_out(SUSPECT_ROUTERS))),
         )
         if update != self._loads:
             self._loads = update
@@ -151,11 +155,15 @@
         return {load.target_id: load.requests for load in self._loads.loads}
 
     def unreachable(self) -> frozenset[str]:
-        """Return the targets that most routers have left out after failures."""
+        """Return the targets that routers avoid after failures."""
+        return self._left_out(SUSPECT_ROUTERS)
+
+    def _left_out(self, routers: int) -> frozenset[str]:
+        """Return the targets that at least so many routers have left out."""
         counts: Counter[str] = Counter()
         for router in self._routers.values():
             counts.update(router.report.ejected)
-        return frozenset(t for t, n in counts.items() if 2 * n > len(self._routers))
+        return frozenset(t for t, n in counts.items() if n >= routers)
 
     def _welcome(self, router: _Router) -> None:
         if self._targets is not None:
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -367,6 +367,7 @@
             mine = own.get(target.target_id, none)
             target.others_in_flight = max(0, total.requests - mine.requests)
             target.others_unread = max(0, total.unread - mine.unread)
+            target.is_suspect = target.target_id in update.suspects
 
     def _take_prompts(self, notes: tuple[PromptNote, ...]) -> None:
         now, context = boot_time(), self._context
--- a/berylnotch/entry/choice.py
+++ b/berylnotch/entry/choice.py
@@ -111,6 +111,12 @@
         Where the router is.
     excluded : collection of str
         Targets that must not be chosen.
+    sample : int
+        Targets that are compared, 0 for all. With many routers, whose knowledge of
+        each other is some tenths of a second old, all would choose the same best
+        one at the same time.
+    draw : callable
+        Returns a random number below a given one.
     holding : callable
         Tells whether a target probably holds the shared part.
     is_saved : callable
@@ -130,6 +136,8 @@
     is_urgent: bool = False
     failure_domain: str = ""
     excluded: Collection[str] = ()
+    sample: int = 0
+    draw: Callable[[int], int] = lambda count: 0
     holding: Callable[[Target], Holding] = lambda target: Holding.NONE
     is_saved: Callable[[Target], bool] = lambda target: False
 
@@ -174,9 +182,11 @@
     """
     targets = list(targets)
     usable = [t for t in targets if _is_candidate(t, placing)]
+    usable = [t for t in usable if not t.is_avoided(placing.now)] or usable
     if not usable:
         return None
     if not placing.has_home:
+        usable = _drawn(usable, placing)
         unread = placing.prompt_tokens
         choices = [
             Choice(t, _queue_ms(t, placing) + _read_ms(t, unread), unread=unread)
@@ -188,6 +198,13 @@
         )
     home = min(usable, key=lambda t: mix(t.target_id, placing.shared_id))
     holders = _Holders(targets, placing)
+    if placing.sample:
+        usable.sort(key=lambda t: mix(t.target_id, placing.shared_id))
+        usable = usable[: placing.sample] + [
+            t
+            for t in usable[placing.sample :]
+            if holders.holding(t) is not Holding.NONE
+        ]
     choices = [_price(t, placing, holders) for t in usable]
 
     def cost_ms(choice: Choice) -> float:
@@ -203,6 +220,14 @@
     return min(choices, key=lambda c: (cost_ms(c), c.target is not home))
 
 
+def _drawn(targets: list[Target], placing: Placing) -> list[Target]:
+    """Return a random sample of the targets, if one is asked for."""
+    if not placing.sample or len(targets) <= placing.sample:
+        return targets
+    left = list(targets)
+    return [left.pop(placing.draw(len(left))) for _ in range(placing.sample)]
+
+
 class _Holders:
     """Which targets hold a shared prompt, by what the router knows."""
 
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -209,6 +209,8 @@
             shared_tokens=shared.tokens if shared else 0,
             prompt_tokens=caller.prompt_tokens if model else 0,
             is_urgent=self._priority() < URGENT_PRIORITY,
+            sample=settings.sample if self._is_crowded else 0,
+            draw=random.randrange,
             holding=holding,
             is_saved=is_saved,
             failure_domain=context.fleet.failure_domain,
@@ -286,6 +288,11 @@
             salt += f"/{organisation.name}"
         return salt
 
+    @property
+    def _is_crowded(self) -> bool:
+        """Whether so many routers choose at once that they must not all compare."""
+        return self._context.router_count > self._context.settings.crowd_routers
+
     def _priority(self) -> int:
         """Return the urgency at engines, 0 first."""
         organisation = self._admitted.organisation
--- a/berylnotch/entry/settings.py
+++ b/berylnotch/entry/settings.py
@@ -47,6 +47,12 @@
         Pause in a resumable stream after which it goes on at another target.
     load_s : float, default=2.2
         Time that an engine usually takes to load weights.
+    crowd_routers : int, default=12
+        Routers beyond which each compares only a sample of the targets; that many
+        send about one request each while a load report is under way.
+    sample : int, default=3
+        Size of that sample. Two make the difference, by the usual analysis of
+        random choices; one more allows for a cold one.
     membership : MembershipSettings
         When a target that fails is left out.
     """
@@ -67,6 +73,8 @@
     slow_factor: float = 2.5
     stall_s: float = 2.0
     load_s: float = 2.2
+    crowd_routers: int = 12
+    sample: int = 3
     membership: MembershipSettings = field(
         factory=lambda: MembershipSettings(
             eject_after=2, eject_s=0.5, eject_max_s=4.0, crash_limit=3
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -50,6 +50,8 @@
         Moving average of its answer times, plain targets only.
     heard_at : float
         Boot time at which it last sent a part of an answer.
+    is_suspect : bool
+        Whether several routers left it out after failures.
     unread : int
         Prompt tokens of this router's requests that it probably has yet to read.
     others_unread : int
@@ -70,6 +72,7 @@
     failure_rate: float = 0.0
     latency_s: float = 0.0
     heard_at: float = 0.0
+    is_suspect: bool = False
 
     @property
     def target_id(self) -> str:
@@ -100,6 +103,11 @@
             step = AVERAGE_STEP if self.latency_s else 1.0
             self.latency_s += (latency_s - self.latency_s) * step
 
+    def is_avoided(self, now: float) -> bool:
+        """Whether it failed elsewhere, and this router is not one that probes it."""
+        is_prober = self.ejection.is_out and not self.ejection.blocks(now)
+        return self.is_suspect and not is_prober
+
     def usable_at(self, now: float) -> float:
         """Return when it may get a request again, as far as that is known."""
         times = [now, self.refused_until]
--- a/berylnotch/group/messages.py
+++ b/berylnotch/group/messages.py
@@ -133,9 +133,13 @@
 
 @frozen
 class LoadsUpdate:
-    """Requests under way at each target over all routers."""
+    """Requests under way at each target over all routers.
+
+    ``suspects`` are targets that several routers left out after failures.
+    """
 
     loads: tuple[TargetLoad, ...]
+    suspects: tuple[str, ...] = ()
 
 
 @frozen
--- a/tests/test_entry/test_choice.py
+++ b/tests/test_entry/test_choice.py
@@ -1,5 +1,8 @@
 """Choice of a target by expected delay."""
 
+import random
+from collections import Counter
+
 from berylnotch.entry.choice import choose, usable_in_s
 from berylnotch.entry.prompts import Holding
 from tests.test_entry.support import long_request, make_target, short_request
@@ -100,3 +103,41 @@
     assert choose([good, failing, slow], placing).target is good
     good.in_flight = 40
     assert choose([good, failing, slow], placing).target is not good
+
+
+def test_suspects_are_avoided_but_by_those_that_probe_them():
+    suspect, other = names(2)
+    suspect.is_suspect = True
+    other.in_flight = 50
+    placing = short_request()
+    assert choose([suspect, other], placing).target is other
+    assert choose([suspect], placing).target is suspect
+    for number in range(2):
+        suspect.ejection.failed(90.0, number)
+    assert choose([suspect, other], placing).target is suspect
+
+
+def test_many_routers_with_the_same_knowledge_do_not_choose_the_same_target():
+    engines = names(30)
+    rng = random.Random(1)
+    placing = short_request(sample=3, draw=rng.randrange)
+    chosen = Counter(choose(engines, placing).target.target_id for _ in range(300))
+    assert max(chosen.values()) < 300 * 0.15
+    busy = engines[0]
+    busy.unread = 500_000
+    again = Counter(choose(engines, placing).target.target_id for _ in range(300))
+    assert again[busy.target_id] == 0
+
+
+def test_long_prompts_spread_over_few_engines_of_their_own_and_their_holders():
+    engines = names(30)
+    for engine in engines[1:]:
+        engine.unread = 1000
+    chosen = {
+        choose(engines, long_request(shared_id=f"p{n}", sample=3)).target.target_id
+        for n in range(60)
+    }
+    assert len(chosen) > 15
+    holder = choose(engines, long_request()).target
+    placing = long_request(sample=3, holding=held_by(holder))
+    assert choose(engines, placing).target is holder
