--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -42,6 +42,11 @@
 #: gets no request; by then the leader knows more.
 MISDIRECTED_S = 0.4
 
+#: Multiple of the delay expected at the choice, and seconds beside it, within which a
+#: target is busy and not stuck.
+EXPECTED_FACTOR = 2.0
+EXPECTED_MARGIN_S = 1.0
+
 
 class AttemptEnd(Enum):
     """How an attempt ended."""
@@ -50,6 +55,8 @@
     ANSWERED = "answered"
     #: The target's stream came to its end.
     STREAM_COMPLETE = "stream complete"
+    #: The target was not reached, so no part of the request arrived.
+    NOT_REACHED = "not reached"
     #: The target did not run the request.
     NOT_RUN = "not run"
     #: The target may have run the request.
@@ -116,6 +123,7 @@
         self._context = context
         self._target = choice.target
         self._unread = choice.unread
+        self._expected_s = choice.delay_ms / 1000
         self._admitted = admitted
         self._told = told
         self._owner = owner
@@ -189,7 +197,9 @@
         if self._is_stream and self._heard_at:
             overdue_at = self._heard_at + settings.stall_s
         else:
-            overdue_at = self._sent_at + settings.slow_factor * route.target_latency_s
+            expected_s = EXPECTED_FACTOR * self._expected_s + EXPECTED_MARGIN_S
+            overdue_s = settings.slow_factor * route.target_latency_s
+            overdue_at = self._sent_at + max(overdue_s, expected_s)
         if self._head is None and self._admitted_as_stream:
             # An engine that answers others is busy, not lost.
             overdue_at = max(overdue_at, self._target.heard_at + settings.stall_s)
@@ -305,7 +315,7 @@
             failures=target.ejection.failures,
         )
         if failure is Failure.NOT_SENT:
-            self._end(AttemptEnd.NOT_RUN, reason)
+            self._end(AttemptEnd.NOT_REACHED, reason)
         else:
             self._end(AttemptEnd.BROKEN, reason, is_lost=True)
 
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -379,7 +379,7 @@
         if self._is_over:
             return
         self._context.crashes.ended(self._fingerprint, target.target_id)
-        if result.end is not AttemptEnd.NOT_RUN:
+        if result.end not in (AttemptEnd.NOT_RUN, AttemptEnd.NOT_REACHED):
             self._progress.runs += 1
         if result.end is AttemptEnd.STREAM_COMPLETE:
             self._context.crashes.completed(self._fingerprint, boot_time())
@@ -387,7 +387,7 @@
             self._finish("served", 200, target)
         elif result.end is AttemptEnd.ANSWERED:
             self._answered(result)
-        elif result.end is AttemptEnd.NOT_RUN:
+        elif result.end in (AttemptEnd.NOT_RUN, AttemptEnd.NOT_REACHED):
             self._retry(result, is_run=False)
         else:
             if result.is_lost:
@@ -429,6 +429,10 @@
                 return
         if progress.sends >= self._context.settings.max_sends:
             self._give_up(Reason.ALL_REFUSED, f"{progress.sends} times: {reason}")
+        elif result.end is AttemptEnd.NOT_REACHED:
+            # The budget counts what arrives at targets, and this did not.
+            self._note_retry(result, reason)
+            self._send()
         elif not self._context.budget(self._service).spend():
             self._give_up(Reason.BUDGET, reason)
         else:
