--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 BIN = .venv/bin
 
-.PHONY: demo test lint bench clean
+.PHONY: demo test lint bench soak clean
 
 .venv/installed: pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -27,5 +27,8 @@
 	$(BIN)/python -m benchmarks.decision_time
 	$(BIN)/python -m benchmarks.policies --plot docs/design/policies.png
 
+soak: .venv/installed
+	$(BIN)/python -m soak --seeds 50
+
 clean:
 	rm -rf .venv var
