--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -7,8 +7,9 @@
 
 from berylnotch.daemon.fleet.follower import LeaderLink
 from berylnotch.daemon.fleet.metrics import MetricsServer
+from berylnotch.entry.admitted import Admitted
 from berylnotch.entry.context import EntryContext
-from berylnotch.entry.exchange import Admitted, Exchange
+from berylnotch.entry.exchange import Exchange
 from berylnotch.entry.prompts import PromptMemory
 from berylnotch.entry.quota_gate import QuotaGate
 from berylnotch.entry.settings import EntrySettings
--- a/berylnotch/daemon/fleet/stores.py
+++ b/berylnotch/daemon/fleet/stores.py
@@ -7,7 +7,7 @@
 from attrs import define
 
 from berylnotch.errors import GatewayError
-from berylnotch.net.client import fetch
+from berylnotch.net.fetch import fetch
 from berylnotch.net.messages import HttpResponse
 from berylnotch.platform.stores import StoreState, decode_state, watch_request
 from berylnotch.util.address import parse_address
--- a/berylnotch/daemon/fleet/watch.py
+++ b/berylnotch/daemon/fleet/watch.py
@@ -6,7 +6,7 @@
 
 from berylnotch.errors import GatewayError
 from berylnotch.membership.listing import ListedTarget
-from berylnotch.net.client import fetch
+from berylnotch.net.fetch import fetch
 from berylnotch.net.messages import HttpResponse
 from berylnotch.platform.targets import decode_page, list_request
 from berylnotch.util.address import Address
--- a/berylnotch/daemon/fleet/weights.py
+++ b/berylnotch/daemon/fleet/weights.py
@@ -10,7 +10,7 @@
 from berylnotch.membership.board import TargetBoard
 from berylnotch.membership.listing import ListedTarget, ModelVersion
 from berylnotch.membership.naming import WeightsNames
-from berylnotch.net.client import fetch
+from berylnotch.net.fetch import fetch
 from berylnotch.net.messages import HttpRequest, HttpResponse
 from berylnotch.orders.rolling import WeightsLoad, next_loads
 from berylnotch.platform.targets import (
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-from enum import Enum
-from typing import TYPE_CHECKING, Protocol
-
-from attrs import frozen
+from typing import TYPE_CHECKING
 
 from berylnotch.entry.choice import MIN_HOME_TOKENS
 from berylnotch.entry.events import MAX_EVENT_BYTES, EventSplitter
+from berylnotch.entry.results import AttemptEnd, AttemptOwner, AttemptResult
 from berylnotch.group.messages import PromptNote
 from berylnotch.net.client import (
     ClientConnection,
@@ -22,15 +20,13 @@
     decode_answer,
     encode_for_target,
 )
-from berylnotch.routing.model import RouteKind
 from berylnotch.util.clock import boot_time
 from berylnotch.util.metrics import Label
 
 if TYPE_CHECKING:
+    from berylnotch.entry.admitted import Admitted
     from berylnotch.entry.choice import Choice
     from berylnotch.entry.context import EntryContext
-    from berylnotch.entry.exchange import Admitted
-    from berylnotch.entry.targets import Target
 
 #: Largest answer that is not a stream, in bytes.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -48,53 +44,6 @@
 EXPECTED_MARGIN_S = 1.0
 
 
-class AttemptEnd(Enum):
-    """How an attempt ended."""
-
-    #: The target gave a whole answer.
-    ANSWERED = "answered"
-    #: The target's stream came to its end.
-    STREAM_COMPLETE = "stream complete"
-    #: The target was not reached, so no part of the request arrived.
-    NOT_REACHED = "not reached"
-    #: The target did not run the request.
-    NOT_RUN = "not run"
-    #: The target may have run the request.
-    BROKEN = "broken"
-
-
-@frozen
-class AttemptResult:
-    """End of an attempt, with the answer if there is one.
-
-    ``is_lost`` tells that the connection broke while the target may have run it.
-    """
-
-    target: Target
-    end: AttemptEnd
-    reason: str = ""
-    status: int = 0
-    headers: Headers | None = None
-    body: bytes = b""
-    is_lost: bool = False
-
-
-class AttemptOwner(Protocol):
-    """What hears of an attempt."""
-
-    def stream_began(self, status: int, headers: Headers) -> None:
-        """Take the head of a stream."""
-
-    def event(self, data: bytes, number: int | None) -> bool:
-        """Take an event of a stream."""
-
-    def may_move(self) -> bool:
-        """Tell whether the request may go to another target now."""
-
-    def ended(self, result: AttemptResult) -> None:
-        """Take the end."""
-
-
 class Attempt(ResponseSink):
     """A request at one target.
 
@@ -155,10 +104,6 @@
         self._connection.send(request, self)
         self._watch_answer()
 
-    @property
-    def _admitted_as_stream(self) -> bool:
-        return self._admitted.route.kind is RouteKind.STREAM
-
     def pause(self) -> None:
         """Stop reading for a slow caller."""
         if self._connection is not None:
@@ -200,7 +145,7 @@
             expected_s = EXPECTED_FACTOR * self._expected_s + EXPECTED_MARGIN_S
             overdue_s = settings.slow_factor * route.target_latency_s
             overdue_at = self._sent_at + max(overdue_s, expected_s)
-        if self._head is None and self._admitted_as_stream:
+        if self._head is None and self._admitted.is_stream:
             # An engine that answers others is busy, not lost.
             overdue_at = max(overdue_at, self._target.heard_at + settings.stall_s)
         if now < overdue_at or not route.target_latency_s:
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -5,41 +5,27 @@
 import random
 from collections.abc import Callable
 
-from attrs import define, frozen
+from attrs import define
 
 from berylnotch.entry.admission import judge
-from berylnotch.entry.attempt import Attempt, AttemptEnd, AttemptResult
-from berylnotch.entry.choice import Choice, Placing, choose, usable_in_s
+from berylnotch.entry.admitted import Admitted
+from berylnotch.entry.attempt import Attempt
+from berylnotch.entry.choice import choose, usable_in_s
 from berylnotch.entry.context import EntryContext
-from berylnotch.entry.prompts import Holding
+from berylnotch.entry.placing import make_placing, make_told
 from berylnotch.entry.quota_gate import Charge
 from berylnotch.entry.refusals import Reason
+from berylnotch.entry.results import AttemptEnd, AttemptResult
 from berylnotch.entry.targets import Target
 from berylnotch.membership.crashes import light_fingerprint
-from berylnotch.net.messages import HttpRequest
 from berylnotch.net.server import ServerConnection
-from berylnotch.placement.mixing import mix
-from berylnotch.platform.requests import (
-    CallerRequest,
-    TargetHeaders,
-    refusal_headers,
-)
+from berylnotch.platform.requests import refusal_headers
 from berylnotch.quota.bounds import is_limited
-from berylnotch.routing.model import Organisation, Route, RouteKind, Service
 from berylnotch.routing.table import pick_service
 from berylnotch.util.clock import boot_time
 from berylnotch.util.loop import Timer
 from berylnotch.util.metrics import Label
 
-#: Engine priorities of one organisation's rank: as many as routes have ranks.
-PRIORITIES_PER_RANK = 3
-
-#: Lowest urgency that engines know.
-LAST_PRIORITY = 9
-
-#: Engine priority below which a request counts as urgent.
-URGENT_PRIORITY = PRIORITIES_PER_RANK
-
 #: Engine answers that show a failure of the engine, not of the request.
 _RETRIED_STATUSES = frozenset((500, 502, 503, 504, 429))
 
@@ -50,23 +36,6 @@
 MIN_MOVE_S = 0.15
 
 
-@frozen
-class Admitted:
-    """A request with its route and organisation."""
-
-    request: HttpRequest
-    caller: CallerRequest
-    route: Route
-    organisation: Organisation | None
-
-    @property
-    def cost(self) -> int:
-        """What the request counts against its organisation's limit."""
-        if self.organisation is None or not self.organisation.counts_tokens:
-            return 1
-        return self.caller.tokens or self.organisation.default_cost
-
-
 @define
 class _Progress:
     """What the attempts of a request have come to."""
@@ -168,10 +137,9 @@
     def _begin(self) -> None:
         admitted, context = self._admitted, self._context
         self._service = pick_service(admitted.route.splits, random.random())
-        organisation = admitted.organisation.name if admitted.organisation else ""
         request = admitted.request
         self._fingerprint = light_fingerprint(
-            organisation, request.target.encode() + b"\0" + request.body
+            admitted.organisation_name, request.target.encode() + b"\0" + request.body
         )
         if context.crashes.is_refused(boot_time(), self._fingerprint, context.losses):
             self._fail(502, Reason.CRASHES, "three targets were lost with it")
@@ -181,42 +149,6 @@
 
     # Choice.
 
-    def _placing(self, service: Service, excluded: set[str]) -> Placing:
-        context, caller = self._context, self._admitted.caller
-        now = boot_time()
-        model = caller.model if service.engine is not None else ""
-        names, settings = context.names, context.settings
-        shared = caller.parts[0] if len(caller.parts) > 1 else None
-        store = self._store(service, shared.part_id) if shared else ""
-
-        def holding(target: Target) -> Holding:
-            salt = self._salt(target, model)
-            return context.prompts.holding(now, target.target_id, salt, shared.part_id)
-
-        def is_saved(target: Target) -> bool:
-            salt = self._salt(target, model)
-            return context.prompts.is_saved(now, store, salt, shared.part_id)
-
-        return Placing(
-            now=now,
-            model=model,
-            wanted_version=names.newest(model),
-            outdated_s=lambda version: names.outdated_s(now, model, version),
-            fresh_s=settings.fresh_weights_s,
-            stale_s=settings.stale_weights_s,
-            target_latency_s=self._admitted.route.target_latency_s,
-            shared_id=shared.part_id if shared else "",
-            shared_tokens=shared.tokens if shared else 0,
-            prompt_tokens=caller.prompt_tokens if model else 0,
-            is_urgent=self._priority() < URGENT_PRIORITY,
-            sample=settings.sample if self._is_crowded else 0,
-            draw=random.randrange,
-            holding=holding,
-            is_saved=is_saved,
-            failure_domain=context.fleet.failure_domain,
-            excluded=excluded,
-        )
-
     def _send(self) -> None:
         if self._is_over:
             return
@@ -227,13 +159,13 @@
         if service is None:
             self._give_up(Reason.NO_SERVICE, self._service)
             return
-        placing = self._placing(service, self._tried)
+        placing = make_placing(self._context, self._admitted, service, self._tried)
         choice = choose(self._context.targets.of(self._service), placing)
         if choice is None:
             wait_s = usable_in_s(self._context.targets.of(self._service), placing)
             self._give_up(Reason.NO_TARGET, "none is usable", wait_s)
             return
-        if not self._progress.runs and self.is_stream:
+        if not self._progress.runs and self._admitted.is_stream:
             latency_s = self._admitted.route.target_latency_s
             verdict = judge(choice, latency_s, self._left_s)
             if not verdict.is_admitted:
@@ -241,7 +173,15 @@
                 self._give_up(Reason.TOO_LATE, reason, verdict.retry_after_s)
                 return
         target, caller = choice.target, self._admitted.caller
-        told = self._told(choice, placing, service)
+        told = make_told(
+            self._context,
+            self._admitted,
+            service,
+            placing,
+            choice,
+            self._left_s,
+            self._progress.last_event,
+        )
         self._progress.sends += 1
         self._tried.add(target.target_id)
         self._context.crashes.began(self._fingerprint, target.target_id)
@@ -268,69 +208,6 @@
         self._attempt = Attempt(self._context, choice, self._admitted, told, self)
         self._attempt.start()
 
-    def _store(self, service: Service, part_id: str) -> str:
-        """Return the address of the store that keeps a prompt, or empty.
-
-        All routers choose alike, so that each prompt is kept once.
-        """
-        if service.engine is None:
-            return ""
-        down = self._context.down_stores
-        addresses = [s.store_address for s in self._context.routes.stores]
-        up = [address for address in addresses if address not in down]
-        return min(up, key=lambda address: mix(address, part_id), default="")
-
-    def _salt(self, target: Target, model: str) -> str:
-        """Return what separates cache entries that may not be shared."""
-        salt = f"v{target.version(model)}"
-        organisation = self._admitted.organisation
-        if organisation is not None and organisation.is_isolated:
-            salt += f"/{organisation.name}"
-        return salt
-
-    @property
-    def _is_crowded(self) -> bool:
-        """Whether so many routers choose at once that they must not all compare."""
-        return self._context.router_count > self._context.settings.crowd_routers
-
-    def _priority(self) -> int:
-        """Return the urgency at engines, 0 first."""
-        organisation = self._admitted.organisation
-        rank = organisation.priority if organisation else 0
-        priority = rank * PRIORITIES_PER_RANK + self._admitted.route.priority
-        return min(LAST_PRIORITY, priority)
-
-    def _told(
-        self, choice: Choice, placing: Placing, service: Service
-    ) -> TargetHeaders:
-        organisation, target = self._admitted.organisation, choice.target
-        version = target.version(placing.model) if placing.model else None
-        salt = self._salt(target, placing.model) if placing.model else ""
-        fetch_from = save_to = ""
-        if placing.has_home:
-            store = self._store(service, placing.shared_id)
-            if choice.source is not None:
-                fetch_from = choice.source.listed.address
-            else:
-                # A store that lacks the prompt costs about a ms.
-                fetch_from = store
-            if store and not placing.is_saved(target):
-                save_to = store
-        resume_after = self._progress.last_event
-        if resume_after is None:
-            resume_after = self._admitted.caller.resume_after
-        return TargetHeaders(
-            deadline_s=self._left_s,
-            target_id=target.target_id,
-            organisation=organisation.name if organisation else "",
-            priority=self._priority() if placing.model else None,
-            weights_version=version,
-            cache_salt=salt,
-            fetch_from=fetch_from,
-            save_to=save_to,
-            resume_after=resume_after,
-        )
-
     # What the attempt reports.
 
     def stream_began(self, status: int, headers: object) -> None:
@@ -415,7 +292,7 @@
         service = self._context.routes.service(self._service)
         if service is None:
             return False
-        placing = self._placing(service, self._tried)
+        placing = make_placing(self._context, self._admitted, service, self._tried)
         return choose(self._context.targets.of(self._service), placing) is not None
 
     def _retry(self, result: AttemptResult, is_run: bool) -> None:
@@ -538,7 +415,7 @@
             "finished",
             id=self._id,
             route=admitted.route.name,
-            organisation=admitted.organisation.name if admitted.organisation else "",
+            organisation=admitted.organisation_name,
             outcome=outcome,
             status=status,
             reason=reason,
@@ -557,8 +434,3 @@
         )
         context.metrics.observe("berylnotch_request_seconds", max(took_s, 0.0))
         self._on_end(self)
-
-    @property
-    def is_stream(self) -> bool:
-        """Whether the answer is a stream of events."""
-        return self._admitted.route.kind is RouteKind.STREAM
--- /dev/null
+++ b/berylnotch/entry/placing.py
@@ -0,0 +1,120 @@
+"""What a choice goes by for one request, and what its target is told."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection
+
+from berylnotch.entry.admitted import URGENT_PRIORITY, Admitted
+from berylnotch.entry.choice import Choice, Placing
+from berylnotch.entry.context import EntryContext
+from berylnotch.entry.prompts import Holding
+from berylnotch.entry.targets import Target
+from berylnotch.placement.mixing import mix
+from berylnotch.platform.requests import TargetHeaders
+from berylnotch.routing.model import Service
+from berylnotch.util.clock import boot_time
+
+
+def make_placing(
+    context: EntryContext,
+    admitted: Admitted,
+    service: Service,
+    excluded: Collection[str],
+) -> Placing:
+    """Return what the choice of a target goes by."""
+    caller, names, settings = admitted.caller, context.names, context.settings
+    now = boot_time()
+    model = caller.model if service.engine is not None else ""
+    shared = caller.parts[0] if len(caller.parts) > 1 else None
+    store = store_of(context, service, shared.part_id) if shared else ""
+
+    def holding(target: Target) -> Holding:
+        salt = cache_salt(admitted, target, model)
+        return context.prompts.holding(now, target.target_id, salt, shared.part_id)
+
+    def is_saved(target: Target) -> bool:
+        salt = cache_salt(admitted, target, model)
+        return context.prompts.is_saved(now, store, salt, shared.part_id)
+
+    is_crowded = context.router_count > settings.crowd_routers
+    return Placing(
+        now=now,
+        model=model,
+        wanted_version=names.newest(model),
+        outdated_s=lambda version: names.outdated_s(now, model, version),
+        fresh_s=settings.fresh_weights_s,
+        stale_s=settings.stale_weights_s,
+        target_latency_s=admitted.route.target_latency_s,
+        shared_id=shared.part_id if shared else "",
+        shared_tokens=shared.tokens if shared else 0,
+        prompt_tokens=caller.prompt_tokens if model else 0,
+        is_urgent=admitted.priority < URGENT_PRIORITY,
+        sample=settings.sample if is_crowded else 0,
+        draw=random.randrange,
+        holding=holding,
+        is_saved=is_saved,
+        failure_domain=context.fleet.failure_domain,
+        excluded=excluded,
+    )
+
+
+def make_told(
+    context: EntryContext,
+    admitted: Admitted,
+    service: Service,
+    placing: Placing,
+    choice: Choice,
+    left_s: float,
+    last_event: int | None,
+) -> TargetHeaders:
+    """Return what the chosen target is told beside the request.
+
+    Parameters
+    ----------
+    left_s : float
+        Time until the request's deadline.
+    last_event : int or None
+        Last event of a stream that the caller has from this router.
+    """
+    target = choice.target
+    fetch_from = save_to = ""
+    if placing.has_home:
+        # A store that lacks the prompt costs about a ms.
+        store = store_of(context, service, placing.shared_id)
+        fetch_from = choice.source.listed.address if choice.source else store
+        if store and not placing.is_saved(target):
+            save_to = store
+    is_first = last_event is None
+    return TargetHeaders(
+        deadline_s=left_s,
+        target_id=target.target_id,
+        organisation=admitted.organisation_name,
+        priority=admitted.priority if placing.model else None,
+        weights_version=target.version(placing.model) if placing.model else None,
+        cache_salt=cache_salt(admitted, target, placing.model) if placing.model else "",
+        fetch_from=fetch_from,
+        save_to=save_to,
+        resume_after=admitted.caller.resume_after if is_first else last_event,
+    )
+
+
+def store_of(context: EntryContext, service: Service, part_id: str) -> str:
+    """Return the address of the store that keeps a prompt, or empty.
+
+    All routers choose alike, so that each prompt is kept once.
+    """
+    if service.engine is None:
+        return ""
+    addresses = [s.store_address for s in context.routes.stores]
+    up = [address for address in addresses if address not in context.down_stores]
+    return min(up, key=lambda address: mix(address, part_id), default="")
+
+
+def cache_salt(admitted: Admitted, target: Target, model: str) -> str:
+    """Return what separates cache entries that may not be shared."""
+    salt = f"v{target.version(model)}"
+    organisation = admitted.organisation
+    if organisation is not None and organisation.is_isolated:
+        salt += f"/{organisation.name}"
+    return salt
--- a/tests/test_net/test_client.py
+++ b/tests/test_net/test_client.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from berylnotch.net.client import ClientConnection, Failure, ResponseSink, fetch
+from berylnotch.net.client import ClientConnection, Failure, ResponseSink
+from berylnotch.net.fetch import fetch
 from berylnotch.net.messages import Headers, HttpRequest
 from berylnotch.util.address import Address
 from berylnotch.util.loop import Loop
