--- a/berylnotch/daemon/fleet/operators.py
+++ b/berylnotch/daemon/fleet/operators.py
@@ -7,7 +7,8 @@
 from berylnotch.group.commands import NameWeights, PutConfiguration
 from berylnotch.group.state import FleetState
 from berylnotch.net.messages import Headers, HttpRequest
-from berylnotch.net.server import HttpLimits, HttpServer, ServerConnection
+from berylnotch.net.reading import HttpLimits
+from berylnotch.net.server import HttpServer, ServerConnection
 from berylnotch.platform.configuration import decode_configuration
 from berylnotch.platform.operators import (
     OperatorCall,
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -7,6 +7,13 @@
 
 from berylnotch.daemon.fleet.follower import LeaderLink
 from berylnotch.daemon.fleet.metrics import MetricsServer
+from berylnotch.daemon.fleet.updates import (
+    share_limits,
+    take_crashes,
+    take_loads,
+    take_prompts,
+    take_targets,
+)
 from berylnotch.entry.admitted import Admitted
 from berylnotch.entry.context import EntryContext
 from berylnotch.entry.exchange import Exchange
@@ -17,9 +24,7 @@
 from berylnotch.group.messages import (
     ConfigurationUpdate,
     CrashesUpdate,
-    CrashMark,
     LoadsUpdate,
-    PromptNote,
     PromptsUpdate,
     RosterUpdate,
     RouterEntry,
@@ -29,7 +34,8 @@
 )
 from berylnotch.membership.crashes import CrashGuard
 from berylnotch.net.messages import Headers, HttpRequest
-from berylnotch.net.server import HttpLimits, HttpServer, ServerConnection
+from berylnotch.net.reading import HttpLimits
+from berylnotch.net.server import HttpServer, ServerConnection
 from berylnotch.platform.configuration import decode_configuration
 from berylnotch.platform.operators import (
     ADDRESS_PATH,
@@ -37,7 +43,7 @@
     address_body,
 )
 from berylnotch.platform.requests import decode_request, refusal_headers
-from berylnotch.quota.bounds import FLEET_QUOTA, HELD_PART, effective_limits
+from berylnotch.quota.bounds import FLEET_QUOTA
 from berylnotch.quota.local import LocalQuota
 from berylnotch.quota.messages import GrantReply
 from berylnotch.routing.table import RouteTable
@@ -313,19 +319,20 @@
         if isinstance(message, ConfigurationUpdate):
             self._take_configuration(message)
         elif isinstance(message, TargetsUpdate):
-            self._take_targets(message)
+            self._targets_at = boot_time()
+            take_targets(self._context, message)
         elif isinstance(message, RosterUpdate):
             self._roster = message.routers
             self._context.resize_budgets(len(message.routers))
-            self._share_quota()
+            share_limits(self._context)
         elif isinstance(message, LoadsUpdate):
-            self._take_loads(message)
+            take_loads(self._context, message, self._sent_loads)
         elif isinstance(message, GrantReply):
             self._context.gate.receive(boot_time(), self._quota_sent_at, message)
         elif isinstance(message, CrashesUpdate):
-            self._take_crashes(message.crashes)
+            take_crashes(self._context, message.crashes)
         elif isinstance(message, PromptsUpdate):
-            self._take_prompts(message.prompts)
+            take_prompts(self._context, message.prompts)
 
     def _take_configuration(self, update: ConfigurationUpdate) -> None:
         known = self._context.routes
@@ -338,63 +345,11 @@
             was=known.version if known else 0,
             routes=len(self._context.routes.configuration.routes),
         )
-        self._share_quota()
+        share_limits(self._context)
         self._report()
 
-    def _take_targets(self, update: TargetsUpdate) -> None:
-        context, now = self._context, boot_time()
-        self._targets_at = now
-        for gone in context.targets.update(update.targets):
-            context.prompts.forget_engine(gone)
-        for named in update.weights:
-            at = now - named.age_ms / 1000
-            if context.names.note(named.model, named.version, at):
-                self._log.info(
-                    "weights",
-                    model=named.model,
-                    version=named.version,
-                    age_s=named.age_ms / 1000,
-                )
-        if context.down_stores != frozenset(update.down_stores):
-            context.down_stores = frozenset(update.down_stores)
-            context.prompts.forget_stores()
-
-    def _take_loads(self, update: LoadsUpdate) -> None:
-        own = {load.target_id: load for load in self._sent_loads}
-        totals = {load.target_id: load for load in update.loads}
-        for target in self._context.targets.all():
-            none = TargetLoad(target.target_id, 0)
-            total = totals.get(target.target_id, none)
-            mine = own.get(target.target_id, none)
-            target.others_in_flight = max(0, total.requests - mine.requests)
-            target.others_unread = max(0, total.unread - mine.unread)
-            target.is_suspect = target.target_id in update.suspects
-
-    def _take_prompts(self, notes: tuple[PromptNote, ...]) -> None:
-        now, context = boot_time(), self._context
-        for note in notes:
-            target = context.targets.get(note.holder)
-            capacity = context.cache_tokens(target) if target else None
-            if target is not None or ":" in note.holder:
-                context.prompts.hear(now, note, capacity)
-
-    def _take_crashes(self, crashes: tuple[CrashMark, ...]) -> None:
-        for mark in crashes:
-            self._context.losses.add(mark.fingerprint, mark.target_id)
-
     # Limits of the organisations.
 
-    def _share_quota(self) -> None:
-        """Hold an even part of what routers may hold of each organisation."""
-        routes = self._context.routes
-        if routes is None:
-            return
-        organisations = routes.configuration.organisations or ()
-        limits = effective_limits(organisations, self._settings.bounds)
-        part = HELD_PART / self._context.router_count
-        for name, limit in limits.items():
-            self._context.gate.quota.keep(name, int(limit.burst * part))
-
     def _ask_quota_soon(self) -> None:
         if not self._is_quota_due:
             self._is_quota_due = True
--- /dev/null
+++ b/berylnotch/daemon/fleet/updates.py
@@ -0,0 +1,77 @@
+"""What a router takes over from the leader's messages."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from berylnotch.entry.context import EntryContext
+from berylnotch.group.messages import (
+    CrashMark,
+    LoadsUpdate,
+    PromptNote,
+    TargetLoad,
+    TargetsUpdate,
+)
+from berylnotch.quota.bounds import HELD_PART, effective_limits
+from berylnotch.util.clock import boot_time
+
+
+def take_targets(context: EntryContext, update: TargetsUpdate) -> None:
+    """Take over targets, named weights, and stores out of reach."""
+    now = boot_time()
+    for gone in context.targets.update(update.targets):
+        context.prompts.forget_engine(gone)
+    for named in update.weights:
+        at = now - named.age_ms / 1000
+        if context.names.note(named.model, named.version, at):
+            context.log.info(
+                "weights",
+                model=named.model,
+                version=named.version,
+                age_s=named.age_ms / 1000,
+            )
+    if context.down_stores != frozenset(update.down_stores):
+        context.down_stores = frozenset(update.down_stores)
+        context.prompts.forget_stores()
+
+
+def take_loads(
+    context: EntryContext, update: LoadsUpdate, own_loads: Iterable[TargetLoad]
+) -> None:
+    """Take over the other routers' loads: the sums without what this one reported."""
+    own = {load.target_id: load for load in own_loads}
+    totals = {load.target_id: load for load in update.loads}
+    for target in context.targets.all():
+        none = TargetLoad(target.target_id, 0)
+        total = totals.get(target.target_id, none)
+        mine = own.get(target.target_id, none)
+        target.others_in_flight = max(0, total.requests - mine.requests)
+        target.others_unread = max(0, total.unread - mine.unread)
+        target.is_suspect = target.target_id in update.suspects
+
+
+def take_prompts(context: EntryContext, notes: Iterable[PromptNote]) -> None:
+    """Take over where other routers had prompts read or saved."""
+    now = boot_time()
+    for note in notes:
+        target = context.targets.get(note.holder)
+        capacity = context.cache_tokens(target) if target else None
+        if target is not None or ":" in note.holder:
+            context.prompts.hear(now, note, capacity)
+
+
+def take_crashes(context: EntryContext, crashes: Iterable[CrashMark]) -> None:
+    """Take over the losses that other routers saw."""
+    for mark in crashes:
+        context.losses.add(mark.fingerprint, mark.target_id)
+
+
+def share_limits(context: EntryContext) -> None:
+    """Hold an even part of what routers may hold of each organisation's limit."""
+    if context.routes is None:
+        return
+    organisations = context.routes.configuration.organisations or ()
+    limits = effective_limits(organisations, context.fleet.bounds)
+    part = HELD_PART / context.router_count
+    for name, limit in limits.items():
+        context.gate.quota.keep(name, int(limit.burst * part))
--- a/berylnotch/net/server.py
+++ b/berylnotch/net/server.py
@@ -10,10 +10,8 @@
 import socket
 from collections.abc import Callable
 
-import httptools
-from attrs import frozen
-
 from berylnotch.net.messages import Headers, HttpRequest, encode_head
+from berylnotch.net.reading import HttpLimits, RequestReader, UnreadableRequestError
 from berylnotch.net.sockets import Acceptor
 from berylnotch.util.address import Address
 from berylnotch.util.clock import boot_time
@@ -38,25 +36,6 @@
 _MAX_CONNECTIONS = 3000
 
 
-@frozen
-class HttpLimits:
-    """What a caller may send, and how long it may take; times in seconds."""
-
-    header_bytes: int = 16 * 1024
-    body_bytes: int = 4 * 1024 * 1024
-    header_s: float = 3.0
-    idle_s: float = 15.0
-
-
-class _Refusal(Exception):
-    """A request that is answered without being read further."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-
-
 class ServerConnection:
     """Connection of one caller.
 
@@ -72,10 +51,8 @@
         self._server = server
         self._loop = server.loop
         self._sock = sock
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = RequestReader(server.limits)
         self._output = bytearray()
-        self._ahead = bytearray()
-        self._reset_request()
         self._is_closed = False
         self._is_lingering = False
         self._close_after = False
@@ -104,7 +81,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read, served or answered."""
-        return self.request is None and not self._begun_at and not self._output
+        return self.request is None and not self._reader.begun_at and not self._output
 
     def start(self) -> None:
         """Serve the socket."""
@@ -164,10 +141,10 @@
         if self._is_closed or self.request is not None or self._is_lingering:
             return
         limits = self._server.limits()
-        if self._begun_at and not self._is_head_read:
-            if now - self._begun_at > limits.header_s:
+        if self._reader.begun_at and not self._reader.is_head_read:
+            if now - self._reader.begun_at > limits.header_s:
                 self._refuse(408, "headers took too long")
-        elif self._begun_at:
+        elif self._reader.begun_at:
             if now - self._active_at > limits.idle_s:
                 self._refuse(408, "body took too long")
         elif not self._output and now - self._active_at > limits.idle_s:
@@ -178,64 +155,8 @@
         if self.is_idle and not self._is_lingering:
             self._close()
 
-    # Callbacks of the parser.
-
-    def on_message_begin(self) -> None:
-        """Begin a request."""
-        if self._complete:
-            # A pipelined request; it is parsed again once its turn comes.
-            raise _Refusal(400, "more than one request in a piece")
-
-    def on_url(self, url: bytes) -> None:
-        """Take a part of the target."""
-        self._url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
-        text = value.decode("latin-1").strip()
-        if any(char < " " and char != "\t" for char in text):
-            raise _Refusal(400, "control character in a header")
-        self._headers.add(name.decode("latin-1"), text)
-
-    def on_headers_complete(self) -> None:
-        """Check what the headers announce."""
-        self._is_head_read = True
-        limits = self._server.limits()
-        headers = self._headers
-        if headers.count("Host") != 1:
-            raise _Refusal(400, "a request needs one Host header")
-        if headers.count("Content-Length") > 1:
-            raise _Refusal(400, "more than one Content-Length")
-        if headers.get("Content-Length") and headers.get("Transfer-Encoding"):
-            raise _Refusal(400, "both Content-Length and Transfer-Encoding")
-        length = headers.get("Content-Length")
-        if length.isdecimal() and int(length) > limits.body_bytes:
-            raise _Refusal(413, "body too large")
-        if headers.get("Expect").lower() == "100-continue":
-            self._output += b"HTTP/1.1 100 Continue\r\n\r\n"
-
-    def on_body(self, body: bytes) -> None:
-        """Take a part of the body."""
-        self._body += body
-        if len(self._body) > self._server.limits().body_bytes:
-            raise _Refusal(413, "body too large")
-
-    def on_message_complete(self) -> None:
-        """End the request."""
-        self._complete = True
-
     # Reading.
 
-    def _reset_request(self) -> None:
-        self._url = b""
-        self._headers = Headers()
-        self._body = bytearray()
-        self._is_head_read = False
-        self._complete = False
-        self._begun_at = 0.0
-        self._head_size = 0
-        self._tail = b""
-
     def _on_ready(self, events: int) -> None:
         if events & selectors.EVENT_READ:
             self._receive()
@@ -254,8 +175,8 @@
         elif self._is_lingering:
             return
         elif self.request is not None:
-            self._ahead += data
-            if len(self._ahead) > _MAX_AHEAD_BYTES:
+            self._reader.ahead += data
+            if len(self._reader.ahead) > _MAX_AHEAD_BYTES:
                 self._is_reading = False
                 self._watch()
         else:
@@ -264,83 +185,23 @@
     def _feed(self, data: bytes) -> None:
         now = boot_time()
         self._active_at = now
-        if not self._begun_at:
-            self._begun_at = now
+        had_head = self._reader.is_head_read
         try:
-            self._parse(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400, "upgrade is not supported")
+            request = self._reader.feed(now, data)
+        except UnreadableRequestError as error:
+            self._refuse(error.status, error.reason)
             return
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            if isinstance(cause, _Refusal):
-                self._refuse(cause.status, cause.reason)
-            else:
-                self._refuse(400, f"unreadable request: {cause!r}")
-            return
-        except (httptools.HttpParserError, _Refusal) as error:
-            status = error.status if isinstance(error, _Refusal) else 400
-            self._refuse(status, f"unreadable request: {error}")
-            return
-        if self._complete:
-            self._dispatch()
-
-    def _parse(self, data: bytes) -> None:
-        # A head is given to the parser without what follows it, so that a second
-        # request in the same piece is not read before the first was answered.
-        view = memoryview(data)
-        while len(view) and not self._complete:
-            if self._is_head_read:
-                taken = self._body_part(view)
-            else:
-                taken = self._head_part(bytes(view))
-            self._parser.feed_data(view[:taken])
-            view = view[taken:]
-        if len(view):
-            self._ahead += view
-
-    def _head_part(self, data: bytes) -> int:
-        # The empty line may have begun in the piece before.
-        starts = [end for end in (1, 2) if self._ends_head(data[:end])]
-        end = data.find(b"\n\r\n")
-        if starts:
-            taken = starts[0]
-        else:
-            taken = end + 3 if end >= 0 else len(data)
-        self._head_size += taken
-        self._tail = (self._tail + data[:taken])[-3:]
-        if self._head_size > self._server.limits().header_bytes:
-            raise _Refusal(431, "headers too large")
-        return taken
-
-    def _ends_head(self, start: bytes) -> bool:
-        return bool(self._tail) and (self._tail + start).endswith(b"\n\r\n")
-
-    def _body_part(self, view: memoryview) -> int:
-        length = self._headers.get("Content-Length")
-        if length.isdecimal():
-            return min(len(view), int(length) - len(self._body))
-        # A chunked body is followed piece by piece, up to its last chunk.
-        end = bytes(view).find(b"\n0\r\n\r\n")
-        return end + 6 if end >= 0 else len(view)
-
-    def _dispatch(self) -> None:
-        request = HttpRequest(
-            method=self._parser.get_method().decode("latin-1"),
-            target=self._url.decode("latin-1"),
-            headers=self._headers,
-            body=bytes(self._body),
-            received_at=self._begun_at,
-            keep_alive=self._parser.should_keep_alive(),
-        )
-        self._reset_request()
-        self.request = request
-        self.request_count += 1
-        self._server.handler(self, request)
+        if request is not None:
+            self.request = request
+            self.request_count += 1
+            self._server.handler(self, request)
+        elif self._reader.wants_continue and not had_head:
+            self._output += b"HTTP/1.1 100 Continue\r\n\r\n"
+            self._flush()
 
     def _refuse(self, status: int, reason: str) -> None:
         self._server.on_refused(status, reason)
-        self._reset_request()
+        self._reader.reset()
         headers = Headers((("Content-Length", "0"), ("Connection", "close")))
         self._output += encode_head(status, headers)
         self._finish(close=True)
@@ -360,17 +221,17 @@
         self._is_reading = True
         if close:
             self._is_lingering = True
-            self._ahead.clear()
+            self._reader.ahead.clear()
             self._loop.call_later(_LINGER_S, self._close)
         self._flush()
-        if not close and not self._is_closed and self._ahead:
+        if not close and not self._is_closed and self._reader.ahead:
             self._loop.call_soon(self._feed_ahead)
 
     def _feed_ahead(self) -> None:
-        if self._is_closed or self.request is not None or not self._ahead:
+        if self._is_closed or self.request is not None or not self._reader.ahead:
             return
-        data = bytes(self._ahead)
-        self._ahead.clear()
+        data = bytes(self._reader.ahead)
+        self._reader.ahead.clear()
         self._feed(data)
 
     def _flush(self) -> None:
--- a/berylnotch/platform/configuration.py
+++ b/berylnotch/platform/configuration.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from berylnotch.net.server import HttpLimits
+from berylnotch.net.reading import HttpLimits
 from berylnotch.platform.fields import (
     FieldError,
     array,
--- a/berylnotch/routing/model.py
+++ b/berylnotch/routing/model.py
@@ -6,7 +6,7 @@
 
 from attrs import field, frozen
 
-from berylnotch.net.server import HttpLimits
+from berylnotch.net.reading import HttpLimits
 
 
 class RouteKind(Enum):
--- a/tests/test_net/support.py
+++ b/tests/test_net/support.py
@@ -4,7 +4,8 @@
 import threading
 
 from berylnotch.net.messages import Headers
-from berylnotch.net.server import HttpLimits, HttpServer
+from berylnotch.net.reading import HttpLimits
+from berylnotch.net.server import HttpServer
 from berylnotch.util.address import Address
 from berylnotch.util.loop import Loop
 
