--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -135,17 +135,12 @@
         """Send the sums of all routers' loads, if they changed."""
         requests: Counter[str] = Counter()
         unread: Counter[str] = Counter()
-        tokens: Counter[str] = Counter()
         for router in self._routers.values():
             for load in router.report.loads:
                 requests[load.target_id] += load.requests
                 unread[load.target_id] += load.unread
-                tokens[load.target_id] += load.tokens
         update = LoadsUpdate(
-            tuple(
-                TargetLoad(t, n, unread[t], tokens[t])
-                for t, n in sorted(requests.items())
-            ),
+            tuple(TargetLoad(t, n, unread[t]) for t, n in sorted(requests.items())),
             tuple(sorted(self._left_out(SUSPECT_ROUTERS))),
         )
         if update != self._loads:
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -289,7 +289,7 @@
 
     def _report(self) -> None:
         loads = tuple(
-            TargetLoad(target.target_id, target.in_flight, target.unread, target.tokens)
+            TargetLoad(target.target_id, target.in_flight, target.unread)
             for target in self._context.targets.all()
             if target.in_flight
         )
--- a/berylnotch/daemon/fleet/updates.py
+++ b/berylnotch/daemon/fleet/updates.py
@@ -47,7 +47,6 @@
         mine = own.get(target.target_id, none)
         target.others_in_flight = max(0, total.requests - mine.requests)
         target.others_unread = max(0, total.unread - mine.unread)
-        target.others_tokens = max(0, total.tokens - mine.tokens)
         target.is_suspect = target.target_id in update.suspects
 
 
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -98,7 +98,6 @@
         self._connection = self._context.targets.connect(target, route.is_repeatable)
         target.in_flight += 1
         target.unread += self._unread
-        target.tokens += self._admitted.caller.prompt_tokens
         self._note_prompt(is_ready=False)
         self._sent_at = boot_time()
         target.ejection.sent(self._sent_at, self._number)
@@ -347,7 +346,6 @@
         if self._unread:
             self._forget_prompt()
         self._target.in_flight -= 1
-        self._target.tokens -= self._admitted.caller.prompt_tokens
         self._target.unread -= self._unread
         self._unread = 0
 
--- a/berylnotch/entry/choice.py
+++ b/berylnotch/entry/choice.py
@@ -52,13 +52,6 @@
 #: read or reads: it takes the time of that many other prompts.
 READ_AGAIN_MS_PER_K = 240.0
 
-#: Part of an engine's memory that running requests may take; beyond it the engine
-#: stops the newest of the least urgent ones and reads them again later.
-MEMORY_PART = 0.85
-
-#: Cost of a request that would take more, in ms.
-CROWDED_MS = 1200.0
-
 #: Advantage, in ms, of the engine that all routers compute as home of a prompt
 #: which none holds.
 HOME_MS = 80.0
@@ -112,8 +105,6 @@
         Tokens of it.
     prompt_tokens : int
         Tokens of the whole prompt.
-    cache_tokens : int
-        Tokens that an engine's memory holds, 0 if unknown.
     is_urgent : bool
         Whether engines admit the request before most others.
     failure_domain : str
@@ -142,7 +133,6 @@
     shared_id: str = ""
     shared_tokens: int = 0
     prompt_tokens: int = 0
-    cache_tokens: int = 0
     is_urgent: bool = False
     failure_domain: str = ""
     excluded: Collection[str] = ()
@@ -338,9 +328,6 @@
     version = choice.target.version(placing.model) or 0
     if placing.outdated_s(version) > placing.fresh_s:
         cost += OLD_WEIGHTS_MS
-    needed = choice.target.total_tokens + placing.prompt_tokens
-    if placing.cache_tokens and needed > MEMORY_PART * placing.cache_tokens:
-        cost += CROWDED_MS
     latency_ms = 1000 * placing.target_latency_s
     if latency_ms:
         over = (choice.delay_ms / latency_ms - SURELY_IN_TIME) / (1 - SURELY_IN_TIME)
--- a/berylnotch/entry/placing.py
+++ b/berylnotch/entry/placing.py
@@ -49,7 +49,6 @@
         shared_id=shared.part_id if shared else "",
         shared_tokens=shared.tokens if shared else 0,
         prompt_tokens=caller.prompt_tokens if model else 0,
-        cache_tokens=service.engine.cache_tokens if service.engine else 0,
         is_urgent=admitted.priority < URGENT_PRIORITY,
         sample=settings.sample if is_crowded else 0,
         draw=random.randrange,
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -56,8 +56,6 @@
         Prompt tokens of this router's requests that it probably has yet to read.
     others_unread : int
         The same of the other routers, as last summed up.
-    tokens, others_tokens : int
-        Prompt tokens of the requests under way, of this router and the others.
     """
 
     listed: ListedTarget
@@ -68,8 +66,6 @@
     others_in_flight: int = 0
     unread: int = 0
     others_unread: int = 0
-    tokens: int = 0
-    others_tokens: int = 0
     idle: deque[ClientConnection] = field(factory=deque)
     refused_until: float = 0.0
     loading_until: float = 0.0
@@ -93,11 +89,6 @@
         """Prompt tokens of all routers that it probably has yet to read."""
         return self.unread + self.others_unread
 
-    @property
-    def total_tokens(self) -> int:
-        """Prompt tokens of the requests of all routers that it probably runs."""
-        return self.tokens + self.others_tokens
-
     def version(self, model: str) -> int | None:
         """Return the version of a model's weights, None if it does not run it."""
         for known in self.listed.models:
--- a/berylnotch/group/messages.py
+++ b/berylnotch/group/messages.py
@@ -37,14 +37,12 @@
 class TargetLoad:
     """Work that one router, or all, have under way at a target.
 
-    ``unread`` are prompt tokens that the target probably has yet to read, ``tokens``
-    all prompt tokens of the requests: what they take of an engine's memory.
+    ``unread`` are prompt tokens that the target probably has yet to read.
     """
 
     target_id: str
     requests: int
     unread: int = 0
-    tokens: int = 0
 
 
 @frozen
