--- a/berylnotch/daemon/fleet/replica_host.py
+++ b/berylnotch/daemon/fleet/replica_host.py
@@ -9,15 +9,14 @@
 from attrs import frozen
 
 from berylnotch.consensus.bootstrap import bootstrap, first_ready
-from berylnotch.consensus.errors import MembershipError, NotLeaderError, OverloadedError
+from berylnotch.consensus.errors import NotLeaderError, OverloadedError
 from berylnotch.consensus.messages import Entry, EntryKind, Member, Members
 from berylnotch.consensus.replica import Replica
 from berylnotch.consensus.settings import ConsensusSettings
 from berylnotch.consensus.storage import LogStorage
+from berylnotch.daemon.fleet.group_keeper import GroupKeeper
 from berylnotch.errors import ConsensusError, StorageError
-from berylnotch.group.changes import GroupView, next_change
 from berylnotch.group.messages import JoinRequest, Redirect
-from berylnotch.group.settings import GroupSettings
 from berylnotch.group.state import FleetState
 from berylnotch.settings.fleet import FleetSettings
 from berylnotch.util.clock import boot_time
@@ -92,8 +91,7 @@
         on_applied: Callable[[], None],
     ) -> None:
         self._settings = settings
-        self._seeds = seeds
-        self._group_settings = GroupSettings()
+        self._keeper = GroupKeeper(settings, seeds, send, log)
         self._loop = loop
         self._send = send
         self._state = state
@@ -104,12 +102,6 @@
         self._is_pump_due = False
         self._is_closed = False
         self._proposals: dict[int, _Proposal] = {}
-        self._candidates: dict[str, JoinRequest] = {}
-        self._asked_at: dict[str, float] = {}
-        self._member_since: dict[str, float] = {}
-        self._known: set[str] = set()
-        self._leader_heard_at = boot_time()
-        self._joined_at = 0.0
         self._noted_leader = ""
 
     @property
@@ -130,8 +122,7 @@
     @property
     def known_addresses(self) -> tuple[str, ...]:
         """Addresses of all controllers that this one has heard of."""
-        members = self._replica.members.members if self._replica is not None else ()
-        return tuple(sorted({m.address for m in members} | self._known))
+        return self._keeper.known_addresses(self._replica)
 
     @property
     def voter_count(self) -> int:
@@ -185,17 +176,12 @@
         """Note a request to join; return whether this replica can serve it."""
         if not self.is_active():
             return False
-        if request.replica not in self._candidates:
-            self._log.info("join_asked", replica=request.replica, at=request.address)
-        self._candidates[request.replica] = request
-        self._asked_at[request.replica] = boot_time()
+        self._keeper.join(request)
         return True
 
     def learn(self, redirect: Redirect) -> None:
         """Take addresses of controllers from one that does not lead."""
-        self._known.update(redirect.members)
-        if redirect.leader:
-            self._known.add(redirect.leader)
+        self._keeper.learn(redirect)
 
     # Disk.
 
@@ -309,7 +295,7 @@
         replica.tick(boot_time())
         self._pump_soon()
         if replica.leader:
-            self._leader_heard_at = boot_time()
+            self._keeper.heard_leader()
         if replica.leader != self._noted_leader:
             self._noted_leader = replica.leader
             self._log.info(
@@ -323,69 +309,13 @@
         for proposal in proposals.values():
             proposal.done(False)
 
-    # Members.
-
     def _look_at_members(self) -> None:
         if self._replica is None or self._is_closed:
             return
-        if self.is_active():
-            self._change_members()
-        else:
-            self._member_since.clear()
-            self._ask_to_join()
-
-    def _change_members(self) -> None:
-        replica, now = self._replica, boot_time()
-        for name, asked_at in tuple(self._asked_at.items()):
-            if now - asked_at > self._group_settings.candidate_s:
-                del self._asked_at[name], self._candidates[name]
-        view = self._view(now)
-        members = next_change(view, self._group_settings)
-        if members is None:
-            return
-        try:
-            replica.propose_members(now, members)
-        except MembershipError as error:
-            self._log.info("members_not_changed", reason=str(error))
-            return
-        self._log.info(
-            "members_changed",
-            before=_describe(view.members),
-            after=_describe(members),
-        )
-        self._pump_soon()
-
-    def _view(self, now: float) -> GroupView:
-        replica = self._replica
-        silence_s, caught_up = {}, set()
-        for name, progress in replica.progress.items():
-            since = self._member_since.setdefault(name, now)
-            silence_s[name] = now - max(since, progress.heard_at)
-            if replica.is_caught_up(now, name):
-                caught_up.add(name)
-        own = replica.identity
-        return GroupView(
-            own, replica.members, self._candidates, silence_s, frozenset(caught_up)
-        )
-
-    def _ask_to_join(self) -> None:
-        replica, now = self._replica, boot_time()
-        is_member = any(m.replica == replica.identity for m in replica.members.members)
-        is_lost = now - self._leader_heard_at > self._group_settings.lost_contact_s
-        if is_member and not is_lost:
-            return
-        if now - self._joined_at < self._group_settings.join_retry_s:
-            return
-        self._joined_at = now
-        request = JoinRequest(
-            self._settings.name,
-            replica.identity,
-            self.address,
-            self._settings.failure_domain,
-        )
-        for address in {*self._seeds(), *self.known_addresses}:
-            if address != self.address:
-                self._send(address, request)
+        if not self.is_active():
+            self._keeper.ask_to_join(self._replica)
+        elif self._keeper.change_members(self._replica):
+            self._pump_soon()
 
 
 def _first_members(addresses: tuple[str, ...]) -> Members:
@@ -395,7 +325,3 @@
             for address in sorted(addresses)
         )
     )
-
-
-def _describe(members: Members) -> str:
-    return ",".join(f"{m.replica}:{m.role.value}" for m in members.members)
