entry: no second answer behind the head of a stream; nothing is left of a cancelled request

Found by reading: a stream that resumed at an engine which answered with an error got that answer's head in the middle of its body; a request whose caller left stayed among those that ran at its target, for good. Besides, a 2xx without a stamp and without a body counted as a stream's end.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -208,6 +208,10 @@
         answer = decode_answer(self._head.status, self._head.headers)
         target, status = self._target, self._head.status
         self._leave()
+        if status < 300 and not answer.stamp:
+            self._connection.close()
+            self._end(AttemptEnd.BROKEN, "answer without a stamp")
+            return
         self._context.targets.keep(target, self._connection)
         if answer.is_not_run:
             self._refused(status)
@@ -215,9 +219,6 @@
         if self._is_stream:
             self._end_stream()
             return
-        if status < 300 and not answer.stamp:
-            self._end(AttemptEnd.BROKEN, "answer without a stamp")
-            return
         if status in (408, 421, 429, 503):
             # To a caller these statuses promise that the request has not run.
             self._end(AttemptEnd.BROKEN, f"status {status} without a promise")
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 
+import attrs
 from attrs import define
 
 from berylnotch.entry.admission import judge
@@ -87,6 +88,7 @@
         self._deadline = request.received_at + limit_s
         self._timer: Timer | None = None
         self._fingerprint = b""
+        self._target_id = ""
 
     # Facts for the log.
 
@@ -184,6 +186,7 @@
         )
         self._progress.sends += 1
         self._tried.add(target.target_id)
+        self._target_id = target.target_id
         self._context.crashes.began(self._fingerprint, target.target_id)
         self._context.log.info(
             "sent",
@@ -255,7 +258,9 @@
         self._attempt = None
         if self._is_over:
             return
-        self._context.crashes.ended(self._fingerprint, target.target_id)
+        if result.is_lost:
+            self._context.lost_target(target.target_id, self._fingerprint)
+        self._leave_target()
         if result.end not in (AttemptEnd.NOT_RUN, AttemptEnd.NOT_REACHED):
             self._progress.runs += 1
         if result.end is AttemptEnd.STREAM_COMPLETE:
@@ -267,15 +272,23 @@
         elif result.end in (AttemptEnd.NOT_RUN, AttemptEnd.NOT_REACHED):
             self._retry(result, is_run=False)
         else:
-            if result.is_lost:
-                self._context.lost_target(target.target_id, self._fingerprint)
             self._retry(result, is_run=True)
 
+    def _leave_target(self) -> None:
+        """Note that no target runs the request any more."""
+        if self._target_id:
+            self._context.crashes.ended(self._fingerprint, self._target_id)
+            self._target_id = ""
+
     def _answered(self, result: AttemptResult) -> None:
         status, route = result.status, self._admitted.route
+        if self._progress.has_head:
+            # The caller has the head of a stream; another answer cannot follow it.
+            self._retry(attrs.evolve(result, reason=f"status {status}"), is_run=True)
+            return
         is_failure = status in _RETRIED_STATUSES
         may_repeat = route.is_repeatable and self._progress.runs < route.max_attempts
-        if is_failure and may_repeat and not self._progress.has_head:
+        if is_failure and may_repeat:
             if self._left_s > MIN_LEFT_S and self._has_other_target():
                 if self._context.budget(self._service).spend():
                     self._note_retry(result, f"status {status}")
@@ -406,6 +419,7 @@
     ) -> None:
         self._is_over = True
         self._attempt = None
+        self._leave_target()
         if self._timer is not None:
             self._timer.cancel()
         took_s = boot_time() - self._started_at
--- a/tests/test_daemon/test_fleet.py
+++ b/tests/test_daemon/test_fleet.py
@@ -158,6 +158,17 @@
         assert answer.body == b"".join(expected)
 
 
+@pytest.mark.parametrize("moods", [("cut", "error"), ("error", "cut")])
+def test_stream_that_resumes_into_an_error_is_broken_off(fleet, platform, moods):
+    _ready(fleet)
+    for name, mood in zip(("llm-1", "llm-2"), moods, strict=True):
+        platform.targets[name].events = 8
+        platform.targets[name].mood = mood
+    answer = fleet.ask(fleet.routers[0], "/chat/x", "resume-error")
+    assert answer.status == 200 and not answer.is_whole
+    assert answer.body == b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+
+
 def test_non_idempotent_request_runs_once_when_its_answer_is_lost(fleet, platform):
     _ready(fleet)
     for name in ("desk-1", "desk-2"):
