--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -31,6 +31,9 @@
 #: Seconds beyond the lease of orders that a new leader waits; timers may be late.
 ORDER_MARGIN_S = 0.3
 
+#: Pause in seconds before a leader asks again to take over the orders.
+TAKE_RETRY_S = 0.5
+
 #: Term of a group's first leader, before which there was none to give orders.
 FIRST_LEADER_TERM = 2
 
@@ -199,6 +202,8 @@
             )
             if self._may_order:
                 self._rollout.advance()
+            elif not self._is_closed:
+                self._loop.call_later(TAKE_RETRY_S, self._take_orders)
 
         self._host.propose(command, done)
 
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -142,12 +142,12 @@
         if self._is_stream and self._heard_at:
             overdue_at = self._heard_at + settings.stall_s
         else:
-            expected_s = EXPECTED_FACTOR * self._expected_s + EXPECTED_MARGIN_S
-            overdue_s = settings.slow_factor * route.target_latency_s
-            overdue_at = self._sent_at + max(overdue_s, expected_s)
+            overdue_at = self._sent_at + settings.slow_factor * route.target_latency_s
         if self._head is None and self._admitted.is_stream:
-            # An engine that answers others is busy, not lost.
-            overdue_at = max(overdue_at, self._target.heard_at + settings.stall_s)
+            # An engine that answers others, or has much to read, is busy, not lost.
+            expected_s = EXPECTED_FACTOR * self._expected_s + EXPECTED_MARGIN_S
+            heard_until = self._target.heard_at + settings.stall_s
+            overdue_at = max(overdue_at, self._sent_at + expected_s, heard_until)
         if now < overdue_at or not route.target_latency_s:
             delay_s = max(0.05, overdue_at - now)
             self._context.loop.call_later(delay_s, self._watch_answer)
