fleet: an engine that routers left out gets its weights once it is overdue

Found by reading: a suspect was held back from loading for as long as two routers could not use it, also if the leader reached it. Test: an engine that resets its callers' requests.

--- a/berylnotch/daemon/fleet/weights.py
+++ b/berylnotch/daemon/fleet/weights.py
@@ -12,7 +12,7 @@
 from berylnotch.membership.naming import WeightsNames
 from berylnotch.net.fetch import fetch
 from berylnotch.net.messages import HttpRequest, HttpResponse
-from berylnotch.orders.rolling import WeightsLoad, next_loads
+from berylnotch.orders.rolling import HURRY_S, WeightsLoad, next_loads
 from berylnotch.platform.targets import (
     EngineReport,
     WeightsOrder,
@@ -169,7 +169,7 @@
             return
         now = boot_time()
         held_back = {name for name, until in self._held_until.items() if until > now}
-        held_back |= self._unreachable()
+        held_back |= self._unreachable() - self._overdue(now)
         loads = next_loads(
             self._board.targets(),
             self._names.versions(),
@@ -195,6 +195,15 @@
         if loads:
             self._on_change()
 
+    def _overdue(self, now: float) -> frozenset[str]:
+        """Return the targets that must load now, even if routers do not reach them."""
+        return frozenset(
+            target.target_id
+            for target in self._board.targets()
+            for model in target.models
+            if self._names.outdated_s(now, model.name, model.version) > HURRY_S
+        )
+
     def _call(
         self,
         load: _Load,
--- a/tests/test_daemon/test_fleet.py
+++ b/tests/test_daemon/test_fleet.py
@@ -247,6 +247,18 @@
     until(served_on_new, "a stream on the new weights")
 
 
+def test_an_engine_that_routers_cannot_use_gets_its_weights_all_the_same(
+    fleet, platform
+):
+    _ready(fleet)
+    platform.targets["llm-1"].mood = "reset"
+    for number in range(8):
+        for router in fleet.routers:
+            fleet.ask(router, "/chat/x", f"sick-{number}-{router.name}")
+    assert fleet.name_weights(2).status == 200
+    until(lambda: platform.targets["llm-1"].version == 2, "new weights there")
+
+
 def test_withdrawn_key_stops_everywhere(fleet):
     _ready(fleet)
     assert fleet.put(configuration(5, keys=["other-key"])).status == 200
