--- a/tests/test_daemon/test_fleet.py
+++ b/tests/test_daemon/test_fleet.py
@@ -254,7 +254,10 @@
     platform.targets["llm-1"].mood = "reset"
     for number in range(8):
         for router in fleet.routers:
-            fleet.ask(router, "/chat/x", f"sick-{number}-{router.name}")
+            parts = {"Berylnotch_Prefix_Hash": f"a{number}:2000,b{number}:1000"}
+            fleet.ask(router, "/chat/x", f"sick-{number}-{router.name}", **parts)
+    # Routers report what they left out several times a second.
+    time.sleep(1.0)
     assert fleet.name_weights(2).status == 200
     until(lambda: platform.targets["llm-1"].version == 2, "new weights there")
 
