fleet: a leader answers a router's first report at any rate

Ruled out: no leader (elected at 12.26), unreachable (version 16 was acknowledged by it). Change: the sums of loads are sent as an answer. Test: test_a_router_hears_from_a_leader_that_knows_nothing_yet, failing before.

--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -166,6 +166,8 @@
         return frozenset(t for t, n in counts.items() if n >= routers)
 
     def _welcome(self, router: _Router) -> None:
+        """Tell a router what is known, and at any rate that it found the leader."""
+        router.link.send(self._loads)
         if self._targets is not None:
             router.link.send(self._targets)
         if self._roster is not None and self._is_roster_complete:
--- /dev/null
+++ b/tests/test_daemon/test_fleet_registry.py
@@ -0,0 +1,83 @@
+"""What the leader sends to routers."""
+
+from berylnotch.daemon.fleet.registry import RouterRegistry
+from berylnotch.group.commands import PutConfiguration
+from berylnotch.group.messages import (
+    ConfigurationUpdate,
+    LoadsUpdate,
+    RouterReport,
+    TargetLoad,
+)
+from berylnotch.group.state import FleetState
+from berylnotch.transport.packing import pack
+
+
+class Log:
+    """A log that is not read."""
+
+    def info(self, event, **fields):
+        """Take a line."""
+
+    warning = error = info
+
+
+class Link:
+    """A link that keeps what is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+
+def report(name="r", version=0, **changes):
+    values = {
+        "name": name,
+        "incarnation": "i",
+        "address": f"{name}:1",
+        "failure_domain": "d",
+        "is_leaving": False,
+        "configuration_version": version,
+    }
+    return RouterReport(**{**values, **changes})
+
+
+def test_a_router_hears_from_a_leader_that_knows_nothing_yet():
+    # A router leaves a controller that does not answer its first report. A leader
+    # that could not read the list, and has no newer configuration, must answer too.
+    registry, link = RouterRegistry(FleetState(), Log()), Link()
+    registry.take(link, report(version=12))
+    assert [type(message) for message in link.sent] == [LoadsUpdate]
+
+
+def test_a_router_behind_gets_the_configuration_once():
+    state = FleetState()
+    state.apply(pack(PutConfiguration(16, b"content")))
+    registry, link = RouterRegistry(state, Log()), Link()
+    registry.take(link, report(version=12))
+    registry.take(link, report(version=12))
+    updates = [m for m in link.sent if isinstance(m, ConfigurationUpdate)]
+    assert updates == [ConfigurationUpdate(16, b"content")]
+
+
+def test_a_router_that_comes_back_on_a_new_link_gets_it_again():
+    state = FleetState()
+    state.apply(pack(PutConfiguration(16, b"content")))
+    registry, old, new = RouterRegistry(state, Log()), Link(), Link()
+    registry.take(old, report(version=12))
+    registry.take(new, report(version=12))
+    registry.lost(old, "silent")
+    assert any(isinstance(m, ConfigurationUpdate) for m in new.sent)
+    assert registry.count == 1
+
+
+def test_targets_that_two_routers_left_out_are_suspects():
+    registry, link = RouterRegistry(FleetState(), Log()), Link()
+    loads = (TargetLoad("t", 2, 30),)
+    registry.take(link, report("a", ejected=("t",), loads=loads))
+    assert registry.unreachable() == frozenset()
+    registry.take(Link(), report("b", ejected=("t",), loads=loads))
+    assert registry.unreachable() == {"t"}
+    registry.push_loads()
+    assert registry.requests() == {"t": 4}
