fleet: a leader that did not answer a router in time is found again at once

Change: only a controller that led and fell silent is not followed; 0.8 s for an answer; the targets are packed once for all that arrive.

--- a/berylnotch/daemon/fleet/follower.py
+++ b/berylnotch/daemon/fleet/follower.py
@@ -16,8 +16,12 @@
 #: Pause in seconds before the next controller is asked.
 RETRY_S = 0.1
 
-#: Seconds in which a controller must answer a first report.
-ANSWER_S = 0.4
+#: Seconds in which a controller must answer a first report. A new leader answers all
+#: routers at the same time, and their configuration may be large.
+ANSWER_S = 0.8
+
+#: Seconds for which a controller that did not answer is asked last.
+UNANSWERED_S = 1.5
 
 #: Seconds for which a leader that fell silent is asked last.
 AVOID_S = 3.0
@@ -25,6 +29,9 @@
 #: Reason of a link's end when another controller leads.
 NOT_LEADER = "not the leader"
 
+#: Reason of a link's end when its controller or this process stops.
+STOPPING = "stopping"
+
 
 class LeaderLink:
     """Finds the leader, by way of the seeds and all controllers it hears of.
@@ -66,7 +73,9 @@
         self._turn = itertools.count()
         self._is_closed = False
         self._has_leader = False
-        self._silent_until: dict[str, float] = {}
+        #: Until when controllers are asked last, and which led and fell silent.
+        self._last_until: dict[str, float] = {}
+        self._lost_until: dict[str, float] = {}
 
     @property
     def has_leader(self) -> bool:
@@ -81,7 +90,7 @@
         """End the link."""
         self._is_closed = True
         if self._link is not None:
-            self._link.close("stopping")
+            self._link.close(STOPPING)
 
     def send(self, message: object) -> None:
         """Send a message, if there is a link."""
@@ -118,7 +127,7 @@
     def _any(self) -> str:
         now = boot_time()
         addresses = sorted({*self._known, *self._seeds()})
-        willing = [a for a in addresses if self._silent_until.get(a, 0.0) < now]
+        willing = [a for a in addresses if self._last_until.get(a, 0.0) < now]
         choices = willing or addresses
         return choices[next(self._turn) % len(choices)]
 
@@ -132,8 +141,10 @@
             self._on_message(message)
             return
         self._known = message.members
-        is_silent = self._silent_until.get(message.leader, 0.0) > boot_time()
-        if message.leader and message.leader != link.peer and not is_silent:
+        # A frozen leader is named by the others until they elect another one. One
+        # that merely did not answer in time is the leader all the same.
+        is_lost = self._lost_until.get(message.leader, 0.0) > boot_time()
+        if message.leader and message.leader != link.peer and not is_lost:
             self._next = message.leader
         link.close(NOT_LEADER)
 
@@ -141,13 +152,18 @@
         if link is not self._link:
             return
         self._link = None
-        if reason.startswith(SILENT):
-            # A frozen leader is named by the others until they elect another one.
-            pause_s = AVOID_S if self._has_leader else ANSWER_S
-            self._silent_until[link.peer] = boot_time() + pause_s
+        if reason != NOT_LEADER:
+            self._avoid(link.peer, reason)
         if self._has_leader:
             self._log.warning("leader_lost", at=link.peer, reason=reason)
         self._has_leader = False
         if not self._is_closed:
             delay_s = 0.0 if self._next else RETRY_S
             self._loop.call_later(delay_s, self._connect)
+
+    def _avoid(self, address: str, reason: str) -> None:
+        now = boot_time()
+        if self._has_leader and reason != STOPPING:
+            self._lost_until[address] = self._last_until[address] = now + AVOID_S
+        elif reason.startswith(SILENT):
+            self._last_until[address] = now + UNANSWERED_S
--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -56,6 +56,7 @@
         self._log = log
         self._routers: dict[str, _Router] = {}
         self._targets: TargetsUpdate | None = None
+        self._packed_targets = b""
         self._roster: RosterUpdate | None = None
         self._is_roster_complete = False
         self._loads = LoadsUpdate(())
@@ -107,6 +108,8 @@
     def push_targets(self, update: TargetsUpdate) -> None:
         """Send the targets to all routers, if they changed."""
         known, self._targets = self._targets, update
+        # Packed anew also if only the ages changed, for routers that come later.
+        self._packed_targets = pack(update)
         if known is not None and _is_same(known, update):
             return
         self._send_all(update)
@@ -168,8 +171,8 @@
     def _welcome(self, router: _Router) -> None:
         """Tell a router what is known, and at any rate that it found the leader."""
         router.link.send(self._loads)
-        if self._targets is not None:
-            router.link.send(self._targets)
+        if self._packed_targets:
+            router.link.send(self._packed_targets)
         if self._roster is not None and self._is_roster_complete:
             router.link.send(self._roster)
         if self._crashes:
