Remove a lookup, a counter and a result that nothing used

RouteTable.kinds_of and ServerConnection.request_count had no caller; event() always returned True and nobody looked. Behaviour is the same.

--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -219,15 +219,15 @@
             self._progress.has_head = True
             self._connection.start_stream(status, headers)
 
-    def event(self, data: bytes, number: int | None) -> bool:
-        """Send an event to the caller; return whether it fits the stream.
+    def event(self, data: bytes, number: int | None) -> None:
+        """Send an event to the caller.
 
         One that the caller has already is left out.
         """
         progress = self._progress
         if number is not None:
             if progress.last_event is not None and number <= progress.last_event:
-                return True
+                return
             progress.last_event = number
         now, metrics = boot_time(), self._context.metrics
         if not progress.first_event_at:
@@ -243,7 +243,6 @@
         self._connection.send_piece(data)
         if self._connection.is_congested and self._attempt is not None:
             self._attempt.pause()
-        return True
 
     def may_move(self) -> bool:
         """Tell whether another target and the budget allow one more attempt."""
--- a/berylnotch/entry/results.py
+++ b/berylnotch/entry/results.py
@@ -50,7 +50,7 @@
     def stream_began(self, status: int, headers: Headers) -> None:
         """Take the head of a stream."""
 
-    def event(self, data: bytes, number: int | None) -> bool:
+    def event(self, data: bytes, number: int | None) -> None:
         """Take an event of a stream."""
 
     def may_move(self) -> bool:
--- a/berylnotch/net/server.py
+++ b/berylnotch/net/server.py
@@ -60,8 +60,6 @@
         self._events = 0
         #: Request being served, or None.
         self.request: HttpRequest | None = None
-        #: Requests that were read so far.
-        self.request_count = 0
         self._active_at = boot_time()
         #: Called once if the caller leaves while its request is served.
         self.on_gone: Callable[[], None] | None = None
@@ -193,7 +191,6 @@
             return
         if request is not None:
             self.request = request
-            self.request_count += 1
             self._server.handler(self, request)
         elif self._reader.wants_continue and not had_head:
             self._output += b"HTTP/1.1 100 Continue\r\n\r\n"
--- a/berylnotch/routing/table.py
+++ b/berylnotch/routing/table.py
@@ -8,7 +8,6 @@
     FleetConfiguration,
     Organisation,
     Route,
-    RouteKind,
     Service,
     Split,
 )
@@ -69,14 +68,6 @@
         """Stores of KV cache."""
         return tuple(s for s in self.configuration.services if s.store_address)
 
-    def kinds_of(self, service: str) -> frozenset[RouteKind]:
-        """Return the kinds of the routes that lead to a service."""
-        return frozenset(
-            route.kind
-            for route in self.configuration.routes
-            if any(split.service == service for split in route.splits)
-        )
-
 
 def pick_service(splits: tuple[Split, ...], draw: float) -> str:
     """Return the service of a split route.
