quota: routers hold tokens from a new owner's first answer on

Cause: half of the burst is lent only to work that waits. A new owner of a fleet begins with 43% of the burst, so until it had refilled, routers without waiting work got nothing or little in advance. If that leader died within its first half second, they ran dry and refused until the next one. Ruled out: lost grants, a wrong count of routers, targets left out (logs show neither). Change: the reserve is a setting; a fleet reserves half of what a new owner lends at once. The library's default and its test stay.

--- a/berylnotch/quota/bounds.py
+++ b/berylnotch/quota/bounds.py
@@ -18,9 +18,15 @@
 #: that they serve on while there is no owner.
 HELD_PART = 0.45
 
-#: Lending in a fleet: grants outlast a change of leader, and a new owner lends a
-#: part of the burst at once instead of waiting for earlier grants to end. That
-#: part of what is lent is the rest that `LENT_PART` leaves.
+#: Part of the burst that a new owner lends at once, instead of waiting for earlier
+#: grants to end: the rest that `LENT_PART` leaves.
+TAKEOVER_PART = (1 - LENT_PART) / LENT_PART
+
+#: Part of the burst that is lent only to work that waits: half of what a new owner
+#: lends at once, so that routers can hold tokens in advance from its first answer on.
+RESERVED_PART = TAKEOVER_PART / 2
+
+#: Lending in a fleet: grants outlast a change of leader.
 FLEET_QUOTA = QuotaSettings(
     lifetime_s=7.0,
     ask_interval_s=0.25,
@@ -28,7 +34,8 @@
     horizon_s=3.0,
     wait_s=0.3,
     grace_s=0.0,
-    takeover_part=(1 - LENT_PART) / LENT_PART,
+    takeover_part=TAKEOVER_PART,
+    reserved_part=RESERVED_PART,
 )
 
 
--- a/berylnotch/quota/owner.py
+++ b/berylnotch/quota/owner.py
@@ -22,9 +22,6 @@
 #: Time between two passes over all organisations and routers, in seconds.
 SWEEP_INTERVAL_S = 1.0
 
-#: Part of the burst that is lent only to routers whose work waits for it.
-RESERVED_PART = 0.5
-
 #: Time for which the sequence number of a silent router is kept, in seconds.
 ROUTER_KEPT_S = 600.0
 
@@ -197,7 +194,8 @@
             return 0
         waiting.leave(router)
         if not ask.waiting:
-            spare = int(free - account.bucket.burst * RESERVED_PART)
+            reserved = account.bucket.burst * self._settings.reserved_part
+            spare = int(free - reserved)
             return min(ask.want, max(0, spare))
         fair = free // (len(waiting) + 1)
         return min(ask.want, max(ask.waiting, fair))
--- a/berylnotch/quota/settings.py
+++ b/berylnotch/quota/settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from attrs import field, frozen
-from attrs.validators import ge, gt
+from attrs.validators import ge, gt, lt
 
 
 @frozen
@@ -43,6 +43,10 @@
         Part of the burst that a new owner lends at once. With 0 it waits until the
         grants of an earlier owner are over; else a window with a change of owner
         may be charged so much more.
+    reserved_part : float, default=0.5
+        Part of the burst that is lent only to routers whose work waits for it. A
+        new owner's `takeover_part` must exceed it, or routers get nothing in
+        advance from it until the bucket has refilled.
     """
 
     lifetime_s: float = field(default=2.0, validator=gt(0))
@@ -56,6 +60,7 @@
     grace_s: float = field(default=15.0, validator=ge(0))
     usage_window_s: float = field(default=60.0, validator=gt(0))
     takeover_part: float = field(default=0.0, validator=ge(0))
+    reserved_part: float = field(default=0.5, validator=[ge(0), lt(1)])
 
     @property
     def owner_lifetime_s(self) -> float:
--- a/tests/test_quota/test_bounds.py
+++ b/tests/test_quota/test_bounds.py
@@ -106,3 +106,21 @@
             request = gate.request(now, "r", "i", "a", "d")
             gate.receive(now, now, owner.grant(now, request, limits))
     assert [outcome for _, outcome, _ in outcomes] == [Charge.CHARGED] * 2
+
+
+def test_first_answer_of_a_new_owner_lets_a_router_serve_through_the_next_change():
+    # The owner dies right after each router asked once, with nothing waiting.
+    limits = {"alpha": EffectiveLimit(50_000, 175_000)}
+    routers, most_wait_s = 6, 2.0
+    owner = QuotaOwner(FLEET_QUOTA, 1, 0.0)
+    gates = [QuotaGate(LocalQuota(FLEET_QUOTA), WAIT_S) for _ in range(routers)]
+    for number, gate in enumerate(gates):
+        gate.quota.keep("alpha", int(175_000 * HELD_PART / routers))
+        request = gate.request(0.01, f"r{number}", "i", "a", "d")
+        gate.receive(0.01, 0.01, owner.grant(0.01, request, limits))
+    charged = []
+    for gate in gates:
+        for n in range(16):
+            at = 0.02 + most_wait_s * n / 16
+            gate.charge(at, "alpha", 200, lambda *outcome: charged.append(outcome[0]))
+    assert charged == [Charge.CHARGED] * (routers * 16)
