--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 import attrs
-from attrs import define
 
 from berylnotch.entry.admission import judge
 from berylnotch.entry.admitted import Admitted
@@ -15,7 +14,9 @@
 from berylnotch.entry.context import EntryContext
 from berylnotch.entry.placing import make_placing, make_told
 from berylnotch.entry.quota_gate import Charge
+from berylnotch.entry.records import Progress, RequestEnd, note_end, note_sent
 from berylnotch.entry.refusals import Reason
+from berylnotch.entry.reply import Reply
 from berylnotch.entry.results import AttemptEnd, AttemptResult
 from berylnotch.entry.targets import Target
 from berylnotch.membership.crashes import light_fingerprint
@@ -37,18 +38,6 @@
 MIN_MOVE_S = 0.15
 
 
-@define
-class _Progress:
-    """What the attempts of a request have come to."""
-
-    sends: int = 0
-    runs: int = 0
-    last_event: int | None = None
-    has_head: bool = False
-    first_event_at: float = 0.0
-    event_at: float = 0.0
-
-
 class Exchange:
     """Serves one request from its admission to its answer.
 
@@ -72,10 +61,9 @@
         on_end: Callable[[Exchange], None],
     ) -> None:
         self._context = context
-        self._connection = connection
         self._admitted = admitted
         self._on_end = on_end
-        self._progress = _Progress()
+        self._progress = Progress()
         self._attempt: Attempt | None = None
         self._tried: set[str] = set()
         self._service = ""
@@ -85,6 +73,9 @@
         if caller.deadline_s is not None:
             limit_s = min(limit_s, caller.deadline_s)
         self._started_at = request.received_at
+        self._reply = Reply(connection, context.metrics, route.name, self._started_at)
+        connection.on_gone = self._caller_left
+        connection.on_drained = self._drained
         self._deadline = request.received_at + limit_s
         self._timer: Timer | None = None
         self._fingerprint = b""
@@ -100,20 +91,12 @@
     def _left_s(self) -> float:
         return self._deadline - boot_time()
 
-    @property
-    def _first_event_s(self) -> float:
-        """Seconds to the first event of a stream, 0 if there was none."""
-        first_at = self._progress.first_event_at
-        return first_at - self._started_at if first_at else 0.0
-
     def start(self) -> None:
         """Charge the request and send it."""
         grace_s = self._context.settings.deadline_grace_s
         self._timer = self._context.loop.call_later(
             max(0.0, self._left_s) + grace_s, self._expire
         )
-        self._connection.on_gone = self._caller_left
-        self._connection.on_drained = self._drained
         organisation = self._admitted.organisation
         if not is_limited(organisation):
             self._charged(Charge.CHARGED, 0.0)
@@ -174,7 +157,7 @@
                 reason = f"first event expected after {choice.delay_ms:.0f} ms"
                 self._give_up(Reason.TOO_LATE, reason, verdict.retry_after_s)
                 return
-        target, caller = choice.target, self._admitted.caller
+        target = choice.target
         told = make_told(
             self._context,
             self._admitted,
@@ -182,32 +165,13 @@
             placing,
             choice,
             self._left_s,
-            self._progress.last_event,
+            self._reply.last_event,
         )
         self._progress.sends += 1
         self._tried.add(target.target_id)
         self._target_id = target.target_id
         self._context.crashes.began(self._fingerprint, target.target_id)
-        self._context.log.info(
-            "sent",
-            id=self._id,
-            route=self._admitted.route.name,
-            target=target.target_id,
-            send=self._progress.sends,
-            load=target.load,
-            own_load=target.in_flight,
-            prompt=caller.prompt_tokens,
-            shared=placing.shared_id,
-            fetch=told.fetch_from,
-            save=told.save_to,
-            weights=told.weights_version,
-            wanted=placing.wanted_version,
-            unread=choice.unread,
-            expected_s=choice.delay_ms / 1000,
-            after=told.resume_after,
-            left_s=told.deadline_s,
-            configuration=self._context.routes.version,
-        )
+        note_sent(self._context, self._admitted, placing, choice, told, self._progress)
         self._attempt = Attempt(self._context, choice, self._admitted, told, self)
         self._attempt.start()
 
@@ -215,33 +179,12 @@
 
     def stream_began(self, status: int, headers: object) -> None:
         """Send the head of a stream to the caller, of its first target only."""
-        if not self._progress.has_head:
-            self._progress.has_head = True
-            self._connection.start_stream(status, headers)
+        self._reply.begin_stream(status, headers)
 
     def event(self, data: bytes, number: int | None) -> None:
-        """Send an event to the caller.
-
-        One that the caller has already is left out.
-        """
-        progress = self._progress
-        if number is not None:
-            if progress.last_event is not None and number <= progress.last_event:
-                return
-            progress.last_event = number
-        now, metrics = boot_time(), self._context.metrics
-        if not progress.first_event_at:
-            progress.first_event_at = now
-            metrics.observe(
-                "berylnotch_first_event_seconds",
-                now - self._started_at,
-                Label("route", self._admitted.route.name),
-            )
-        else:
-            metrics.observe("berylnotch_event_gap_seconds", now - progress.event_at)
-        progress.event_at = now
-        self._connection.send_piece(data)
-        if self._connection.is_congested and self._attempt is not None:
+        """Send an event to the caller, unless it has it already."""
+        self._reply.send_event(data, number)
+        if self._reply.is_congested and self._attempt is not None:
             self._attempt.pause()
 
     def may_move(self) -> bool:
@@ -264,7 +207,7 @@
             self._progress.runs += 1
         if result.end is AttemptEnd.STREAM_COMPLETE:
             self._context.crashes.completed(self._fingerprint, boot_time())
-            self._connection.end_stream()
+            self._reply.end_stream()
             self._finish("served", 200, target)
         elif result.end is AttemptEnd.ANSWERED:
             self._answered(result)
@@ -281,7 +224,7 @@
 
     def _answered(self, result: AttemptResult) -> None:
         status, route = result.status, self._admitted.route
-        if self._progress.has_head:
+        if self._reply.has_head:
             # The caller has the head of a stream; another answer cannot follow it.
             self._retry(attrs.evolve(result, reason=f"status {status}"), is_run=True)
             return
@@ -295,7 +238,7 @@
                     return
         if not is_failure:
             self._context.crashes.completed(self._fingerprint, boot_time())
-        self._connection.respond(status, result.headers, result.body)
+        self._reply.respond(status, result.headers, result.body)
         self._finish(
             "served" if status < 400 else "target_failed", status, result.target
         )
@@ -339,7 +282,7 @@
             reason=reason,
             sends=self._progress.sends,
             runs=self._progress.runs,
-            last_event=self._progress.last_event,
+            last_event=self._reply.last_event,
         )
 
     # Ends without an answer of a target.
@@ -348,7 +291,7 @@
         self, reason: Reason, detail: str, wait_s: float | None = None
     ) -> None:
         """End a request that cannot be sent any more."""
-        if self._progress.runs or self._progress.has_head:
+        if self._progress.runs or self._reply.has_head:
             self._fail(502, reason, detail)
         else:
             self._refuse(503, reason, detail, wait_s or None)
@@ -368,8 +311,8 @@
 
     def _fail(self, status: int, reason: Reason, detail: str) -> None:
         """Answer that the outcome is unknown, or break a begun stream off."""
-        if self._progress.has_head:
-            self._connection.abort()
+        if self._reply.has_head:
+            self._reply.break_off()
             self._note_own(reason)
             self._finish("broken_off", 0, None, f"{reason.value}: {detail}")
             return
@@ -384,7 +327,7 @@
         self, status: int, reason: Reason, detail: str, retry_s: float | None
     ) -> None:
         headers = refusal_headers(self._id, retry_s)
-        self._connection.respond(status, headers)
+        self._reply.respond(status, headers)
         self._note_own(reason)
         outcome = "refused" if status in (429, 503) else "failed"
         self._finish(outcome, status, None, f"{reason.value}: {detail}")
@@ -395,7 +338,7 @@
         has_sent = self._attempt is not None and self._attempt.has_sent
         if self._attempt is not None:
             self._attempt.cancel(is_overdue=True)
-        if has_sent or self._progress.runs or self._progress.has_head:
+        if has_sent or self._progress.runs or self._reply.has_head:
             self._fail(504, Reason.DEADLINE, "no answer in time")
         else:
             self._refuse(503, Reason.DEADLINE, "it was not sent in time", None)
@@ -421,29 +364,14 @@
         self._leave_target()
         if self._timer is not None:
             self._timer.cancel()
-        took_s = boot_time() - self._started_at
-        admitted, context = self._admitted, self._context
-        write = context.log.info if outcome == "served" else context.log.warning
-        write(
-            "finished",
-            id=self._id,
-            route=admitted.route.name,
-            organisation=admitted.organisation_name,
-            outcome=outcome,
-            status=status,
-            reason=reason,
-            target=target.target_id if target else "",
-            sends=self._progress.sends,
-            runs=self._progress.runs,
-            first_s=self._first_event_s,
-            took_s=took_s,
-            left_s=self._left_s,
-        )
-        context.metrics.count(
-            "berylnotch_requests_total",
-            Label("route", admitted.route.name),
-            Label("outcome", outcome),
-            Label("status", str(status)),
+        end = RequestEnd(
+            outcome,
+            status,
+            target.target_id if target else "",
+            reason,
+            self._reply.first_event_s,
+            boot_time() - self._started_at,
+            self._left_s,
         )
-        context.metrics.observe("berylnotch_request_seconds", max(took_s, 0.0))
+        note_end(self._context, self._admitted, self._progress, end)
         self._on_end(self)
--- /dev/null
+++ b/berylnotch/entry/records.py
@@ -0,0 +1,116 @@
+"""What is logged and counted of a request: each send, and its end."""
+
+from __future__ import annotations
+
+from attrs import define, frozen
+
+from berylnotch.entry.admitted import Admitted
+from berylnotch.entry.choice import Choice, Placing
+from berylnotch.entry.context import EntryContext
+from berylnotch.platform.requests import TargetHeaders
+from berylnotch.util.metrics import Label
+
+
+@define
+class Progress:
+    """What the attempts of a request have come to.
+
+    Parameters
+    ----------
+    sends : int, default=0
+        Targets that it was sent to.
+    runs : int, default=0
+        Of these, the ones that may have run it.
+    """
+
+    sends: int = 0
+    runs: int = 0
+
+
+@frozen
+class RequestEnd:
+    """How a request ended.
+
+    Parameters
+    ----------
+    outcome : str
+        ``served``, ``refused``, ``failed``, ``target_failed``, ``broken_off`` or
+        ``caller_left``.
+    status : int
+        Status that the caller got, 0 if none.
+    target : str
+        Target whose answer it got, empty if none.
+    reason : str
+        Why it was not served, empty if it was.
+    first_event_s, took_s, left_s : float
+        Seconds to the first event, to the end, and from there to the deadline.
+    """
+
+    outcome: str
+    status: int
+    target: str
+    reason: str
+    first_event_s: float
+    took_s: float
+    left_s: float
+
+
+def note_sent(
+    context: EntryContext,
+    admitted: Admitted,
+    placing: Placing,
+    choice: Choice,
+    told: TargetHeaders,
+    progress: Progress,
+) -> None:
+    """Log the inputs of a choice."""
+    target = choice.target
+    context.log.info(
+        "sent",
+        id=admitted.caller.request_id,
+        route=admitted.route.name,
+        target=target.target_id,
+        send=progress.sends,
+        load=target.load,
+        own_load=target.in_flight,
+        prompt=admitted.caller.prompt_tokens,
+        shared=placing.shared_id,
+        fetch=told.fetch_from,
+        save=told.save_to,
+        weights=told.weights_version,
+        wanted=placing.wanted_version,
+        unread=choice.unread,
+        expected_s=choice.delay_ms / 1000,
+        after=told.resume_after,
+        left_s=told.deadline_s,
+        configuration=context.routes.version,
+    )
+
+
+def note_end(
+    context: EntryContext, admitted: Admitted, progress: Progress, end: RequestEnd
+) -> None:
+    """Log and count the end of a request."""
+    write = context.log.info if end.outcome == "served" else context.log.warning
+    write(
+        "finished",
+        id=admitted.caller.request_id,
+        route=admitted.route.name,
+        organisation=admitted.organisation_name,
+        outcome=end.outcome,
+        status=end.status,
+        reason=end.reason,
+        target=end.target,
+        sends=progress.sends,
+        runs=progress.runs,
+        first_s=end.first_event_s,
+        took_s=end.took_s,
+        left_s=end.left_s,
+    )
+    context.metrics.count(
+        "berylnotch_requests_total",
+        Label("route", admitted.route.name),
+        Label("outcome", end.outcome),
+        Label("status", str(end.status)),
+    )
+    context.metrics.observe("berylnotch_request_seconds", max(end.took_s, 0.0))
