fleet: changes of targets and routers as changes, surveys some engines at a time

A new leader asked all engines at the same time what they run, and packed the whole table of targets after each answer: a square of the number of engines in its only thread, beyond its lease. The next leader did the same. Each changed target or router sent the whole table to all routers (236 KB with 3,000 engines), and a list of 60 pages was begun anew at the first 429. Ruled out: memory (at most 52 MB), links of routers (33 KB/s at the most). Change: only engines that the list shows as outdated are asked, 16 at a time; pushes are gathered over 10 ms; routers get changes after the whole table; pages are read with pauses, a limited one again; an answer of 64 addresses names another part of a larger fleet at each router.

--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -41,6 +41,10 @@
 #: the messages of control stay within their share of a link.
 LOADS_PER_ROUTER_S = 0.004
 
+#: Seconds in which changes of targets are gathered into one message; a small part of
+#: the time in which routers must know of them.
+PUSH_S = 0.01
+
 #: Shortest and longest time between two sums, in seconds.
 MIN_LOADS_S, MAX_LOADS_S = 0.1, 0.3
 
@@ -86,6 +90,7 @@
         self._limits_version = 0
         self._may_order = False
         self._is_closed = False
+        self._is_push_due = False
         self._rollout = WeightsRollout(
             loop,
             self._board,
@@ -157,7 +162,13 @@
         link.send(self._quota.grant(boot_time(), request, self._limits))
 
     def push_targets(self) -> None:
-        """Send changed targets to the routers."""
+        """Send changed targets to the routers soon."""
+        if not self._is_push_due:
+            self._is_push_due = True
+            self._loop.call_later(PUSH_S, self._push_targets_now)
+
+    def _push_targets_now(self) -> None:
+        self._is_push_due = False
         if self._is_closed or self._board.listed_at is None:
             return
         update = TargetsUpdate(
--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -4,8 +4,9 @@
 
 from collections import Counter
 
-from attrs import define
+from attrs import define, evolve
 
+from berylnotch.daemon.fleet.feed import Change, Feed
 from berylnotch.group.messages import (
     ConfigurationUpdate,
     CrashesUpdate,
@@ -57,7 +58,8 @@
         self._routers: dict[str, _Router] = {}
         self._targets: TargetsUpdate | None = None
         self._packed_targets = b""
-        self._roster: RosterUpdate | None = None
+        self._target_feed = Feed()
+        self._roster_feed = Feed()
         self._is_roster_complete = False
         self._loads = LoadsUpdate(())
         self._crashes: dict[CrashMark, None] = {}
@@ -106,33 +108,40 @@
             self._send_configuration(router)
 
     def push_targets(self, update: TargetsUpdate) -> None:
-        """Send the targets to all routers, if they changed."""
+        """Send to all routers what changed in the whole update."""
         known, self._targets = self._targets, update
-        # Packed anew also if only the ages changed, for routers that come later.
-        self._packed_targets = pack(update)
-        if known is not None and _is_same(known, update):
-            return
-        self._send_all(update)
+        # Packed when a router comes, with the ages of this update.
+        self._packed_targets = b""
+        change = self._target_feed.take({e.target.target_id: e for e in update.targets})
+        if known is None:
+            self._send_all(update)
+        elif change is not None or not _is_rest_same(known, update):
+            entries, gone = (change.entries, change.gone) if change else ((), ())
+            self._send_all(evolve(update, targets=entries, gone=gone, is_whole=False))
 
     def complete_roster(self) -> None:
         """Begin to send rosters; all routers had the time to report."""
         self._is_roster_complete = True
-        self.push_roster()
+        self._take_roster()
+        # Routers may still hold the roster of the leader before.
+        self._send_all(RosterUpdate(self._roster_feed.entries))
 
     def push_roster(self) -> None:
         """Send the routers that take requests to all routers, if they changed."""
         if not self._is_roster_complete:
             return
-        roster = RosterUpdate(
-            tuple(
-                RouterEntry(r.report.address, r.report.failure_domain)
-                for _, r in sorted(self._routers.items())
+        change = self._take_roster()
+        if change is not None:
+            self._send_all(RosterUpdate(change.entries, change.gone, is_whole=False))
+
+    def _take_roster(self) -> Change | None:
+        return self._roster_feed.take(
+            {
+                address: RouterEntry(address, r.report.failure_domain)
+                for address, r in sorted(self._routers.items())
                 if not r.report.is_leaving
-            )
+            }
         )
-        if roster != self._roster:
-            self._roster = roster
-            self._send_all(roster)
 
     def push_loads(self) -> None:
         """Send the sums of all routers' loads, if they changed."""
@@ -171,10 +180,12 @@
     def _welcome(self, router: _Router) -> None:
         """Tell a router what is known, and at any rate that it found the leader."""
         router.link.send(self._loads)
-        if self._packed_targets:
+        if self._targets is not None:
+            if not self._packed_targets:
+                self._packed_targets = pack(self._targets)
             router.link.send(self._packed_targets)
-        if self._roster is not None and self._is_roster_complete:
-            router.link.send(self._roster)
+        if self._is_roster_complete:
+            router.link.send(RosterUpdate(self._roster_feed.entries))
         if self._crashes:
             router.link.send(CrashesUpdate(tuple(self._crashes)))
 
@@ -206,11 +217,8 @@
             router.link.send(packed)
 
 
-def _is_same(one: TargetsUpdate, other: TargetsUpdate) -> bool:
-    """Tell whether two updates differ in the ages of the weights at the most."""
-    return (
-        one.targets == other.targets
-        and one.down_stores == other.down_stores
-        and [(w.model, w.version) for w in one.weights]
-        == [(w.model, w.version) for w in other.weights]
-    )
+def _is_rest_same(one: TargetsUpdate, other: TargetsUpdate) -> bool:
+    """Tell whether updates differ in targets and ages of weights at the most."""
+    return one.down_stores == other.down_stores and [
+        (w.model, w.version) for w in one.weights
+    ] == [(w.model, w.version) for w in other.weights]
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -32,6 +32,7 @@
     TargetLoad,
     TargetsUpdate,
 )
+from berylnotch.membership.answers import answer_addresses
 from berylnotch.membership.crashes import CrashGuard
 from berylnotch.net.messages import Headers, HttpRequest
 from berylnotch.net.reading import HttpLimits
@@ -68,9 +69,6 @@
 #: as long, and a stopping router takes requests until then.
 ADDRESS_TTL_S = 1.2
 
-#: Most addresses in one answer.
-MAX_ADDRESSES = 64
-
 #: How many times its lifetime callers keep an address answer at the most.
 TTL_FACTOR = 3
 
@@ -131,7 +129,7 @@
         )
         self._started_at = boot_time()
         self._incarnation = os.urandom(8).hex()
-        self._roster: tuple[RouterEntry, ...] = ()
+        self._roster: dict[str, RouterEntry] = {}
         self._is_leaving = False
         self._exchanges: set[Exchange] = set()
         self._sent_loads: tuple[TargetLoad, ...] = ()
@@ -269,14 +267,13 @@
         self, connection: ServerConnection, request: HttpRequest
     ) -> None:
         own = str(self._settings.listen)
-        addresses = [r.address for r in self._roster if r.address != own]
-        if self.is_ready:
-            addresses.append(own)
+        others = [address for address in self._roster if address != own]
+        addresses = answer_addresses(own, self.is_ready, others)
         if not addresses:
             connection.respond(503, Headers())
             return
         ttl_s = min(ADDRESS_TTL_S, self._settings.bounds.address_ttl_s)
-        body = address_body(sorted(addresses)[:MAX_ADDRESSES], ttl_s)
+        body = address_body(addresses, ttl_s)
         headers = Headers((("Content-Type", "application/json"),))
         connection.respond(200, headers, body)
 
@@ -322,8 +319,12 @@
             self._targets_at = boot_time()
             take_targets(self._context, message)
         elif isinstance(message, RosterUpdate):
-            self._roster = message.routers
-            self._context.resize_budgets(len(message.routers))
+            if message.is_whole:
+                self._roster = {}
+            for gone in message.gone:
+                self._roster.pop(gone, None)
+            self._roster.update((entry.address, entry) for entry in message.routers)
+            self._context.resize_budgets(len(self._roster))
             share_limits(self._context)
         elif isinstance(message, LoadsUpdate):
             take_loads(self._context, message, self._sent_loads)
--- a/berylnotch/daemon/fleet/updates.py
+++ b/berylnotch/daemon/fleet/updates.py
@@ -19,8 +19,9 @@
 def take_targets(context: EntryContext, update: TargetsUpdate) -> None:
     """Take over targets, named weights, and stores out of reach."""
     now = boot_time()
-    for gone in context.targets.update(update.targets):
-        context.prompts.forget_engine(gone)
+    gone = None if update.is_whole else update.gone
+    for lost in context.targets.update(update.targets, gone):
+        context.prompts.forget_engine(lost)
     for named in update.weights:
         at = now - named.age_ms / 1000
         if context.names.note(named.model, named.version, at):
--- a/berylnotch/daemon/fleet/watch.py
+++ b/berylnotch/daemon/fleet/watch.py
@@ -16,9 +16,16 @@
 #: Seconds in which a page must come.
 CALL_S = 0.8
 
-#: Pause in seconds after a failed reading.
+#: Pause in seconds after a failed call.
 RETRY_S = 0.4
 
+#: Seconds between two pages of one reading. The platform's list answers some tens of
+#: calls a second, and hundreds of pages may not take all of them.
+PAGE_S = 0.04
+
+#: Status of a call beyond that rate.
+TOO_MANY_CALLS = 429
+
 #: Pages of one reading; more are cut off with a line in the log.
 MAX_PAGES = 200
 
@@ -57,6 +64,7 @@
         self._targets: list[ListedTarget] = []
         self._skipped = 0
         self._pages = 0
+        self._page = ""
         self._is_failing = False
 
     def start(self) -> None:
@@ -74,12 +82,18 @@
     def _read(self, page: str) -> None:
         if self._is_closed:
             return
+        self._page = page
         request = list_request(str(self._address), page)
         fetch(self._loop, self._address, request, CALL_S, self._take)
 
     def _take(self, response: HttpResponse | None, why: str) -> None:
         if self._is_closed:
             return
+        if response is not None and response.status == TOO_MANY_CALLS:
+            # What was read so far holds; a new reading would meet the limit again.
+            self._log.info("target_list_limited", pages=self._pages)
+            self._loop.call_later(RETRY_S, lambda: self._read(self._page))
+            return
         try:
             if response is None:
                 raise GatewayError(why)
@@ -94,7 +108,7 @@
         self._skipped += page.skipped
         self._pages += 1
         if page.next_page and self._pages < MAX_PAGES:
-            self._read(page.next_page)
+            self._loop.call_later(PAGE_S, lambda: self._read(page.next_page))
             return
         if self._is_failing or page.next_page:
             self._log.info("target_list_read", is_cut_off=bool(page.next_page))
--- a/berylnotch/daemon/fleet/weights.py
+++ b/berylnotch/daemon/fleet/weights.py
@@ -6,6 +6,7 @@
 
 from attrs import define
 
+from berylnotch.daemon.fleet.survey import CALL_S, EngineSurvey
 from berylnotch.errors import GatewayError
 from berylnotch.membership.board import TargetBoard
 from berylnotch.membership.listing import ListedTarget, ModelVersion
@@ -29,9 +30,6 @@
 #: have sent their last request there.
 SETTLE_S = 0.05
 
-#: Seconds in which an engine answers a call.
-CALL_S = 0.6
-
 #: Seconds from an order to the first look whether it was carried out; about the
 #: time that a load takes.
 FIRST_LOOK_S = 1.8
@@ -113,35 +111,27 @@
         self._loads: dict[str, _Load] = {}
         self._held_until: dict[str, float] = {}
         self._is_closed = False
+        self._survey = EngineSurvey(loop, self._surveyed, log)
 
     def close(self) -> None:
         """Give no further order."""
         self._is_closed = True
+        self._survey.close()
 
     def survey(self) -> None:
-        """Ask all engines what they run; the list is some seconds behind."""
-        for target in self._board.targets():
-            if target.models:
-                address = parse_address(target.address)
-
-                def done(
-                    answer: HttpResponse | None, why: str, target: ListedTarget = target
-                ) -> None:
-                    self._surveyed(target, answer, why)
+        """Ask the engines that the list shows as outdated; it is some seconds behind.
 
-                fetch(self._loop, address, report_request(target.address), CALL_S, done)
+        They may have loaded meanwhile, or an earlier leader's order is under way.
+        """
+        wanted = self._names.versions()
+        self._survey.ask(
+            target
+            for target in self._board.targets()
+            if any(m.version < wanted.get(m.name, 0) for m in target.models)
+        )
 
-    def _surveyed(
-        self, target: ListedTarget, answer: HttpResponse | None, why: str
-    ) -> None:
-        if self._is_closed or answer is None:
-            return
-        try:
-            report = decode_report(answer)
-        except GatewayError as error:
-            self._log.warning(
-                "report_unreadable", target=target.target_id, reason=str(error)
-            )
+    def _surveyed(self, target: ListedTarget, report: EngineReport) -> None:
+        if self._is_closed:
             return
         wanted = self._names.versions()
         for model in report.models:
@@ -150,7 +140,6 @@
         if report.is_busy and model is not None:
             self._follow(target, model.name, wanted[model.name])
         self._on_change()
-        self.advance()
 
     def _follow(self, target: ListedTarget, model: str, version: int) -> None:
         """Watch a load that an earlier leader ordered."""
@@ -165,31 +154,32 @@
 
     def advance(self) -> None:
         """Begin the loads that are due."""
-        if self._is_closed or not self._may_order():
+        wanted = self._names.versions()
+        if self._is_closed or not wanted or not self._may_order():
             return
         now = boot_time()
         held_back = {name for name, until in self._held_until.items() if until > now}
         held_back |= self._unreachable() - self._overdue(now)
         loads = next_loads(
             self._board.targets(),
-            self._names.versions(),
+            wanted,
             self._loads.keys(),
             held_back,
             self._busy(),
             lambda model, version: self._names.outdated_s(now, model, version),
         )
-        for wanted in loads:
-            target = self._board.target(wanted.target_id)
-            load = _Load(wanted, target, now)
-            self._loads[wanted.target_id] = load
-            self._board.began_loading(now, wanted.target_id)
+        for due in loads:
+            target = self._board.target(due.target_id)
+            load = _Load(due, target, now)
+            self._loads[due.target_id] = load
+            self._board.began_loading(now, due.target_id)
             self._loop.call_later(SETTLE_S, lambda load=load: self._ask(load))
             self._log.info(
                 "load_begun",
-                target=wanted.target_id,
-                model=wanted.model,
-                version=wanted.version,
-                was=_version(target, wanted.model),
+                target=due.target_id,
+                model=due.model,
+                version=due.version,
+                was=_version(target, due.model),
                 list_age_s=now - (self._board.listed_at or now),
             )
         if loads:
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -153,34 +153,40 @@
         """Return a target by identity."""
         return self._targets.get(target_id)
 
-    def update(self, entries: Iterable[TargetEntry]) -> list[str]:
-        """Take all targets anew; one that started again is another one.
+    def update(
+        self, entries: Iterable[TargetEntry], gone: Iterable[str] | None = None
+    ) -> list[str]:
+        """Take targets; one that started again is another one.
+
+        Parameters
+        ----------
+        entries : iterable of TargetEntry
+            Targets that are new or changed.
+        gone : iterable of str, optional
+            Identities that are not listed any more; by default all that are not
+            among the entries.
 
         Returns
         -------
         list of str
             Identities whose earlier target is gone.
         """
-        known, self._targets = self._targets, {}
+        lost, listed = [], set()
         for entry in entries:
-            listed = entry.target
-            target = known.get(listed.target_id)
-            if target is not None and _is_same(target.listed, listed):
-                del known[listed.target_id]
-                target.listed = listed
-            else:
-                target = Target(listed, Ejection(self._settings.membership))
-            if entry.is_loading and not target.is_loading:
-                target.loading_until = boot_time() + self._settings.load_s
-            target.is_loading = entry.is_loading
-            target.is_leaving = target.is_leaving or listed.is_leaving
-            self._targets[listed.target_id] = target
-        for gone in known.values():
-            self._drop_idle(gone)
+            listed.add(entry.target.target_id)
+            if self._take(entry):
+                lost.append(entry.target.target_id)
+        if gone is None:
+            gone = [name for name in self._targets if name not in listed]
+        for name in gone:
+            target = self._targets.pop(name, None)
+            if target is not None:
+                self._drop_idle(target)
+                lost.append(name)
         self._by_service = {}
         for target in self._targets.values():
             self._by_service.setdefault(target.listed.service, []).append(target)
-        return list(known)
+        return lost
 
     def connect(self, target: Target, is_repeatable: bool) -> ClientConnection:
         """Return a connection for a request.
@@ -225,6 +231,24 @@
             while target.idle and target.idle[0].idle_since < oldest:
                 target.idle.popleft().close()
 
+    def _take(self, entry: TargetEntry) -> bool:
+        """Take a target; return whether an earlier one of its identity is gone."""
+        listed = entry.target
+        known = self._targets.get(listed.target_id)
+        is_other = known is not None and not _is_same(known.listed, listed)
+        target = known
+        if target is None or is_other:
+            target = Target(listed, Ejection(self._settings.membership))
+        if is_other:
+            self._drop_idle(known)
+        target.listed = listed
+        if entry.is_loading and not target.is_loading:
+            target.loading_until = boot_time() + self._settings.load_s
+        target.is_loading = entry.is_loading
+        target.is_leaving = target.is_leaving or listed.is_leaving
+        self._targets[listed.target_id] = target
+        return is_other
+
     def _drop_idle(self, target: Target) -> None:
         while target.idle:
             target.idle.pop().close()
--- a/berylnotch/group/messages.py
+++ b/berylnotch/group/messages.py
@@ -109,11 +109,17 @@
 
 @frozen
 class TargetsUpdate:
-    """All targets, the weights that were named, and stores out of reach."""
+    """Targets, the weights that were named, and stores out of reach.
+
+    ``targets`` are all of them if ``is_whole``, else those that changed since the
+    update before; ``gone`` are the identities of those that are not listed any more.
+    """
 
     targets: tuple[TargetEntry, ...]
     weights: tuple[NamedWeights, ...]
     down_stores: tuple[str, ...] = ()
+    gone: tuple[str, ...] = ()
+    is_whole: bool = True
 
 
 @frozen
@@ -126,9 +132,15 @@
 
 @frozen
 class RosterUpdate:
-    """Routers that take requests."""
+    """Routers that take requests.
+
+    ``routers`` are all of them if ``is_whole``, else those that came since the update
+    before; ``gone`` are the addresses of those that left.
+    """
 
     routers: tuple[RouterEntry, ...]
+    gone: tuple[str, ...] = ()
+    is_whole: bool = True
 
 
 @frozen
