--- a/berylnotch/entry/choice.py
+++ b/berylnotch/entry/choice.py
@@ -75,6 +75,10 @@
 #: Cost of a target that fails each request, in ms; one that fails some costs a part.
 ALWAYS_FAILS_MS = 400.0
 
+#: Random draws for each target of a sample, before all targets are looked at: with
+#: half of them usable, one sample in a thousand is not complete by then.
+DRAWS_PER_SAMPLE = 6
+
 #: Cost of a request beyond the slots of a plain target, in ms: it waits for one.
 QUEUED_MS = 60.0
 
@@ -181,21 +185,11 @@
     queue of unread prompts moves them on to other engines, which copy it.
     """
     targets = list(targets)
-    usable = [t for t in targets if _is_candidate(t, placing)]
-    usable = [t for t in usable if not t.is_avoided(placing.now)] or usable
+    if not placing.has_home:
+        return _choose_anywhere(targets, placing)
+    usable = _usable(targets, placing)
     if not usable:
         return None
-    if not placing.has_home:
-        usable = _drawn(usable, placing)
-        unread = placing.prompt_tokens
-        choices = [
-            Choice(t, _queue_ms(t, placing) + _read_ms(t, unread), unread=unread)
-            for t in usable
-        ]
-        return min(
-            choices,
-            key=lambda c: (_worth_ms(c, placing), mix(c.target.target_id, "")),
-        )
     home = min(usable, key=lambda t: mix(t.target_id, placing.shared_id))
     holders = _Holders(targets, placing)
     if placing.sample:
@@ -220,12 +214,45 @@
     return min(choices, key=lambda c: (cost_ms(c), c.target is not home))
 
 
+def _choose_anywhere(targets: list[Target], placing: Placing) -> Choice | None:
+    """Return the best target for a request that belongs to no engine, or None."""
+    usable = _drawn(targets, placing)
+    unread = placing.prompt_tokens
+    choices = [
+        Choice(t, _queue_ms(t, placing) + _read_ms(t, unread), unread=unread)
+        for t in usable
+    ]
+    return min(
+        choices,
+        key=lambda c: (_worth_ms(c, placing), mix(c.target.target_id, "")),
+        default=None,
+    )
+
+
+def _usable(targets: list[Target], placing: Placing) -> list[Target]:
+    """Return the candidates, without those to avoid if there are others."""
+    usable = [t for t in targets if _is_candidate(t, placing)]
+    return [t for t in usable if not t.is_avoided(placing.now)] or usable
+
+
 def _drawn(targets: list[Target], placing: Placing) -> list[Target]:
-    """Return a random sample of the targets, if one is asked for."""
+    """Return the usable targets, or a random sample of them if one is asked for.
+
+    Most targets are usable, so a few draws do without a look at all of them.
+    """
     if not placing.sample or len(targets) <= placing.sample:
-        return targets
-    left = list(targets)
-    return [left.pop(placing.draw(len(left))) for _ in range(placing.sample)]
+        return _usable(targets, placing)
+    drawn: dict[int, Target] = {}
+    for _ in range(DRAWS_PER_SAMPLE * placing.sample):
+        position = placing.draw(len(targets))
+        target = targets[position]
+        if _is_candidate(target, placing) and not target.is_avoided(placing.now):
+            drawn[position] = target
+            if len(drawn) == placing.sample:
+                return list(drawn.values())
+    left = _usable(targets, placing)
+    count = min(placing.sample, len(left))
+    return [left.pop(placing.draw(len(left))) for _ in range(count)]
 
 
 class _Holders:
--- a/tests/test_entry/test_choice.py
+++ b/tests/test_entry/test_choice.py
@@ -3,6 +3,8 @@
 import random
 from collections import Counter
 
+import pytest
+
 from berylnotch.entry.choice import choose, usable_in_s
 from berylnotch.entry.prompts import Holding
 from tests.test_entry.support import long_request, make_target, short_request
@@ -141,3 +143,28 @@
     holder = choose(engines, long_request()).target
     placing = long_request(sample=3, holding=held_by(holder))
     assert choose(engines, placing).target is holder
+
+
+@pytest.mark.parametrize("usable", [300, 20, 2, 1])
+def test_sample_is_complete_however_few_of_many_targets_are_usable(usable):
+    engines = names(300)
+    for left_out in engines[usable:]:
+        left_out.is_leaving = True
+    rng = random.Random(usable)
+    placing = short_request(sample=3, draw=rng.randrange)
+    chosen = Counter(choose(engines, placing).target.target_id for _ in range(200))
+    assert set(chosen) <= {e.target_id for e in engines[:usable]}
+    # The best of a sample, not the best of all: no engine gets most requests.
+    assert len(chosen) >= min(usable, 15) - 1
+
+
+def test_few_of_many_targets_are_looked_at():
+    looked = []
+    engines = names(3000)
+    placing = short_request(
+        sample=3,
+        draw=random.Random(1).randrange,
+        outdated_s=lambda version: looked.append(version) or 0.0,
+    )
+    assert choose(engines, placing) is not None
+    assert len(looked) < 30
