metrics: age of the leader's lease, and of what a router heard of it

A gauge without a value is left out rather than shown as 0. The line of a leader that stops has the lease's age.

--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -168,7 +168,12 @@
     def _stop_leading(self, reason: str) -> None:
         if self._leader is None:
             return
-        self._log.warning("leading_ended", reason=reason, term=self._host.term)
+        self._log.warning(
+            "leading_ended",
+            reason=reason,
+            term=self._host.term,
+            lease_age_s=self._host.lease_age_s(),
+        )
         self._leader.close()
         self._leader = None
         # Routers look for the next leader at once.
@@ -183,6 +188,7 @@
         metrics.gauge("berylnotch_group_members", float(self._host.voter_count))
         metrics.gauge("berylnotch_configuration_version", float(self._state.version))
         metrics.gauge("berylnotch_log_lines_dropped", float(self._log.dropped))
+        metrics.gauge("berylnotch_lease_age_seconds", self._host.lease_age_s())
         if self._leader is not None:
             metrics.gauge("berylnotch_routers", float(self._leader.registry.count))
             listed_at = self._leader.board.listed_at
--- a/berylnotch/daemon/fleet/follower.py
+++ b/berylnotch/daemon/fleet/follower.py
@@ -82,6 +82,13 @@
         """Whether the present link leads to a controller that answered as leader."""
         return self._has_leader and self._link is not None
 
+    @property
+    def heard_s(self) -> float | None:
+        """Seconds since the leader was heard, None without a leader."""
+        if self._link is None or not self._has_leader:
+            return None
+        return boot_time() - self._link.heard_at
+
     def start(self) -> None:
         """Look for the leader."""
         self._connect()
--- a/berylnotch/daemon/fleet/replica_host.py
+++ b/berylnotch/daemon/fleet/replica_host.py
@@ -133,6 +133,12 @@
         """Whether this replica may act as the only leader, by a fresh clock."""
         return self._replica is not None and self._replica.has_lease(boot_time())
 
+    def lease_age_s(self) -> float | None:
+        """Return the age of the lease in seconds, None if this is no leader."""
+        if self._replica is None or not self._replica.is_leader:
+            return None
+        return self._replica.lease_age_s(boot_time())
+
     def start(self) -> None:
         """Open the folder and take part."""
         self._open()
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -382,10 +382,11 @@
         metrics.gauge("berylnotch_configuration_version", float(version))
         metrics.gauge("berylnotch_ready", float(self.is_ready))
         metrics.gauge("berylnotch_has_leader", float(self._link.has_leader))
+        metrics.gauge("berylnotch_leader_heard_seconds", self._link.heard_s)
         metrics.gauge("berylnotch_requests_under_way", float(len(self._exchanges)))
         metrics.gauge("berylnotch_log_lines_dropped", float(self._log.dropped))
-        heard_s = boot_time() - (self._targets_at or self._started_at)
-        metrics.gauge("berylnotch_targets_heard_seconds", heard_s)
+        targets_s = boot_time() - (self._targets_at or self._started_at)
+        metrics.gauge("berylnotch_targets_heard_seconds", targets_s)
         for service, left in context.budgets_left().items():
             metrics.gauge("berylnotch_retry_budget", left, Label("service", service))
         for name, version in context.names.versions().items():
--- a/berylnotch/util/metrics.py
+++ b/berylnotch/util/metrics.py
@@ -45,10 +45,14 @@
         with self._lock:
             self._counters[series] = self._counters.get(series, 0) + amount
 
-    def gauge(self, name: str, value: float, *labels: Label) -> None:
-        """Set a gauge."""
+    def gauge(self, name: str, value: float | None, *labels: Label) -> None:
+        """Set a gauge; None takes it out, since a made-up value would mislead."""
+        series = _Series(name, labels)
         with self._lock:
-            self._gauges[_Series(name, labels)] = value
+            if value is None:
+                self._gauges.pop(series, None)
+            else:
+                self._gauges[series] = value
 
     def observe(self, name: str, seconds: float, *labels: Label) -> None:
         """Record a duration."""
--- a/tests/test_daemon/test_fleet.py
+++ b/tests/test_daemon/test_fleet.py
@@ -7,9 +7,13 @@
 import pytest
 
 from berylnotch.cmd import why_request
+from berylnotch.daemon.fleet.replica_host import CONSENSUS
+from berylnotch.transport.link import LinkSettings
 from tests.fleet.platform import PlatformStandIn
 from tests.fleet.processes import FleetOfProcesses, configuration, in_threads, until
 
+LEASE_S = CONSENSUS.lease_s
+
 
 @pytest.fixture
 def platform():
@@ -339,6 +343,28 @@
     text = fleet.metrics(leader)
     assert "berylnotch_leader 1" in text and "berylnotch_routers 2" in text
     assert "berylnotch_target_list_age_seconds" in text
+    assert 0 <= _gauge(text, "berylnotch_lease_age_seconds") < LEASE_S
+    for controller in fleet.controllers:
+        if controller is not leader:
+            assert "berylnotch_lease_age_seconds" not in fleet.metrics(controller)
+    heard_s = _gauge(fleet.metrics(router), "berylnotch_leader_heard_seconds")
+    assert 0 <= heard_s < LinkSettings().silence_s
+
+
+def test_thawed_leader_shows_no_lease(fleet):
+    _ready(fleet)
+    leader = until(fleet.leader, "a leader")
+    others = [c for c in fleet.controllers if c is not leader]
+    leader.signal(signal.SIGSTOP)
+    until(
+        lambda: any("berylnotch_leader 1" in fleet.metrics(c) for c in others),
+        "another leader",
+    )
+    leader.signal(signal.SIGCONT)
+    until(
+        lambda: "berylnotch_lease_age_seconds" not in fleet.metrics(leader),
+        "the thawed leader shows no lease",
+    )
 
 
 def _why(fleet, request_id, capsys):
@@ -395,3 +421,9 @@
     assert why_request.main(["nobody", log]) == why_request.EXIT_NOT_FOUND
     assert why_request.main(["x", "/nowhere.log"]) == why_request.EXIT_BAD_INPUT
     assert "nowhere" in capsys.readouterr().err
+
+
+def _gauge(text, name):
+    return next(
+        float(line.split()[1]) for line in text.splitlines() if line.startswith(name)
+    )
