soak: proxies before controllers' links, a lost disk; settings: a missing one is named

A controller may accept its links behind a forwarder (links-listen). A settings file of a fleet without a section or a required setting ended in a KeyError; now it is named, with the file.

--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -70,7 +70,7 @@
         self._host = ReplicaHost(
             settings, seeds, loop, self._peers.send, self._state, log, self._applied
         )
-        self._acceptor = Acceptor(loop, settings.internal, self._accept)
+        self._acceptor = Acceptor(loop, settings.links_listen, self._accept)
         self.metrics = Metrics()
         self._operators = OperatorsInterface(
             settings, loop, self._host, self._state, log, self.metrics
--- a/berylnotch/settings/fleet.py
+++ b/berylnotch/settings/fleet.py
@@ -83,6 +83,9 @@
         Pause between two readings of the list.
     bounds : FleetBounds
         Bounds of the fleet.
+    forwarded : Address or None, default=None
+        Where links are accepted, if others reach this process by way of a forwarder
+        at `internal`.
     """
 
     name: str
@@ -99,12 +102,18 @@
     target_list: Address | None
     target_list_period_s: float = 1.0
     bounds: FleetBounds = field(factory=FleetBounds)
+    forwarded: Address | None = None
 
     @property
     def internal(self) -> Address:
-        """Where links of other processes are accepted."""
+        """Where other processes open links to this one."""
         return Address(self.ip, self.internal_port)
 
+    @property
+    def links_listen(self) -> Address:
+        """Where links of other processes are accepted."""
+        return self.forwarded or self.internal
+
     @property
     def seed_links(self) -> tuple[str, ...]:
         """Addresses of the seeds' links; all controllers use the same port."""
@@ -129,6 +138,8 @@
         return _settings(parser)
     except (ValueError, configparser.Error) as error:
         raise ConfigurationError(str(error), str(path)) from error
+    except ConfigurationError as error:
+        raise ConfigurationError(error.message, str(path)) from error
 
 
 class SeedSource:
@@ -172,25 +183,33 @@
 
 
 def _settings(parser: configparser.ConfigParser) -> FleetSettings:
+    if not parser.has_section("process"):
+        raise ConfigurationError("section [process] is missing")
     process = parser["process"]
-    ports = process.get("internal-ports").split(",")
-    internal_port, metrics_port = int(ports[0]), int(ports[0]) + 1
-    ip = process.get("ip")
+    first_port = _required(process, "internal-ports").split(",")[0]
+    internal_port, metrics_port = int(first_port), int(first_port) + 1
+    ip = _required(process, "ip")
     data = process.get("data", "")
+    founds_group = process.getboolean("founds-group")
+    seeds = process.get("seeds")
+    if founds_group is None or seeds is None:
+        missing = "seeds" if seeds is None else "founds-group"
+        raise ConfigurationError(f"setting {missing} is missing")
     return FleetSettings(
-        name=process.get("name"),
+        name=_required(process, "name"),
         ip=ip,
-        failure_domain=process.get("failure-domain"),
-        listen=parse_address(process.get("listen")),
+        failure_domain=_required(process, "failure-domain"),
+        listen=parse_address(_required(process, "listen")),
         ready=_optional(process.get("ready", "")),
         directory=_optional(process.get("directory", "")),
         internal_port=internal_port,
         metrics=Address(ip, metrics_port),
-        seeds=tuple(parse_address(s) for s in process.get("seeds").split(",") if s),
-        founds_group=process.getboolean("founds-group"),
+        seeds=tuple(parse_address(seed) for seed in seeds.split(",") if seed),
+        founds_group=founds_group,
         data=Path(data) if data else None,
         target_list=_optional(process.get("target-list", "")),
         target_list_period_s=process.getfloat("target-list-period-s", 1.0),
+        forwarded=_optional(process.get("links-listen", "")),
         bounds=_bounds(parser["bounds"] if parser.has_section("bounds") else {}),
     )
 
@@ -214,5 +233,12 @@
     return FleetBounds(**read)
 
 
+def _required(section: configparser.SectionProxy, name: str) -> str:
+    value = section.get(name)
+    if not value:
+        raise ConfigurationError(f"setting {name} is missing")
+    return value
+
+
 def _optional(text: str) -> Address | None:
     return parse_address(text) if text else None
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,7 @@
     parser.add_argument("--seeds", type=int, default=5, help="runs, one seed each")
     parser.add_argument("--seconds", type=float, default=8.0, help="time with faults")
     parser.add_argument("--routers", type=int, default=2)
+    parser.add_argument("--controllers", type=int, default=3)
     return parser
 
 
@@ -26,7 +27,7 @@
     faults: Counter[str] = Counter()
     failed = []
     for seed in range(args.first_seed, args.first_seed + args.seeds):
-        report = Soak(seed, args.seconds, args.routers).run()
+        report = Soak(seed, args.seconds, args.routers, args.controllers).run()
         recovered_ms = report.faults.pop("recovered_ms", -1)
         faults.update(report.faults)
         outcome = "broken" if report.breaks else "kept"
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -10,11 +10,15 @@
 from berylnotch.util.loop import Loop
 
 #: What a proxy does to the bytes; ``ok`` passes them on.
-MODES = ("ok", "delay", "reset", "one_way", "silence")
+#: ``one_way`` drops what the target sends, ``deaf`` what is sent to it.
+MODES = ("ok", "delay", "reset", "one_way", "deaf", "silence")
 
 #: Delay of each piece in the mode ``delay``, in seconds.
 DELAY_S = 0.15
 
+#: Longest wait for the target to accept, in seconds.
+CONNECT_S = 1.0
+
 _READ_BYTES = 64 * 1024
 
 
@@ -27,14 +31,18 @@
         Loop that serves the sockets.
     target : Address
         Where connections are passed on to.
+    listen : Address, optional
+        Where they are accepted; any port of 127.0.0.1 by default.
     """
 
-    def __init__(self, loop: Loop, target: Address) -> None:
+    def __init__(
+        self, loop: Loop, target: Address, listen: Address = Address("127.0.0.1", 0)
+    ) -> None:
         self.mode = "ok"
         self._loop = loop
         self._target = target
         self._pairs: set[tuple[socket.socket, socket.socket]] = set()
-        self._acceptor = Acceptor(loop, Address("127.0.0.1", 0), self._accept)
+        self._acceptor = Acceptor(loop, listen, self._accept)
 
     @property
     def address(self) -> Address:
@@ -57,7 +65,7 @@
             sock.close()
             return
         try:
-            other = socket.create_connection(self._target.pair, timeout=1)
+            other = socket.create_connection(self._target.pair, timeout=CONNECT_S)
         except OSError:
             sock.close()
             return
@@ -84,13 +92,18 @@
             data = b""
         if not data:
             self._end(pair)
-        elif self.mode == "silence" or (self.mode == "one_way" and is_answer):
+        elif self._drops(is_answer):
             return
         elif self.mode == "delay":
             self._loop.call_later(DELAY_S, lambda: self._send(pair, sink, data))
         else:
             self._send(pair, sink, data)
 
+    def _drops(self, is_answer: bool) -> bool:
+        return self.mode == "silence" or self.mode == (
+            "one_way" if is_answer else "deaf"
+        )
+
     def _send(self, pair, sink, data) -> None:
         if pair not in self._pairs:
             return
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,7 +16,7 @@
 from attrs import define, field
 
 from soak.checks import Seen
-from soak.proxy import FaultProxy
+from soak.proxy import MODES, FaultProxy
 from tests.fleet.platform import PlatformStandIn
 from tests.fleet.processes import FleetOfProcesses, configuration, until
 
@@ -56,17 +56,24 @@
     seconds : float
         Length of the time with faults.
     routers : int, default=2
-        Routers; three controllers, two engines and two plain targets come with them.
+        Routers; two engines and two plain targets come with them.
+    controllers : int, default=3
+        Controllers, each with a proxy before its links.
     """
 
-    def __init__(self, seed: int, seconds: float, routers: int = 2) -> None:
+    def __init__(
+        self, seed: int, seconds: float, routers: int = 2, controllers: int = 3
+    ) -> None:
         self._rng = random.Random(seed)
         self._seconds = seconds
         self._folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self._platform = PlatformStandIn()
         self._fleet = FleetOfProcesses(self._folder, self._platform)
         self._routers = routers
+        self._controllers = controllers
+        self._is_wiped = False
         self._proxies: dict[str, FaultProxy] = {}
+        self._links: list[FaultProxy] = []
         self._seen = Seen()
         self._report = Report(seed, 0, 0, folder=self._folder)
         self._is_over = threading.Event()
@@ -103,7 +110,10 @@
         for number in (1, 2):
             self._add(f"llm-{number}", "llm", 1)
             self._add(f"desk-{number}", "desk", None)
-        self._fleet.start(routers=self._routers)
+        self._fleet.has_link_proxies = True
+        self._fleet.start(self._controllers, self._routers)
+        for controller in self._fleet.controllers:
+            self._add_link_proxy(controller)
         assert self._fleet.put(configuration(self._version)).status == 200
         self._seen.acked(self._version)
         self._fleet.wait_ready()
@@ -118,6 +128,13 @@
         loop.call_soon(proxy.start)
         target.listed_address = str(proxy.address)
 
+    def _add_link_proxy(self, controller) -> None:
+        listen = self._fleet.links_address(controller.ip)
+        behind = self._fleet.links_address(controller.ip, is_own=True)
+        proxy = FaultProxy(self._platform.loop, behind, listen)
+        self._links.append(proxy)
+        self._platform.loop.call_soon(proxy.start)
+
     # Callers and the operator.
 
     def _call(self, worker: int, draw: float) -> None:
@@ -152,15 +169,24 @@
     def _disturb(self) -> None:
         started = time.monotonic()
         while time.monotonic() - started < self._seconds:
-            fault = self._rng.choice(
-                (self._kill, self._freeze, self._stop, self._proxy, self._mood)
-            )
+            fault = self._rng.choice(self._faults())
             self._report.faults[fault.__name__.strip("_")] += 1
             fault()
             time.sleep(self._rng.uniform(0.1, PAUSE_S))
             self._end_due(time.monotonic())
         self._end_due(float("inf"))
 
+    def _faults(self) -> list:
+        faults = [
+            self._kill,
+            self._freeze,
+            self._stop,
+            self._proxy,
+            self._links_cut,
+            self._mood,
+        ]
+        return faults if self._is_wiped else [*faults, self._wipe]
+
     def _later(self, undo) -> None:
         self._ends.append((time.monotonic() + self._rng.uniform(0.2, LONGEST_S), undo))
 
@@ -207,10 +233,27 @@
                 process.kill()
         self._restart(process)
 
+    def _wipe(self) -> None:
+        """Let a controller lose its disk; a group of three bears that once."""
+        self._is_wiped = True
+        controller = self._rng.choice(self._fleet.controllers)
+        controller.kill()
+        shutil.rmtree(controller.data, ignore_errors=True)
+        text = controller.settings.read_text()
+        controller.settings.write_text(
+            text.replace("founds-group = true", "founds-group = no")
+        )
+        self._later(lambda: self._restart(controller))
+
     def _proxy(self) -> None:
-        proxy = self._rng.choice(list(self._proxies.values()))
-        mode = self._rng.choice(("delay", "reset", "one_way", "silence"))
-        self._set(proxy, mode)
+        self._disturb_proxy(self._rng.choice(list(self._proxies.values())))
+
+    def _links_cut(self) -> None:
+        """Disturb the links of routers and other controllers to one controller."""
+        self._disturb_proxy(self._rng.choice(self._links))
+
+    def _disturb_proxy(self, proxy: FaultProxy) -> None:
+        self._set(proxy, self._rng.choice([mode for mode in MODES if mode != "ok"]))
         self._later(lambda: self._set(proxy, "ok"))
 
     def _set(self, proxy: FaultProxy, mode: str) -> None:
--- a/tests/fleet/processes.py
+++ b/tests/fleet/processes.py
@@ -15,6 +15,7 @@
 
 from attrs import define, field
 
+from berylnotch.util.address import Address
 from tests.fleet.platform import MODEL, PlatformStandIn
 
 #: Longest wait for a condition, in seconds; conditions usually hold at once.
@@ -31,7 +32,7 @@
 directory = {directory}
 internal-ports = {internal},{last}
 seeds = {seeds}
-founds-group = {founds}
+{links_listen}founds-group = {founds}
 data = {data}
 target-list = {target_list}
 target-list-period-s = 0.1
@@ -181,11 +182,14 @@
     controllers: list[FleetProcess] = field(factory=list)
     routers: list[FleetProcess] = field(factory=list)
     base_port: int = 0
+    #: Whether a proxy stands before each controller's links.
+    has_link_proxies: bool = False
 
     def start(self, controllers: int = 3, routers: int = 2) -> None:
+        # Addresses and ports by process, so that runs beside each other do not meet.
         net = (os.getpid() * 7 + id(self)) % 200 + 20
         self.base_port = 20000 + (os.getpid() * 31) % 20000
-        ips = [f"127.{net}.0.{number + 1}" for number in range(20)]
+        ips = [f"127.{net}.0.{number + 1}" for number in range(250)]
         for number in range(controllers):
             self.controllers.append(
                 self._process(f"core-{number + 1}", "controller", ips[number], ips)
@@ -212,6 +216,7 @@
                 internal=base + 10,
                 last=base + 15,
                 seeds=seeds,
+                links_listen=self._links_listen(role, ip),
                 founds="true" if founds else "false",
                 data="" if is_router else data,
                 target_list=self.platform.list_address,
@@ -221,6 +226,16 @@
         log = self.folder / f"{name}.log"
         return FleetProcess(name, role, ip, port, settings, log, data)
 
+    def _links_listen(self, role: str, ip: str) -> str:
+        """Return the setting of a controller whose links come through a proxy."""
+        if role == "router" or not self.has_link_proxies:
+            return ""
+        return f"links-listen = {self.links_address(ip, is_own=True)}\n"
+
+    def links_address(self, ip: str, is_own: bool = False) -> Address:
+        """Return where links to a controller are opened, or where it accepts them."""
+        return Address(ip, self.base_port + (14 if is_own else 10))
+
     def close(self) -> None:
         for process in (*self.controllers, *self.routers):
             if process.process is not None and process.process.poll() is None:
