--- a/berylnotch/cmd/why_request.py
+++ b/berylnotch/cmd/why_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import os
 import re
 import sys
 from collections.abc import Iterable, Sequence
@@ -49,6 +50,9 @@
 #: Fields that name a target.
 _TARGET_FIELDS = ("target",)
 
+#: Fields that differ between processes with the same belief.
+_OWN_FIELDS = frozenset(("time", "process", "age_s", "took_s", "list_age_s"))
+
 _FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 
 
@@ -101,6 +105,30 @@
     return sorted(near, key=lambda line: line.at)
 
 
+def grouped(lines: Iterable[LogLine]) -> list[str]:
+    """Return texts of lines; what many processes came to believe stands once.
+
+    A changed configuration is a line of each router. Only the first one of the same
+    event and fields is kept, with the number of others and the time of the last.
+    """
+    groups: dict[tuple[tuple[str, str], ...], list[LogLine]] = {}
+    for line in lines:
+        key = tuple(
+            (name, value)
+            for name, value in line.fields.items()
+            if name not in _OWN_FIELDS
+        )
+        groups.setdefault(key, []).append(line)
+    texts = []
+    for first, *others in groups.values():
+        text = first.text
+        if others:
+            after_s = others[-1].at - first.at
+            text += f" (and {len(others)} more within {after_s:.3f} s)"
+        texts.append(text)
+    return texts
+
+
 def summary(own: list[LogLine]) -> str:
     """Return what became of a request, in one sentence."""
     end = next(
@@ -145,14 +173,20 @@
     for line in own:
         print(f"  {line.text}")
     print("around it:")
-    for line in lines_near(own, lines):
-        print(f"  {line.text}")
+    for text in grouped(lines_near(own, lines)):
+        print(f"  {text}")
     return EXIT_OK
 
 
 def run() -> None:
-    """Run the tool as a program."""
-    sys.exit(main())
+    """Run the tool as a program; a reader that stops early is no error."""
+    try:
+        code = main()
+        sys.stdout.flush()
+    except BrokenPipeError:
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = EXIT_OK
+    sys.exit(code)
 
 
 def _read(paths: Iterable[Path]) -> Iterable[LogLine]:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -53,6 +53,12 @@
         """Accept connections."""
         self._acceptor.start()
 
+    def close(self) -> None:
+        """Accept no more, and end what is open."""
+        self._acceptor.close()
+        for pair in tuple(self._pairs):
+            self._end(pair)
+
     def set_mode(self, mode: str) -> None:
         """Change the fault; ``reset`` also ends what is open."""
         self.mode = mode
--- a/soak/run.py
+++ b/soak/run.py
@@ -30,6 +30,9 @@
 #: Moods of targets that a soak brings about.
 MOODS = ("refuse", "error", "hang", "reset", "cut", "no_stamp", "foreign")
 
+#: Longest wait for the proxies to close, in seconds.
+CLOSE_S = 2.0
+
 #: Seconds between two faults, and the longest that one lasts.
 PAUSE_S, LONGEST_S = 0.6, 2.5
 
@@ -103,6 +106,7 @@
         finally:
             self._is_over.set()
             self._fleet.close()
+            self._close_proxies()
             self._platform.close()
         return self._finish()
 
@@ -128,6 +132,17 @@
         loop.call_soon(proxy.start)
         target.listed_address = str(proxy.address)
 
+    def _close_proxies(self) -> None:
+        done = threading.Event()
+
+        def close() -> None:
+            for proxy in (*self._proxies.values(), *self._links):
+                proxy.close()
+            done.set()
+
+        self._platform.loop.call_soon(close)
+        done.wait(timeout=CLOSE_S)
+
     def _add_link_proxy(self, controller) -> None:
         listen = self._fleet.links_address(controller.ip)
         behind = self._fleet.links_address(controller.ip, is_own=True)
