--- a/berylnotch/daemon/fleet/updates.py
+++ b/berylnotch/daemon/fleet/updates.py
@@ -42,13 +42,18 @@
     """Take over the other routers' loads: the sums without what this one reported."""
     own = {load.target_id: load for load in own_loads}
     totals = {load.target_id: load for load in update.loads}
-    for target in context.targets.all():
-        none = TargetLoad(target.target_id, 0)
-        total = totals.get(target.target_id, none)
-        mine = own.get(target.target_id, none)
+    named = {*totals, *update.suspects}
+    # Of thousands of targets most are named neither now nor the time before.
+    for target_id in named | context.loaded_targets:
+        target = context.targets.get(target_id)
+        if target is None:
+            continue
+        none = TargetLoad(target_id, 0)
+        total, mine = totals.get(target_id, none), own.get(target_id, none)
         target.others_in_flight = max(0, total.requests - mine.requests)
         target.others_unread = max(0, total.unread - mine.unread)
-        target.is_suspect = target.target_id in update.suspects
+        target.is_suspect = target_id in update.suspects
+    context.loaded_targets = named
 
 
 def take_prompts(context: EntryContext, notes: Iterable[PromptNote]) -> None:
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -59,6 +59,8 @@
         Stores that cannot be reached.
     router_count : int
         Routers that take requests.
+    loaded_targets : set of str
+        Targets that the newest sums of loads named.
     ask_quota : callable
         Asks the quota owner soon.
     """
@@ -78,6 +80,7 @@
     names: WeightsNames = field(factory=WeightsNames)
     down_stores: frozenset[str] = frozenset()
     router_count: int = 1
+    loaded_targets: set[str] = field(factory=set)
     ask_quota: Callable[[], None] = lambda: None
     _budgets: dict[str, RetryBudget] = field(factory=dict)
 
--- /dev/null
+++ b/tests/test_daemon/test_fleet_updates.py
@@ -0,0 +1,46 @@
+"""What a router takes over from the leader's messages."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from berylnotch.daemon.fleet.updates import take_loads
+from berylnotch.entry.settings import EntrySettings
+from berylnotch.entry.targets import TargetTable
+from berylnotch.group.messages import LoadsUpdate, TargetEntry, TargetLoad
+from berylnotch.membership.listing import ListedTarget
+from berylnotch.util.loop import Loop
+
+
+@pytest.fixture
+def context():
+    table = TargetTable(Loop("unused"), EntrySettings())
+    table.update(
+        TargetEntry(ListedTarget(name, "llm", "10.0.0.1:80", "d")) for name in "abc"
+    )
+    return SimpleNamespace(targets=table, loaded_targets=set())
+
+
+def _others(context):
+    return {t.target_id: t.others_in_flight for t in context.targets.all()}
+
+
+def test_own_requests_are_taken_out_of_the_sums(context):
+    update = LoadsUpdate((TargetLoad("a", 5, 900), TargetLoad("b", 2)))
+    take_loads(context, update, [TargetLoad("a", 2, 300), TargetLoad("b", 3)])
+    assert _others(context) == {"a": 3, "b": 0, "c": 0}
+    assert context.targets.get("a").others_unread == 600
+
+
+def test_a_target_that_is_not_named_any_more_has_no_load(context):
+    take_loads(context, LoadsUpdate((TargetLoad("a", 5),), ("b",)), [])
+    assert context.targets.get("b").is_suspect
+    take_loads(context, LoadsUpdate((TargetLoad("c", 1),)), [])
+    assert _others(context) == {"a": 0, "b": 0, "c": 1}
+    assert not context.targets.get("b").is_suspect
+
+
+def test_a_target_that_is_unknown_is_left_out(context):
+    take_loads(context, LoadsUpdate((TargetLoad("x", 5),), ("y",)), [])
+    take_loads(context, LoadsUpdate(()), [])
+    assert _others(context) == {"a": 0, "b": 0, "c": 0}
