--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -45,6 +45,13 @@
 #: the time in which routers must know of them.
 PUSH_S = 0.01
 
+#: Seconds in which notes of prompts are gathered, for each router: the leader sends
+#: about 1,400 messages with them a second at the most.
+PROMPTS_PER_ROUTER_S = 0.0007
+
+#: Shortest time in which they are gathered, in seconds: some times that of a hop.
+MIN_PROMPTS_S = 0.01
+
 #: Shortest and longest time between two sums, in seconds.
 MIN_LOADS_S, MAX_LOADS_S = 0.1, 0.3
 
@@ -91,6 +98,7 @@
         self._may_order = False
         self._is_closed = False
         self._is_push_due = False
+        self._is_prompts_due = False
         self._rollout = WeightsRollout(
             loop,
             self._board,
@@ -156,6 +164,15 @@
     def take_report(self, link: Link, report: RouterReport) -> None:
         """Take a router's report."""
         self.registry.take(link, report)
+        if report.prompts and not self._is_prompts_due:
+            self._is_prompts_due = True
+            pause_s = max(MIN_PROMPTS_S, PROMPTS_PER_ROUTER_S * self.registry.count)
+            self._loop.call_later(pause_s, self._push_prompts)
+
+    def _push_prompts(self) -> None:
+        self._is_prompts_due = False
+        if not self._is_closed:
+            self.registry.push_prompts()
 
     def grant(self, link: Link, request: GrantRequest) -> None:
         """Answer a router's request for tokens."""
--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -64,6 +64,8 @@
         self._roster_feed = Feed()
         self._is_roster_complete = False
         self._loads = LoadsUpdate(())
+        #: Whether routers added the loads of notes to the newest sums.
+        self._has_added_loads = False
         self._crashes: dict[CrashMark, None] = {}
         self._prompts: list[PromptNote] = []
 
@@ -146,7 +148,7 @@
         )
 
     def push_loads(self) -> None:
-        """Send the sums of all routers' loads, if they changed."""
+        """Send the sums of all loads, if they differ from what routers hold."""
         requests: Counter[str] = Counter()
         unread: Counter[str] = Counter()
         for router in self._routers.values():
@@ -157,11 +159,16 @@
             tuple(TargetLoad(t, n, unread[t]) for t, n in sorted(requests.items())),
             tuple(sorted(self._left_out(SUSPECT_ROUTERS))),
         )
-        if update != self._loads:
+        if update != self._loads or self._has_added_loads:
             self._loads = update
+            self._has_added_loads = False
             self._send_all(update)
+
+    def push_prompts(self) -> None:
+        """Send the routers' notes of prompts to all routers."""
         if self._prompts:
             notes, self._prompts = tuple(self._prompts), []
+            self._has_added_loads = True
             self._send_all(PromptsUpdate(notes))
 
     def requests(self) -> dict[str, int]:
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -62,6 +62,10 @@
 #: Shortest time between two reports, in seconds.
 REPORT_S = 0.15
 
+#: Seconds in which a router that sent a long prompt reports, so that prompts of the
+#: same moment go in one message.
+REPORT_SOON_S = 0.01
+
 #: Seconds between two looks at what waits for tokens.
 QUOTA_S = 0.05
 
@@ -126,6 +130,7 @@
             prompts=PromptMemory(),
             crashes=CrashGuard(entry_settings.membership),
             ask_quota=self._ask_quota_soon,
+            report_soon=self._report_soon,
         )
         self._started_at = boot_time()
         self._incarnation = os.urandom(8).hex()
@@ -135,6 +140,7 @@
         self._sent_loads: tuple[TargetLoad, ...] = ()
         self._quota_sent_at = 0.0
         self._is_quota_due = False
+        self._is_report_due = False
         self._targets_at = 0.0
         self._link = LeaderLink(
             loop,
@@ -284,6 +290,15 @@
         self._loop.call_later(pause_s, self._report_on)
         self._report()
 
+    def _report_soon(self) -> None:
+        if not self._is_report_due:
+            self._is_report_due = True
+            self._loop.call_later(REPORT_SOON_S, self._report_due)
+
+    def _report_due(self) -> None:
+        if self._is_report_due:
+            self._report()
+
     def _report(self) -> None:
         loads = tuple(
             TargetLoad(target.target_id, target.in_flight, target.unread)
@@ -292,7 +307,10 @@
         )
         self._sent_loads = loads
         routes = self._context.routes
+        self._is_report_due = False
         crashes, self._context.crash_marks = self._context.crash_marks, []
+        notes = self._context.prompts.take_notes()
+        self._context.own_notes.extend(notes)
         self._link.send(
             RouterReport(
                 self._settings.name,
@@ -303,7 +321,7 @@
                 routes.version if routes else 0,
                 loads,
                 crashes=tuple(crashes),
-                prompts=self._context.prompts.take_notes(),
+                prompts=notes,
                 ejected=tuple(
                     target.target_id
                     for target in self._context.targets.all()
--- a/berylnotch/daemon/fleet/updates.py
+++ b/berylnotch/daemon/fleet/updates.py
@@ -57,10 +57,19 @@
 
 
 def take_prompts(context: EntryContext, notes: Iterable[PromptNote]) -> None:
-    """Take over where other routers had prompts read or saved."""
+    """Take over where other routers had prompts read or saved.
+
+    What a target has yet to read counts at once; the next sums of loads replace it.
+    """
     now = boot_time()
     for note in notes:
+        if note in context.own_notes:
+            continue
         target = context.targets.get(note.holder)
+        if target is not None and not note.is_ready:
+            target.others_in_flight += 1
+            target.others_unread += note.unread
+            context.loaded_targets.add(note.holder)
         capacity = context.cache_tokens(target) if target else None
         if target is not None or ":" in note.holder:
             context.prompts.hear(now, note, capacity)
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -98,7 +98,9 @@
         self._connection = self._context.targets.connect(target, route.is_repeatable)
         target.in_flight += 1
         target.unread += self._unread
-        self._note_prompt(is_ready=False)
+        if self._note_prompt(is_ready=False):
+            # Other routers choose the same engine until they know of this one.
+            self._context.report_soon()
         self._sent_at = boot_time()
         target.ejection.sent(self._sent_at, self._number)
         self._connection.send(request, self)
@@ -318,22 +320,31 @@
                 self._target.target_id, self._told.cache_salt, parts[0].part_id
             )
 
-    def _note_prompt(self, is_ready: bool) -> None:
-        """Note where the shared part of the prompt is read, and saved."""
+    def _note_prompt(self, is_ready: bool) -> bool:
+        """Note where the shared part of the prompt is read, and saved.
+
+        Returns
+        -------
+        bool
+            Whether there is a long one.
+        """
         parts = self._admitted.caller.parts
         if len(parts) < 2 or parts[0].tokens < MIN_HOME_TOKENS:
-            return
+            return False
         salt, part, prompts = self._told.cache_salt, parts[0], self._context.prompts
         holder = self._target.target_id
         own = 0
         if not is_ready:
             own = max(0, self._admitted.caller.prompt_tokens - part.tokens)
-        note = PromptNote(salt, part.part_id, part.tokens, holder, own, is_ready)
+        note = PromptNote(
+            salt, part.part_id, part.tokens, holder, own, is_ready, self._unread
+        )
         capacity = self._context.cache_tokens(self._target)
         prompts.read(boot_time(), note, capacity)
         if is_ready and self._told.save_to:
             note = PromptNote(salt, part.part_id, part.tokens, self._told.save_to)
             prompts.saved(boot_time(), note)
+        return True
 
     def _count(self, result: str) -> None:
         self._context.metrics.count(
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 
 from attrs import define, field
@@ -11,7 +12,7 @@
 from berylnotch.entry.quota_gate import QuotaGate
 from berylnotch.entry.settings import EntrySettings
 from berylnotch.entry.targets import Target, TargetTable
-from berylnotch.group.messages import CrashMark
+from berylnotch.group.messages import CrashMark, PromptNote
 from berylnotch.membership.crashes import CrashGuard
 from berylnotch.membership.marks import SharedLosses
 from berylnotch.membership.naming import WeightsNames
@@ -22,6 +23,9 @@
 from berylnotch.util.loop import Loop
 from berylnotch.util.metrics import Metrics
 
+#: Own notes that are remembered: more than a router makes until they come back.
+MAX_OWN_NOTES = 64
+
 
 @define(eq=False)
 class EntryContext:
@@ -63,6 +67,10 @@
         Targets that the newest sums of loads named.
     ask_quota : callable
         Asks the quota owner soon.
+    report_soon : callable
+        Reports to the leader sooner than usual.
+    own_notes : deque of PromptNote
+        Newest notes of this router; the leader sends them to it as well.
     """
 
     settings: EntrySettings
@@ -82,6 +90,8 @@
     router_count: int = 1
     loaded_targets: set[str] = field(factory=set)
     ask_quota: Callable[[], None] = lambda: None
+    report_soon: Callable[[], None] = lambda: None
+    own_notes: deque[PromptNote] = field(factory=lambda: deque(maxlen=MAX_OWN_NOTES))
     _budgets: dict[str, RetryBudget] = field(factory=dict)
 
     def budget(self, service: str) -> RetryBudget:
--- a/berylnotch/group/messages.py
+++ b/berylnotch/group/messages.py
@@ -52,7 +52,8 @@
     ``salt`` separates cache entries that may not be shared. ``holder`` is a
     target's identity or a store's address. ``own_tokens`` are those of the rest of
     the prompt, which fill the target's memory as well. ``is_ready`` tells that it
-    was read, so that others may take it over from there.
+    was read, so that others may take it over from there; ``unread`` are the tokens
+    that the target has yet to read for it.
     """
 
     salt: str
@@ -61,6 +62,7 @@
     holder: str
     own_tokens: int = 0
     is_ready: bool = True
+    unread: int = 0
 
 
 @frozen
--- a/tests/test_daemon/test_fleet_registry.py
+++ b/tests/test_daemon/test_fleet_registry.py
@@ -6,6 +6,8 @@
     ROUTER_MESSAGES,
     ConfigurationUpdate,
     LoadsUpdate,
+    PromptNote,
+    PromptsUpdate,
     RouterReport,
     TargetLoad,
 )
@@ -85,3 +87,16 @@
     assert registry.unreachable() == {"t"}
     registry.push_loads()
     assert registry.requests() == {"t": 4}
+
+
+def test_sums_replace_what_routers_added_for_notes():
+    registry, link = RouterRegistry(FleetState(), Log()), Link()
+    note = PromptNote("v1", "p", 13_000, "t", 3_000, is_ready=False, unread=16_000)
+    registry.take(link, report("a", loads=(TargetLoad("t", 1, 500),)))
+    registry.push_loads()
+    registry.take(link, report("a", loads=(TargetLoad("t", 1, 500),), prompts=(note,)))
+    registry.push_prompts()
+    registry.push_loads()
+    registry.push_loads()
+    kinds = [type(m) for m in link.sent if isinstance(m, (LoadsUpdate, PromptsUpdate))]
+    assert kinds == [LoadsUpdate, LoadsUpdate, PromptsUpdate, LoadsUpdate]
--- a/tests/test_daemon/test_fleet_updates.py
+++ b/tests/test_daemon/test_fleet_updates.py
@@ -1,13 +1,15 @@
 """What a router takes over from the leader's messages."""
 
+from collections import deque
 from types import SimpleNamespace
 
 import pytest
 
-from berylnotch.daemon.fleet.updates import take_loads
+from berylnotch.daemon.fleet.updates import take_loads, take_prompts
+from berylnotch.entry.prompts import PromptMemory
 from berylnotch.entry.settings import EntrySettings
 from berylnotch.entry.targets import TargetTable
-from berylnotch.group.messages import LoadsUpdate, TargetEntry, TargetLoad
+from berylnotch.group.messages import LoadsUpdate, PromptNote, TargetEntry, TargetLoad
 from berylnotch.membership.listing import ListedTarget
 from berylnotch.util.loop import Loop
 
@@ -18,7 +20,13 @@
     table.update(
         TargetEntry(ListedTarget(name, "llm", "10.0.0.1:80", "d")) for name in "abc"
     )
-    return SimpleNamespace(targets=table, loaded_targets=set())
+    return SimpleNamespace(
+        targets=table,
+        loaded_targets=set(),
+        own_notes=deque(),
+        prompts=PromptMemory(),
+        cache_tokens=lambda target: 150_000,
+    )
 
 
 def _others(context):
@@ -44,3 +52,20 @@
     take_loads(context, LoadsUpdate((TargetLoad("x", 5),), ("y",)), [])
     take_loads(context, LoadsUpdate(()), [])
     assert _others(context) == {"a": 0, "b": 0, "c": 0}
+
+
+def _note(holder, **changes):
+    values = {"own_tokens": 3_700, "is_ready": False, "unread": 17_000, **changes}
+    return PromptNote("v1", "p", 13_300, holder, **values)
+
+
+def test_a_note_counts_at_once_until_the_next_sums(context):
+    own = _note("b")
+    context.own_notes.append(own)
+    notes = (_note("a"), own, _note("c", is_ready=True, unread=0), _note("x"))
+    take_prompts(context, notes)
+    assert _others(context) == {"a": 1, "b": 0, "c": 0}
+    assert context.targets.get("a").others_unread == 17_000
+    take_loads(context, LoadsUpdate((TargetLoad("b", 1),)), [])
+    assert _others(context) == {"a": 0, "b": 1, "c": 0}
+    assert context.targets.get("a").others_unread == 0
