--- a/benchmarks/clairvoyant.py
+++ b/benchmarks/clairvoyant.py
@@ -4,8 +4,8 @@
 --target-ms 863 --late-part 0.306``. It reads the ``sent`` lines of routers' logs, and
 plays the first sends of streams again: each engine reads one prompt after the other,
 and every opening is read once for each version of weights, then copied. Each request
-goes to the engine that will have read it first. No engine is lost, none is away to
-load weights, and no price is paid, so the figures are upper bounds.
+goes to the engine that will have read it first. Engines are away, and come back empty,
+only as ``--away`` tells, and no price is paid, so the figures are upper bounds.
 """
 
 from __future__ import annotations
@@ -69,6 +69,15 @@
     held: OrderedDict[tuple[str, int], None] = field(factory=OrderedDict)
 
 
+@frozen
+class Absence:
+    """Engines that are away at the same time, in seconds from the first arrival."""
+
+    start_s: float
+    end_s: float
+    count: int
+
+
 @frozen
 class Bound:
     """First events of long prompts, in parts of all of them.
@@ -111,6 +120,7 @@
     memory_tokens: int,
     target_s: float,
     late_part: float,
+    absences: Sequence[Absence] = (),
 ) -> Bound:
     """Play the arrivals with full knowledge.
 
@@ -126,10 +136,22 @@
         Target latency of long prompts in seconds.
     late_part : float
         Credit of a late answer, in parts of one in time.
+    absences : sequence of Absence
+        When engines are away; each time it is the turn of the next ones.
     """
+    arrivals = list(arrivals)
     fleet = [Engine() for _ in range(engines)]
-    count = in_time = 0
+    start_s = arrivals[0].at_s if arrivals else 0.0
+    waiting = sorted(absences, key=lambda absence: absence.start_s)
+    count = in_time = turn = 0
     for arrival in arrivals:
+        while waiting and start_s + waiting[0].start_s <= arrival.at_s:
+            absence = waiting.pop(0)
+            for _ in range(absence.count):
+                engine = fleet[turn % engines]
+                engine.free_at_s = max(engine.free_at_s, start_s + absence.end_s)
+                engine.held.clear()
+                turn += 1
         key = (arrival.opening, arrival.version)
         is_known = arrival.is_long and any(key in engine.held for engine in fleet)
         best = min(fleet, key=lambda e: _done_at(e, arrival, key, is_known))
@@ -171,6 +193,15 @@
         engine.held.popitem(last=False)
 
 
+def _absence(text: str) -> Absence:
+    """Read an absence of the command line."""
+    try:
+        start, end, count = text.split(":")
+        return Absence(float(start), float(end), int(count))
+    except ValueError as error:
+        raise argparse.ArgumentTypeError(f"{text!r} is no START:END:COUNT") from error
+
+
 def get_parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
     parser = argparse.ArgumentParser(prog="clairvoyant", description=__doc__)
@@ -179,6 +210,14 @@
     parser.add_argument("--memory", type=int, required=True, help="tokens an engine")
     parser.add_argument("--target-ms", type=float, required=True)
     parser.add_argument("--late-part", type=float, required=True)
+    parser.add_argument(
+        "--away",
+        type=_absence,
+        action="append",
+        default=[],
+        metavar="START:END:COUNT",
+        help="engines away, in seconds from the first arrival; may be repeated",
+    )
     return parser
 
 
@@ -194,6 +233,7 @@
         args.memory,
         args.target_ms / 1000,
         args.late_part,
+        args.away,
     )
     print(
         f"long prompts {bound.count}, in time {bound.in_time:.3f}, "
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -7,7 +7,8 @@
 
 from attrs import define, field
 
-from berylnotch.admission.retry import RetryBudget, RetrySettings
+from berylnotch.admission.retry import RetrySettings
+from berylnotch.admission.window import WindowBudget
 from berylnotch.entry.prompts import PromptMemory
 from berylnotch.entry.quota_gate import QuotaGate
 from berylnotch.entry.settings import EntrySettings
@@ -23,6 +24,10 @@
 from berylnotch.util.loop import Loop
 from berylnotch.util.metrics import Metrics
 
+#: Routers among which the slack of retries is shared until their number is known: that
+#: of a middle-sized fleet, as all may start again at the same moment.
+ASSUMED_ROUTERS = 24
+
 #: Own notes that are remembered: more than a router makes until they come back.
 MAX_OWN_NOTES = 64
 
@@ -63,6 +68,8 @@
         Stores that cannot be reached.
     router_count : int
         Routers that take requests.
+    is_roster_known : bool
+        Whether a leader has told how many there are.
     loaded_targets : set of str
         Targets that the newest sums of loads named.
     ask_quota : callable
@@ -88,17 +95,19 @@
     names: WeightsNames = field(factory=WeightsNames)
     down_stores: frozenset[str] = frozenset()
     router_count: int = 1
+    is_roster_known: bool = False
     loaded_targets: set[str] = field(factory=set)
     ask_quota: Callable[[], None] = lambda: None
     report_soon: Callable[[], None] = lambda: None
     own_notes: deque[PromptNote] = field(factory=lambda: deque(maxlen=MAX_OWN_NOTES))
-    _budgets: dict[str, RetryBudget] = field(factory=dict)
+    _budgets: dict[str, WindowBudget] = field(factory=dict)
 
-    def budget(self, service: str) -> RetryBudget:
+    def budget(self, service: str) -> WindowBudget:
         """Return the retry budget of a service, at this router."""
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryBudget(self._retry_settings())
+            window_s = self.fleet.bounds.retry_window_s
+            budget = WindowBudget(self._retry_settings(), window_s)
             self._budgets[service] = budget
         return budget
 
@@ -122,19 +131,26 @@
 
     def budgets_left(self) -> dict[str, float]:
         """Return the retries that each service's budget allows now."""
-        return {service: budget.balance for service, budget in self._budgets.items()}
+        now = boot_time()
+        return {service: b.balance(now) for service, b in self._budgets.items()}
 
     def resize_budgets(self, router_count: int) -> None:
         """Share the fleet's slack between this many routers."""
         self.router_count = max(1, router_count)
+        self.is_roster_known = True
         for budget in self._budgets.values():
             budget.resize(self._retry_settings())
 
     def _retry_settings(self) -> RetrySettings:
         bounds, part = self.fleet.bounds, self.settings.retry_part
-        reserve = bounds.retry_slack * part / self.router_count
+        routers = self.router_count
+        if not self.is_roster_known:
+            routers = max(routers, ASSUMED_ROUTERS)
+        share = bounds.retry_slack / routers
+        # Less than one retry would need many requests before the first.
+        reserve = max(share * part, min(1.0, share))
         return RetrySettings(
             max_attempts=self.settings.max_sends,
             ratio=bounds.retry_ratio * part,
-            reserve=max(1.0, reserve),
+            reserve=reserve,
         )
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -115,7 +115,8 @@
         if outcome is Charge.OVER_LIMIT:
             self._refuse(429, Reason.LIMIT, "over the limit", retry_s)
         elif outcome is Charge.UNKNOWN:
-            self._refuse(503, Reason.NO_GRANT, "no tokens in time", None)
+            retry_s = self._context.settings.grant_retry_s
+            self._refuse(503, Reason.NO_GRANT, "no tokens in time", retry_s)
         else:
             self._begin()
 
@@ -129,7 +130,7 @@
         if context.crashes.is_refused(boot_time(), self._fingerprint, context.losses):
             self._fail(502, Reason.CRASHES, "three targets were lost with it")
             return
-        self._context.budget(self._service).earn()
+        self._context.budget(self._service).earn(boot_time())
         self._send()
 
     # Choice.
@@ -190,7 +191,7 @@
     def may_move(self) -> bool:
         """Tell whether another target and the budget allow one more attempt."""
         has_attempts = self._progress.runs + 1 < self._admitted.route.max_attempts
-        has_budget = self._context.budget(self._service).has_room
+        has_budget = self._context.budget(self._service).has_room(boot_time())
         has_time = self._left_s > MIN_MOVE_S
         return has_attempts and has_budget and has_time and self._has_other_target()
 
@@ -232,7 +233,7 @@
         may_repeat = route.is_repeatable and self._progress.runs < route.max_attempts
         if is_failure and may_repeat:
             if self._left_s > MIN_LEFT_S and self._has_other_target():
-                if self._context.budget(self._service).spend():
+                if self._context.budget(self._service).spend(boot_time()):
                     self._note_retry(result, f"status {status}")
                     self._send()
                     return
@@ -265,7 +266,7 @@
             # The budget counts what arrives at targets, and this did not.
             self._note_retry(result, reason)
             self._send()
-        elif not self._context.budget(self._service).spend():
+        elif not self._context.budget(self._service).spend(boot_time()):
             self._give_up(Reason.BUDGET, reason)
         else:
             self._note_retry(result, reason)
--- a/berylnotch/entry/settings.py
+++ b/berylnotch/entry/settings.py
@@ -34,6 +34,9 @@
         they do not know of each other.
     retry_after_s : float, default=0.5
         When a refused caller shall come back if nothing better is known.
+    grant_retry_s : float, default=1.0
+        When a caller for whom no tokens came shall come back: what is then left of a
+        usual change of leader, which takes about 1.5 s in all.
     stale_weights_s : float, default=12.0
         Time after new weights were named in which engines still serve older ones.
     fresh_weights_s : float, default=1.2
@@ -67,6 +70,7 @@
     max_sends: int = 4
     retry_part: float = 0.8
     retry_after_s: float = 0.5
+    grant_retry_s: float = 1.0
     stale_weights_s: float = 12.0
     fresh_weights_s: float = 1.2
     quota_wait_s: float = 0.45
--- a/tests/test_benchmarks/test_clairvoyant.py
+++ b/tests/test_benchmarks/test_clairvoyant.py
@@ -1,6 +1,13 @@
 import pytest
 
-from benchmarks.clairvoyant import Arrival, Bound, play, read_arrivals
+from benchmarks.clairvoyant import (
+    Absence,
+    Arrival,
+    Bound,
+    get_parser,
+    play,
+    read_arrivals,
+)
 
 LINE = (
     "time=2026-08-10T04:36:{at:06.3f}Z level=INFO process=router/r event=sent id={id} "
@@ -39,5 +46,21 @@
     assert play(arrivals, 1, 140_000, 1.0, 0.0).in_time == pytest.approx(2 / 6)
 
 
+def test_an_engine_that_was_away_comes_back_empty():
+    arrivals = [Arrival(at / 2, 17_020, "p", 1) for at in range(4)]
+    assert play(arrivals, 1, 140_000, 0.3, 0.0).in_time == 3 / 4
+    away = [Absence(0.9, 1.2, 1)]
+    # The third waits for the engine and reads all again, the fourth is in time.
+    assert play(arrivals, 1, 140_000, 0.3, 0.0, away).in_time == 2 / 4
+    assert main_parts("1:2.5:3") == Absence(1.0, 2.5, 3)
+    with pytest.raises(SystemExit):
+        main_parts("soon")
+
+
+def main_parts(text):
+    common = "log --engines 1 --memory 1 --target-ms 1 --late-part 0".split()
+    return get_parser().parse_args([*common, "--away", text]).away[0]
+
+
 def test_nothing_arrived():
     assert play([], 3, 140_000, 1.0, 0.3).count == 0
--- a/tests/test_entry/test_exchange.py
+++ b/tests/test_entry/test_exchange.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from berylnotch.daemon.fleet.follower import RETRY_S
+from berylnotch.daemon.fleet.replica_host import CONSENSUS
 from berylnotch.entry.admitted import Admitted
 from berylnotch.entry.context import EntryContext
 from berylnotch.entry.exchange import Exchange
@@ -19,8 +21,10 @@
 from berylnotch.platform.requests import decode_request
 from berylnotch.quota.bounds import FLEET_QUOTA
 from berylnotch.quota.local import LocalQuota
+from berylnotch.routing.model import Organisation
 from berylnotch.routing.table import RouteTable
 from berylnotch.settings.fleet import FleetBounds
+from berylnotch.transport.link import LinkSettings
 from berylnotch.util.clock import boot_time
 from berylnotch.util.loop import Loop
 from berylnotch.util.metrics import Metrics
@@ -82,7 +86,7 @@
     return made
 
 
-def make_exchange(context, **changes):
+def make_exchange(context, organisation=None, **changes):
     headers = Headers(
         (
             ("Host", "app.example"),
@@ -96,7 +100,7 @@
     for name, value in changes.items():
         setattr(request, name, value)
     route = context.routes.route("app.example", request.path)
-    admitted = Admitted(request, decode_request(request), route, None)
+    admitted = Admitted(request, decode_request(request), route, organisation)
     connection, ended = Connection(), []
     exchange = Exchange(context, connection, admitted, ended.append)
     exchange.start()
@@ -137,3 +141,17 @@
     status, headers, _ = connection.answers[0]
     assert status == 503 and float(headers.get("Retry-After")) > 1
     assert context.log.events[-1][1]["reason"].startswith("too-late")
+
+
+def test_without_the_owner_of_limits_callers_come_back_when_there_is_one(context):
+    alpha = Organisation("alpha", ("k",), 0, 50_000, 100_000, True, 200)
+    _, connection, ended = make_exchange(context, organisation=alpha)
+    assert connection.answers == []
+    waited_s = context.settings.quota_wait_s
+    context.gate.serve(boot_time() + waited_s)
+    status, headers, _ = connection.answers[0]
+    assert status == 503 and len(ended) == 1
+    # The next owner is elected by then, and routers have left the silent one.
+    failover_s = max(CONSENSUS.election_max_s, LinkSettings().silence_s) + RETRY_S
+    assert waited_s + float(headers.get("Retry-After")) >= failover_s
+    assert context.log.events[-1][1]["reason"].startswith("no-grant")
