fleet: changes of the roster are gathered; a leader that sends heartbeats gets 2 s to answer

At 300 each controller got 150 new connections a second: each router that came or left sent a message to all others (90,000 when all start again), the leader answered late, routers left it after 0.8 s and came again.

--- a/berylnotch/daemon/fleet/follower.py
+++ b/berylnotch/daemon/fleet/follower.py
@@ -16,9 +16,10 @@
 #: Pause in seconds before the next controller is asked.
 RETRY_S = 0.1
 
-#: Seconds in which a controller must answer a first report. A new leader answers all
-#: routers at the same time, and their configuration may be large.
-ANSWER_S = 0.8
+#: Seconds in which a controller must answer a first report, though it sends heartbeats.
+#: A new leader answers all routers at the same time, some ms each, and one that comes
+#: again because it did not wait adds to that.
+ANSWER_S = 2.0
 
 #: Seconds for which a controller that did not answer is asked last.
 UNANSWERED_S = 1.5
--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -28,6 +28,10 @@
 #: its roster.
 ROSTER_S = 1.5
 
+#: Seconds in which changes of the roster are gathered, for each router. When all start
+#: again, each of them is a change that goes to all the others.
+ROSTER_PER_ROUTER_S = 0.0005
+
 #: Seconds beyond the lease of orders that a new leader waits; timers may be late.
 ORDER_MARGIN_S = 0.3
 
@@ -91,7 +95,7 @@
         self._names = names
         self._log = log
         self._board = TargetBoard()
-        self.registry = RouterRegistry(state, log)
+        self.registry = RouterRegistry(state, log, self._push_roster_soon)
         self._quota = QuotaOwner(FLEET_QUOTA, host.term, boot_time())
         self._limits = {}
         self._limits_version = 0
@@ -99,6 +103,7 @@
         self._is_closed = False
         self._is_push_due = False
         self._is_prompts_due = False
+        self._is_roster_due = False
         self._rollout = WeightsRollout(
             loop,
             self._board,
@@ -235,6 +240,17 @@
 
         self._host.propose(command, done)
 
+    def _push_roster_soon(self) -> None:
+        if not self._is_roster_due:
+            self._is_roster_due = True
+            pause_s = ROSTER_PER_ROUTER_S * self.registry.count
+            self._loop.call_later(pause_s, self._push_roster)
+
+    def _push_roster(self) -> None:
+        self._is_roster_due = False
+        if not self._is_closed:
+            self.registry.push_roster()
+
     def _complete_roster(self) -> None:
         if not self._is_closed:
             self.registry.complete_roster()
--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 
 from attrs import define, evolve
 
@@ -50,11 +51,19 @@
         Configuration in force.
     log : EventLog
         Log of the process.
+    roster_changed : callable, optional
+        Called when `push_roster` has something to send; by default it is sent at once.
     """
 
-    def __init__(self, state: FleetState, log: EventLog) -> None:
+    def __init__(
+        self,
+        state: FleetState,
+        log: EventLog,
+        roster_changed: Callable[[], None] | None = None,
+    ) -> None:
         self._state = state
         self._log = log
+        self._roster_changed = roster_changed or self.push_roster
         self._routers: dict[str, _Router] = {}
         self._targets: TargetsUpdate | None = None
         self._packed_targets = b""
@@ -94,7 +103,7 @@
         if is_new:
             self._welcome(router)
         if is_new or was_leaving != report.is_leaving:
-            self.push_roster()
+            self._roster_changed()
         self._take_crashes(report)
         self._prompts.extend(report.prompts)
 
@@ -104,7 +113,7 @@
             if router.link is link:
                 del self._routers[key]
                 self._log.warning("router_lost", router=router.report.name, why=reason)
-                self.push_roster()
+                self._roster_changed()
 
     def push_configuration(self) -> None:
         """Send the configuration in force to every router that lacks it."""
--- a/tests/test_daemon/test_fleet_feed.py
+++ b/tests/test_daemon/test_fleet_feed.py
@@ -81,3 +81,18 @@
     assert rosters[2] == RosterUpdate((), ("a:1",), is_whole=False)
     first = [m for m in a.sent if isinstance(m, RosterUpdate)][0]
     assert first.is_whole
+
+
+def test_routers_that_come_together_are_one_change_of_the_roster():
+    changes = []
+    registry = RouterRegistry(FleetState(), Log(), lambda: changes.append(1))
+    registry.complete_roster()
+    links = [Link() for _ in range(50)]
+    for number, link in enumerate(links):
+        registry.take(link, report(f"r{number}"))
+    assert len(changes) == 50
+    registry.push_roster()
+    rosters = [m for m in links[0].sent if isinstance(m, RosterUpdate)]
+    # The welcome, and one message for all that came since.
+    assert len(rosters) == 2
+    assert len(rosters[1].routers) == 50
