--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -308,7 +308,6 @@
         self._sent_loads = loads
         routes = self._context.routes
         self._is_report_due = False
-        now = boot_time()
         crashes, self._context.crash_marks = self._context.crash_marks, []
         notes = self._context.prompts.take_notes()
         self._context.own_notes.extend(notes)
@@ -326,7 +325,7 @@
                 ejected=tuple(
                     target.target_id
                     for target in self._context.targets.all()
-                    if target.is_left_out(now)
+                    if target.ejection.is_out
                 ),
             )
         )
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -34,8 +34,9 @@
 #: Seconds for which a target that said it is full gets no request.
 FULL_S = 0.15
 
-#: Status of a target that is not the expected one, or runs other weights.
-MISDIRECTED = 421
+#: Seconds for which a target that is not the expected one, or runs other weights,
+#: gets no request; by then the leader knows more.
+MISDIRECTED_S = 0.4
 
 #: Multiple of the delay expected at the choice, and seconds beside it, within which a
 #: target is busy and not stuck.
@@ -270,10 +271,8 @@
         """Act on a target that did not run the request."""
         target = self._target
         target.ejection.abandoned(self._number)
-        if status == MISDIRECTED:
-            target.misdirected(boot_time())
-        else:
-            target.refused_until = boot_time() + FULL_S
+        pause_s = FULL_S if status in (503, 429) else MISDIRECTED_S
+        target.refused_until = boot_time() + pause_s
         self._context.log.warning(
             "target_refused",
             id=self._admitted.caller.request_id,
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -16,17 +16,6 @@
 from berylnotch.util.clock import boot_time
 from berylnotch.util.loop import Loop
 
-#: Seconds for which a target that is not the expected one, or runs other weights,
-#: gets no request; by then the leader usually knows more.
-MISDIRECTED_S = 0.4
-
-#: The longest such time: the list shows a target that started again under another
-#: identity within about two readings.
-MAX_MISDIRECTED_S = 3.2
-
-#: Times in a row after which the other routers should know of it.
-MISDIRECTED_TIMES = 2
-
 #: Weight of the newest outcome in a moving average: about the last ten count.
 AVERAGE_STEP = 0.12
 
@@ -51,8 +40,6 @@
         Requests of the other routers, as last summed up.
     idle : deque of ClientConnection
         Kept connections, the longest idle first.
-    misdirections : int
-        Times in a row that it was not the expected one, or ran other weights.
     refused_until : float
         Boot time until which it is left out since it refused a request.
     loading_until : float
@@ -80,7 +67,6 @@
     unread: int = 0
     others_unread: int = 0
     idle: deque[ClientConnection] = field(factory=deque)
-    misdirections: int = 0
     refused_until: float = 0.0
     loading_until: float = 0.0
     failure_rate: float = 0.0
@@ -112,24 +98,11 @@
 
     def note_outcome(self, has_failed: bool, latency_s: float | None = None) -> None:
         """Count the end of a request in the moving averages."""
-        if not has_failed:
-            self.misdirections = 0
         self.failure_rate += (has_failed - self.failure_rate) * AVERAGE_STEP
         if latency_s is not None:
             step = AVERAGE_STEP if self.latency_s else 1.0
             self.latency_s += (latency_s - self.latency_s) * step
 
-    def misdirected(self, now: float) -> None:
-        """Leave it out, longer each time: an idle stranger looks like the best."""
-        pause_s = min(MAX_MISDIRECTED_S, MISDIRECTED_S * 2**self.misdirections)
-        self.misdirections += 1
-        self.refused_until = now + pause_s
-
-    def is_left_out(self, now: float) -> bool:
-        """Whether the other routers should know that it is left out."""
-        is_stranger = self.misdirections >= MISDIRECTED_TIMES
-        return self.ejection.is_out or (is_stranger and now < self.refused_until)
-
     def is_avoided(self, now: float) -> bool:
         """Whether it failed elsewhere, and this router is not one that probes it."""
         is_prober = self.ejection.is_out and not self.ejection.blocks(now)
@@ -268,8 +241,6 @@
             target = Target(listed, Ejection(self._settings.membership))
         if is_other:
             self._drop_idle(known)
-        if target.listed.models != listed.models:
-            target.misdirections = 0
         target.listed = listed
         if entry.is_loading and not target.is_loading:
             target.loading_until = boot_time() + self._settings.load_s
--- a/tests/test_entry/test_choice.py
+++ b/tests/test_entry/test_choice.py
@@ -7,10 +7,6 @@
 
 from berylnotch.entry.choice import choose, usable_in_s
 from berylnotch.entry.prompts import Holding
-from berylnotch.entry.settings import EntrySettings
-from berylnotch.entry.targets import TargetTable
-from berylnotch.group.messages import TargetEntry
-from berylnotch.util.loop import Loop
 from tests.test_entry.support import long_request, make_target, short_request
 
 
@@ -172,34 +168,3 @@
     )
     assert choose(engines, placing) is not None
     assert len(looked) < 30
-
-
-def test_a_stranger_that_looks_idle_is_left_alone_longer_each_time():
-    stranger, busy = names(2)
-    busy.others_in_flight = 30
-    now, asked = 100.0, 0
-    while now < 104.0:
-        chosen = choose([stranger, busy], short_request(now=now)).target
-        if chosen is stranger:
-            asked += 1
-            stranger.misdirected(now)
-        now += 0.1
-    # Each time it would refuse; with a fixed pause of 0.4 s there are ten.
-    assert asked <= 4
-    assert stranger.is_left_out(now)
-    stranger.note_outcome(has_failed=False)
-    assert not stranger.is_left_out(now)
-
-
-def test_other_weights_give_a_stranger_a_new_start():
-    table = TargetTable(Loop("unused"), EntrySettings())
-    old = TargetEntry(make_target("e", version=1).listed)
-    new = TargetEntry(make_target("e", version=2).listed)
-    table.update([old])
-    target = table.get("e")
-    for _ in range(3):
-        target.misdirected(100.0)
-    table.update([old])
-    assert target.misdirections == 3
-    table.update([new])
-    assert target.misdirections == 0
