--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -69,6 +69,7 @@
         self._packed_targets = b""
         self._packed_configuration = b""
         self._packed_version = 0
+        self._packed_roster = b""
         self._target_feed = Feed()
         self._roster_feed = Feed()
         self._is_roster_complete = False
@@ -148,13 +149,16 @@
             self._send_all(RosterUpdate(change.entries, change.gone, is_whole=False))
 
     def _take_roster(self) -> Change | None:
-        return self._roster_feed.take(
+        change = self._roster_feed.take(
             {
                 address: RouterEntry(address, r.report.failure_domain)
                 for address, r in sorted(self._routers.items())
                 if not r.report.is_leaving
             }
         )
+        if change is not None:
+            self._packed_roster = b""
+        return change
 
     def push_loads(self) -> None:
         """Send the sums of all loads, if they differ from what routers hold."""
@@ -203,7 +207,9 @@
                 self._packed_targets = pack(self._targets)
             router.link.send(self._packed_targets)
         if self._is_roster_complete:
-            router.link.send(RosterUpdate(self._roster_feed.entries))
+            if not self._packed_roster:
+                self._packed_roster = pack(RosterUpdate(self._roster_feed.entries))
+            router.link.send(self._packed_roster)
         if self._crashes:
             router.link.send(CrashesUpdate(tuple(self._crashes)))
 
