--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -123,6 +123,7 @@
                 loop,
                 settings.target_list,
                 settings.target_list_period_s,
+                settings.target_list_rate,
                 self._take_list,
                 log,
             )
--- a/berylnotch/daemon/fleet/watch.py
+++ b/berylnotch/daemon/fleet/watch.py
@@ -19,9 +19,12 @@
 #: Pause in seconds after a failed call.
 RETRY_S = 0.4
 
-#: Seconds between two pages of one reading. The platform's list answers some tens of
-#: calls a second, and hundreds of pages may not take all of them.
-PAGE_S = 0.04
+#: Part of the calls that the list answers which one reading takes; a leader that was
+#: replaced may not know it yet, and reads on.
+RATE_PART = 0.5
+
+#: Times that one page is asked for before the reading begins anew.
+PAGE_TRIES = 3
 
 #: Status of a call beyond that rate.
 TOO_MANY_CALLS = 429
@@ -41,6 +44,8 @@
         Where the list is served.
     period_s : float
         Pause between two readings.
+    rate : float
+        Calls a second that the list answers.
     on_list : callable
         Gets each whole list.
     log : EventLog
@@ -52,6 +57,7 @@
         loop: Loop,
         address: Address,
         period_s: float,
+        rate: float,
         on_list: Callable[[tuple[ListedTarget, ...]], None],
         log: EventLog,
     ) -> None:
@@ -65,7 +71,8 @@
         self._skipped = 0
         self._pages = 0
         self._page = ""
-        self._has_read = False
+        self._pause_s = 1 / (RATE_PART * rate)
+        self._tries = 0
         self._is_failing = False
 
     def start(self) -> None:
@@ -77,7 +84,7 @@
         self._is_closed = True
 
     def _begin(self) -> None:
-        self._targets, self._skipped, self._pages = [], 0, 0
+        self._targets, self._skipped, self._pages, self._tries = [], 0, 0, 0
         self._read("")
 
     def _read(self, page: str) -> None:
@@ -103,19 +110,20 @@
             if not self._is_failing:
                 self._log.warning("target_list_lost", reason=str(error))
             self._is_failing = True
-            self._loop.call_later(RETRY_S, self._begin)
+            self._tries += 1
+            is_given_up = not self._page or self._tries >= PAGE_TRIES
+            again = self._begin if is_given_up else lambda: self._read(self._page)
+            self._loop.call_later(RETRY_S, again)
             return
         self._targets += page.targets
         self._skipped += page.skipped
         self._pages += 1
         if page.next_page and self._pages < MAX_PAGES:
-            # Without any list nothing can be served, so the first one is read at once.
-            pause_s = PAGE_S if self._has_read else 0.0
-            self._loop.call_later(pause_s, lambda: self._read(page.next_page))
+            self._tries = 0
+            self._loop.call_later(self._pause_s, lambda: self._read(page.next_page))
             return
         if self._is_failing or page.next_page:
             self._log.info("target_list_read", is_cut_off=bool(page.next_page))
         self._is_failing = False
-        self._has_read = True
         self._on_list(tuple(self._targets))
         self._loop.call_later(self._period_s, self._begin)
--- a/berylnotch/settings/fleet.py
+++ b/berylnotch/settings/fleet.py
@@ -11,6 +11,10 @@
 from berylnotch.errors import ConfigurationError
 from berylnotch.util.address import Address, parse_address
 
+#: Calls a second that the list of targets answers if nothing else is set: that of the
+#: users' smallest deployment.
+DEFAULT_LIST_RATE = 40.0
+
 
 @frozen
 class FleetBounds:
@@ -81,6 +85,8 @@
         Where the platform lists the targets.
     target_list_period_s : float
         Pause between two readings of the list.
+    target_list_rate : float
+        Calls a second that the list answers for the whole fleet.
     bounds : FleetBounds
         Bounds of the fleet.
     forwarded : Address or None, default=None
@@ -101,6 +107,7 @@
     data: Path | None
     target_list: Address | None
     target_list_period_s: float = 1.0
+    target_list_rate: float = DEFAULT_LIST_RATE
     bounds: FleetBounds = field(factory=FleetBounds)
     forwarded: Address | None = None
 
@@ -209,6 +216,7 @@
         data=Path(data) if data else None,
         target_list=_optional(process.get("target-list", "")),
         target_list_period_s=process.getfloat("target-list-period-s", 1.0),
+        target_list_rate=float(process.get("target-list-rate") or DEFAULT_LIST_RATE),
         forwarded=_optional(process.get("links-listen", "")),
         bounds=_bounds(parser["bounds"] if parser.has_section("bounds") else {}),
     )
