--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -293,9 +293,9 @@
     def _report_soon(self) -> None:
         if not self._is_report_due:
             self._is_report_due = True
-            self._loop.call_later(REPORT_SOON_S, self._report_due)
+            self._loop.call_later(REPORT_SOON_S, self._report_if_due)
 
-    def _report_due(self) -> None:
+    def _report_if_due(self) -> None:
         if self._is_report_due:
             self._report()
 
--- a/berylnotch/settings/fleet.py
+++ b/berylnotch/settings/fleet.py
@@ -216,7 +216,7 @@
         data=Path(data) if data else None,
         target_list=_optional(process.get("target-list", "")),
         target_list_period_s=process.getfloat("target-list-period-s", 1.0),
-        target_list_rate=float(process.get("target-list-rate") or DEFAULT_LIST_RATE),
+        target_list_rate=_rate(process.get("target-list-rate", "")),
         forwarded=_optional(process.get("links-listen", "")),
         bounds=_bounds(parser["bounds"] if parser.has_section("bounds") else {}),
     )
@@ -241,6 +241,14 @@
     return FleetBounds(**read)
 
 
+def _rate(text: str) -> float:
+    """Return calls a second; none or 0 means that the platform states no rate."""
+    rate = float(text or 0)
+    if rate < 0:
+        raise ConfigurationError(f"target-list-rate is {rate:g}, which is below 0")
+    return rate or DEFAULT_LIST_RATE
+
+
 def _required(section: configparser.SectionProxy, name: str) -> str:
     value = section.get(name)
     if not value:
--- a/tests/test_settings/test_fleet.py
+++ b/tests/test_settings/test_fleet.py
@@ -83,6 +83,19 @@
         read(GOOD.replace(good, bad, 1))
 
 
+@pytest.mark.parametrize(
+    ("text", "rate"), [("", 40.0), ("0", 40.0), ("12.5", 12.5), ("300", 300.0)]
+)
+def test_rate_of_the_list_is_never_zero(read, text, rate):
+    settings = read(GOOD.replace("seeds =", f"target-list-rate = {text}\nseeds ="))
+    assert settings.target_list_rate == rate
+
+
+def test_a_rate_below_zero_is_refused(read):
+    with pytest.raises(ConfigurationError, match="target-list-rate"):
+        read(GOOD.replace("seeds =", "target-list-rate = -1\nseeds ="))
+
+
 def test_an_unknown_setting_is_ignored(read):
     # The platform may render new ones.
     assert read(GOOD + "new-bound = 5\n").name == "core-1"
