--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -10,6 +10,7 @@
 from berylnotch.daemon.fleet.operators import OperatorsInterface
 from berylnotch.daemon.fleet.peers import PeerLinks
 from berylnotch.daemon.fleet.replica_host import ReplicaHost
+from berylnotch.daemon.fleet.seekers import Seekers
 from berylnotch.group.messages import (
     CONTROLLER_MESSAGES,
     JoinRequest,
@@ -64,6 +65,7 @@
         self._names = WeightsNames()
         self._leader: Leader | None = None
         self._links: set[Link] = set()
+        self._seekers = Seekers()
         self._peers = PeerLinks(
             loop, CONTROLLER_MESSAGES, self._receive, log, self._link_settings
         )
@@ -85,7 +87,7 @@
         self._host.start()
         self._operators.start()
         self._metrics_server.start()
-        self._loop.call_every(LEAD_CHECK_S, self._check_leadership)
+        self._loop.call_every(LEAD_CHECK_S, self._look)
         self._log.info("started", internal=self._settings.internal)
 
     def close(self) -> None:
@@ -115,6 +117,7 @@
 
     def _link_closed(self, link: Link, reason: str) -> None:
         self._links.discard(link)
+        self._seekers.lost(link)
         if self._leader is not None:
             self._leader.registry.lost(link, reason)
 
@@ -130,8 +133,10 @@
             self._check_leadership()
             if self._leader is not None:
                 self._leader.take_report(link, message)
-            else:
+            elif self._redirect().leader:
                 link.send(self._redirect())
+            else:
+                self._seekers.add(link, message, boot_time())
         elif isinstance(message, GrantRequest):
             if self._leader is not None and self._host.is_active():
                 self._leader.grant(link, message)
@@ -148,6 +153,15 @@
         if self._leader is not None:
             self._leader.applied()
 
+    def _look(self) -> None:
+        self._check_leadership()
+        is_known = self._leader is not None or bool(self._redirect().leader)
+        for link, report in self._seekers.take(boot_time(), is_known):
+            if self._leader is not None:
+                self._leader.take_report(link, report)
+            else:
+                link.send(self._redirect())
+
     def _check_leadership(self) -> None:
         is_active = self._host.is_active()
         if is_active and self._leader is None:
