--- a/benchmarks/fleet_control.py
+++ b/benchmarks/fleet_control.py
@@ -21,7 +21,7 @@
     PROMPTS_PER_ROUTER_S,
 )
 from berylnotch.daemon.fleet.notes import NOTES_PER_S
-from berylnotch.daemon.fleet.router import REPORT_PER_ROUTER_S, REPORT_S
+from berylnotch.daemon.fleet.reports import REPORT_PER_ROUTER_S, REPORT_S
 from berylnotch.group.columns import TargetNumbers, load_columns, note_records
 from berylnotch.group.messages import (
     CONTROLLER_MESSAGES,
--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -131,16 +131,24 @@
             self._host.learn(message)
         elif isinstance(message, RouterReport):
             self._check_leadership()
-            if self._leader is not None:
-                self._leader.take_report(link, message)
-            elif self._redirect().leader:
-                link.send(self._redirect())
+            if self._is_leader_known():
+                self._answer(link, message)
             else:
                 self._seekers.add(link, message, boot_time())
         elif isinstance(message, GrantRequest):
             if self._leader is not None and self._host.is_active():
                 self._leader.grant(link, message)
 
+    def _is_leader_known(self) -> bool:
+        return self._leader is not None or self._redirect().leader != ""
+
+    def _answer(self, link: Link, report: RouterReport) -> None:
+        """Take a router's report as leader, or tell it where to go."""
+        if self._leader is not None:
+            self._leader.take_report(link, report)
+        else:
+            link.send(self._redirect())
+
     def _redirect(self) -> Redirect:
         leader = self._host.leader_address
         if leader == self._host.address:
@@ -155,12 +163,8 @@
 
     def _look(self) -> None:
         self._check_leadership()
-        is_known = self._leader is not None or bool(self._redirect().leader)
-        for link, report in self._seekers.take(boot_time(), is_known):
-            if self._leader is not None:
-                self._leader.take_report(link, report)
-            else:
-                link.send(self._redirect())
+        for link, report in self._seekers.take(boot_time(), self._is_leader_known()):
+            self._answer(link, report)
 
     def _check_leadership(self) -> None:
         is_active = self._host.is_active()
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -7,6 +7,7 @@
 
 from berylnotch.daemon.fleet.follower import LeaderLink
 from berylnotch.daemon.fleet.metrics import MetricsServer
+from berylnotch.daemon.fleet.reports import REPORT_S, LeaderReports
 from berylnotch.daemon.fleet.updates import (
     share_limits,
     take_crashes,
@@ -21,7 +22,7 @@
 from berylnotch.entry.quota_gate import QuotaGate
 from berylnotch.entry.settings import EntrySettings
 from berylnotch.entry.targets import TargetTable
-from berylnotch.group.columns import NumberedTargets, echo
+from berylnotch.group.columns import NumberedTargets
 from berylnotch.group.messages import (
     ConfigurationUpdate,
     CrashesUpdate,
@@ -29,8 +30,6 @@
     NoteRecords,
     RosterUpdate,
     RouterEntry,
-    RouterReport,
-    TargetLoad,
     TargetsUpdate,
 )
 from berylnotch.membership.answers import answer_addresses
@@ -57,17 +56,6 @@
 from berylnotch.util.loop import Loop
 from berylnotch.util.metrics import Label, Metrics
 
-#: Seconds between two reports to the leader, for each router of the fleet: the
-#: leader takes no more than about 250 of them a second.
-REPORT_PER_ROUTER_S = 0.004
-
-#: Shortest time between two reports, in seconds.
-REPORT_S = 0.15
-
-#: Seconds in which a router that sent a long prompt reports, so that prompts of the
-#: same moment go in one message.
-REPORT_SOON_S = 0.01
-
 #: Seconds between two looks at what waits for tokens.
 QUOTA_S = 0.05
 
@@ -121,7 +109,6 @@
         self.metrics = Metrics()
         entry_settings = EntrySettings()
         gate = QuotaGate(LocalQuota(FLEET_QUOTA), entry_settings.quota_wait_s)
-        self._reports = Gathering(loop, self._report, lambda: REPORT_SOON_S)
         self._quota_looks = Gathering(loop, self._look_at_quota, lambda: 0.0)
         self._context = EntryContext(
             settings=entry_settings,
@@ -134,7 +121,6 @@
             prompts=PromptMemory(),
             crashes=CrashGuard(entry_settings.membership),
             ask_quota=self._quota_looks.soon,
-            report_soon=self._reports.soon,
         )
         self._started_at = boot_time()
         self._incarnation = os.urandom(8).hex()
@@ -142,17 +128,23 @@
         self._numbered = NumberedTargets()
         self._is_leaving = False
         self._exchanges: set[Exchange] = set()
-        self._sent_loads: tuple[TargetLoad, ...] = ()
         self._quota_sent_at = 0.0
         self._targets_at = 0.0
         self._link = LeaderLink(
             loop,
             seeds,
-            self._report,
+            lambda: self._reports.send(),
             self._take,
             log,
             LinkSettings(),
         )
+        self._reports = LeaderReports(
+            self._context,
+            self._incarnation,
+            lambda: not self.is_ready,
+            self._link.send,
+        )
+        self._context.report_soon = self._reports.soon
         self._callers = HttpServer(
             loop, settings.listen, self._serve, self._limits, self._refused
         )
@@ -176,7 +168,7 @@
             server.start()
         self._metrics_server.start()
         self._link.start()
-        self._loop.call_later(REPORT_S, self._report_on)
+        self._reports.start()
         self._loop.call_every(QUOTA_S, self._look_at_quota)
         self._loop.call_every(IDLE_SWEEP_S, self._context.targets.close_old)
         self._log.info("started", callers=self._settings.listen)
@@ -184,7 +176,7 @@
     def drain(self, done: Callable[[], None]) -> None:
         """Leave: take requests until no caller uses this address, then stop."""
         self._is_leaving = True
-        self._report()
+        self._reports.send()
         self._log.info("draining", requests=len(self._exchanges))
         lifetime_s = ADDRESS_TTL_S * TTL_FACTOR + REPORT_S
         latest_s = max(0.0, self._settings.bounds.stop_s - STOP_MARGIN_S)
@@ -288,42 +280,6 @@
 
     # The leader.
 
-    def _report_on(self) -> None:
-        pause_s = max(REPORT_S, REPORT_PER_ROUTER_S * self._context.router_count)
-        self._loop.call_later(pause_s, self._report_on)
-        self._report()
-
-    def _report(self) -> None:
-        loads = tuple(
-            TargetLoad(target.target_id, target.in_flight, target.unread)
-            for target in self._context.targets.all()
-            if target.in_flight
-        )
-        self._sent_loads = loads
-        routes = self._context.routes
-        self._reports.done()
-        crashes, self._context.crash_marks = self._context.crash_marks, []
-        notes = self._context.prompts.take_notes()
-        self._context.own_notes.extend(map(echo, notes))
-        self._link.send(
-            RouterReport(
-                self._settings.name,
-                self._incarnation,
-                str(self._settings.listen),
-                self._settings.failure_domain,
-                self._is_leaving or routes is None,
-                routes.version if routes else 0,
-                loads,
-                crashes=tuple(crashes),
-                prompts=notes,
-                ejected=tuple(
-                    target.target_id
-                    for target in self._context.targets.all()
-                    if target.ejection.is_out
-                ),
-            )
-        )
-
     def _take(self, message: object) -> None:
         if isinstance(message, ConfigurationUpdate):
             self._take_configuration(message)
@@ -342,7 +298,7 @@
         elif isinstance(message, LoadColumns):
             update = self._numbered.loads(message)
             if update is not None:
-                take_loads(self._context, update, self._sent_loads)
+                take_loads(self._context, update, self._reports.sent_loads)
         elif isinstance(message, GrantReply):
             self._context.gate.receive(boot_time(), self._quota_sent_at, message)
         elif isinstance(message, CrashesUpdate):
@@ -362,7 +318,7 @@
             routes=len(self._context.routes.configuration.routes),
         )
         share_limits(self._context)
-        self._report()
+        self._reports.send()
 
     # Limits of the organisations.
 
--- a/tests/fleet/processes.py
+++ b/tests/fleet/processes.py
@@ -308,6 +308,11 @@
                 data += piece
         return data
 
+    def make_ready(self) -> None:
+        """Put a first configuration, and wait until all routers serve by it."""
+        assert self.put(configuration(3)).status == 200
+        self.wait_ready()
+
     def wait_ready(self) -> None:
         """Wait until each router is ready and knows the targets."""
         for router in self.routers:
--- a/tests/test_daemon/conftest.py
+++ b/tests/test_daemon/conftest.py
@@ -9,6 +9,8 @@
 from berylnotch.standins.caller import CallerClient
 from berylnotch.standins.fleet import LocalFleet, wait_for
 from berylnotch.standins.texts import DOMAINS, SmallFleet, small_text
+from tests.fleet.platform import PlatformStandIn
+from tests.fleet.processes import FleetOfProcesses
 
 
 @pytest.fixture
@@ -99,3 +101,24 @@
 @pytest.fixture
 def shared_callers(shared):
     return callers_at(shared.small, shared.key)
+
+
+@pytest.fixture
+def platform():
+    """Stand-in of the users' platform."""
+    stand_in = PlatformStandIn()
+    stand_in.start()
+    yield stand_in
+    stand_in.close()
+
+
+@pytest.fixture
+def platform_fleet(tmp_path, platform):
+    """Three controllers and two routers before two engines and two desks."""
+    processes = FleetOfProcesses(tmp_path, platform)
+    for number in (1, 2):
+        platform.add(f"llm-{number}", "llm", version=1)
+        platform.add(f"desk-{number}", "desk")
+    processes.start()
+    yield processes
+    processes.close()
--- /dev/null
+++ b/tests/test_daemon/test_fleet_logs.py
@@ -0,0 +1,139 @@
+"""Logs and metrics of a fleet of real processes."""
+
+import signal
+
+import pytest
+
+from berylnotch.cmd import why_request
+from berylnotch.daemon.fleet.replica_host import CONSENSUS
+from berylnotch.transport.link import LinkSettings
+from tests.fleet.processes import until
+
+LEASE_S = CONSENSUS.lease_s
+
+
+@pytest.fixture
+def fleet(platform_fleet):
+    return platform_fleet
+
+
+def test_log_tells_why_a_request_failed(fleet, platform):
+    fleet.make_ready()
+    platform.targets["desk-1"].mood = "reset"
+    platform.targets["desk-2"].mood = "reset"
+    fleet.ask(fleet.routers[0], "/book/x", "why-me")
+
+    def lines():
+        return [f for f in fleet.routers[0].lines() if f.get("id") == "why-me"]
+
+    found = until(
+        lambda: [f for f in lines() if f["event"] == "finished"] and lines(), "lines"
+    )
+    events = [line["event"] for line in found]
+    assert events == ["sent", "attempt_failed", "finished"]
+    assert found[1]["failure"] == "broken"
+    assert found[2]["outcome"] == "failed" and found[2]["status"] == "502"
+    assert found[0]["target"] in found[2]["reason"]
+
+
+def test_metrics_tell_what_happened(fleet, platform):
+    fleet.make_ready()
+    router = fleet.routers[0]
+    assert fleet.ask(router, "/chat/x", "m-1").status == 200
+    for name in ("desk-1", "desk-2"):
+        platform.targets[name].mood = "refuse"
+    assert fleet.ask(router, "/book/x", "m-2").status == 503
+    text = fleet.metrics(router)
+    assert 'berylnotch_first_event_seconds{route="chat",quantile="0.99"}' in text
+    assert 'berylnotch_attempts_total{service="desk",result="not-run"}' in text
+    assert "berylnotch_refusals_total{reason=" in text
+    assert "berylnotch_configuration_version 3" in text
+    assert "berylnotch_ready 1" in text and "berylnotch_has_leader 1" in text
+    leader = until(fleet.leader, "a leader")
+    text = fleet.metrics(leader)
+    assert "berylnotch_leader 1" in text and "berylnotch_routers 2" in text
+    assert "berylnotch_target_list_age_seconds" in text
+    assert 0 <= _gauge(text, "berylnotch_lease_age_seconds") < LEASE_S
+    for controller in fleet.controllers:
+        if controller is not leader:
+            assert "berylnotch_lease_age_seconds" not in fleet.metrics(controller)
+    heard_s = _gauge(fleet.metrics(router), "berylnotch_leader_heard_seconds")
+    assert 0 <= heard_s < LinkSettings().silence_s
+
+
+def test_thawed_leader_shows_no_lease(fleet):
+    fleet.make_ready()
+    leader = until(fleet.leader, "a leader")
+    others = [c for c in fleet.controllers if c is not leader]
+    leader.signal(signal.SIGSTOP)
+    until(
+        lambda: any("berylnotch_leader 1" in fleet.metrics(c) for c in others),
+        "another leader",
+    )
+    leader.signal(signal.SIGCONT)
+    until(
+        lambda: "berylnotch_lease_age_seconds" not in fleet.metrics(leader),
+        "the thawed leader shows no lease",
+    )
+
+
+def _why(fleet, request_id, capsys):
+    """Return what the tool tells of a request, once it has ended."""
+    logs = [str(p.log) for p in (*fleet.controllers, *fleet.routers)]
+
+    def told():
+        code = why_request.main([request_id, *logs])
+        text = capsys.readouterr().out
+        return text if code == 0 and "not finished" not in text else None
+
+    return until(told, "an explanation")
+
+
+def test_the_logs_explain_a_refusal(fleet, platform, capsys):
+    fleet.make_ready()
+    for name in ("desk-1", "desk-2"):
+        platform.targets[name].mood = "refuse"
+    fleet.ask(fleet.routers[0], "/book/x", "why-1")
+    text = _why(fleet, "why-1", capsys)
+    assert text.startswith("request why-1: refused with status 503")
+    assert "run by 0" in text and "refused with 503" in text
+    assert "event=target_refused id=why-1 target=desk-" in text
+
+
+def test_the_logs_explain_an_unknown_outcome(fleet, platform, capsys):
+    fleet.make_ready()
+    for name in ("desk-1", "desk-2"):
+        platform.targets[name].mood = "reset"
+    fleet.ask(fleet.routers[0], "/book/x", "why-2")
+    text = _why(fleet, "why-2", capsys)
+    assert text.startswith(
+        "request why-2: failed with status 502, sent 1 times, run by 1"
+    )
+    assert "reason: target-lost: desk-" in text
+    assert "failure=broken" in text
+
+
+def test_the_logs_explain_a_broken_stream(fleet, platform, capsys):
+    fleet.make_ready()
+    for name in ("llm-1", "llm-2"):
+        platform.targets[name].events = 8
+        platform.targets[name].mood = "cut"
+    answer = fleet.ask(fleet.routers[0], "/chat/x", "why-3")
+    assert not answer.is_whole
+    text = _why(fleet, "why-3", capsys)
+    assert text.startswith("request why-3: broken_off")
+    assert "event=sent_again id=why-3" in text and "last_event=2" in text
+    assert "event=target_listed" in text or "event=configuration" in text
+
+
+def test_the_tool_tells_of_unknown_requests_and_files(fleet, capsys):
+    log = str(fleet.routers[0].log)
+    assert why_request.main(["nobody", log]) == why_request.EXIT_NOT_FOUND
+    assert why_request.main(["x", "/nowhere.log"]) == why_request.EXIT_BAD_INPUT
+    assert "nowhere" in capsys.readouterr().err
+
+
+def _gauge(text, name):
+    return next(
+        float(line.split()[1]) for line in text.splitlines() if line.startswith(name)
+    )
--- a/tests/test_daemon/test_fleet_start.py
+++ b/tests/test_daemon/test_fleet_start.py
@@ -2,16 +2,7 @@
 
 import pytest
 
-from tests.fleet.platform import PlatformStandIn
-from tests.fleet.processes import FleetOfProcesses, configuration, until
-
-
-@pytest.fixture
-def platform():
-    stand_in = PlatformStandIn()
-    stand_in.start()
-    yield stand_in
-    stand_in.close()
+from tests.fleet.processes import FleetOfProcesses, until
 
 
 @pytest.fixture
@@ -28,8 +19,7 @@
 
 def test_routers_serve_by_the_first_page_while_the_list_is_being_read(fleet):
     fleet.start()
-    assert fleet.put(configuration(3)).status == 200
-    fleet.wait_ready()
+    fleet.make_ready()
     router = fleet.routers[0]
     assert fleet.ask(router, "/chat/x", "s-1").status == 200
 
@@ -37,8 +27,7 @@
 def test_routers_keep_targets_while_a_new_leader_reads_the_list(fleet, platform):
     platform.readable_pages = 2
     fleet.start()
-    assert fleet.put(configuration(3)).status == 200
-    fleet.wait_ready()
+    fleet.make_ready()
     platform.readable_pages = 1
     leader = until(fleet.leader, "a leader")
     leader.kill()
