fleet: a limited list of targets is read at the rate that it answers

Change: half of the rate again; a call beyond it makes the pause between pages half as long again, and is repeated after that pause; each list read without one shortens it.

--- a/berylnotch/daemon/fleet/watch.py
+++ b/berylnotch/daemon/fleet/watch.py
@@ -19,9 +19,16 @@
 #: Pause in seconds after a failed call.
 RETRY_S = 0.4
 
-#: Part of the calls that the list answers which one reading takes. The rest is for a
-#: leader that was replaced and does not know it yet; a call beyond costs `RETRY_S`.
-RATE_PART = 0.8
+#: Part of the calls that the list answers which one reading takes; a leader that was
+#: replaced may not know it yet, and reads on.
+RATE_PART = 0.5
+
+#: Factor by which the pause between pages grows after a call beyond the rate. The list
+#: may answer fewer calls than it states, and refused calls bring nothing.
+SLOWER_FACTOR = 1.5
+
+#: Factor by which it shrinks with each list that was read without such a call.
+FASTER_FACTOR = 0.9
 
 #: Times that one page is asked for before the reading begins anew.
 PAGE_TRIES = 3
@@ -75,7 +82,10 @@
         self._skipped = 0
         self._pages = 0
         self._page = ""
-        self._pause_s = 1 / (RATE_PART * rate)
+        self._least_pause_s = self._pause_s = 1 / (RATE_PART * rate)
+        #: Whether the newest call, and any of this reading, was beyond the rate.
+        self._is_refused = False
+        self._is_limited = False
         self._tries = 0
         self._is_failing = False
 
@@ -89,6 +99,7 @@
 
     def _begin(self) -> None:
         self._targets, self._skipped, self._pages, self._tries = [], 0, 0, 0
+        self._is_limited = False
         self._read("")
 
     def _read(self, page: str) -> None:
@@ -103,9 +114,15 @@
             return
         if response is not None and response.status == TOO_MANY_CALLS:
             # What was read so far holds; a new reading would meet the limit again.
-            self._log.info("target_list_limited", pages=self._pages)
-            self._loop.call_later(RETRY_S, lambda: self._read(self._page))
+            if not self._is_refused:
+                self._pause_s = min(SLOWER_FACTOR * self._pause_s, RETRY_S)
+            self._is_refused = self._is_limited = True
+            self._log.info(
+                "target_list_limited", pages=self._pages, pause_s=self._pause_s
+            )
+            self._loop.call_later(self._pause_s, lambda: self._read(self._page))
             return
+        self._is_refused = False
         try:
             if response is None:
                 raise GatewayError(why)
@@ -130,5 +147,7 @@
         if self._is_failing or page.next_page:
             self._log.info("target_list_read", is_cut_off=bool(page.next_page))
         self._is_failing = False
+        if not self._is_limited:
+            self._pause_s = max(FASTER_FACTOR * self._pause_s, self._least_pause_s)
         self._on_list(tuple(self._targets))
         self._loop.call_later(self._period_s, self._begin)
