quota: nothing is kept back for refused work, and the reserve is for what waits

Found by a play of 81 routers before a new owner: routers that were refused kept their place in its line for 3.5 s, so their needs were added up and kept back for nobody, and all later ones were refused too; the time to come back was that of the whole line for each; the first to ask for a little got tokens in advance out of the reserve; and what routers wanted in advance counted as waiting. Ruled out: lending half instead of 0.7 of the room beyond the rate (refused a third of that after a loss, but use at half of the rate was refused in quiet times). Change: a refused router leaves the line (refused_leave), one whose work gave up says so at once, each is told by those before it, asks tell what is queued, and tokens for use to come leave the reserve alone.

--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -48,15 +48,15 @@
 
 #: Seconds between two sums of the routers' loads, for each router: with many of them
 #: the messages of control stay within their share of a link.
-LOADS_PER_ROUTER_S = 0.004
+LOADS_PER_ROUTER_S = 0.002
 
 #: Seconds in which changes of targets are gathered into one message; a small part of
 #: the time in which routers must know of them.
 PUSH_S = 0.01
 
 #: Seconds in which pages of the first list are gathered, for each router: the leader
-#: sends about 2,000 messages with them a second at the most.
-PAGES_PER_ROUTER_S = 0.0005
+#: sends about 1,000 messages with them a second at the most.
+PAGES_PER_ROUTER_S = 0.001
 
 #: Seconds in which notes of prompts are gathered, for each router: the leader sends
 #: about 1,400 messages with them a second at the most.
--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -66,8 +66,8 @@
         self._roster_changed = roster_changed or self.push_roster
         self._routers: dict[str, _Router] = {}
         self._targets: TargetsUpdate | None = None
-        #: Targets of the first list, while it is being read.
-        self._first_pages: TargetsUpdate | None = None
+        #: Packed pages of the first list, while it is being read.
+        self._first_pages: list[bytes] = []
         self._packed_targets = b""
         self._packed_configuration = b""
         self._packed_version = 0
@@ -126,16 +126,16 @@
 
     def push_pages(self, update: TargetsUpdate) -> None:
         """Send a part of the first list; routers keep what they know beside it."""
-        known = self._first_pages.targets if self._first_pages is not None else ()
-        self._first_pages = evolve(update, targets=known + update.targets)
-        self._packed_targets = b""
         self._numbers.add(e.target.target_id for e in update.targets)
-        self._send_all(self._numbers.told(update))
+        page = pack(self._numbers.told(update))
+        # Packed once: hundreds of routers may come while a long list is being read.
+        self._first_pages.append(page)
+        self._send_packed(page)
 
     def push_targets(self, update: TargetsUpdate) -> None:
         """Send to all routers what changed in the whole update."""
         known, self._targets = self._targets, update
-        self._first_pages = None
+        self._first_pages = []
         # Packed when a router comes, with the ages of this update.
         self._packed_targets = b""
         entries = {e.target.target_id: e for e in update.targets}
@@ -220,10 +220,11 @@
 
     def _welcome(self, router: _Router) -> None:
         """Tell a router what is known, and at any rate that it found the leader."""
-        targets = self._targets or self._first_pages
-        if targets is not None:
+        for page in self._first_pages:
+            router.link.send(page)
+        if self._targets is not None:
             if not self._packed_targets:
-                self._packed_targets = pack(self._numbers.told(targets))
+                self._packed_targets = pack(self._numbers.told(self._targets))
             router.link.send(self._packed_targets)
         router.link.send(load_columns(self._loads, self._numbers))
         if self._is_roster_complete:
@@ -261,7 +262,9 @@
         self._send_all(CrashesUpdate(new))
 
     def _send_all(self, message: object) -> None:
-        packed = pack(message)
+        self._send_packed(pack(message))
+
+    def _send_packed(self, packed: bytes) -> None:
         for router in tuple(self._routers.values()):
             router.link.send(packed)
 
--- a/berylnotch/quota/bounds.py
+++ b/berylnotch/quota/bounds.py
@@ -36,6 +36,7 @@
     grace_s=0.0,
     takeover_part=TAKEOVER_PART,
     reserved_part=RESERVED_PART,
+    refused_leave=True,
 )
 
 
--- a/berylnotch/quota/holding.py
+++ b/berylnotch/quota/holding.py
@@ -52,6 +52,11 @@
         From the owner, 0 (best) to 9.
     retry_at : float, default=-inf
         When refused work should come back.
+    asked_first : int, default=0
+        ``first`` as the newest request gave it.
+    has_place : bool, default=False
+        Whether the owner keeps back tokens for work that waits here, by its newest
+        answer.
     floor : int, default=0
         Tokens that are held while the organisation is in use; a part of them is
         held always.
@@ -69,6 +74,8 @@
     first: int = 0
     priority: int = BEST_PRIORITY
     retry_at: float = -math.inf
+    asked_first: int = 0
+    has_place: bool = False
     floor: int = 0
 
     def balance(self, now: float) -> int:
@@ -100,6 +107,7 @@
         self.tokens = min(held, target)
         self.reported = self.spent
         self.asked = now
+        self.asked_first = self.first
         self.is_answered = False
         waiting = max(0, self.first - self.tokens)
         return QuotaAsk(
@@ -108,6 +116,7 @@
             held=self.tokens,
             spent=self.spent,
             waiting=waiting,
+            queued=max(waiting, self.want - self.tokens),
         )
 
     def take(self, counted_from: float, grant: Grant) -> None:
@@ -116,6 +125,7 @@
         self.tokens = max(0, grant.tokens - charged_since)
         self.ends = counted_from + grant.lifetime_ms / 1000
         self.is_answered = True
+        self.has_place = grant.tokens < self.asked_first
         self.priority = grant.priority
         self.retry_at = -math.inf
         if grant.retry_after_ms:
@@ -129,7 +139,8 @@
 
     def _is_due(self, now: float, target: int) -> bool:
         held = self.balance(now)
-        if self.want or not self.is_answered:
+        # Work that was refused meanwhile gives up its place to that of others.
+        if self.want or not self.is_answered or self.has_place:
             return True
         if held < LOW_PART * target or held > HIGH_PART * target:
             return True
--- a/berylnotch/quota/local.py
+++ b/berylnotch/quota/local.py
@@ -122,7 +122,8 @@
         if tokens < 0:
             raise InvalidChargeError(f"want of {tokens} tokens")
         holding = self._holding(organisation)
-        if tokens and not holding.want:
+        has_given_up = holding.has_place and holding.want > 0 and not tokens
+        if has_given_up or tokens and not holding.want:
             self._is_urgent = True
         holding.want = tokens
         holding.first = tokens if first is None else min(first, tokens)
--- a/berylnotch/quota/messages.py
+++ b/berylnotch/quota/messages.py
@@ -11,7 +11,8 @@
 
     ``held`` may still be charged, ``spent`` counts since the router started,
     ``want`` is asked for on top of ``held``, and with less than ``waiting`` of
-    it no waiting work can go on.
+    it no waiting work can go on. ``queued`` is the part of it that all waiting work
+    needs; the rest is for use to come. A sender that does not tell has 0.
     """
 
     organisation: str
@@ -19,6 +20,7 @@
     held: int
     spent: int
     waiting: int = 0
+    queued: int = 0
 
 
 @frozen
--- a/berylnotch/quota/owner.py
+++ b/berylnotch/quota/owner.py
@@ -158,7 +158,7 @@
             tokens=bucket.lend(router, tokens, ends),
             lifetime_ms=int(self._settings.lifetime_s * 1000),
             priority=self._priority(account),
-            retry_after_ms=self._retry_after_ms(account),
+            retry_after_ms=self._retry_after_ms(account, router),
         )
 
     def _account(self, name: str, limit: Limit) -> _Account:
@@ -190,23 +190,24 @@
             waiting.leave(router)
             return 0
         if free < ask.waiting:
-            waiting.enter(self._now, router, ask.want, ask.waiting)
+            waiting.enter(self._now, router, ask.queued or ask.want, ask.waiting)
             return 0
         waiting.leave(router)
-        if not ask.waiting:
-            reserved = account.bucket.burst * self._settings.reserved_part
-            spare = int(free - reserved)
-            return min(ask.want, max(0, spare))
-        fair = free // (len(waiting) + 1)
-        return min(ask.want, max(ask.waiting, fair))
-
-    def _retry_after_ms(self, account: _Account) -> int:
+        reserved = account.bucket.burst * self._settings.reserved_part
+        spare = max(0, int(free - ask.waiting - reserved))
+        ahead = min(ask.want - ask.waiting, spare // (len(waiting) + 1))
+        return ask.waiting + max(0, ahead)
+
+    def _retry_after_ms(self, account: _Account, router: str) -> int:
+        """Return when a waiting router's work should come back, 0 if it may wait on."""
         if self._now < self._started + self._settings.grace_s:
             return 0
-        missing = account.waiting.wanted - account.bucket.level
+        missing = account.waiting.wanted_until(router) - account.bucket.level
         wait_s = missing / account.bucket.rate
         if wait_s <= self._settings.wait_s:
             return 0
+        if self._settings.refused_leave:
+            account.waiting.leave(router)
         return math.ceil(wait_s * 1000)
 
     def _priority(self, account: _Account) -> int:
--- a/berylnotch/quota/settings.py
+++ b/berylnotch/quota/settings.py
@@ -47,6 +47,9 @@
         Part of the burst that is lent only to routers whose work waits for it. A
         new owner's `takeover_part` must exceed it, or routers get nothing in
         advance from it until the bucket has refilled.
+    refused_leave : bool, default=False
+        Whether routers refuse all work that waits when they are told when to come
+        back, so that the owner keeps nothing back for it.
     """
 
     lifetime_s: float = field(default=2.0, validator=gt(0))
@@ -61,6 +64,7 @@
     usage_window_s: float = field(default=60.0, validator=gt(0))
     takeover_part: float = field(default=0.0, validator=ge(0))
     reserved_part: float = field(default=0.5, validator=[ge(0), lt(1)])
+    refused_leave: bool = False
 
     @property
     def owner_lifetime_s(self) -> float:
--- a/berylnotch/quota/waiting.py
+++ b/berylnotch/quota/waiting.py
@@ -30,16 +30,21 @@
     def __init__(self, keep_s: float) -> None:
         self._keep_s = keep_s
         self._entries: dict[str, _Entry] = {}
-        self._wanted = 0
         self._cleaned = 0.0
 
     def __len__(self) -> int:
         return len(self._entries)
 
-    @property
-    def wanted(self) -> int:
-        """Tokens that the waiting routers want together."""
-        return self._wanted
+    def wanted_until(self, router: str) -> int:
+        """Return what a router and those before it want, 0 if it has no place."""
+        if router not in self._entries:
+            return 0
+        wanted = 0
+        for name, entry in self._entries.items():
+            wanted += entry.want
+            if name == router:
+                break
+        return wanted
 
     def clean(self, now: float) -> None:
         """Drop routers that have not asked again."""
@@ -57,16 +62,13 @@
         if entry is None:
             entry = _Entry(0, 0, now)
             self._entries[router] = entry
-        self._wanted += want - entry.want
         entry.want = want
         entry.first = first
         entry.asked = now
 
     def leave(self, router: str) -> None:
         """Give up the router's place, if it has one."""
-        entry = self._entries.pop(router, None)
-        if entry is not None:
-            self._wanted -= entry.want
+        self._entries.pop(router, None)
 
     def needed_before(self, router: str, level: float) -> int:
         """Return what the routers before this one need.
--- a/berylnotch/transport/berylnotch.capnp
+++ b/berylnotch/transport/berylnotch.capnp
@@ -394,6 +394,7 @@
   held @2 :Int64;
   spent @3 :Int64;
   waiting @4 :Int64;
+  queued @5 :Int64;
 }
 
 struct GrantRequest {
--- a/tests/test_daemon/test_fleet_feed.py
+++ b/tests/test_daemon/test_fleet_feed.py
@@ -1,5 +1,6 @@
 """What routers get of a large table that changes."""
 
+from berylnotch.daemon.fleet import registry as module
 from berylnotch.daemon.fleet.feed import Change, Feed
 from berylnotch.daemon.fleet.registry import RouterRegistry
 from berylnotch.entry.settings import EntrySettings
@@ -134,3 +135,24 @@
     registry.take(link, report())
     (update,) = [m for m in link.sent if isinstance(m, TargetsUpdate)]
     assert update.is_whole and len(update.targets) == 5
+
+
+def test_a_router_that_comes_while_a_long_list_is_read_costs_no_packing(monkeypatch):
+    # With hundreds of routers that come one by one, packing the table for each of them
+    # would keep a new leader's thread busy beyond its lease.
+    registry = RouterRegistry(FleetState(), Log())
+    packed = []
+
+    def counted(message):
+        packed.append(type(message))
+        return pack(message)
+
+    monkeypatch.setattr(module, "pack", counted)
+    links = [Link() for _ in range(20)]
+    for number, link in enumerate(links):
+        page = _entries(MANY)[50 * number : 50 * (number + 1)]
+        registry.push_pages(TargetsUpdate(page, (), is_whole=False))
+        registry.take(link, report(f"r{number}"))
+    assert packed.count(TargetsUpdate) == 20
+    table = TargetTable(Loop("unused"), EntrySettings())
+    assert len(_follow(links[-1], table)) == 20 * 50
--- /dev/null
+++ b/tests/test_quota/test_waiting_work.py
@@ -0,0 +1,113 @@
+"""Tokens go to work that waits, and work that gave up is not waited for."""
+
+import pytest
+from attrs import evolve
+
+from berylnotch.entry.quota_gate import Charge, QuotaGate
+from berylnotch.quota import LocalQuota, QuotaOwner
+from berylnotch.quota.bounds import FLEET_QUOTA, TAKEOVER_PART, EffectiveLimit
+from berylnotch.quota.waiting import WaitingLine
+
+#: Longest wait for tokens at a router, in seconds.
+WAIT_S = 0.45
+
+LIMITS = {"alpha": EffectiveLimit(10_000, 20_000)}
+
+#: What a new owner lends at once.
+FIRST = 20_000 * TAKEOVER_PART
+
+
+class Router:
+    """A router's gate, and the outcomes of what it charged."""
+
+    def __init__(self, name, settings=FLEET_QUOTA):
+        self.name = name
+        self.gate = QuotaGate(LocalQuota(settings), WAIT_S)
+        self.outcomes = []
+
+    def charge(self, now, tokens):
+        self.gate.charge(
+            now, "alpha", tokens, lambda outcome, _: self.outcomes.append(outcome)
+        )
+
+    def exchange(self, owner, now):
+        """Ask the owner, if that is due."""
+        self.gate.serve(now)
+        if now < self.gate.quota.next_ask_at:
+            return None
+        request = self.gate.request(now, self.name, "i", "a", "d")
+        self.gate.receive(now, now, owner.grant(now, request, LIMITS))
+        return request.asks
+
+
+@pytest.fixture
+def owner():
+    return QuotaOwner(FLEET_QUOTA, 1, 0.0)
+
+
+def test_a_router_is_told_what_those_before_it_and_itself_want():
+    line = WaitingLine(3.0)
+    line.enter(0.0, "a", 500, 100)
+    line.enter(0.0, "b", 300, 300)
+    assert line.wanted_until("a") == 500
+    assert line.wanted_until("b") == 800
+    assert line.wanted_until("c") == 0
+
+
+def test_the_first_in_line_waits_while_later_ones_are_refused(owner):
+    routers = [Router(name) for name in "abc"]
+    for router in routers:
+        router.charge(0.01, 10_000)
+        router.exchange(owner, 0.01)
+    # Level 8,600 and 10,000 a second: 0.14 s for the first, 1.1 s for the next.
+    assert [router.outcomes for router in routers] == [
+        [],
+        [Charge.OVER_LIMIT],
+        [Charge.OVER_LIMIT],
+    ]
+    routers[0].exchange(owner, 0.3)
+    assert routers[0].outcomes == [Charge.CHARGED]
+
+
+def test_nothing_is_kept_back_for_refused_work(owner):
+    large, small = Router("large"), Router("small")
+    large.charge(0.01, 19_000)
+    large.exchange(owner, 0.01)
+    assert large.outcomes == [Charge.OVER_LIMIT]
+    small.charge(0.02, 300)
+    small.exchange(owner, 0.02)
+    assert small.outcomes == [Charge.CHARGED]
+
+
+def test_work_that_waited_in_vain_gives_its_place_up():
+    # Such an owner expects that work waits on.
+    settings = evolve(FLEET_QUOTA, refused_leave=False, wait_s=10.0)
+    owner = QuotaOwner(settings, 1, 0.0)
+    large, small = Router("large", settings), Router("small", settings)
+    large.charge(0.01, 19_000)
+    large.exchange(owner, 0.01)
+    small.charge(0.02, 300)
+    small.exchange(owner, 0.02)
+    assert small.outcomes == []
+    large.gate.serve(0.01 + WAIT_S)
+    assert large.outcomes == [Charge.UNKNOWN]
+    (ask,) = large.exchange(owner, 0.02 + WAIT_S)
+    assert (ask.waiting, ask.queued) == (0, 0)
+    small.gate.serve(0.02 + WAIT_S)
+    small.charge(0.03 + WAIT_S, 300)
+    small.exchange(owner, 0.04 + WAIT_S)
+    assert small.outcomes[-1] is Charge.CHARGED
+
+
+def test_the_reserve_is_not_lent_for_use_to_come(owner):
+    # Each of many routers has a little that waits, and asks for more in advance.
+    routers = [Router(f"r{n}") for n in range(40)]
+    for router in routers:
+        router.gate.quota.keep("alpha", 500)
+        router.charge(0.01, 10)
+        router.exchange(owner, 0.01)
+    assert all(router.outcomes == [Charge.CHARGED] for router in routers)
+    late = Router("late")
+    late.charge(0.02, int(FIRST * 0.4))
+    late.exchange(owner, 0.02)
+    assert late.outcomes == [Charge.CHARGED]
