quota: no wait for a request that was not sent, no place for a router where nothing waits

Causes, found by reading the change and by a test that failed once under load (test_the_logs_explain_an_unknown_outcome, 503 'no tokens in time'): a router with nothing to ask opened an exchange that it did not send, so work that began to wait in the next 0.5 s was given up after 0.45 s; a router that only wanted tokens in advance took a place in the line, and was told to refuse its callers. Change: such an exchange is withdrawn; only work that waits gets a place. The test of a new leader's pages waits for the whole list first (it failed twice as the routers were ready by the first page already; the check itself is as before).

--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -334,9 +334,11 @@
             str(self._settings.listen),
             self._settings.failure_domain,
         )
-        if request.asks:
-            self._quota_sent_at = now
-            self._link.send(request)
+        if not request.asks:
+            gate.quota.withdraw()
+            return
+        self._quota_sent_at = now
+        self._link.send(request)
 
     def _measure(self) -> None:
         context, metrics = self._context, self.metrics
--- a/berylnotch/quota/local.py
+++ b/berylnotch/quota/local.py
@@ -108,6 +108,13 @@
         holding = self._holdings.get(organisation)
         return 0 if holding is None else holding.balance(self._now)
 
+    def withdraw(self) -> None:
+        """State that the newest request is not sent, since it has no lines.
+
+        Otherwise work that begins to wait would wait for its answer first.
+        """
+        self._is_open = False
+
     def want(self, organisation: str, tokens: int, first: int | None = None) -> None:
         """State how many tokens the waiting work needs; 0 if none waits.
 
--- a/berylnotch/quota/owner.py
+++ b/berylnotch/quota/owner.py
@@ -189,7 +189,7 @@
         if ask.waiting > account.bucket.burst:
             waiting.leave(router)
             return 0
-        if free < ask.waiting:
+        if ask.waiting and free < ask.waiting:
             waiting.enter(self._now, router, ask.queued or ask.want, ask.waiting)
             return 0
         waiting.leave(router)
--- a/tests/fleet/processes.py
+++ b/tests/fleet/processes.py
@@ -61,6 +61,13 @@
     raise AssertionError(f"not within {patience_s:g} s: {what}")
 
 
+def gauge(text: str, name: str) -> float:
+    """Return a gauge from the text of a process's metrics."""
+    return next(
+        float(line.split()[1]) for line in text.splitlines() if line.startswith(name)
+    )
+
+
 def configuration(version: int, **changes: object) -> dict:
     """Return a configuration with a stream route and two plain ones."""
     base = {
--- a/tests/test_daemon/test_fleet_logs.py
+++ b/tests/test_daemon/test_fleet_logs.py
@@ -7,7 +7,7 @@
 from berylnotch.cmd import why_request
 from berylnotch.daemon.fleet.replica_host import CONSENSUS
 from berylnotch.transport.link import LinkSettings
-from tests.fleet.processes import until
+from tests.fleet.processes import gauge, until
 
 LEASE_S = CONSENSUS.lease_s
 
@@ -53,11 +53,11 @@
     text = fleet.metrics(leader)
     assert "berylnotch_leader 1" in text and "berylnotch_routers 2" in text
     assert "berylnotch_target_list_age_seconds" in text
-    assert 0 <= _gauge(text, "berylnotch_lease_age_seconds") < LEASE_S
+    assert 0 <= gauge(text, "berylnotch_lease_age_seconds") < LEASE_S
     for controller in fleet.controllers:
         if controller is not leader:
             assert "berylnotch_lease_age_seconds" not in fleet.metrics(controller)
-    heard_s = _gauge(fleet.metrics(router), "berylnotch_leader_heard_seconds")
+    heard_s = gauge(fleet.metrics(router), "berylnotch_leader_heard_seconds")
     assert 0 <= heard_s < LinkSettings().silence_s
 
 
@@ -131,9 +131,3 @@
     assert why_request.main(["nobody", log]) == why_request.EXIT_NOT_FOUND
     assert why_request.main(["x", "/nowhere.log"]) == why_request.EXIT_BAD_INPUT
     assert "nowhere" in capsys.readouterr().err
-
-
-def _gauge(text, name):
-    return next(
-        float(line.split()[1]) for line in text.splitlines() if line.startswith(name)
-    )
--- a/tests/test_daemon/test_fleet_start.py
+++ b/tests/test_daemon/test_fleet_start.py
@@ -1,8 +1,11 @@
 """Routers that know nothing yet, before a long list of targets."""
 
+import time
+
 import pytest
 
-from tests.fleet.processes import FleetOfProcesses, until
+from berylnotch.daemon.fleet.leader import PUSH_S
+from tests.fleet.processes import FleetOfProcesses, gauge, until
 
 
 @pytest.fixture
@@ -28,6 +31,9 @@
     platform.readable_pages = 2
     fleet.start()
     fleet.make_ready()
+    # They are ready by the first page, maybe before the second one came.
+    until(lambda: _is_listed(fleet, "desk-2"), "the whole list at the leader")
+    time.sleep(10 * PUSH_S)
     platform.readable_pages = 1
     leader = until(fleet.leader, "a leader")
     leader.kill()
@@ -39,5 +45,28 @@
     assert "r-19" in platform.targets["desk-2"].runs
 
 
+def test_pages_that_are_read_again_are_not_sent_again(fleet, platform):
+    fleet.start()
+    fleet.make_ready()
+    calls = platform.list_calls
+    until(lambda: platform.list_calls > calls + 4, "more readings of the first page")
+    heard_s = _heard_s(fleet)
+    until(lambda: platform.list_calls > calls + 8, "more readings of the first page")
+    later_s = _heard_s(fleet)
+    assert later_s > heard_s
+
+
+def _is_listed(fleet, target):
+    lines = (line for controller in fleet.controllers for line in controller.lines())
+    return any(
+        line.get("event") == "target_listed" and line["target"] == target
+        for line in lines
+    )
+
+
+def _heard_s(fleet):
+    return gauge(fleet.metrics(fleet.routers[0]), "berylnotch_targets_heard_seconds")
+
+
 def _leaders_found(router):
     return sum(line.get("event") == "leader_found" for line in router.lines())
--- a/tests/test_quota/test_grants.py
+++ b/tests/test_quota/test_grants.py
@@ -238,3 +238,10 @@
     assert router.next_ask_at == 11.5
     router.want("clinic", 10)
     assert router.next_ask_at < 10.1
+
+
+def test_work_does_not_wait_for_a_request_that_was_not_sent(router):
+    assert router.asks(10.0) == ()
+    router.withdraw()
+    router.want("clinic", 10)
+    assert router.next_ask_at < 10.1
--- a/tests/test_quota/test_waiting_work.py
+++ b/tests/test_quota/test_waiting_work.py
@@ -111,3 +111,15 @@
     late.charge(0.02, int(FIRST * 0.4))
     late.exchange(owner, 0.02)
     assert late.outcomes == [Charge.CHARGED]
+
+
+def test_a_router_where_nothing_waits_has_no_place_and_refuses_nothing(owner):
+    waiting, idle = Router("waiting"), Router("idle")
+    waiting.charge(0.01, 10_000)
+    waiting.exchange(owner, 0.01)
+    assert waiting.outcomes == []
+    idle.gate.quota.keep("alpha", 5_000)
+    idle.exchange(owner, 0.02)
+    assert idle.gate.quota.retry_after_ms("alpha") == 0
+    waiting.exchange(owner, 0.3)
+    assert waiting.outcomes == [Charge.CHARGED]
