fleet: tokens are held in advance before the roster is known, and asked for once a second

Change: each holds its part as before; until the number of routers is known, tokens in advance are asked for once a second, and a request that is not sent does not count.

--- a/berylnotch/daemon/fleet/updates.py
+++ b/berylnotch/daemon/fleet/updates.py
@@ -21,6 +21,10 @@
 #: organisations in each. Those for work that waits come beside them.
 ASK_PER_ROUTER_S = 0.004
 
+#: Seconds between such requests before the leader told how many routers there are: as of
+#: 250 routers, which may all start again at the same moment.
+UNKNOWN_FLEET_ASK_S = 1.0
+
 
 def take_targets(context: EntryContext, update: TargetsUpdate) -> None:
     """Take over targets, named weights, and stores out of reach."""
@@ -94,8 +98,8 @@
     organisations = context.routes.configuration.organisations or ()
     limits = effective_limits(organisations, context.fleet.bounds)
     quota = context.gate.quota
-    quota.pace(max(FLEET_QUOTA.ask_interval_s, ASK_PER_ROUTER_S * context.router_count))
-    # Without knowing how many routers there are, each would hold the part of all.
-    part = HELD_PART / context.router_count if context.is_roster_known else 0.0
+    part = HELD_PART / context.router_count
+    paced_s = max(FLEET_QUOTA.ask_interval_s, ASK_PER_ROUTER_S * context.router_count)
+    quota.pace(paced_s if context.is_roster_known else UNKNOWN_FLEET_ASK_S)
     for name, limit in limits.items():
         quota.keep(name, int(limit.burst * part))
--- a/berylnotch/quota/local.py
+++ b/berylnotch/quota/local.py
@@ -33,7 +33,7 @@
         self._now = -math.inf
         self._sequence = 0
         self._is_open = False
-        self._opened = -math.inf
+        self._opened = self._opened_before = -math.inf
         self._owner_term = 0
         self._is_urgent = False
         self._ask_interval_s = settings.ask_interval_s
@@ -70,7 +70,7 @@
         self._sequence += 1
         self._is_open = True
         self._is_urgent = False
-        self._opened = self._now
+        self._opened_before, self._opened = self._opened, self._now
         lines = (h.ask(self._now, name) for name, h in self._holdings.items())
         return tuple(line for line in lines if line is not None)
 
@@ -114,6 +114,7 @@
         Otherwise work that begins to wait would wait for its answer first.
         """
         self._is_open = False
+        self._opened = self._opened_before
 
     def want(self, organisation: str, tokens: int, first: int | None = None) -> None:
         """State how many tokens the waiting work needs; 0 if none waits.
--- a/tests/test_quota/test_grants.py
+++ b/tests/test_quota/test_grants.py
@@ -243,5 +243,7 @@
 def test_work_does_not_wait_for_a_request_that_was_not_sent(router):
     assert router.asks(10.0) == ()
     router.withdraw()
+    router.pace(1.0)
+    assert router.next_ask_at <= 10.0
     router.want("clinic", 10)
     assert router.next_ask_at < 10.1
