--- a/berylnotch/daemon/fleet/updates.py
+++ b/berylnotch/daemon/fleet/updates.py
@@ -21,7 +21,7 @@
 #: organisations in each. Those for work that waits come beside them.
 ASK_PER_ROUTER_S = 0.004
 
-#: Seconds between such requests before the leader told how many routers there are: as of
+#: Seconds between such requests until the number of routers is known: as of
 #: 250 routers, which may all start again at the same moment.
 UNKNOWN_FLEET_ASK_S = 1.0
 
