--- a/tests/test_daemon/test_fleet_watch.py
+++ b/tests/test_daemon/test_fleet_watch.py
@@ -5,7 +5,12 @@
 import pytest
 
 from berylnotch.daemon.fleet import watch as module
-from berylnotch.daemon.fleet.watch import PAGE_TRIES, RATE_PART, RETRY_S, TargetWatch
+from berylnotch.daemon.fleet.watch import (
+    PAGE_TRIES,
+    RATE_PART,
+    SLOWER_FACTOR,
+    TargetWatch,
+)
 from berylnotch.net.messages import Headers, HttpResponse
 from berylnotch.util.address import Address
 from tests.test_daemon.test_fleet_registry import Log
@@ -84,7 +89,7 @@
     first = asked[-1][0]
     asked[-1][1](HttpResponse(429, Headers(()), b""), "")
     delay_s, call = timers.calls[-1]
-    assert PAGE_S < delay_s <= RETRY_S
+    assert delay_s == SLOWER_FACTOR * PAGE_S
     call()
     assert asked[-1][0] == first
     asked[-1][1](_page(2, 2), "")
