fleet: one table tells what of a page is new; a refused router asks no second time

The leader kept its own table of pages beside the feed that compares targets already (Feed.add serves both); an attempt worked out a prompt's mark in two places; a refused router asked once more to leave a line that the owner had taken it out of with the refusal (test, failed before). What is sent and lent is the same but for that request.

--- a/berylnotch/daemon/fleet/feed.py
+++ b/berylnotch/daemon/fleet/feed.py
@@ -32,11 +32,21 @@
         """The whole table as last taken."""
         return tuple(self._entries.values())
 
+    def add(self, entries: Mapping[str, Any]) -> tuple[Any, ...]:
+        """Take a part of the table; return the entries that are new or differ."""
+        changed = _changed(self._entries, entries)
+        self._entries.update(entries)
+        return changed
+
     def take(self, entries: Mapping[str, Any]) -> Change | None:
         """Take the table anew; return what changed, or None."""
         known, self._entries = self._entries, dict(entries)
-        changed = tuple(e for key, e in entries.items() if known.get(key) != e)
+        changed = _changed(known, entries)
         gone = tuple(key for key in known if key not in entries)
         if not changed and not gone:
             return None
         return Change(changed, gone)
+
+
+def _changed(known: Mapping[str, Any], entries: Mapping[str, Any]) -> tuple[Any, ...]:
+    return tuple(e for key, e in entries.items() if known.get(key) != e)
--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -121,8 +121,7 @@
             self._push_pages,
             lambda: max(PUSH_S, PAGES_PER_ROUTER_S * self.registry.count),
         )
-        #: Targets of the first list so far, and those of them that were not sent yet.
-        self._paged: dict[str, ListedTarget] = {}
+        #: Targets of pages of the first list that were not sent yet.
         self._unsent: list[ListedTarget] = []
         self._notes = NoteFilter(self._cache_tokens)
         self._cache_sizes: dict[str, int] = {}
@@ -249,13 +248,8 @@
 
     def _take_page(self, targets: tuple[ListedTarget, ...]) -> None:
         """Pass on a page of the first list: after a power loss routers have none."""
-        if self._board.listed_at is not None or not self._host.is_active():
-            return
-        # A reading that failed begins anew, with the same pages.
-        new = [t for t in targets if self._paged.get(t.target_id) != t]
-        if new:
-            self._paged.update((target.target_id, target) for target in new)
-            self._unsent += new
+        if self._board.listed_at is None and self._host.is_active():
+            self._unsent += targets
             self._page_pushes.soon()
 
     def _take_list(self, targets: tuple[ListedTarget, ...]) -> None:
@@ -264,7 +258,6 @@
         is_first = self._board.listed_at is None
         before = {t.target_id: t for t in self._board.targets()}
         self._page_pushes.close()
-        self._paged = {}
         self._board.listed(boot_time(), targets)
         for target in self._board.targets():
             old = before.pop(target.target_id, None)
--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -125,9 +125,16 @@
             self._send_configuration(router)
 
     def push_pages(self, update: TargetsUpdate) -> None:
-        """Send a part of the first list; routers keep what they know beside it."""
-        self._numbers.add(e.target.target_id for e in update.targets)
-        page = pack(self._numbers.told(update))
+        """Send a part of the first list; routers keep what they know beside it.
+
+        A reading that failed begins anew, with the same pages.
+        """
+        entries = {e.target.target_id: e for e in update.targets}
+        changed = self._target_feed.add(entries)
+        if not changed:
+            return
+        self._numbers.add(entries)
+        page = pack(self._numbers.told(evolve(update, targets=changed)))
         # Packed once: hundreds of routers may come while a long list is being read.
         self._first_pages.append(page)
         self._send_packed(page)
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -17,6 +17,7 @@
 from berylnotch.net.messages import Headers
 from berylnotch.placement.mixing import prompt_mark
 from berylnotch.platform.requests import (
+    PromptPart,
     TargetHeaders,
     decode_answer,
     encode_for_target,
@@ -317,9 +318,12 @@
         """Note that the target did not come to read the prompt."""
         parts = self._admitted.caller.parts
         if len(parts) > 1:
-            mark = prompt_mark(self._told.cache_salt, parts[0].part_id)
+            mark = self._mark(parts[0])
             self._context.prompts.not_read(self._target.target_id, mark)
 
+    def _mark(self, part: PromptPart) -> int:
+        return prompt_mark(self._told.cache_salt, part.part_id)
+
     def _note_prompt(self, is_ready: bool) -> bool:
         """Note where the shared part of the prompt is read, and saved.
 
@@ -332,7 +336,7 @@
         if len(parts) < 2 or parts[0].tokens < MIN_HOME_TOKENS:
             return False
         part, prompts = parts[0], self._context.prompts
-        mark = prompt_mark(self._told.cache_salt, part.part_id)
+        mark = self._mark(part)
         holder = self._target.target_id
         own = 0
         if not is_ready:
--- a/berylnotch/quota/holding.py
+++ b/berylnotch/quota/holding.py
@@ -125,7 +125,8 @@
         self.tokens = max(0, grant.tokens - charged_since)
         self.ends = counted_from + grant.lifetime_ms / 1000
         self.is_answered = True
-        self.has_place = grant.tokens < self.asked_first
+        is_refused = grant.retry_after_ms > 0 and self.settings.refused_leave
+        self.has_place = grant.tokens < self.asked_first and not is_refused
         self.priority = grant.priority
         self.retry_at = -math.inf
         if grant.retry_after_ms:
--- a/tests/test_daemon/test_fleet_feed.py
+++ b/tests/test_daemon/test_fleet_feed.py
@@ -34,6 +34,15 @@
     assert feed.entries == (3, 4)
 
 
+def test_a_part_of_a_table_leaves_the_rest_as_it_is():
+    feed = Feed()
+    assert feed.add({"a": 1, "b": 2}) == (1, 2)
+    assert feed.add({"b": 2, "c": 3}) == (3,)
+    assert feed.add({"a": 1, "c": 3}) == ()
+    assert feed.entries == (1, 2, 3)
+    assert feed.take({"a": 1, "c": 4}) == Change((4,), ("b",))
+
+
 def test_a_changed_target_costs_a_small_message_however_many_there_are():
     registry, link = RouterRegistry(FleetState(), Log()), Link()
     registry.take(link, report())
@@ -128,6 +137,18 @@
     assert len(table.all()) == 8
 
 
+def test_a_page_that_is_read_again_is_not_sent_again():
+    registry, link = RouterRegistry(FleetState(), Log()), Link()
+    registry.take(link, report())
+    page = TargetsUpdate(_entries(2), (), is_whole=False)
+    for _ in range(3):
+        registry.push_pages(page)
+    late = Link()
+    registry.take(late, report("late"))
+    for each in (link, late):
+        assert len([m for m in each.sent if isinstance(m, TargetsUpdate)]) == 1
+
+
 def test_a_router_that_comes_after_the_first_list_gets_no_page():
     registry, link = RouterRegistry(FleetState(), Log()), Link()
     registry.push_pages(TargetsUpdate(_entries(2), (), is_whole=False))
--- a/tests/test_quota/test_waiting_work.py
+++ b/tests/test_quota/test_waiting_work.py
@@ -123,3 +123,12 @@
     assert idle.gate.quota.retry_after_ms("alpha") == 0
     waiting.exchange(owner, 0.3)
     assert waiting.outcomes == [Charge.CHARGED]
+
+
+def test_a_refused_router_has_nothing_more_to_tell(owner):
+    router = Router("large")
+    router.charge(0.01, 19_000)
+    router.exchange(owner, 0.01)
+    assert router.outcomes == [Charge.OVER_LIMIT]
+    later = 0.01 + FLEET_QUOTA.ask_interval_s
+    assert router.exchange(owner, later) == ()
