entry: targets' own words on leaving and on a pause are obeyed

Change: any answer of a target, also to another request, marks it as leaving for this incarnation; routers report the word and the leader shows it to all, at most half of a service by the word of one router. A 503 with Retry-After leaves the target out for that long, spread by a tenth over routers; a shorter word does not end a longer pause. Ruled out: hearing it by way of the list only, which lags.

--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -211,6 +211,13 @@
     def take_report(self, link: Link, report: RouterReport) -> None:
         """Take a router's report."""
         self.registry.take(link, report)
+        if report.leaving and self._board.said_leaving(report.name, report.leaving):
+            self._log.info(
+                "targets_said_leaving",
+                router=report.name,
+                targets=",".join(sorted(self._board.leaving_by_word())),
+            )
+            self.push_targets()
         if report.prompts:
             self._prompt_pushes.soon()
 
--- a/berylnotch/daemon/fleet/reports.py
+++ b/berylnotch/daemon/fleet/reports.py
@@ -91,6 +91,7 @@
                     for target in context.targets.all()
                     if target.ejection.is_out
                 ),
+                leaving=context.targets.leaving_words(),
             )
         )
 
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 from berylnotch.entry.choice import MIN_HOME_TOKENS
@@ -17,6 +18,7 @@
 from berylnotch.net.messages import Headers
 from berylnotch.placement.mixing import prompt_mark
 from berylnotch.platform.requests import (
+    AnswerHead,
     PromptPart,
     TargetHeaders,
     decode_answer,
@@ -33,9 +35,15 @@
 #: Largest answer that is not a stream, in bytes.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
-#: Seconds for which a target that said it is full gets no request.
+#: Seconds for which a target that said it is full, but not for how long, gets no
+#: request.
 FULL_S = 0.15
 
+#: Longest pause in seconds that a target may ask for, and the part by which routers
+#: extend it at random so that they do not all come back in the same moment.
+MAX_BACK_OFF_S = 300.0
+BACK_OFF_SPREAD = 0.1
+
 #: Seconds for which a target that is not the expected one, or runs other weights,
 #: gets no request; by then the leader knows more.
 MISDIRECTED_S = 0.4
@@ -165,6 +173,7 @@
     def on_head(self, head: ResponseHead) -> bool:
         """Take the head; one of another request is skipped."""
         answer = decode_answer(head.status, head.headers)
+        self._take_signals(answer)
         own_id = self._admitted.caller.request_id
         if answer.request_id != own_id and (answer.request_id or head.status < 300):
             self._context.log.warning(
@@ -274,7 +283,7 @@
         target = self._target
         target.ejection.abandoned(self._number)
         pause_s = FULL_S if status in (503, 429) else MISDIRECTED_S
-        target.refused_until = boot_time() + pause_s
+        target.back_off(boot_time(), pause_s)
         self._context.log.warning(
             "target_refused",
             id=self._admitted.caller.request_id,
@@ -295,6 +304,32 @@
     def _stream_headers(self) -> Headers:
         return self._head.headers.end_to_end().without(("content-length",))
 
+    def _take_signals(self, answer: AnswerHead) -> None:
+        """Act on what a target says of itself, with an answer to any request."""
+        target, context = self._target, self._context
+        if answer.is_leaving and not target.has_said_leaving:
+            context.targets.leaves(target)
+            context.report_soon()
+            context.metrics.count("berylnotch_targets_said_leaving_total")
+            context.log.info(
+                "target_leaves",
+                id=self._admitted.caller.request_id,
+                target=target.target_id,
+                born_ms=target.listed.born_ms,
+            )
+        if answer.retry_after_s is not None:
+            pause_s = min(MAX_BACK_OFF_S, answer.retry_after_s)
+            target.back_off(
+                boot_time(), pause_s * random.uniform(1, 1 + BACK_OFF_SPREAD)
+            )
+            context.metrics.count("berylnotch_targets_back_off_total")
+            context.log.info(
+                "target_backs_off",
+                id=self._admitted.caller.request_id,
+                target=target.target_id,
+                pause_s=pause_s,
+            )
+
     def _connection_closing(self, head: ResponseHead) -> None:
         """Expect a target that closes its connections to leave soon."""
         self._context.log.info(
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from berylnotch.entry.settings import EntrySettings
-from berylnotch.group.messages import TargetEntry
+from berylnotch.group.messages import LeavingWord, TargetEntry
 from berylnotch.membership.ejection import Ejection
 from berylnotch.membership.listing import ListedTarget
 from berylnotch.net.client import ClientConnection
@@ -34,6 +34,8 @@
         Whether it loads weights.
     is_leaving : bool
         Whether it gets no new work, by the list or by its own word.
+    has_said_leaving : bool
+        Whether it told this router so in an answer.
     in_flight : int
         Requests of this router that it has.
     others_in_flight : int
@@ -62,6 +64,7 @@
     ejection: Ejection
     is_loading: bool = False
     is_leaving: bool = False
+    has_said_leaving: bool = False
     in_flight: int = 0
     others_in_flight: int = 0
     unread: int = 0
@@ -103,6 +106,10 @@
             step = AVERAGE_STEP if self.latency_s else 1.0
             self.latency_s += (latency_s - self.latency_s) * step
 
+    def back_off(self, now: float, pause_s: float) -> None:
+        """Leave it out for so long; an earlier word of a longer pause holds on."""
+        self.refused_until = max(self.refused_until, now + pause_s)
+
     def is_avoided(self, now: float) -> bool:
         """Whether it failed elsewhere, and this router is not one that probes it."""
         is_prober = self.ejection.is_out and not self.ejection.blocks(now)
@@ -224,6 +231,19 @@
             while len(target.idle) > self._settings.max_idle:
                 target.idle.popleft().close()
 
+    def leaves(self, target: Target) -> None:
+        """Note a target's own word that it leaves; it gets no further request."""
+        target.is_leaving = target.has_said_leaving = True
+        self._drop_idle(target)
+
+    def leaving_words(self) -> tuple[LeavingWord, ...]:
+        """Return the targets that told this router that they leave."""
+        return tuple(
+            LeavingWord(target.target_id, target.listed.born_ms)
+            for target in self._targets.values()
+            if target.has_said_leaving
+        )
+
     def close_old(self) -> None:
         """Close the connections that were idle for too long."""
         oldest = boot_time() - self._settings.reuse_s
@@ -245,7 +265,9 @@
         if entry.is_loading and not target.is_loading:
             target.loading_until = boot_time() + self._settings.load_s
         target.is_loading = entry.is_loading
-        target.is_leaving = target.is_leaving or listed.is_leaving
+        target.is_leaving = target.has_said_leaving or listed.is_leaving
+        if target.is_leaving:
+            self._drop_idle(target)
         self._targets[listed.target_id] = target
         return is_other
 
--- a/berylnotch/group/messages.py
+++ b/berylnotch/group/messages.py
@@ -72,12 +72,24 @@
     target_id: str
 
 
+@frozen
+class LeavingWord:
+    """A target that told a router in an answer that it leaves.
+
+    ``born_ms`` is its start as the router knows it: the word holds for that one only.
+    """
+
+    target_id: str
+    born_ms: int
+
+
 @frozen
 class RouterReport:
     """What a router tells the leader.
 
     ``incarnation`` changes with each start. ``address`` is where callers connect.
-    ``ejected`` are targets that failed and are left out.
+    ``ejected`` are targets that failed and are left out, ``leaving`` those that said
+    that they leave.
     """
 
     name: str
@@ -90,6 +102,7 @@
     crashes: tuple[CrashMark, ...] = ()
     prompts: tuple[PromptNote, ...] = ()
     ejected: tuple[str, ...] = ()
+    leaving: tuple[LeavingWord, ...] = ()
 
 
 @frozen
--- a/berylnotch/membership/board.py
+++ b/berylnotch/membership/board.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from attrs import define, evolve
 
-from berylnotch.group.messages import TargetEntry
+from berylnotch.group.messages import LeavingWord, TargetEntry
 from berylnotch.membership.listing import ListedTarget, ModelVersion
 
 #: Seconds for which an engine's own word on its weights counts more than the list,
@@ -12,6 +14,14 @@
 OWN_WORD_S = 4.0
 
 
+#: Part of a service's targets that are taken as leaving by the word of one router
+#: alone; a router that is wrong must not empty a service.
+ONE_WORD_PART = 0.5
+
+#: Routers by whose words any number of targets is taken as leaving.
+SURE_WORDS = 2
+
+
 @define
 class _Loaded:
     """Version that an engine reported, and when."""
@@ -28,6 +38,8 @@
         self._listed: dict[str, ListedTarget] = {}
         self._loaded: dict[str, _Loaded] = {}
         self._loading: dict[str, float] = {}
+        #: Routers that heard a target say that it leaves, by its identity and start.
+        self._words: dict[LeavingWord, set[str]] = {}
         self._listed_at: float | None = None
 
     @property
@@ -46,11 +58,44 @@
 
     def entries(self) -> tuple[TargetEntry, ...]:
         """Return all targets for routers."""
+        leaving = self.leaving_by_word()
         return tuple(
-            TargetEntry(target, target.target_id in self._loading)
+            TargetEntry(
+                evolve(target, is_leaving=True)
+                if target.target_id in leaving
+                else target,
+                target.target_id in self._loading,
+            )
             for target in self.targets()
         )
 
+    def said_leaving(self, router: str, words: Collection[LeavingWord]) -> bool:
+        """Take what a router heard from targets; return whether any of it is new."""
+        before = self.leaving_by_word()
+        for word in words:
+            target = self._listed.get(word.target_id)
+            if target is not None and target.born_ms == word.born_ms:
+                self._words.setdefault(word, set()).add(router)
+        return self.leaving_by_word() != before
+
+    def leaving_by_word(self) -> frozenset[str]:
+        """Return the targets that said that they leave, whatever the list shows."""
+        if not self._words:
+            return frozenset()
+        sure, unsure = set(), {}
+        for word, routers in self._words.items():
+            target = self._listed.get(word.target_id)
+            if target is None or target.born_ms != word.born_ms:
+                continue
+            if len(routers) >= SURE_WORDS:
+                sure.add(word.target_id)
+            else:
+                unsure.setdefault(target.service, []).append(word.target_id)
+        for service, targets in unsure.items():
+            count = sum(t.service == service for t in self._listed.values())
+            sure.update(sorted(targets)[: int(count * ONE_WORD_PART)])
+        return frozenset(sure)
+
     def target(self, target_id: str) -> ListedTarget | None:
         """Return a target, or None if it is not listed."""
         return self._listed.get(target_id)
@@ -63,6 +108,10 @@
             del self._loading[name]
         for name in self._loaded.keys() - self._listed.keys():
             del self._loaded[name]
+        for word in tuple(self._words):
+            target = self._listed.get(word.target_id)
+            if target is None or target.born_ms != word.born_ms:
+                del self._words[word]
 
     def began_loading(self, now: float, target_id: str) -> None:
         """Note that a target gets an order to load weights."""
--- a/berylnotch/platform/names.py
+++ b/berylnotch/platform/names.py
@@ -14,6 +14,8 @@
 NOT_RUN = "Berylnotch-Not-Executed"
 RETRY_AFTER = "Retry-After"
 TARGET_ID = "Berylnotch-Instance-Id"
+#: Set to 1 in every answer of an engine that is leaving.
+LEAVING = "Server-Leaving"
 MODEL = "Berylnotch-Model"
 TOKEN_COUNTS = "Berylnotch-Token-Count"
 CACHE_SALT = "Berylnotch-Cache-Salt"
--- a/berylnotch/platform/requests.py
+++ b/berylnotch/platform/requests.py
@@ -65,7 +65,9 @@
 class AnswerHead:
     """What the headers of a target's answer say.
 
-    ``is_not_run`` tells that the target did not run the request and never will.
+    ``is_not_run`` tells that the target did not run the request and never will,
+    ``is_leaving`` that it takes no new work, and ``retry_after_s`` for how long it
+    wants no request; None if it did not say.
     """
 
     request_id: str
@@ -73,6 +75,8 @@
     is_not_run: bool
     target_id: str
     weights_version: int | None
+    is_leaving: bool = False
+    retry_after_s: float | None = None
 
 
 def decode_request(request: HttpRequest) -> CallerRequest:
@@ -122,6 +126,10 @@
         is_not_run=has_refused,
         target_id=headers.get(names.TARGET_ID),
         weights_version=_whole(headers.get(names.WEIGHTS_VERSION)),
+        is_leaving=headers.get(names.LEAVING).strip() == "1",
+        retry_after_s=_number(headers.get(names.RETRY_AFTER))
+        if status == 503
+        else None,
     )
 
 
--- a/tests/test_entry/support.py
+++ b/tests/test_entry/support.py
@@ -1,10 +1,15 @@
 """Targets and choices for tests of the request path."""
 
+from berylnotch.entry.admitted import Admitted
 from berylnotch.entry.choice import Placing
+from berylnotch.entry.exchange import Exchange
 from berylnotch.entry.targets import Target
 from berylnotch.membership.ejection import Ejection
 from berylnotch.membership.listing import ListedTarget, ModelVersion
 from berylnotch.membership.settings import MembershipSettings
+from berylnotch.net.messages import Headers, HttpRequest
+from berylnotch.platform.requests import decode_request
+from berylnotch.util.clock import boot_time
 
 MODEL = "m"
 
@@ -40,3 +45,49 @@
     values = {"shared_tokens": 55, "prompt_tokens": 380, "is_urgent": True}
     values.update(changes)
     return long_request(**values)
+
+
+class Connection:
+    """A caller that takes what it is sent."""
+
+    on_gone = on_drained = None
+    is_congested = False
+
+    def __init__(self):
+        self.answers = []
+
+    def respond(self, status, headers, body=b""):
+        self.answers.append((status, headers, body))
+
+
+class Log:
+    """A log that keeps its events."""
+
+    def __init__(self):
+        self.events = []
+
+    def info(self, event, **fields):
+        self.events.append((event, fields))
+
+    warning = error = info
+
+
+def make_exchange(context, organisation=None, **changes):
+    headers = Headers(
+        (
+            ("Host", "app.example"),
+            ("Berylnotch-Request-Id", "id-1"),
+            ("Berylnotch-Model", "model-1"),
+            ("Berylnotch-Token-Count", "3000,20"),
+            ("Berylnotch-Prefix-Hash", "aa:2000,bb:1000"),
+        )
+    )
+    request = HttpRequest("POST", "/chat/x", headers, b"{}", boot_time())
+    for name, value in changes.items():
+        setattr(request, name, value)
+    route = context.routes.route("app.example", request.path)
+    admitted = Admitted(request, decode_request(request), route, organisation)
+    connection, ended = Connection(), []
+    exchange = Exchange(context, connection, admitted, ended.append)
+    exchange.start()
+    return exchange, connection, ended
--- a/tests/test_entry/test_exchange.py
+++ b/tests/test_entry/test_exchange.py
@@ -1,110 +1,11 @@
 """One request from admission to its end, without a network."""
 
-from types import SimpleNamespace
-
-import pytest
-
 from berylnotch.daemon.fleet.follower import RETRY_S
 from berylnotch.daemon.fleet.replica_host import CONSENSUS
-from berylnotch.entry.admitted import Admitted
-from berylnotch.entry.context import EntryContext
-from berylnotch.entry.exchange import Exchange
-from berylnotch.entry.prompts import PromptMemory
-from berylnotch.entry.quota_gate import QuotaGate
-from berylnotch.entry.settings import EntrySettings
-from berylnotch.entry.targets import TargetTable
-from berylnotch.group.messages import TargetEntry
-from berylnotch.membership.crashes import CrashGuard
-from berylnotch.membership.listing import ListedTarget, ModelVersion
-from berylnotch.net.messages import Headers, HttpRequest
-from berylnotch.platform.configuration import decode_configuration
-from berylnotch.platform.requests import decode_request
-from berylnotch.quota.bounds import FLEET_QUOTA
-from berylnotch.quota.local import LocalQuota
 from berylnotch.routing.model import Organisation
-from berylnotch.routing.table import RouteTable
-from berylnotch.settings.fleet import FleetBounds
 from berylnotch.transport.link import LinkSettings
 from berylnotch.util.clock import boot_time
-from berylnotch.util.loop import Loop
-from berylnotch.util.metrics import Metrics
-from tests.fleet.processes import configuration
-from tests.test_platform.test_configuration import encode
-
-
-class Connection:
-    """A caller that takes what it is sent."""
-
-    on_gone = on_drained = None
-    is_congested = False
-
-    def __init__(self):
-        self.answers = []
-
-    def respond(self, status, headers, body=b""):
-        self.answers.append((status, headers, body))
-
-
-class Log:
-    """A log that keeps its events."""
-
-    def __init__(self):
-        self.events = []
-
-    def info(self, event, **fields):
-        self.events.append((event, fields))
-
-    warning = error = info
-
-
-@pytest.fixture
-def context():
-    settings, loop = EntrySettings(), Loop("test")
-    bounds = FleetBounds()
-    made = EntryContext(
-        settings=settings,
-        fleet=SimpleNamespace(bounds=bounds, failure_domain="north"),
-        loop=loop,
-        log=Log(),
-        metrics=Metrics(),
-        targets=TargetTable(loop, settings),
-        gate=QuotaGate(LocalQuota(FLEET_QUOTA), settings.quota_wait_s),
-        prompts=PromptMemory(),
-        crashes=CrashGuard(settings.membership),
-    )
-    values = configuration(3)
-    del values["tenants"]
-    made.routes = RouteTable(decode_configuration(encode(values)))
-    models = (ModelVersion("model-1", 1),)
-    made.targets.update(
-        [
-            TargetEntry(
-                ListedTarget("e", "llm", "127.0.0.1:9", "north", 8, models=models)
-            )
-        ]
-    )
-    return made
-
-
-def make_exchange(context, organisation=None, **changes):
-    headers = Headers(
-        (
-            ("Host", "app.example"),
-            ("Berylnotch-Request-Id", "id-1"),
-            ("Berylnotch-Model", "model-1"),
-            ("Berylnotch-Token-Count", "3000,20"),
-            ("Berylnotch-Prefix-Hash", "aa:2000,bb:1000"),
-        )
-    )
-    request = HttpRequest("POST", "/chat/x", headers, b"{}", boot_time())
-    for name, value in changes.items():
-        setattr(request, name, value)
-    route = context.routes.route("app.example", request.path)
-    admitted = Admitted(request, decode_request(request), route, organisation)
-    connection, ended = Connection(), []
-    exchange = Exchange(context, connection, admitted, ended.append)
-    exchange.start()
-    return exchange, connection, ended
+from tests.test_entry.support import make_exchange
 
 
 def test_a_caller_that_leaves_leaves_nothing_behind(context):
--- a/tests/test_membership/test_board.py
+++ b/tests/test_membership/test_board.py
@@ -1,5 +1,6 @@
 """The leader's picture of the targets."""
 
+from berylnotch.group.messages import LeavingWord
 from berylnotch.membership.board import OWN_WORD_S, TargetBoard
 from berylnotch.membership.listing import ListedTarget, ModelVersion
 
@@ -38,3 +39,40 @@
     assert board.entries()[0].is_loading
     board.listed(1.0, ())
     assert board.loading == frozenset() and board.entries() == ()
+
+
+def fleet(count):
+    return tuple(
+        ListedTarget(f"t{n}", "llm", f"10.0.0.{n}:1", "d", born_ms=1)
+        for n in range(count)
+    )
+
+
+def leaving(board):
+    return {e.target.target_id for e in board.entries() if e.target.is_leaving}
+
+
+def test_a_target_that_told_a_router_that_it_leaves_is_shown_so_to_all():
+    board = TargetBoard()
+    board.listed(0.0, fleet(4))
+    assert board.said_leaving("r1", (LeavingWord("t1", 1),))
+    assert not board.said_leaving("r1", (LeavingWord("t1", 1),))
+    assert leaving(board) == {"t1"}
+    board.listed(1.0, fleet(4))
+    assert leaving(board) == {"t1"}
+
+
+def test_the_word_of_an_earlier_start_says_nothing():
+    board = TargetBoard()
+    board.listed(0.0, fleet(4))
+    assert not board.said_leaving("r1", (LeavingWord("t1", 0), LeavingWord("x", 1)))
+    assert leaving(board) == set()
+
+
+def test_one_router_cannot_empty_a_service_but_two_can():
+    board, words = TargetBoard(), [LeavingWord(f"t{n}", 1) for n in range(4)]
+    board.listed(0.0, fleet(4))
+    board.said_leaving("r1", words)
+    assert leaving(board) == {"t0", "t1"}
+    board.said_leaving("r2", words)
+    assert leaving(board) == {"t0", "t1", "t2", "t3"}
