--- a/benchmarks/clairvoyant.py
+++ b/benchmarks/clairvoyant.py
@@ -19,13 +19,13 @@
 from attrs import define, field, frozen
 
 from berylnotch.cmd.why_request import parse_line
-from berylnotch.entry.choice import (
-    CHUNK_MS,
-    CHUNK_TOKENS,
-    FETCH_TOKENS_PER_MS,
-    STEP_MS,
-    STEP_REQUEST_MS,
-)
+
+#: Prompt tokens that an engine reads in a step, the time of that and of the rest of a
+#: step, and what each request adds, in ms, by the users' sheet.
+CHUNK_TOKENS, CHUNK_MS, STEP_MS, STEP_REQUEST_MS = 1024, 17.0, 4.5, 0.18
+
+#: Prompt tokens in a ms that one engine takes over from another.
+FETCH_TOKENS_PER_MS = 1500.0
 
 #: Prompt tokens from which a prompt counts as long.
 LONG_TOKENS = 8_000
--- a/benchmarks/fleet_control.py
+++ b/benchmarks/fleet_control.py
@@ -31,7 +31,7 @@
     RouterReport,
     TargetLoad,
 )
-from berylnotch.placement.mixing import prompt_mark
+from berylnotch.placement.chains import prompt_mark
 from berylnotch.transport.packing import pack, unpack
 
 #: Sizes that are measured: pairs of routers and targets.
--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -139,6 +139,7 @@
             self.registry.unreachable,
             settings.name,
             host.term,
+            settings.bounds.weights_s,
             self.push_targets,
             log,
         )
--- a/berylnotch/daemon/fleet/notes.py
+++ b/berylnotch/daemon/fleet/notes.py
@@ -6,8 +6,8 @@
 
 from attrs import evolve
 
-from berylnotch.entry.prompts import Holding, PromptMemory
 from berylnotch.group.messages import PromptNote
+from berylnotch.placement.mirror import Holding, PromptMemory
 
 #: Notes a second that are passed on. A note is 13 bytes; so many take a third of the
 #: 6 KB/s that a router may spend on control.
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -18,7 +18,6 @@
 from berylnotch.entry.admitted import Admitted
 from berylnotch.entry.context import EntryContext
 from berylnotch.entry.exchange import Exchange
-from berylnotch.entry.prompts import PromptMemory
 from berylnotch.entry.quota_gate import QuotaGate
 from berylnotch.entry.settings import EntrySettings
 from berylnotch.entry.targets import TargetTable
@@ -37,6 +36,7 @@
 from berylnotch.net.messages import Headers, HttpRequest
 from berylnotch.net.reading import HttpLimits
 from berylnotch.net.server import HttpServer, ServerConnection
+from berylnotch.placement.mirror import PromptMemory
 from berylnotch.platform.configuration import decode_configuration
 from berylnotch.platform.operators import (
     ADDRESS_PATH,
@@ -231,6 +231,12 @@
             if organisation is None:
                 self._turn_away(connection, caller.request_id, 401, "unknown key")
                 return
+        if caller.chain.problem:
+            self._log.warning(
+                "prompt_parts_unusable",
+                id=caller.request_id,
+                reason=caller.chain.problem,
+            )
         admitted = Admitted(request, caller, route, organisation)
         exchange = Exchange(
             self._context, connection, admitted, self._exchanges.discard
--- a/berylnotch/daemon/fleet/weights.py
+++ b/berylnotch/daemon/fleet/weights.py
@@ -13,7 +13,7 @@
 from berylnotch.membership.naming import WeightsNames
 from berylnotch.net.fetch import fetch
 from berylnotch.net.messages import HttpRequest, HttpResponse
-from berylnotch.orders.rolling import HURRY_S, WeightsLoad, next_loads
+from berylnotch.orders.rolling import HURRY_PART, WeightsLoad, next_loads
 from berylnotch.platform.targets import (
     EngineReport,
     WeightsOrder,
@@ -30,9 +30,12 @@
 #: have sent their last request there.
 SETTLE_S = 0.05
 
-#: Seconds from an order to the first look whether it was carried out; about the
-#: time that a load takes.
-FIRST_LOOK_S = 1.8
+#: Seconds from an order to the first look whether it was carried out, before any load
+#: was measured.
+FIRST_LOOK_S = 0.5
+
+#: Part of the shortest load that was measured after which the first look comes.
+FIRST_LOOK_PART = 0.9
 
 #: Seconds between two looks; a look costs less than an idle engine.
 LOOK_S = 0.12
@@ -79,6 +82,8 @@
         Name of this process in orders.
     epoch : int
         Fencing number of this leader.
+    weights_s : float
+        Time after a version was named in which requests may begin on older ones.
     on_change : callable
         Called when an engine begins or ends to load.
     log : EventLog
@@ -95,6 +100,7 @@
         unreachable: Callable[[], frozenset[str]],
         holder: str,
         epoch: int,
+        weights_s: float,
         on_change: Callable[[], None],
         log: EventLog,
     ) -> None:
@@ -106,6 +112,9 @@
         self._unreachable = unreachable
         self._holder = holder
         self._epoch = epoch
+        self._hurry_s = HURRY_PART * weights_s
+        #: Shortest time from an order to the load that it led to.
+        self._shortest_load_s: float | None = None
         self._on_change = on_change
         self._log = log
         self._loads: dict[str, _Load] = {}
@@ -167,6 +176,7 @@
             held_back,
             self._busy(),
             lambda model, version: self._names.outdated_s(now, model, version),
+            self._hurry_s,
         )
         for due in loads:
             target = self._board.target(due.target_id)
@@ -191,7 +201,7 @@
             target.target_id
             for target in self._board.targets()
             for model in target.models
-            if self._names.outdated_s(now, model.name, model.version) > HURRY_S
+            if self._names.outdated_s(now, model.name, model.version) > self._hurry_s
         )
 
     def _call(
@@ -261,7 +271,7 @@
         elif status == 200:
             self._loop.call_later(0.0, lambda: self._look(load))
         elif status == 202:
-            self._loop.call_later(FIRST_LOOK_S, lambda: self._look(load))
+            self._loop.call_later(self._first_look_s, lambda: self._look(load))
         else:
             # It may have been accepted, or be carried out later.
             self._loop.call_later(LOOK_S, lambda: self._look(load))
@@ -282,6 +292,7 @@
                 self._end(load, f"no report: {why}", FAILED_S)
                 return
         elif self._is_done(load, report):
+            self._note_load(waited_s)
             self._finish(load, report)
             return
         elif not report.is_busy and waited_s > IDLE_S:
@@ -290,6 +301,16 @@
             return
         self._loop.call_later(LOOK_S, lambda: self._look(load))
 
+    @property
+    def _first_look_s(self) -> float:
+        if self._shortest_load_s is None:
+            return FIRST_LOOK_S
+        return FIRST_LOOK_PART * self._shortest_load_s
+
+    def _note_load(self, took_s: float) -> None:
+        if self._shortest_load_s is None or took_s < self._shortest_load_s:
+            self._shortest_load_s = took_s
+
     def _read(
         self, load: _Load, answer: HttpResponse | None, why: str
     ) -> EngineReport | None:
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -5,7 +5,6 @@
 import random
 from typing import TYPE_CHECKING
 
-from berylnotch.entry.choice import MIN_HOME_TOKENS
 from berylnotch.entry.events import MAX_EVENT_BYTES, EventSplitter
 from berylnotch.entry.results import AttemptEnd, AttemptOwner, AttemptResult
 from berylnotch.group.messages import PromptNote
@@ -16,10 +15,9 @@
     ResponseSink,
 )
 from berylnotch.net.messages import Headers
-from berylnotch.placement.mixing import prompt_mark
+from berylnotch.placement.mirror import Holding
 from berylnotch.platform.requests import (
     AnswerHead,
-    PromptPart,
     TargetHeaders,
     decode_answer,
     encode_for_target,
@@ -81,7 +79,10 @@
     ) -> None:
         self._context = context
         self._target = choice.target
-        self._unread = choice.unread
+        self._unread = self._read_tokens = choice.unread
+        #: Prompt tokens that the target had to read before this request's.
+        self._ahead = choice.target.total_unread
+        self._has_begun = False
         self._expected_s = choice.delay_ms / 1000
         self._admitted = admitted
         self._told = told
@@ -204,7 +205,8 @@
         if not decode_answer(200, self._head.headers).stamp:
             self._break_off("stream without a stamp")
             return
-        if self._unread:
+        if not self._has_begun:
+            self._has_begun = True
             self._has_read()
         for event in self._splitter.feed(data):
             self._owner.stream_began(200, self._stream_headers())
@@ -348,40 +350,58 @@
         self._target.unread -= self._unread
         self._unread = 0
         self._note_prompt(is_ready=True)
+        if self._ahead <= self._read_tokens:
+            took_ms = 1000 * (boot_time() - self._sent_at)
+            tokens = self._read_tokens + self._ahead
+            self._context.meter(self._target.listed.service).note(tokens, took_ms)
 
     def _forget_prompt(self) -> None:
         """Note that the target did not come to read the prompt."""
-        parts = self._admitted.caller.parts
-        if len(parts) > 1:
-            mark = self._mark(parts[0])
+        for mark in self._marks():
             self._context.prompts.not_read(self._target.target_id, mark)
 
-    def _mark(self, part: PromptPart) -> int:
-        return prompt_mark(self._told.cache_salt, part.part_id)
+    def _marks(self) -> tuple[int, ...]:
+        return self._admitted.caller.chain.marks(self._told.cache_salt)
 
     def _note_prompt(self, is_ready: bool) -> bool:
-        """Note where the shared part of the prompt is read, and saved.
+        """Note where the shared parts of the prompt are read, and saved.
+
+        The deepest level is always told, for its place among the least recently used
+        ones; those above it only where they are new.
 
         Returns
         -------
         bool
-            Whether there is a long one.
+            Whether there is something that other routers should know soon.
         """
-        parts = self._admitted.caller.parts
-        if len(parts) < 2 or parts[0].tokens < MIN_HOME_TOKENS:
-            return False
-        part, prompts = parts[0], self._context.prompts
-        mark = self._mark(part)
-        holder = self._target.target_id
-        own = 0
-        if not is_ready:
-            own = max(0, self._admitted.caller.prompt_tokens - part.tokens)
-        note = PromptNote(mark, part.tokens, holder, own, is_ready, self._unread)
+        caller, prompts, now = self._admitted.caller, self._context.prompts, boot_time()
+        chain, holder = caller.chain, self._target.target_id
         capacity = self._context.cache_tokens(self._target)
-        prompts.read(boot_time(), note, capacity)
-        if is_ready and self._told.save_to:
-            note = PromptNote(mark, part.tokens, self._told.save_to)
-            prompts.saved(boot_time(), note)
+        if not chain.has_home:
+            if not is_ready and capacity:
+                prompts.fill(holder, caller.prompt_tokens)
+            return False
+        own = 0 if is_ready else max(0, caller.prompt_tokens - chain.shared_tokens)
+        known = Holding.READY if is_ready else Holding.READING
+        last = len(chain.levels) - 1
+        for number, (level, mark) in enumerate(
+            zip(chain.levels, self._marks(), strict=True)
+        ):
+            is_last = number == last
+            held = prompts.holding(now, holder, mark)
+            if not is_last and held in (known, Holding.READY):
+                continue
+            note = PromptNote(
+                mark,
+                level.tokens,
+                holder,
+                own if is_last else 0,
+                is_ready,
+                self._unread if is_last else 0,
+            )
+            prompts.read(now, note, capacity)
+            if is_ready and self._told.save_to:
+                prompts.saved(now, PromptNote(mark, level.tokens, self._told.save_to))
         return True
 
     def _count(self, result: str) -> None:
@@ -393,7 +413,7 @@
 
     def _leave(self) -> None:
         self._is_over = True
-        if self._unread:
+        if not self._has_begun:
             self._forget_prompt()
         self._target.in_flight -= 1
         self._target.unread -= self._unread
--- a/berylnotch/entry/choice.py
+++ b/berylnotch/entry/choice.py
@@ -1,48 +1,30 @@
 """Choice of the target for a request.
 
-It answers this load: long prompts that share an opening, mixed with many short
-ones. An engine reads one prompt after the other, so a long prompt that it does not
-hold delays all that comes after; and its memory holds few openings.
+It answers this load: long prompts that share beginnings as the branches of a tree do,
+mixed with many short ones. An engine reads one prompt after the other, so a long
+prompt of which it holds little delays all that comes after; and its memory holds few.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Iterator
+from itertools import islice
 
-from attrs import frozen
+from attrs import field, frozen
 
-from berylnotch.entry.prompts import Holding
 from berylnotch.entry.targets import Target
+from berylnotch.placement.chains import NO_CHAIN, Chain
+from berylnotch.placement.costs import EngineCosts
+from berylnotch.placement.mirror import NO_RUN, Run
 from berylnotch.placement.mixing import mix
 
-#: Shared prompt tokens from which it pays to send requests to the engine that
-#: holds them: reading so many takes longer than an engine's usual step.
-MIN_HOME_TOKENS = 1024
-
-#: Prompt tokens that an engine reads in one step, by the users' sheet of engines.
-CHUNK_TOKENS = 1024
-
-#: Time to read that many, in ms, by the same sheet.
-CHUNK_MS = 17.0
-
-#: Time of a step beside what it reads, in ms, and for each request that runs in it,
-#: by the same sheet.
-STEP_MS = 4.5
-STEP_REQUEST_MS = 0.18
-
-#: Prompt tokens in a ms that one engine takes over from another.
-FETCH_TOKENS_PER_MS = 1500.0
-
-#: Prompt tokens in a ms that an engine takes from a store.
-STORE_TOKENS_PER_MS = 100.0
-
 #: Cost of a request that is under way at an engine, in ms: what each adds to the
 #: steps of the others.
 LOAD_MS = 5.0
 
-#: Cost of a copy of a shared prompt, beside its transfer, in ms: it displaces another
+#: Cost of a copy, beside its transfer, in ms for 1,000 tokens: it displaces another
 #: prompt.
-COPY_MS = 80.0
+COPY_MS_PER_K = 6.0
 
 #: Part of the queue of unread prompts that an urgent request waits for; engines
 #: admit it before the others.
@@ -56,6 +38,17 @@
 #: which none holds.
 HOME_MS = 80.0
 
+#: Shared tokens of a short prompt from which it has a home too, and the advantage of
+#: that, as a multiple of the time to read them.
+MIN_AFFINITY_TOKENS = 128
+AFFINITY_FACTOR = 2.0
+
+#: Engines that hold a part of a prompt and are compared for it, at the most.
+MAX_HOLDERS = 48
+
+#: Multiple of the expected delay after which a request has surely begun.
+BEGIN_FACTOR = 1.5
+
 #: Cost of running on weights older than the newest named, in ms.
 OLD_WEIGHTS_MS = 400.0
 
@@ -100,13 +93,11 @@
     fresh_s : float
         Such a time up to which the older weights are as good.
     stale_s : float
-        Such a time from which the older weights are not used any more.
+        Such a time from which no request may begin on the older weights.
     target_latency_s : float
         Time in which the first event should come.
-    shared_id : str
-        Identity of the shared part of the prompt, empty if there is none.
-    shared_tokens : int
-        Tokens of it.
+    chain : Chain
+        What the prompt shares with others.
     prompt_tokens : int
         Tokens of the whole prompt.
     is_urgent : bool
@@ -121,10 +112,17 @@
         one at the same time.
     draw : callable
         Returns a random number below a given one.
-    holding : callable
-        Tells whether a target probably holds the shared part.
-    is_saved : callable
-        Tells whether a store probably holds it, for use by a target.
+    run : callable
+        Returns the levels of the chain that a target probably holds.
+    holders : callable
+        Returns the targets that may hold a level or read it.
+    saved : callable
+        Returns how many levels a store probably holds, for use by a target.
+    walk : callable or None
+        Returns the targets in the order that a key decides, alike at all routers;
+        None to compare their hashes.
+    costs : EngineCosts
+        Times of the engines.
     """
 
     now: float
@@ -134,21 +132,18 @@
     fresh_s: float = 0.0
     stale_s: float = float("inf")
     target_latency_s: float = 0.0
-    shared_id: str = ""
-    shared_tokens: int = 0
+    chain: Chain = NO_CHAIN
     prompt_tokens: int = 0
     is_urgent: bool = False
     failure_domain: str = ""
     excluded: Collection[str] = ()
     sample: int = 0
     draw: Callable[[int], int] = lambda count: 0
-    holding: Callable[[Target], Holding] = lambda target: Holding.NONE
-    is_saved: Callable[[Target], bool] = lambda target: False
-
-    @property
-    def has_home(self) -> bool:
-        """Whether the request belongs to an engine that holds its prompt."""
-        return bool(self.shared_id) and self.shared_tokens >= MIN_HOME_TOKENS
+    run: Callable[[Target], Run] = lambda target: NO_RUN
+    holders: Callable[[], Collection[Target]] = lambda: ()
+    saved: Callable[[Target], int] = lambda target: 0
+    walk: Callable[[str], Iterator[Target]] | None = None
+    costs: EngineCosts = field(factory=EngineCosts)
 
 
 @frozen
@@ -159,94 +154,132 @@
     ----------
     target : Target
         Where the request goes.
+    delay_ms : float
+        Expected time until it has read the prompt.
     source : Target or None
-        Engine from which it takes the shared part, if it does not hold it and a
-        ready one does.
+        Engine from which it takes what it does not hold, if a ready one does.
     unread : int
         Prompt tokens that it probably has to read.
-    is_cold : bool
-        Whether it has to read the shared part as well.
-    delay_ms : float
-        Expected time until it has read the prompt.
+    copied : int
+        Shared tokens that it takes over from another engine.
+    read_again : int
+        Shared tokens that it reads though another engine holds them.
     """
 
     target: Target
     delay_ms: float
     source: Target | None = None
     unread: int = 0
-    is_cold: bool = False
+    copied: int = 0
+    read_again: int = 0
 
 
 def choose(targets: Collection[Target], placing: Placing) -> Choice | None:
     """Return the target with the least expected delay, or None.
 
-    A long shared prompt that no engine holds goes to an engine that every router
-    computes alike, so that it is read once. Later requests follow it, and the
-    queue of unread prompts moves them on to other engines, which copy it.
+    A long prompt that no engine holds goes to an engine that every router computes
+    alike, so that it is read once. Later requests follow the longest run of its parts,
+    and the queue of unread prompts moves them on to other engines, which copy it.
     """
-    targets = list(targets)
-    if not placing.has_home:
+    if not placing.chain.has_home:
         return _choose_anywhere(targets, placing)
-    usable = _usable(targets, placing)
-    if not usable:
-        return None
-    home = min(usable, key=lambda t: mix(t.target_id, placing.shared_id))
-    holders = _Holders(targets, placing)
-    if placing.sample:
-        usable.sort(key=lambda t: mix(t.target_id, placing.shared_id))
-        usable = usable[: placing.sample] + [
-            t
-            for t in usable[placing.sample :]
-            if holders.holding(t) is not Holding.NONE
-        ]
+    home, usable = _near(targets, placing)
+    holders = _Holders(usable, placing)
     choices = [_price(t, placing, holders) for t in usable]
+    choices = [c for c in choices if _begins_in_time(c, placing)]
 
     def cost_ms(choice: Choice) -> float:
-        cost = _worth_ms(choice, placing)
-        if holders.holding(choice.target) is not Holding.NONE:
-            return cost
-        if choice.source is not None:
-            return cost + COPY_MS
-        if choice.is_cold and holders.is_known(choice.target):
-            cost += READ_AGAIN_MS_PER_K * placing.shared_tokens / 1000
-        return cost - HOME_MS if choice.target is home else cost
+        cost = _worth_ms(choice, placing) + COPY_MS_PER_K * choice.copied / 1000
+        cost += READ_AGAIN_MS_PER_K * choice.read_again / 1000
+        is_first = choice.target is home and choice.unread > holders.own_tokens
+        return cost - HOME_MS if is_first else cost
+
+    return min(choices, key=lambda c: (cost_ms(c), c.target is not home), default=None)
+
 
-    return min(choices, key=lambda c: (cost_ms(c), c.target is not home))
+def _near(
+    targets: Collection[Target], placing: Placing
+) -> tuple[Target | None, list[Target]]:
+    """Return the home of a prompt, and the targets to compare for it.
+
+    With many routers these are a sample that the prompt decides, and the engines that
+    hold a part of it.
+    """
+    path = placing.chain.path
+    if not placing.sample or placing.walk is None:
+        usable = _usable(targets, placing)
+        if placing.sample:
+            usable.sort(key=lambda t: mix(t.target_id, path))
+            held = [t for t in usable[placing.sample :] if placing.run(t).coming]
+            usable = usable[: placing.sample] + held
+        home = min(usable, key=lambda t: mix(t.target_id, path), default=None)
+        return home, usable
+    fit = (t for t in placing.walk(path) if _is_free(t, placing))
+    near = list(islice(fit, placing.sample))
+    home = near[0] if near else None
+    known = {t.target_id for t in near}
+    held = [
+        t
+        for t in placing.holders()
+        if t.target_id not in known and _is_free(t, placing)
+    ]
+    while len(held) > MAX_HOLDERS:
+        held.pop(placing.draw(len(held)))
+    return home, near + held or _usable(targets, placing)
 
 
-def _choose_anywhere(targets: list[Target], placing: Placing) -> Choice | None:
-    """Return the best target for a request that belongs to no engine, or None."""
+def _choose_anywhere(targets: Collection[Target], placing: Placing) -> Choice | None:
+    """Return the best target for a request that belongs to no engine, or None.
+
+    A short prompt leans to an engine that all routers compute alike from its shared
+    parts, as far as the time to read them counts.
+    """
     usable = _drawn(targets, placing)
-    unread = placing.prompt_tokens
+    unread, costs = placing.prompt_tokens, placing.costs
     choices = [
-        Choice(t, _queue_ms(t, placing) + _read_ms(t, unread), unread=unread)
+        Choice(t, _queue_ms(t, placing) + costs.read_ms(unread, t.load), unread=unread)
         for t in usable
     ]
+    choices = [c for c in choices if _begins_in_time(c, placing)]
+    home, gain_ms = None, 0.0
+    if placing.model and placing.chain.shared_tokens >= MIN_AFFINITY_TOKENS:
+        path = placing.chain.path
+        gain_ms = AFFINITY_FACTOR * costs.read_ms(placing.chain.shared_tokens, 0)
+        home = min(usable, key=lambda t: mix(t.target_id, path), default=None)
+
+    def cost_ms(choice: Choice) -> float:
+        return _worth_ms(choice, placing) - (gain_ms if choice.target is home else 0.0)
+
     return min(
         choices,
-        key=lambda c: (_worth_ms(c, placing), mix(c.target.target_id, "")),
+        key=lambda c: (cost_ms(c), mix(c.target.target_id, "")),
         default=None,
     )
 
 
-def _usable(targets: list[Target], placing: Placing) -> list[Target]:
+def _usable(targets: Collection[Target], placing: Placing) -> list[Target]:
     """Return the candidates, without those to avoid if there are others."""
     usable = [t for t in targets if _is_candidate(t, placing)]
     return [t for t in usable if not t.is_avoided(placing.now)] or usable
 
 
-def _drawn(targets: list[Target], placing: Placing) -> list[Target]:
+def _is_free(target: Target, placing: Placing) -> bool:
+    return _is_candidate(target, placing) and not target.is_avoided(placing.now)
+
+
+def _drawn(targets: Collection[Target], placing: Placing) -> list[Target]:
     """Return the usable targets, or a random sample of them if one is asked for.
 
     Most targets are usable, so a few draws do without a look at all of them.
     """
     if not placing.sample or len(targets) <= placing.sample:
         return _usable(targets, placing)
+    targets = list(targets)
     drawn: dict[int, Target] = {}
     for _ in range(DRAWS_PER_SAMPLE * placing.sample):
         position = placing.draw(len(targets))
         target = targets[position]
-        if _is_candidate(target, placing) and not target.is_avoided(placing.now):
+        if _is_free(target, placing):
             drawn[position] = target
             if len(drawn) == placing.sample:
                 return list(drawn.values())
@@ -256,32 +289,48 @@
 
 
 class _Holders:
-    """Which targets hold a shared prompt, by what the router knows."""
+    """Which targets hold how much of a prompt, by what the router knows."""
 
     def __init__(self, targets: list[Target], placing: Placing) -> None:
-        self._model = placing.model
-        self._now = placing.now
-        self._held = {t.target_id: placing.holding(t) for t in targets}
-        self._holders = [t for t in targets if self.holding(t) is not Holding.NONE]
-
-    def holding(self, target: Target) -> Holding:
-        """Return whether a target holds the prompt."""
-        return self._held[target.target_id]
-
-    def is_known(self, target: Target) -> bool:
-        """Tell whether an engine with the same weights holds or reads the prompt."""
-        version = target.version(self._model)
-        return any(t.version(self._model) == version for t in self._holders)
-
-    def source(self, target: Target) -> Target | None:
-        """Return an engine from which a target may take the prompt over."""
-        version = target.version(self._model)
-        for holder in self._holders:
-            is_ready = self.holding(holder) is Holding.READY
-            if is_ready and holder.version(self._model) == version:
-                if not holder.is_loading and not holder.ejection.blocks(self._now):
-                    return holder
-        return None
+        self._placing = placing
+        self._chain = placing.chain
+        self._runs = {t.target_id: placing.run(t) for t in targets}
+        #: Tokens that each engine has to read.
+        self.own_tokens = max(0, placing.prompt_tokens - self._chain.shared_tokens)
+        #: Most levels that an engine holds or reads, by version of its weights.
+        self._known: dict[int | None, int] = {}
+        #: Engine that has read the most, by version of its weights.
+        self._sources: dict[int | None, Target] = {}
+        for target in targets:
+            self._count(target)
+
+    def run(self, target: Target) -> Run:
+        """Return the levels that a target holds."""
+        return self._runs[target.target_id]
+
+    def known_tokens(self, target: Target) -> int:
+        """Return the shared tokens that some engine with the same weights holds."""
+        version = target.version(self._placing.model)
+        return self._chain.total(self._known.get(version, 0))
+
+    def source(self, target: Target) -> tuple[Target | None, int]:
+        """Return an engine from which a target may copy, and the levels there."""
+        source = self._sources.get(target.version(self._placing.model))
+        if source is None or source is target:
+            return None, 0
+        return source, self.run(source).ready
+
+    def _count(self, target: Target) -> None:
+        run = self.run(target)
+        if not run.coming:
+            return
+        version = target.version(self._placing.model)
+        self._known[version] = max(self._known.get(version, 0), run.coming)
+        if target.is_loading or target.ejection.blocks(self._placing.now):
+            return
+        best = self._sources.get(version)
+        if run.ready and (best is None or run.ready > self.run(best).ready):
+            self._sources[version] = target
 
 
 def usable_in_s(targets: Iterable[Target], placing: Placing) -> float | None:
@@ -298,26 +347,38 @@
 
 def _price(target: Target, placing: Placing, holders: _Holders) -> Choice:
     """Return the expected delay at a target, and how it gets the prompt."""
-    own = max(0, placing.prompt_tokens - placing.shared_tokens)
-    delay = _queue_ms(target, placing) + _read_ms(target, own)
-    if holders.holding(target) is not Holding.NONE:
-        # What it still reads of the shared part is in its queue already.
+    chain, costs = placing.chain, placing.costs
+    held = chain.total(holders.run(target).coming)
+    own = holders.own_tokens
+    # What it still reads of the parts that are coming is in its queue already.
+    delay = _queue_ms(target, placing) + costs.read_ms(own, target.load)
+    if held >= chain.shared_tokens:
         return Choice(target, delay, unread=own)
-    source = holders.source(target)
-    if source is not None:
-        delay += placing.shared_tokens / FETCH_TOKENS_PER_MS
-        return Choice(target, delay, source=source, unread=own)
-    if placing.is_saved(target):
-        delay += placing.shared_tokens / STORE_TOKENS_PER_MS
-        return Choice(target, delay, unread=own)
-    delay += _read_ms(target, placing.shared_tokens)
-    return Choice(target, delay, unread=placing.prompt_tokens, is_cold=True)
-
-
-def _read_ms(target: Target, tokens: int) -> float:
-    """Return the time in which an engine reads so many prompt tokens."""
-    step_ms = CHUNK_MS + STEP_MS + STEP_REQUEST_MS * target.load
-    return tokens / CHUNK_TOKENS * step_ms
+    source, levels = holders.source(target)
+    copied = chain.total(levels) - held
+    saved = chain.total(placing.saved(target)) - held
+    if source is not None and copied > 0 and copied >= saved:
+        is_far = source.listed.failure_domain != target.listed.failure_domain
+        delay += costs.copy_ms(copied, is_far)
+        got = held + copied
+    else:
+        source, copied = None, 0
+        got = held + max(0, saved)
+        delay += costs.store_ms(max(0, saved))
+    rest = chain.shared_tokens - got
+    delay += costs.read_ms(rest, target.load)
+    again = max(0, holders.known_tokens(target) - got)
+    return Choice(target, delay, source, own + rest, copied, again)
+
+
+def _begins_in_time(choice: Choice, placing: Placing) -> bool:
+    """Tell whether an engine begins before its weights are too old to be used."""
+    if not placing.model:
+        return True
+    outdated_s = placing.outdated_s(choice.target.version(placing.model) or 0)
+    if not outdated_s:
+        return True
+    return outdated_s + BEGIN_FACTOR * choice.delay_ms / 1000 < placing.stale_s
 
 
 def _is_candidate(target: Target, placing: Placing) -> bool:
@@ -341,7 +402,7 @@
         over = target.load + 1 - max(1, target.listed.slots)
         cost += 1000 * target.latency_s
         return cost + LOAD_MS * target.load + QUEUED_MS * max(0, over)
-    queue_ms = _read_ms(target, target.total_unread)
+    queue_ms = placing.costs.read_ms(target.total_unread, target.load)
     cost += LOAD_MS * target.load
     cost += URGENT_PART * queue_ms if placing.is_urgent else queue_ms
     return cost
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -9,7 +9,6 @@
 
 from berylnotch.admission.retry import RetrySettings
 from berylnotch.admission.window import WindowBudget
-from berylnotch.entry.prompts import PromptMemory
 from berylnotch.entry.quota_gate import QuotaGate
 from berylnotch.entry.settings import EntrySettings
 from berylnotch.entry.targets import Target, TargetTable
@@ -17,6 +16,14 @@
 from berylnotch.membership.crashes import CrashGuard
 from berylnotch.membership.marks import SharedLosses
 from berylnotch.membership.naming import WeightsNames
+from berylnotch.placement.costs import (
+    DEFAULT_COPY_PER_MS,
+    DEFAULT_STORE_PER_MS,
+    CostMeter,
+    EngineCosts,
+)
+from berylnotch.placement.mirror import PromptMemory
+from berylnotch.routing.model import Service
 from berylnotch.routing.table import RouteTable
 from berylnotch.settings.fleet import FleetSettings
 from berylnotch.util.clock import boot_time
@@ -101,6 +108,7 @@
     report_soon: Callable[[], None] = lambda: None
     own_notes: deque[tuple] = field(factory=lambda: deque(maxlen=MAX_OWN_NOTES))
     _budgets: dict[str, WindowBudget] = field(factory=dict)
+    _meters: dict[str, CostMeter] = field(factory=dict)
 
     def budget(self, service: str) -> WindowBudget:
         """Return the retry budget of a service, at this router."""
@@ -111,6 +119,25 @@
             self._budgets[service] = budget
         return budget
 
+    def meter(self, service: str) -> CostMeter:
+        """Return what was measured of a service's engines."""
+        return self._meters.setdefault(service, CostMeter())
+
+    def costs(self, service: Service) -> EngineCosts:
+        """Return the times of a service's engines, as measured and as configured."""
+        meter, engine = self.meter(service.name), service.engine
+        if engine is None:
+            return EngineCosts()
+        store_mbps = max((s.store_link_mbps for s in self.routes.stores), default=0.0)
+        copy = engine.tokens_per_ms(engine.link_mbps)
+        store = engine.tokens_per_ms(min(store_mbps, engine.link_mbps))
+        return EngineCosts(
+            meter.token_ms,
+            meter.base_ms,
+            copy or DEFAULT_COPY_PER_MS,
+            store or DEFAULT_STORE_PER_MS,
+        )
+
     def lost_target(self, target_id: str, fingerprint: bytes) -> None:
         """Note that a target was lost while it ran a request."""
         now = boot_time()
--- a/berylnotch/entry/placing.py
+++ b/berylnotch/entry/placing.py
@@ -8,9 +8,10 @@
 from berylnotch.entry.admitted import URGENT_PRIORITY, Admitted
 from berylnotch.entry.choice import Choice, Placing
 from berylnotch.entry.context import EntryContext
-from berylnotch.entry.prompts import Holding
 from berylnotch.entry.targets import Target
-from berylnotch.placement.mixing import mix, prompt_mark
+from berylnotch.placement.chains import NO_CHAIN
+from berylnotch.placement.mirror import Run
+from berylnotch.placement.mixing import mix
 from berylnotch.platform.requests import TargetHeaders
 from berylnotch.routing.model import Service
 from berylnotch.util.clock import boot_time
@@ -26,24 +27,26 @@
     caller, names, settings = admitted.caller, context.names, context.settings
     now = boot_time()
     model = caller.model if service.engine is not None else ""
-    shared = caller.parts[0] if len(caller.parts) > 1 else None
-    store = store_of(context, service, shared.part_id) if shared else ""
+    chain, prompts, targets = caller.chain, context.prompts, context.targets
+    store = store_of(context, service, chain.path) if chain.has_home else ""
 
-    marks: dict[int | None, int] = {}
+    def marks(target: Target) -> tuple[int, ...]:
+        return chain.marks(cache_salt(admitted, target, model))
 
-    def mark(target: Target) -> int:
-        # A choice asks for each of hundreds of targets; few versions are in use.
-        version = target.version(model)
-        if version not in marks:
-            salt = cache_salt(admitted, target, model)
-            marks[version] = prompt_mark(salt, shared.part_id)
-        return marks[version]
+    def run(target: Target) -> Run:
+        return prompts.run(now, target.target_id, marks(target))
 
-    def holding(target: Target) -> Holding:
-        return context.prompts.holding(now, target.target_id, mark(target))
+    def holders() -> list[Target]:
+        names = {
+            name
+            for sample in targets.weights_samples(service.name)
+            for mark in marks(sample)
+            for name in prompts.holders(mark)
+        }
+        return [t for t in map(targets.get, names) if t is not None]
 
-    def is_saved(target: Target) -> bool:
-        return context.prompts.is_saved(now, store, mark(target))
+    def saved(target: Target) -> int:
+        return prompts.saved_levels(now, store, marks(target))
 
     is_crowded = context.router_count > settings.crowd_routers
     return Placing(
@@ -52,16 +55,18 @@
         wanted_version=names.newest(model),
         outdated_s=lambda version: names.outdated_s(now, model, version),
         fresh_s=settings.fresh_weights_s,
-        stale_s=settings.stale_weights_s,
+        stale_s=context.fleet.bounds.weights_s - settings.weights_margin_s,
         target_latency_s=admitted.route.target_latency_s,
-        shared_id=shared.part_id if shared else "",
-        shared_tokens=shared.tokens if shared else 0,
+        chain=chain if model else NO_CHAIN,
         prompt_tokens=caller.prompt_tokens if model else 0,
         is_urgent=admitted.priority < URGENT_PRIORITY,
         sample=settings.sample if is_crowded else 0,
         draw=random.randrange,
-        holding=holding,
-        is_saved=is_saved,
+        run=run,
+        holders=holders,
+        saved=saved,
+        walk=lambda key: targets.ring(service.name).walk(key),
+        costs=context.costs(service),
         failure_domain=context.fleet.failure_domain,
         excluded=excluded,
     )
@@ -87,11 +92,11 @@
     """
     target = choice.target
     fetch_from = save_to = ""
-    if placing.has_home:
+    if placing.chain.has_home:
         # A store that lacks the prompt costs about a ms.
-        store = store_of(context, service, placing.shared_id)
+        store = store_of(context, service, placing.chain.path)
         fetch_from = choice.source.listed.address if choice.source else store
-        if store and not placing.is_saved(target):
+        if store and placing.saved(target) < len(placing.chain.levels):
             save_to = store
     is_first = last_event is None
     return TargetHeaders(
--- a/berylnotch/entry/settings.py
+++ b/berylnotch/entry/settings.py
@@ -37,8 +37,9 @@
     grant_retry_s : float, default=1.0
         When a caller for whom no tokens came shall come back: what is then left of a
         usual change of leader, which takes about 1.5 s in all.
-    stale_weights_s : float, default=12.0
-        Time after new weights were named in which engines still serve older ones.
+    weights_margin_s : float, default=1.0
+        Time before the operators' bound on older weights from which no request is
+        sent to an engine that runs them.
     fresh_weights_s : float, default=1.2
         Time after new weights were named in which older ones are as good.
     quota_wait_s : float, default=0.45
@@ -71,7 +72,7 @@
     retry_part: float = 0.8
     retry_after_s: float = 0.5
     grant_retry_s: float = 1.0
-    stale_weights_s: float = 12.0
+    weights_margin_s: float = 1.0
     fresh_weights_s: float = 1.2
     quota_wait_s: float = 0.45
     slow_factor: float = 2.5
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from attrs import define, field
 
@@ -12,6 +12,7 @@
 from berylnotch.membership.ejection import Ejection
 from berylnotch.membership.listing import ListedTarget
 from berylnotch.net.client import ClientConnection
+from berylnotch.placement.ring import Ring
 from berylnotch.util.address import parse_address
 from berylnotch.util.clock import boot_time
 from berylnotch.util.loop import Loop
@@ -147,11 +148,25 @@
         self._settings = settings
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
+        self._rings: dict[str, Ring[Target]] = {}
+        self._samples: dict[str, Collection[Target]] = {}
 
     def of(self, service: str) -> list[Target]:
         """Return the targets of a service, usable or not."""
         return self._by_service.get(service, [])
 
+    def ring(self, service: str) -> Ring[Target]:
+        """Return a service's targets on a ring, alike at all routers."""
+        ring = self._rings.get(service)
+        if ring is None:
+            ring = Ring([(t.target_id, t) for t in self.of(service)])
+            self._rings[service] = ring
+        return ring
+
+    def weights_samples(self, service: str) -> Collection[Target]:
+        """Return a target of a service for each set of weights that is in use."""
+        return self._samples.get(service, ())
+
     def all(self) -> Iterable[Target]:
         """Return all targets."""
         return self._targets.values()
@@ -179,6 +194,7 @@
             Identities whose earlier target is gone.
         """
         lost, listed = [], set()
+        known = dict(self._targets)
         for entry in entries:
             listed.add(entry.target.target_id)
             if self._take(entry):
@@ -190,9 +206,15 @@
             if target is not None:
                 self._drop_idle(target)
                 lost.append(name)
+        if self._targets != known:
+            self._rings = {}
         self._by_service = {}
         for target in self._targets.values():
             self._by_service.setdefault(target.listed.service, []).append(target)
+        self._samples = {
+            service: {t.listed.models: t for t in targets}.values()
+            for service, targets in self._by_service.items()
+        }
         return lost
 
     def connect(self, target: Target, is_repeatable: bool) -> ClientConnection:
--- a/berylnotch/group/messages.py
+++ b/berylnotch/group/messages.py
@@ -49,7 +49,7 @@
 class PromptNote:
     """A shared prompt that a target reads or has read, or a store was sent.
 
-    ``prompt`` is its mark (`berylnotch.placement.mixing.prompt_mark`). ``holder`` is a
+    ``prompt`` is its mark (`berylnotch.placement.chains.prompt_mark`). ``holder`` is a
     target's identity or a store's address. ``own_tokens`` are those of the rest of
     the prompt, which fill the target's memory as well. ``is_ready`` tells that it
     was read, so that others may take it over from there; ``unread`` are the tokens
--- a/berylnotch/orders/rolling.py
+++ b/berylnotch/orders/rolling.py
@@ -21,9 +21,9 @@
 #: The same from which no further engine is taken away.
 FULL_REQUESTS = 14.0
 
-#: Seconds for which an engine may be outdated before it loads, however busy it is;
-#: the rest of the time that operators allow is for the loads themselves.
-HURRY_S = 6.0
+#: Part of the time that operators allow on older weights after which an engine loads,
+#: however busy it is; the rest is for the loads themselves.
+HURRY_PART = 0.4
 
 
 @frozen
@@ -42,6 +42,7 @@
     held_back: Collection[str],
     busy: Mapping[str, int],
     outdated_s: Callable[[str, int], float] = lambda model, version: 0.0,
+    hurry_s: float = float("inf"),
 ) -> tuple[WeightsLoad, ...]:
     """Return the loads that may begin now.
 
@@ -64,6 +65,8 @@
         engine finishes its requests first.
     outdated_s : callable
         Returns for how long there is a newer version than a model's version.
+    hurry_s : float
+        Such a time from which an engine loads, however busy it is.
     """
     loads: list[WeightsLoad] = []
     by_service: dict[str, list[ListedTarget]] = {}
@@ -73,7 +76,7 @@
     for service in sorted(by_service):
         engines = by_service[service]
         is_late = any(
-            outdated_s(model.name, model.version) > HURRY_S
+            outdated_s(model.name, model.version) > hurry_s
             for engine in engines
             for model in engine.models
             if engine.target_id not in held_back
--- a/berylnotch/placement/mirror.py
+++ b/berylnotch/placement/mirror.py
@@ -1,21 +1,23 @@
 """Which shared prompts engines and stores probably hold, over all routers.
 
 Each router notes the prompts that its requests had read, and hears the notes of the
-others. An engine's memory is mirrored as a list of least recently used prompts.
+others. An engine's memory is mirrored as a list of least recently used beginnings of
+prompts, each by the mark of its last part (`berylnotch.placement.chains`).
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Collection, Sequence
 from enum import Enum
 
-from attrs import define, field
+from attrs import define, evolve, field, frozen
 
 from berylnotch.group.messages import PromptNote
 
-#: Part of an engine's memory that holds long prompts; short ones and requests that
-#: run take the rest.
-LONG_PART = 0.85
+#: Part of an engine's memory that holds prompts; what requests generate, and what is
+#: not known of other routers, takes the rest.
+PROMPTS_PART = 0.92
 
 #: Seconds for which a prompt that was sent to a store counts as held there. A store
 #: drops what was not used for longest.
@@ -40,6 +42,26 @@
     READY = "ready"
 
 
+@frozen
+class Run:
+    """Levels of a chain that an engine holds, from the first on.
+
+    Parameters
+    ----------
+    ready : int
+        Levels that it has read.
+    coming : int
+        The same with those that it is about to read.
+    """
+
+    ready: int = 0
+    coming: int = 0
+
+
+#: Run of an engine that holds nothing of a prompt.
+NO_RUN = Run()
+
+
 @define
 class _Entry:
     """A prompt in an engine's memory."""
@@ -65,7 +87,11 @@
 
     def __init__(self) -> None:
         self._engines: dict[str, _Memory] = {}
+        #: Engines by the marks that they hold or read.
+        self._holders: dict[int, set[str]] = {}
         self._saved: OrderedDict[tuple[str, int], float] = OrderedDict()
+        #: Tokens of prompts that no note told of, by the engine that read them.
+        self._untold: dict[str, int] = {}
         self._notes: list[PromptNote] = []
         self._reads = 0
 
@@ -80,6 +106,35 @@
         is_fresh = now - entry.noted_at < READING_S
         return Holding.READING if is_fresh else Holding.NONE
 
+    def run(self, now: float, target_id: str, marks: Sequence[int]) -> Run:
+        """Return the longest run of a chain that an engine probably holds."""
+        if target_id not in self._engines:
+            return NO_RUN
+        ready = coming = 0
+        for count in range(len(marks), 0, -1):
+            holding = self.holding(now, target_id, marks[count - 1])
+            if holding is not Holding.NONE and not coming:
+                coming = count
+            if holding is Holding.READY:
+                ready = count
+                break
+        return Run(ready, coming) if coming else NO_RUN
+
+    def holders(self, prompt: int) -> Collection[str]:
+        """Return the engines that may hold a prompt or read it."""
+        return self._holders.get(prompt, ())
+
+    def saved_levels(self, now: float, store: str, marks: Sequence[int]) -> int:
+        """Return how many levels of a chain a store probably holds."""
+        for count in range(len(marks), 0, -1):
+            if self.is_saved(now, store, marks[count - 1]):
+                return count
+        return 0
+
+    def fill(self, target_id: str, tokens: int) -> None:
+        """Note that an engine reads a prompt that nobody looks for."""
+        self._untold[target_id] = self._untold.get(target_id, 0) + tokens
+
     def is_saved(self, now: float, store: str, prompt: int) -> bool:
         """Tell whether a store probably holds a prompt."""
         saved_at = self._saved.get((store, prompt))
@@ -87,6 +142,10 @@
 
     def read(self, now: float, note: PromptNote, capacity: int) -> None:
         """Note that an engine reads a prompt, and tell the other routers."""
+        if not note.is_ready:
+            untold = self._untold.pop(note.holder, 0)
+            if untold:
+                note = evolve(note, own_tokens=note.own_tokens + untold)
         self._take_read(now, note, capacity)
         self._add(note)
 
@@ -95,8 +154,7 @@
         memory = self._engines.get(target_id)
         entry = memory.prompts.get(prompt) if memory is not None else None
         if entry is not None and not entry.is_ready:
-            del memory.prompts[prompt]
-            memory.tokens -= entry.tokens
+            self._drop(memory, target_id, prompt)
 
     def saved(self, now: float, note: PromptNote) -> None:
         """Note that a prompt is sent to a store, and tell the other routers."""
@@ -117,7 +175,10 @@
 
     def forget_engine(self, target_id: str) -> None:
         """Forget what an engine held, since it started again or is gone."""
-        self._engines.pop(target_id, None)
+        memory = self._engines.pop(target_id, None)
+        self._untold.pop(target_id, None)
+        for mark in memory.prompts if memory is not None else ():
+            self._forget_holder(mark, target_id)
 
     def forget_stores(self) -> None:
         """Forget what stores hold, as after a loss of one."""
@@ -142,11 +203,22 @@
         memory.prompts[note.prompt] = _Entry(
             note.tokens, note.is_ready or was_ready, now
         )
+        self._holders.setdefault(note.prompt, set()).add(note.holder)
         if note.own_tokens:
             # The rest of a prompt is of no use to others, but takes its place.
             self._reads += 1
             memory.prompts[-self._reads] = _Entry(note.own_tokens, False)
             memory.tokens += note.own_tokens
-        while memory.tokens > capacity * LONG_PART and len(memory.prompts) > 1:
-            _, dropped = memory.prompts.popitem(last=False)
-            memory.tokens -= dropped.tokens
+        while memory.tokens > capacity * PROMPTS_PART and len(memory.prompts) > 1:
+            self._drop(memory, note.holder, next(iter(memory.prompts)))
+
+    def _drop(self, memory: _Memory, holder: str, mark: int) -> None:
+        memory.tokens -= memory.prompts.pop(mark).tokens
+        self._forget_holder(mark, holder)
+
+    def _forget_holder(self, mark: int, holder: str) -> None:
+        holders = self._holders.get(mark)
+        if holders is not None:
+            holders.discard(holder)
+            if not holders:
+                del self._holders[mark]
--- a/berylnotch/platform/configuration.py
+++ b/berylnotch/platform/configuration.py
@@ -105,6 +105,8 @@
         engine=engine,
         store_address=text(values, "kvStoreAddr", ""),
         failure_domain=text(values, "zone", ""),
+        store_tokens=integer(values, "kvCapacityTokens", 0),
+        store_link_mbps=number(values, "linkMbps", 0),
     )
 
 
@@ -115,6 +117,7 @@
         cache_tokens=integer(values, "kvCapacityTokens", 0),
         token_bytes=int(number(values, "tokenBytes", 0)),
         models=tuple(text(model, "name") for model in models),
+        link_mbps=number(values, "linkMbps", 0),
     )
 
 
--- a/berylnotch/platform/requests.py
+++ b/berylnotch/platform/requests.py
@@ -5,24 +5,18 @@
 from attrs import frozen
 
 from berylnotch.net.messages import Headers, HttpRequest
+from berylnotch.placement.chains import Chain, PromptPart, make_chain
 from berylnotch.platform import names
 
 
-@frozen
-class PromptPart:
-    """A part of a prompt, which other requests may share, and its tokens."""
-
-    part_id: str
-    tokens: int
-
-
 @frozen
 class CallerRequest:
     """What the headers of a caller's request say.
 
     ``deadline_s`` is how long the caller waits, None if it did not say.
-    ``output_tokens`` is the most that may be generated. ``resume_after`` is the
-    last event that the caller has, or None.
+    ``output_tokens`` is the most that may be generated, ``chain`` what the prompt
+    shares with others. ``resume_after`` is the last event that the caller has, or
+    None.
     """
 
     request_id: str
@@ -32,7 +26,7 @@
     model: str
     prompt_tokens: int
     output_tokens: int
-    parts: tuple[PromptPart, ...]
+    chain: Chain
     resume_after: int | None
 
     @property
@@ -85,15 +79,16 @@
     scheme, _, key = headers.get(names.AUTHORIZATION).partition(" ")
     deadline_ms = _number(headers.get(names.DEADLINE_MS))
     counts = headers.get(names.TOKEN_COUNTS).split(",")
+    prompt_tokens = int(_number(counts[0]) or 0)
     return CallerRequest(
         request_id=headers.get(names.REQUEST_ID),
         host=headers.get("Host"),
         key=key.strip() if scheme.lower() == names.KEY_SCHEME.lower() else "",
         deadline_s=None if deadline_ms is None else deadline_ms / 1000,
         model=headers.get(names.MODEL),
-        prompt_tokens=int(_number(counts[0]) or 0),
+        prompt_tokens=prompt_tokens,
         output_tokens=int(_number(counts[1]) or 0) if len(counts) > 1 else 0,
-        parts=_parts(headers.get(names.PROMPT_PARTS)),
+        chain=make_chain(_parts(headers.get(names.PROMPT_PARTS)), prompt_tokens),
         resume_after=_whole(headers.get(names.LAST_EVENT_ID)),
     )
 
--- a/berylnotch/routing/model.py
+++ b/berylnotch/routing/model.py
@@ -83,20 +83,30 @@
     """Engines of a model service.
 
     ``slots`` is how many requests an engine runs at once, ``cache_tokens`` the
-    tokens that its memory holds, ``token_bytes`` the bytes of a token there.
+    tokens that its memory holds, ``token_bytes`` the bytes of a token there, and
+    ``link_mbps`` the bits that it takes over from others, in millions a second; 0 if
+    that is not stated.
     """
 
     slots: int
     cache_tokens: int
     token_bytes: int
     models: tuple[str, ...]
+    link_mbps: float = 0.0
+
+    def tokens_per_ms(self, link_mbps: float) -> float:
+        """Return the tokens that a link carries in a ms, 0 if that is not known."""
+        bytes_per_ms = link_mbps * 1e6 / 8 / 1000
+        return bytes_per_ms / self.token_bytes if self.token_bytes else 0.0
 
 
 @frozen
 class Service:
     """Targets of one kind.
 
-    ``engine`` is set for model engines, ``store_address`` for a store of KV cache.
+    ``engine`` is set for model engines, ``store_address`` for a store of KV cache,
+    with the tokens that it holds and the bits that its link carries, in millions a
+    second; 0 if that is not stated.
     """
 
     name: str
@@ -105,6 +115,8 @@
     engine: EngineKind | None = None
     store_address: str = ""
     failure_domain: str = ""
+    store_tokens: int = 0
+    store_link_mbps: float = 0.0
 
 
 @frozen
--- a/berylnotch/settings/fleet.py
+++ b/berylnotch/settings/fleet.py
@@ -40,6 +40,8 @@
         Part by which its use may exceed rate and burst.
     quota_slack : float
         Tokens that its use may exceed them by, beside that.
+    weights_s : float
+        Time after new weights were named in which requests may begin on older ones.
     """
 
     address_ttl_s: float = 5.0
@@ -51,6 +53,7 @@
     quota_window_s: float = 8.0
     quota_overshoot: float = 0.1
     quota_slack: float = 0.0
+    weights_s: float = 15.0
 
 
 @frozen
@@ -233,11 +236,16 @@
         "quota-window-s": "quota_window_s",
         "quota-overshoot": "quota_overshoot",
         "quota-slack": "quota_slack",
+        "weights-s": "weights_s",
     }
     read = {names[name]: float(values[name]) for name in names if values.get(name)}
     # Milliseconds are taken too, for settings that a platform renders in them.
-    if values.get("order-lease-ms"):
-        read["order_lease_s"] = float(values["order-lease-ms"]) / 1000
+    for name, field_name in (
+        ("order-lease-ms", "order_lease_s"),
+        ("weights-ms", "weights_s"),
+    ):
+        if values.get(name):
+            read[field_name] = float(values[name]) / 1000
     return FleetBounds(**read)
 
 
--- a/tests/test_daemon/test_fleet_notes.py
+++ b/tests/test_daemon/test_fleet_notes.py
@@ -10,8 +10,8 @@
     NOTES_PER_S,
     NoteFilter,
 )
-from berylnotch.entry.prompts import Holding, PromptMemory
 from berylnotch.group.messages import PromptNote
+from berylnotch.placement.mirror import Holding, PromptMemory
 
 MEMORY = 142_992
 STORE = "10.0.0.9:8604"
--- a/tests/test_daemon/test_fleet_updates.py
+++ b/tests/test_daemon/test_fleet_updates.py
@@ -11,12 +11,12 @@
     take_loads,
     take_prompts,
 )
-from berylnotch.entry.prompts import PromptMemory
 from berylnotch.entry.settings import EntrySettings
 from berylnotch.entry.targets import TargetTable
 from berylnotch.group.columns import echo
 from berylnotch.group.messages import LoadsUpdate, PromptNote, TargetEntry, TargetLoad
 from berylnotch.membership.listing import ListedTarget
+from berylnotch.placement.mirror import PromptMemory
 from berylnotch.quota.bounds import FLEET_QUOTA
 from berylnotch.routing.model import Organisation
 from berylnotch.settings.fleet import FleetBounds
--- a/tests/test_entry/conftest.py
+++ b/tests/test_entry/conftest.py
@@ -5,13 +5,13 @@
 import pytest
 
 from berylnotch.entry.context import EntryContext
-from berylnotch.entry.prompts import PromptMemory
 from berylnotch.entry.quota_gate import QuotaGate
 from berylnotch.entry.settings import EntrySettings
 from berylnotch.entry.targets import TargetTable
 from berylnotch.group.messages import TargetEntry
 from berylnotch.membership.crashes import CrashGuard
 from berylnotch.membership.listing import ListedTarget, ModelVersion
+from berylnotch.placement.mirror import PromptMemory
 from berylnotch.platform.configuration import decode_configuration
 from berylnotch.quota.bounds import FLEET_QUOTA
 from berylnotch.quota.local import LocalQuota
--- a/tests/test_entry/support.py
+++ b/tests/test_entry/support.py
@@ -8,6 +8,8 @@
 from berylnotch.membership.listing import ListedTarget, ModelVersion
 from berylnotch.membership.settings import MembershipSettings
 from berylnotch.net.messages import Headers, HttpRequest
+from berylnotch.placement.chains import PromptPart, make_chain
+from berylnotch.placement.mirror import Holding, Run
 from berylnotch.platform.requests import decode_request
 from berylnotch.util.clock import boot_time
 
@@ -24,22 +26,44 @@
     return Target(listed, Ejection(MembershipSettings(eject_after=2)))
 
 
-def long_request(**changes):
-    """Return the placing of a request with a long shared opening."""
+def long_request(
+    shared_id="opening",
+    shared_tokens=13_000,
+    prompt_tokens=17_000,
+    holding=None,
+    parts=(),
+    **changes,
+):
+    """Return the placing of a request with a long shared opening.
+
+    ``parts`` are pairs of identity and tokens of several shared parts instead of
+    one; ``holding`` tells whether a target holds all of them.
+    """
+    shared = [PromptPart(*part) for part in parts or [(shared_id, shared_tokens)]]
+    own = PromptPart("own", prompt_tokens - sum(part.tokens for part in shared))
+    chain = make_chain((*shared, own), prompt_tokens)
+    if holding is not None:
+        changes["run"] = lambda target: run_of(holding(target), len(chain.levels))
     values = {
         "now": 100.0,
         "model": MODEL,
         "wanted_version": 1,
         "target_latency_s": 1.0,
-        "shared_id": "opening",
-        "shared_tokens": 13_000,
-        "prompt_tokens": 17_000,
+        "chain": chain,
+        "prompt_tokens": prompt_tokens,
         "failure_domain": "north",
     }
     values.update(changes)
     return Placing(**values)
 
 
+def run_of(holding, levels):
+    """Return the run of an engine that holds so many levels, or reads them."""
+    if holding is Holding.NONE:
+        return Run()
+    return Run(levels if holding is Holding.READY else 0, levels)
+
+
 def short_request(**changes):
     """Return the placing of a request with a short prompt."""
     values = {"shared_tokens": 55, "prompt_tokens": 380, "is_urgent": True}
--- a/tests/test_entry/test_choice.py
+++ b/tests/test_entry/test_choice.py
@@ -6,7 +6,8 @@
 import pytest
 
 from berylnotch.entry.choice import choose, usable_in_s
-from berylnotch.entry.prompts import Holding
+from berylnotch.placement.mirror import Holding, Run
+from berylnotch.placement.ring import Ring
 from tests.test_entry.support import long_request, make_target, short_request
 
 
@@ -101,7 +102,7 @@
         failing.note_outcome(True, 0.05)
         good.note_outcome(False, 0.05)
         slow.note_outcome(False, 0.5)
-    placing = short_request(model="", shared_id="")
+    placing = short_request(model="")
     assert choose([good, failing, slow], placing).target is good
     good.in_flight = 40
     assert choose([good, failing, slow], placing).target is not good
@@ -168,3 +169,98 @@
     )
     assert choose(engines, placing) is not None
     assert len(looked) < 30
+
+
+TREE = [("common", 512), ("house", 4000), ("subject", 3000)]
+
+
+def nested(run, **changes):
+    return long_request(parts=TREE, prompt_tokens=12_000, run=run, **changes)
+
+
+def test_the_longest_run_wins():
+    engines = names(4)
+    runs = {"e1": Run(1, 1), "e2": Run(2, 2)}
+    placing = nested(lambda t: runs.get(t.target_id, Run()))
+    choice = choose(engines, placing)
+    assert choice.target is engines[2] and choice.unread == 12_000 - 7512
+
+
+def test_a_part_of_a_run_is_read_no_further_than_needed():
+    engines = names(4)
+    runs = {"e1": Run(1, 1)}
+    choice = choose(engines, nested(lambda t: runs.get(t.target_id, Run())))
+    assert choice.target is engines[1] and choice.unread == 12_000 - 4512
+    assert choice.read_again == 0
+
+
+def test_an_engine_with_a_part_copies_the_rest_from_one_with_all():
+    engines = names(2)
+    runs = {"e0": Run(1, 1), "e1": Run(2, 2)}
+    engines[1].unread = 300_000
+    choice = choose(engines, nested(lambda t: runs[t.target_id]))
+    assert choice.target is engines[0] and choice.source is engines[1]
+    assert choice.copied == 3000 and choice.unread == 12_000 - 7512
+
+
+def test_a_store_that_keeps_more_than_an_engine_is_used_instead():
+    engines = names(2)
+    runs = {"e0": Run(), "e1": Run(1, 1)}
+    engines[1].unread = 300_000
+    placing = nested(lambda t: runs[t.target_id], saved=lambda t: 2)
+    choice = choose(engines, placing)
+    assert choice.source is None and choice.unread == 12_000 - 7512
+
+
+def test_no_request_is_sent_where_it_would_begin_too_late():
+    old = make_target("old", version=1)
+    placing = short_request(wanted_version=2, outdated_s=lambda v: 8.0, stale_s=9.0)
+    assert choose([old], placing) is not None
+    old.unread = 300_000
+    waiting = long_request(wanted_version=2, outdated_s=lambda v: 8.0, stale_s=9.0)
+    assert choose([old], waiting) is None
+
+
+def test_short_prompts_lean_to_one_engine_for_each_shared_part():
+    engines = names(5)
+
+    def homes(count, **changes):
+        return [
+            choose(
+                engines,
+                short_request(
+                    shared_id=f"s{n % 9}",
+                    shared_tokens=600,
+                    prompt_tokens=2400,
+                    **changes,
+                ),
+            ).target.target_id
+            for n in range(count)
+        ]
+
+    assert homes(9) == homes(9)
+    assert len(set(homes(9))) > 1
+    home = choose(
+        engines, short_request(shared_id="s0", shared_tokens=600, prompt_tokens=2400)
+    ).target
+    home.in_flight = 20
+    moved = choose(
+        engines, short_request(shared_id="s0", shared_tokens=600, prompt_tokens=2400)
+    )
+    assert moved.target is not home
+
+
+def test_a_choice_in_a_large_fleet_looks_at_few_engines():
+    looked = []
+    engines = names(900)
+    table = Ring([(e.target_id, e) for e in engines])
+
+    def run(target):
+        looked.append(target)
+        return Run(2, 2) if target is engines[7] else Run()
+
+    placing = nested(
+        run, sample=3, walk=table.walk, holders=lambda: [engines[7]], draw=lambda n: 0
+    )
+    assert choose(engines, placing).target is engines[7]
+    assert len(looked) <= 4
--- a/tests/test_entry/test_freshness.py
+++ b/tests/test_entry/test_freshness.py
@@ -11,9 +11,12 @@
 
 import pytest
 
-from berylnotch.entry.choice import CHUNK_MS, CHUNK_TOKENS, STEP_MS, choose
+from berylnotch.entry.choice import choose
 from tests.test_entry.support import long_request, make_target
 
+#: Prompt tokens that an engine reads in a step, and the time of that, in ms.
+CHUNK_TOKENS, CHUNK_MS, STEP_MS = 1024, 17.0, 4.5
+
 ROUTERS, ENGINES = 20, 15
 
 #: Long prompts a second, so that engines read three fifths of the time.
--- a/tests/test_entry/test_load.py
+++ b/tests/test_entry/test_load.py
@@ -12,12 +12,15 @@
 from attrs import define, field
 
 from berylnotch.entry.admission import judge
-from berylnotch.entry.choice import CHUNK_MS, CHUNK_TOKENS, STEP_MS, Choice, choose
-from berylnotch.entry.prompts import PromptMemory
+from berylnotch.entry.choice import Choice, choose
 from berylnotch.group.messages import PromptNote
-from berylnotch.placement.mixing import prompt_mark
+from berylnotch.placement.chains import prompt_mark
+from berylnotch.placement.mirror import PromptMemory
 from tests.test_entry.support import long_request, make_target, short_request
 
+#: Prompt tokens that an engine reads in a step, and the time of that, in ms.
+CHUNK_TOKENS, CHUNK_MS, STEP_MS = 1024, 17.0, 4.5
+
 #: Tokens of an engine's memory, of an opening and of the rest of a long prompt.
 MEMORY, OPENING, REST = 154_000, 13_300, 3_700
 
--- /dev/null
+++ b/tests/test_placement/test_costs.py
@@ -0,0 +1,46 @@
+"""Times of engines, learned from their first events."""
+
+import random
+
+import pytest
+
+from berylnotch.placement.costs import MAX_TOKEN_MS, CostMeter, EngineCosts
+
+
+def measure(meter, token_ms, base_ms, count, seed=1):
+    rng = random.Random(seed)
+    for _ in range(count):
+        tokens = rng.choice((600, 2400, 6000, 12_000))
+        noise = rng.uniform(0.9, 1.3)
+        meter.note(tokens, base_ms + tokens * token_ms * noise)
+
+
+@pytest.mark.parametrize("tokens_per_ms", [20, 40, 80, 200])
+def test_engines_of_any_speed_are_known_after_some_answers(tokens_per_ms):
+    meter = CostMeter()
+    measure(meter, 1 / tokens_per_ms, 45.0, 60)
+    assert meter.token_ms == pytest.approx(1.1 / tokens_per_ms, rel=0.25)
+
+
+def test_a_change_of_the_engines_is_followed():
+    meter = CostMeter()
+    measure(meter, 1 / 80, 40.0, 200)
+    fast = meter.token_ms
+    measure(meter, 1 / 20, 40.0, 100)
+    assert meter.token_ms > 2 * fast
+
+
+def test_absurd_measurements_stay_within_bounds():
+    meter = CostMeter()
+    for _ in range(300):
+        meter.note(5000, 1e9)
+    assert meter.token_ms <= MAX_TOKEN_MS
+    meter.note(0, 5.0)
+    meter.note(5000, -1.0)
+    assert 0 < meter.token_ms
+
+
+def test_a_far_copy_takes_twice_as_long():
+    costs = EngineCosts(copy_per_ms=1000.0, store_per_ms=100.0)
+    assert costs.copy_ms(5000, is_far=True) == 2 * costs.copy_ms(5000, is_far=False)
+    assert costs.store_ms(5000) > costs.copy_ms(5000, is_far=True)
--- a/tests/test_placement/test_mirror.py
+++ b/tests/test_placement/test_mirror.py
@@ -1,14 +1,15 @@
 """Mirror of the engines' memories."""
 
-from berylnotch.entry.prompts import (
-    LONG_PART,
+from berylnotch.group.messages import PromptNote
+from berylnotch.placement.chains import prompt_mark
+from berylnotch.placement.mirror import (
+    PROMPTS_PART,
     READING_S,
     SAVED_S,
     Holding,
     PromptMemory,
+    Run,
 )
-from berylnotch.group.messages import PromptNote
-from berylnotch.placement.mixing import prompt_mark
 
 
 def note(part, holder="e1", tokens=1000, own=0, is_ready=True, salt="v1"):
@@ -34,7 +35,7 @@
 
 def test_the_longest_unused_prompt_yields():
     memory = PromptMemory()
-    capacity = int(3000 / LONG_PART) + 1
+    capacity = int(3000 / PROMPTS_PART) + 1
     for part in ("a", "b", "c"):
         memory.read(1.0, note(part), capacity)
     memory.read(1.0, note("a"), capacity)
@@ -45,7 +46,7 @@
 
 def test_the_rest_of_prompts_fills_the_memory_too():
     memory = PromptMemory()
-    capacity = int(3000 / LONG_PART) + 1
+    capacity = int(3000 / PROMPTS_PART) + 1
     memory.read(1.0, note("a"), capacity)
     memory.read(1.0, note("b", own=1500), capacity)
     assert memory.holding(1.5, "e1", prompt_mark("v1", "a")) is Holding.NONE
@@ -85,3 +86,48 @@
     memory.read(2.0, note("c"), 10_000)
     memory.not_read("e1", prompt_mark("v1", "c"))
     assert memory.holding(2.5, "e1", prompt_mark("v1", "c")) is Holding.READY
+
+
+def test_the_longest_run_of_a_chain_is_what_is_held():
+    memory = PromptMemory()
+    for mark in (11, 12):
+        memory.read(1.0, PromptNote(mark, 1000, "e1"), 10_000)
+    memory.read(1.0, PromptNote(13, 1000, "e1", is_ready=False), 10_000)
+    assert memory.run(1.5, "e1", (11, 12, 13)) == Run(2, 3)
+    assert memory.run(1.5, "e1", (11, 21)) == Run(1, 1)
+    # Whoever holds the end of a run holds what is before it.
+    assert memory.run(1.5, "e1", (31, 12)) == Run(2, 2)
+    assert memory.run(1.5, "e2", (11, 12)) == Run()
+
+
+def test_holders_are_found_by_mark_and_forgotten_with_what_they_held():
+    memory = PromptMemory()
+    capacity = int(2000 / PROMPTS_PART) + 1
+    memory.read(1.0, note("a"), capacity)
+    memory.read(1.0, note("a", holder="e2"), capacity)
+    mark = prompt_mark("v1", "a")
+    assert set(memory.holders(mark)) == {"e1", "e2"}
+    memory.forget_engine("e2")
+    assert set(memory.holders(mark)) == {"e1"}
+    memory.read(2.0, note("b", own=900), capacity)
+    memory.read(3.0, note("c"), capacity)
+    assert set(memory.holders(mark)) == set()
+
+
+def test_prompts_without_a_home_fill_the_memory_with_the_next_note():
+    one, other = PromptMemory(), PromptMemory()
+    capacity = int(3000 / PROMPTS_PART) + 1
+    one.read(1.0, note("a"), capacity)
+    one.fill("e1", 1500)
+    one.read(2.0, note("b", is_ready=False), capacity)
+    assert one.holding(2.0, "e1", prompt_mark("v1", "a")) is Holding.NONE
+    for told in one.take_notes():
+        other.hear(2.0, told, capacity)
+    assert other.holding(2.0, "e1", prompt_mark("v1", "a")) is Holding.NONE
+
+
+def test_a_store_holds_the_levels_that_it_was_sent():
+    memory = PromptMemory()
+    memory.saved(1.0, PromptNote(12, 1000, "10.0.0.9:1"))
+    assert memory.saved_levels(1.5, "10.0.0.9:1", (11, 12, 13)) == 2
+    assert memory.saved_levels(1.5, "10.0.0.9:1", (11, 22)) == 0
--- a/tests/test_platform/test_requests.py
+++ b/tests/test_platform/test_requests.py
@@ -2,7 +2,6 @@
 
 from berylnotch.net.messages import Headers, HttpRequest
 from berylnotch.platform.requests import (
-    PromptPart,
     TargetHeaders,
     decode_answer,
     decode_request,
@@ -23,13 +22,15 @@
             ("Berylnotch-Deadline-Ms", "2500"),
             ("Berylnotch-Model", "m"),
             ("Berylnotch-Token-Count", "1460,80"),
-            ("Berylnotch-Prefix-Hash", "5c:800,91:410"),
+            ("Berylnotch-Prefix-Hash", "5c:800,91:410,e4:250"),
             ("Last-Event-Id", "12"),
         )
     )
     assert caller.key == "secret" and caller.request_id == "id-1"
     assert caller.deadline_s == 2.5 and caller.tokens == 1540
-    assert caller.parts == (PromptPart("5c", 800), PromptPart("91", 410))
+    assert caller.chain.path == "5c/91" and caller.chain.shared_tokens == 1210
+    assert [level.total for level in caller.chain.levels] == [1210]
+    assert caller.chain.problem == ""
     assert caller.resume_after == 12
 
 
@@ -44,7 +45,7 @@
         )
     )
     assert caller.key == "" and caller.deadline_s is None and caller.tokens == 0
-    assert caller.parts == (PromptPart("5c", 800),)
+    assert caller.chain.path == "" and not caller.chain.has_home
     assert caller.resume_after is None
 
 
--- a/tests/test_settings/test_fleet_page.py
+++ b/tests/test_settings/test_fleet_page.py
@@ -17,7 +17,7 @@
 def _named_on_the_page():
     rows = re.findall(r"^\| `([a-z-]+)` \|", PAGE, re.M)
     assert len(rows) == len(set(rows))
-    return set(rows) | {"order-lease-ms"}
+    return set(rows) | {"order-lease-ms", "weights-ms"}
 
 
 def test_the_page_names_just_the_settings_that_are_read():
