weights: engines are emptied of long requests before they load

Cause: an order waits for the runs of an engine, on further up to 5 s, and the engine refuses all else meanwhile. Now routers first send it no more long requests, and it serves short ones until the long ones have ended, 3 s at the most.

--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -136,6 +136,7 @@
             names,
             lambda: self._may_order and host.is_active(),
             self.registry.requests,
+            self.registry.long_requests,
             self.registry.unreachable,
             settings.name,
             host.term,
--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -214,6 +214,15 @@
         """Return the requests under way at each target, as last summed up."""
         return {load.target_id: load.requests for load in self._loads.loads}
 
+    def long_requests(self, target_id: str) -> int:
+        """Return the requests under way at a target that take long."""
+        return sum(
+            load.long
+            for router in self._routers.values()
+            for load in router.report.loads
+            if load.target_id == target_id
+        )
+
     def unreachable(self) -> frozenset[str]:
         """Return the targets that routers avoid after failures."""
         return self._left_out(SUSPECT_ROUTERS)
--- a/berylnotch/daemon/fleet/reports.py
+++ b/berylnotch/daemon/fleet/reports.py
@@ -68,7 +68,12 @@
         self._due.done()
         context = self._context
         self._sent_loads = tuple(
-            TargetLoad(target.target_id, target.in_flight, target.unread)
+            TargetLoad(
+                target.target_id,
+                target.in_flight,
+                target.unread,
+                target.long_in_flight,
+            )
             for target in context.targets.all()
             if target.in_flight
         )
--- a/berylnotch/daemon/fleet/weights.py
+++ b/berylnotch/daemon/fleet/weights.py
@@ -26,6 +26,15 @@
 from berylnotch.util.lines import EventLog
 from berylnotch.util.loop import Loop
 
+#: Longest time in seconds for which an engine is emptied of long requests before it
+#: loads; it serves short ones meanwhile.
+EMPTY_S = 3.0
+
+#: Seconds from telling routers until their last long request has been reported, and
+#: between two looks whether the long requests have ended.
+EMPTY_SETTLE_S = 0.35
+EMPTY_LOOK_S = 0.05
+
 #: Seconds between marking an engine as loading and its order, so that routers
 #: have sent their last request there.
 SETTLE_S = 0.05
@@ -76,6 +85,8 @@
         Returns whether this process leads, by a fresh clock.
     busy : callable
         Returns the requests under way at each target.
+    long_requests : callable
+        Returns the requests under way at a target that take long.
     unreachable : callable
         Returns the targets that routers have left out.
     holder : str
@@ -97,6 +108,7 @@
         names: WeightsNames,
         may_order: Callable[[], bool],
         busy: Callable[[], dict[str, int]],
+        long_requests: Callable[[str], int],
         unreachable: Callable[[], frozenset[str]],
         holder: str,
         epoch: int,
@@ -109,6 +121,7 @@
         self._names = names
         self._may_order = may_order
         self._busy = busy
+        self._long_requests = long_requests
         self._unreachable = unreachable
         self._holder = holder
         self._epoch = epoch
@@ -182,8 +195,14 @@
             target = self._board.target(due.target_id)
             load = _Load(due, target, now)
             self._loads[due.target_id] = load
-            self._board.began_loading(now, due.target_id)
-            self._loop.call_later(SETTLE_S, lambda load=load: self._ask(load))
+            is_urgent = due.target_id in self._overdue(now)
+            if is_urgent or not self._long_requests(due.target_id):
+                self._take_away(load)
+            else:
+                self._board.began_emptying(due.target_id)
+                self._loop.call_later(
+                    EMPTY_SETTLE_S, lambda load=load: self._wait_until_empty(load)
+                )
             self._log.info(
                 "load_begun",
                 target=due.target_id,
@@ -195,6 +214,23 @@
         if loads:
             self._on_change()
 
+    def _take_away(self, load: _Load) -> None:
+        """Let routers send nothing more, and order soon."""
+        self._board.began_loading(boot_time(), load.wanted.target_id)
+        self._loop.call_later(SETTLE_S, lambda: self._ask(load))
+        self._on_change()
+
+    def _wait_until_empty(self, load: _Load) -> None:
+        """Take an engine away once its long requests have ended, or late."""
+        if self._is_over(load):
+            return
+        target_id, now = load.wanted.target_id, boot_time()
+        is_late = now - load.begun_at > EMPTY_S or target_id in self._overdue(now)
+        if is_late or not self._long_requests(target_id):
+            self._take_away(load)
+        else:
+            self._loop.call_later(EMPTY_LOOK_S, lambda: self._wait_until_empty(load))
+
     def _overdue(self, now: float) -> frozenset[str]:
         """Return the targets that must load now, even if routers do not reach them."""
         return frozenset(
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -83,6 +83,7 @@
         #: Prompt tokens that the target had to read before this request's.
         self._ahead = choice.target.total_unread
         self._has_begun = False
+        self._is_long = admitted.caller.chain.has_home
         self._expected_s = choice.delay_ms / 1000
         self._admitted = admitted
         self._told = told
@@ -108,6 +109,7 @@
         request = encode_for_target(self._admitted.request, self._told)
         self._connection = self._context.targets.connect(target, route.is_repeatable)
         target.in_flight += 1
+        target.long_in_flight += self._is_long
         target.unread += self._unread
         if self._note_prompt(is_ready=False):
             # Other routers choose the same engine until they know of this one.
@@ -416,6 +418,7 @@
         if not self._has_begun:
             self._forget_prompt()
         self._target.in_flight -= 1
+        self._target.long_in_flight -= self._is_long
         self._target.unread -= self._unread
         self._unread = 0
 
--- a/berylnotch/entry/choice.py
+++ b/berylnotch/entry/choice.py
@@ -260,11 +260,18 @@
 def _usable(targets: Collection[Target], placing: Placing) -> list[Target]:
     """Return the candidates, without those to avoid if there are others."""
     usable = [t for t in targets if _is_candidate(t, placing)]
-    return [t for t in usable if not t.is_avoided(placing.now)] or usable
+    return [t for t in usable if not _is_unfit(t, placing)] or usable
 
 
 def _is_free(target: Target, placing: Placing) -> bool:
-    return _is_candidate(target, placing) and not target.is_avoided(placing.now)
+    return _is_candidate(target, placing) and not _is_unfit(target, placing)
+
+
+def _is_unfit(target: Target, placing: Placing) -> bool:
+    """Tell whether others are to be preferred, as far as there are any."""
+    if target.is_emptying and placing.chain.has_home:
+        return True
+    return target.is_avoided(placing.now)
 
 
 def _drawn(targets: Collection[Target], placing: Placing) -> list[Target]:
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -33,12 +33,16 @@
         Failures seen by this router.
     is_loading : bool
         Whether it loads weights.
+    is_emptying : bool
+        Whether it loads weights next, and should get no more long requests.
     is_leaving : bool
         Whether it gets no new work, by the list or by its own word.
     has_said_leaving : bool
         Whether it told this router so in an answer.
     in_flight : int
         Requests of this router that it has.
+    long_in_flight : int
+        Those of them that take long.
     others_in_flight : int
         Requests of the other routers, as last summed up.
     idle : deque of ClientConnection
@@ -64,9 +68,11 @@
     listed: ListedTarget
     ejection: Ejection
     is_loading: bool = False
+    is_emptying: bool = False
     is_leaving: bool = False
     has_said_leaving: bool = False
     in_flight: int = 0
+    long_in_flight: int = 0
     others_in_flight: int = 0
     unread: int = 0
     others_unread: int = 0
@@ -287,6 +293,7 @@
         if entry.is_loading and not target.is_loading:
             target.loading_until = boot_time() + self._settings.load_s
         target.is_loading = entry.is_loading
+        target.is_emptying = entry.is_emptying
         target.is_leaving = target.has_said_leaving or listed.is_leaving
         if target.is_leaving:
             self._drop_idle(target)
--- a/berylnotch/group/messages.py
+++ b/berylnotch/group/messages.py
@@ -37,12 +37,14 @@
 class TargetLoad:
     """Work that one router, or all, have under way at a target.
 
-    ``unread`` are prompt tokens that the target probably has yet to read.
+    ``unread`` are prompt tokens that the target probably has yet to read. ``long`` are
+    the requests that take long, of which only routers' reports tell.
     """
 
     target_id: str
     requests: int
     unread: int = 0
+    long: int = 0
 
 
 @frozen
@@ -115,10 +117,15 @@
 
 @frozen
 class TargetEntry:
-    """A target and whether it is loading weights, and so refuses work."""
+    """A target and whether it is loading weights, and so refuses work.
+
+    ``is_emptying`` tells that it loads as soon as its long requests have ended, and
+    gets no more of them.
+    """
 
     target: ListedTarget
     is_loading: bool = False
+    is_emptying: bool = False
 
 
 @frozen
--- a/berylnotch/membership/board.py
+++ b/berylnotch/membership/board.py
@@ -38,6 +38,7 @@
         self._listed: dict[str, ListedTarget] = {}
         self._loaded: dict[str, _Loaded] = {}
         self._loading: dict[str, float] = {}
+        self._emptying: set[str] = set()
         #: Routers that heard a target say that it leaves, by its identity and start.
         self._words: dict[LeavingWord, set[str]] = {}
         self._listed_at: float | None = None
@@ -65,6 +66,7 @@
                 if target.target_id in leaving
                 else target,
                 target.target_id in self._loading,
+                target.target_id in self._emptying,
             )
             for target in self.targets()
         )
@@ -106,6 +108,7 @@
         self._listed = {t.target_id: self._correct(now, t) for t in targets}
         for name in self._loading.keys() - self._listed.keys():
             del self._loading[name]
+        self._emptying &= self._listed.keys()
         for name in self._loaded.keys() - self._listed.keys():
             del self._loaded[name]
         for word in tuple(self._words):
@@ -113,12 +116,18 @@
             if target is None or target.born_ms != word.born_ms:
                 del self._words[word]
 
+    def began_emptying(self, target_id: str) -> None:
+        """Note that a target shall get no more long requests, since it loads next."""
+        self._emptying.add(target_id)
+
     def began_loading(self, now: float, target_id: str) -> None:
         """Note that a target gets an order to load weights."""
+        self._emptying.discard(target_id)
         self._loading[target_id] = now
 
     def stopped_loading(self, target_id: str) -> None:
         """Note that a target serves again, whatever its weights."""
+        self._emptying.discard(target_id)
         self._loading.pop(target_id, None)
 
     def loaded(self, now: float, target_id: str, version: ModelVersion) -> None:
