entry, net: six failures of similar systems looked for; four could happen and are mended

Tests on real sockets (tests/test_entry/test_failures.py, tests/test_net). Could happen: an answer in an encoding nobody asked for passed as success; a stream without a length that ended within an event passed as complete; bytes and comments without an event kept a stalled stream alive; a body that trickles and an answer that is never read held a caller's connection for ever; at the end of the time to stop, requests were cut without an answer (now 503 if not sent, else 504). Also: an answer without a name on a kept connection counts as foreign; a stopping router waits until no caller came for a moment. Second copies, lost answers and short bodies were safe before. The wait of urgent requests is learned, what speaks against a target is no delay (expected first events were twice what came).

--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -66,12 +66,19 @@
 #: How many times its lifetime callers keep an address answer at the most.
 TTL_FACTOR = 3
 
+#: Seconds without a new caller after which a leaving router may stop; a request that
+#: was on its way has come by then.
+QUIET_S = 0.25
+
+#: Seconds in which the answers to the last requests leave the process.
+LAST_ANSWERS_S = 0.1
+
 #: Seconds before the end of the time to stop in which the process exits.
 STOP_MARGIN_S = 0.7
 
 #: Seconds from the start of a router until it usually has its configuration, also
 #: when all controllers start with it and elect a leader first.
-START_S = 2.0
+START_S = 1.6
 
 #: Shortest time in seconds after which a caller shall come back to a router that
 #: has no configuration yet.
@@ -187,9 +194,12 @@
         def look() -> None:
             now = boot_time()
             is_done = now >= accept_until and not self._exchanges
-            if is_done and self._callers.busy_count == 0 or now >= latest:
+            is_quiet = now - self._callers.accepted_at >= QUIET_S
+            if is_done and is_quiet and self._callers.busy_count == 0 or now >= latest:
                 self._log.info("drained", requests=len(self._exchanges))
-                done()
+                for exchange in tuple(self._exchanges):
+                    exchange.stop()
+                self._loop.call_later(LAST_ANSWERS_S, done)
                 return
             self._loop.call_later(0.05, look)
 
--- a/berylnotch/entry/admitted.py
+++ b/berylnotch/entry/admitted.py
@@ -45,6 +45,11 @@
         rank = self.organisation.priority if self.organisation else 0
         return min(LAST_PRIORITY, rank * PRIORITIES_PER_RANK + self.route.priority)
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether engines admit the request before most others."""
+        return self.priority < URGENT_PRIORITY
+
     @property
     def organisation_name(self) -> str:
         """Name of the organisation, empty on open routes."""
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -46,6 +46,10 @@
 #: gets no request; by then the leader knows more.
 MISDIRECTED_S = 0.4
 
+#: Multiple of the longest pause that is in time within which a stream is slow, not
+#: stalled.
+STALL_FACTOR = 3.0
+
 #: Multiple of the delay expected at the choice, and seconds beside it, within which a
 #: target is busy and not stuck.
 EXPECTED_FACTOR = 2.0
@@ -82,6 +86,7 @@
         self._unread = self._read_tokens = choice.unread
         #: Prompt tokens that the target had to read before this request's.
         self._ahead = choice.target.total_unread
+        self._queue_ms = choice.queue_ms
         self._has_begun = False
         self._is_long = admitted.caller.chain.has_home
         self._expected_s = choice.delay_ms / 1000
@@ -155,7 +160,8 @@
         settings, now = self._context.settings, boot_time()
         route = self._admitted.route
         if self._is_stream and self._heard_at:
-            overdue_at = self._heard_at + settings.stall_s
+            stall_s = max(settings.stall_s, STALL_FACTOR * route.max_gap_s)
+            overdue_at = self._heard_at + stall_s
         else:
             overdue_at = self._sent_at + settings.slow_factor * route.target_latency_s
         if self._head is None and self._admitted.is_stream:
@@ -178,7 +184,10 @@
         answer = decode_answer(head.status, head.headers)
         self._take_signals(answer)
         own_id = self._admitted.caller.request_id
-        if answer.request_id != own_id and (answer.request_id or head.status < 300):
+        is_named = bool(answer.request_id) or head.status < 300
+        # On a kept connection an answer without a name may be of the request before.
+        is_named = is_named or self._connection.is_reused
+        if answer.request_id != own_id and is_named:
             self._context.log.warning(
                 "foreign_answer",
                 id=own_id,
@@ -198,8 +207,11 @@
         """Take a part of the body."""
         if self._is_over:
             return
-        self._heard_at = self._target.heard_at = boot_time()
+        if self._is_encoded:
+            self._break_off("encoded answer")
+            return
         if not self._is_stream:
+            self._target.heard_at = boot_time()
             self._body += data
             if len(self._body) > MAX_ANSWER_BYTES:
                 self._break_off("answer too large")
@@ -211,6 +223,9 @@
             self._has_begun = True
             self._has_read()
         for event in self._splitter.feed(data):
+            if event.is_progress:
+                # Bytes alone, or comments, do not show that the stream goes on.
+                self._heard_at = self._target.heard_at = boot_time()
             self._owner.stream_began(200, self._stream_headers())
             self._owner.event(event.data, event.number)
             if self._is_over:
@@ -225,9 +240,10 @@
         answer = decode_answer(self._head.status, self._head.headers)
         target, status = self._target, self._head.status
         self._leave()
-        if status < 300 and not answer.stamp:
+        problem = self._problem(answer)
+        if problem:
             self._connection.close()
-            self._end(AttemptEnd.BROKEN, "answer without a stamp")
+            self._end(AttemptEnd.BROKEN, problem)
             return
         self._context.targets.keep(target, self._connection)
         if answer.is_not_run:
@@ -257,6 +273,25 @@
             )
         )
 
+    @property
+    def _is_encoded(self) -> bool:
+        """Whether the body is in an encoding that no caller asked for."""
+        encoding = self._head.headers.get("Content-Encoding").lower()
+        return self._head.status < 300 and encoding not in ("", "identity")
+
+    def _problem(self, answer: AnswerHead) -> str:
+        """Return why an answer is not the target's whole one, empty if it is."""
+        if self._head.status >= 300:
+            return ""
+        if not answer.stamp:
+            return "answer without a stamp"
+        if self._is_encoded:
+            return "encoded answer"
+        if self._is_stream and self._splitter.tail and not self._head.is_delimited:
+            # The end of the connection is the end of the stream, or a loss.
+            return "stream ends within an event"
+        return ""
+
     def on_failure(self, failure: Failure, reason: str) -> None:
         """Judge a failed connection."""
         if self._is_over:
@@ -352,10 +387,12 @@
         self._target.unread -= self._unread
         self._unread = 0
         self._note_prompt(is_ready=True)
+        meter = self._context.meter(self._target.listed.service)
+        took_ms = 1000 * (boot_time() - self._sent_at)
+        if self._admitted.is_urgent:
+            meter.note_urgent(self._read_tokens, self._queue_ms, took_ms)
         if self._ahead <= self._read_tokens:
-            took_ms = 1000 * (boot_time() - self._sent_at)
-            tokens = self._read_tokens + self._ahead
-            self._context.meter(self._target.listed.service).note(tokens, took_ms)
+            meter.note(self._read_tokens + self._ahead, took_ms)
 
     def _forget_prompt(self) -> None:
         """Note that the target did not come to read the prompt."""
--- a/berylnotch/entry/choice.py
+++ b/berylnotch/entry/choice.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Collection, Iterable, Iterator
 from itertools import islice
+from typing import Any
 
 from attrs import field, frozen
 
@@ -26,10 +27,6 @@
 #: prompt.
 COPY_MS_PER_K = 6.0
 
-#: Part of the queue of unread prompts that an urgent request waits for; engines
-#: admit it before the others.
-URGENT_PART = 0.3
-
 #: Cost, in ms for 1,000 tokens, of reading a shared prompt that another engine has
 #: read or reads: it takes the time of that many other prompts.
 READ_AGAIN_MS_PER_K = 240.0
@@ -156,6 +153,10 @@
         Where the request goes.
     delay_ms : float
         Expected time until it has read the prompt.
+    queue_ms : float
+        Part of it that prompts before this one take, if nothing goes before them.
+    drawback_ms : float
+        What speaks against the target beside the delay, as a delay.
     source : Target or None
         Engine from which it takes what it does not hold, if a ready one does.
     unread : int
@@ -168,6 +169,8 @@
 
     target: Target
     delay_ms: float
+    queue_ms: float = 0.0
+    drawback_ms: float = 0.0
     source: Target | None = None
     unread: int = 0
     copied: int = 0
@@ -237,7 +240,7 @@
     usable = _drawn(targets, placing)
     unread, costs = placing.prompt_tokens, placing.costs
     choices = [
-        Choice(t, _queue_ms(t, placing) + costs.read_ms(unread, t.load), unread=unread)
+        _choice(t, placing, costs.read_ms(unread, t.load), unread=unread)
         for t in usable
     ]
     choices = [c for c in choices if _begins_in_time(c, placing)]
@@ -358,9 +361,9 @@
     held = chain.total(holders.run(target).coming)
     own = holders.own_tokens
     # What it still reads of the parts that are coming is in its queue already.
-    delay = _queue_ms(target, placing) + costs.read_ms(own, target.load)
+    delay = costs.read_ms(own, target.load)
     if held >= chain.shared_tokens:
-        return Choice(target, delay, unread=own)
+        return _choice(target, placing, delay, unread=own)
     source, levels = holders.source(target)
     copied = chain.total(levels) - held
     saved = chain.total(placing.saved(target)) - held
@@ -375,7 +378,15 @@
     rest = chain.shared_tokens - got
     delay += costs.read_ms(rest, target.load)
     again = max(0, holders.known_tokens(target) - got)
-    return Choice(target, delay, source, own + rest, copied, again)
+    return _choice(
+        target,
+        placing,
+        delay,
+        source=source,
+        unread=own + rest,
+        copied=copied,
+        read_again=again,
+    )
 
 
 def _begins_in_time(choice: Choice, placing: Placing) -> bool:
@@ -399,25 +410,33 @@
     return placing.outdated_s(version) < placing.stale_s
 
 
-def _queue_ms(target: Target, placing: Placing) -> float:
-    """Return the expected delay at a target before it reads the prompt, in ms."""
+def _choice(target: Target, placing: Placing, own_ms: float, **changes: Any) -> Choice:
+    """Return a choice by the time for the prompt itself and what is before it."""
+    drawback = _drawback_ms(target, placing)
+    if not placing.model:
+        return Choice(target, own_ms + 1000 * target.latency_s, 0.0, drawback)
+    costs = placing.costs
+    queue = costs.read_ms(target.total_unread, target.load)
+    wait = costs.urgent_part * queue if placing.is_urgent else queue
+    delay = costs.base_ms + wait + own_ms
+    return Choice(target, delay, queue, drawback, **changes)
+
+
+def _drawback_ms(target: Target, placing: Placing) -> float:
+    """Return what speaks against a target beside the delay there, in ms."""
     cost = FAILURE_MS * target.ejection.failures
-    cost += ALWAYS_FAILS_MS * target.failure_rate
+    cost += ALWAYS_FAILS_MS * target.failure_rate + LOAD_MS * target.load
     if target.listed.failure_domain != placing.failure_domain:
         cost += DOMAIN_MS
     if not placing.model:
         over = target.load + 1 - max(1, target.listed.slots)
-        cost += 1000 * target.latency_s
-        return cost + LOAD_MS * target.load + QUEUED_MS * max(0, over)
-    queue_ms = placing.costs.read_ms(target.total_unread, target.load)
-    cost += LOAD_MS * target.load
-    cost += URGENT_PART * queue_ms if placing.is_urgent else queue_ms
+        cost += QUEUED_MS * max(0, over)
     return cost
 
 
 def _worth_ms(choice: Choice, placing: Placing) -> float:
     """Return the delay of a choice, and what it loses in worth as a delay, in ms."""
-    cost = choice.delay_ms
+    cost = choice.delay_ms + choice.drawback_ms
     if not placing.model:
         return cost
     version = choice.target.version(placing.model) or 0
--- a/berylnotch/entry/events.py
+++ b/berylnotch/entry/events.py
@@ -10,6 +10,7 @@
 MAX_EVENT_BYTES = 1024 * 1024
 
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
+_DATA = re.compile(rb"(?:\A|\n)data[:\r\n]")
 _ID = re.compile(rb"(?:\A|\n)id:[ \t]*(\d+)")
 
 
@@ -20,6 +21,11 @@
     data: bytes
     number: int | None
 
+    @property
+    def is_progress(self) -> bool:
+        """Whether it holds something for the caller, not a comment alone."""
+        return self.number is not None or _DATA.search(self.data) is not None
+
 
 class EventSplitter:
     """Cuts a stream into events, however its bytes were cut before."""
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -107,6 +107,10 @@
         ):
             self._context.ask_quota()
 
+    def stop(self) -> None:
+        """Answer now, since the process ends."""
+        self._expire(Reason.STOPPING, "the router stops")
+
     def _charged(self, outcome: Charge, retry_s: float) -> None:
         if self._is_over:
             return
@@ -333,16 +337,18 @@
         outcome = "refused" if status in (429, 503) else "failed"
         self._finish(outcome, status, None, f"{reason.value}: {detail}")
 
-    def _expire(self) -> None:
+    def _expire(
+        self, reason: Reason = Reason.DEADLINE, detail: str = "no answer in time"
+    ) -> None:
         if self._is_over:
             return
         has_sent = self._attempt is not None and self._attempt.has_sent
         if self._attempt is not None:
             self._attempt.cancel(is_overdue=True)
         if has_sent or self._progress.runs or self._reply.has_head:
-            self._fail(504, Reason.DEADLINE, "no answer in time")
+            self._fail(504, reason, detail)
         else:
-            self._refuse(503, Reason.DEADLINE, "it was not sent in time", None)
+            self._refuse(503, reason, f"not sent: {detail}", None)
 
     def _caller_left(self) -> None:
         if self._is_over:
--- a/berylnotch/entry/placing.py
+++ b/berylnotch/entry/placing.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Collection
 
-from berylnotch.entry.admitted import URGENT_PRIORITY, Admitted
+from berylnotch.entry.admitted import Admitted
 from berylnotch.entry.choice import Choice, Placing
 from berylnotch.entry.context import EntryContext
 from berylnotch.entry.targets import Target
@@ -59,7 +59,7 @@
         target_latency_s=admitted.route.target_latency_s,
         chain=chain if model else NO_CHAIN,
         prompt_tokens=caller.prompt_tokens if model else 0,
-        is_urgent=admitted.priority < URGENT_PRIORITY,
+        is_urgent=admitted.is_urgent,
         sample=settings.sample if is_crowded else 0,
         draw=random.randrange,
         run=run,
--- a/berylnotch/entry/refusals.py
+++ b/berylnotch/entry/refusals.py
@@ -26,5 +26,7 @@
     CRASHES = "crashes"
     #: The target's answer was lost or is no valid one.
     TARGET_LOST = "target-lost"
+    #: The router ends before the request could.
+    STOPPING = "stopping"
     #: The service left the configuration meanwhile.
     NO_SERVICE = "no-service"
--- a/berylnotch/net/client.py
+++ b/berylnotch/net/client.py
@@ -90,6 +90,7 @@
         self._is_connected = False
         self._is_closed = False
         self._has_sent = False
+        self._requests = 0
         self._is_reusable = True
         self._is_paused = False
         self._sink: ResponseSink | None = None
@@ -116,6 +117,11 @@
         """Whether another request may be sent."""
         return self._is_reusable and not self._is_closed and self._sink is None
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether another request was sent before the present one."""
+        return self._requests > 1
+
     @property
     def has_sent(self) -> bool:
         """Whether a byte of the present request has left this process."""
@@ -124,6 +130,7 @@
     def send(self, request: HttpRequest, sink: ResponseSink) -> None:
         """Send a request; `sink` hears of the answer, never during this call."""
         self._sink = sink
+        self._requests += 1
         self._has_sent = False
         self._is_skipping = False
         self._method = request.method
--- a/berylnotch/net/reading.py
+++ b/berylnotch/net/reading.py
@@ -56,6 +56,11 @@
         """Whether the headers of the present request are complete."""
         return self._is_head_read
 
+    @property
+    def body_size(self) -> int:
+        """Bytes of the present request's body that came so far."""
+        return len(self._body)
+
     @property
     def wants_continue(self) -> bool:
         """Whether the caller waits for a sign to send the body."""
--- a/berylnotch/net/server.py
+++ b/berylnotch/net/server.py
@@ -29,6 +29,10 @@
 #: is not lost to a reset.
 _LINGER_S = 1.0
 
+#: Bytes a second that a caller sends and reads at the least; who is slower for longer
+#: than the idle time is given up.
+_MIN_BYTES_PER_S = 1024.0
+
 #: Seconds between two searches for connections that are over their limits.
 _SWEEP_S = 0.5
 
@@ -61,6 +65,8 @@
         #: Request being served, or None.
         self.request: HttpRequest | None = None
         self._active_at = boot_time()
+        #: Bytes of an ended answer that the caller had yet to read.
+        self._answer_bytes = 0
         #: Called once if the caller leaves while its request is served.
         self.on_gone: Callable[[], None] | None = None
         #: Called when waiting output has been sent.
@@ -143,9 +149,15 @@
             if now - self._reader.begun_at > limits.header_s:
                 self._refuse(408, "headers took too long")
         elif self._reader.begun_at:
-            if now - self._active_at > limits.idle_s:
+            received_s = self._reader.body_size / _MIN_BYTES_PER_S
+            is_slow = now - self._reader.begun_at > limits.idle_s + received_s
+            if is_slow or now - self._active_at > limits.idle_s:
                 self._refuse(408, "body took too long")
-        elif not self._output and now - self._active_at > limits.idle_s:
+        elif self._output:
+            allowed_s = limits.idle_s + self._answer_bytes / _MIN_BYTES_PER_S
+            if now - self._active_at > allowed_s:
+                self._close()
+        elif now - self._active_at > limits.idle_s:
             self._close()
 
     def close_if_idle(self) -> None:
@@ -215,6 +227,7 @@
         self.on_gone = None
         self.on_drained = None
         self._active_at = boot_time()
+        self._answer_bytes = len(self._output)
         self._is_reading = True
         if close:
             self._is_lingering = True
@@ -311,6 +324,8 @@
         self.on_refused = on_refused
         #: Whether each connection is closed after its present answer.
         self.is_draining = False
+        #: Boot time at which the newest caller was accepted.
+        self.accepted_at = 0.0
         self._connections: set[ServerConnection] = set()
         self._acceptor = Acceptor(loop, address, self._accept)
 
@@ -349,6 +364,7 @@
             sock.close()
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.accepted_at = boot_time()
         connection = ServerConnection(self, sock)
         self._connections.add(connection)
         connection.start()
--- /dev/null
+++ b/tests/test_entry/test_failures.py
@@ -0,0 +1,229 @@
+"""What became of requests at similar systems, brought about on real sockets."""
+
+import json
+import threading
+
+import attrs
+import pytest
+
+from berylnotch.entry.admitted import Admitted
+from berylnotch.entry.exchange import Exchange
+from berylnotch.group.messages import TargetEntry
+from berylnotch.membership.listing import ListedTarget, ModelVersion
+from berylnotch.net.messages import Headers, HttpRequest
+from berylnotch.platform.configuration import decode_configuration
+from berylnotch.platform.requests import decode_request
+from berylnotch.routing.table import RouteTable
+from berylnotch.util.clock import boot_time
+from tests.fleet.processes import configuration
+from tests.test_net.support import RawServer
+
+PATIENCE_S = 5.0
+
+
+def head(request_id, *lines, status="200 OK"):
+    fields = [f"HTTP/1.1 {status}", "Berylnotch-Server-Stamp: s", *lines]
+    if request_id:
+        fields.append(f"Berylnotch-Request-Id: {request_id}")
+    return "\r\n".join(fields).encode() + b"\r\n\r\n"
+
+
+def whole(request_id, body, status="200 OK"):
+    return head(request_id, f"Content-Length: {len(body)}", status=status) + body
+
+
+def events(*numbers):
+    return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+STREAM = "Content-Type: text/event-stream"
+CHUNKED = "Transfer-Encoding: chunked"
+
+
+class Caller:
+    """A caller that keeps what it is sent, and waits for the end."""
+
+    on_gone = on_drained = None
+    is_congested = False
+
+    def __init__(self):
+        self.status, self.body, self.end = 0, b"", ""
+        self.done = threading.Event()
+
+    def respond(self, status, headers, body=b""):
+        self.status, self.body = status, body
+        self._finish("whole")
+
+    def start_stream(self, status, headers):
+        self.status = status
+
+    def send_piece(self, data):
+        self.body += data
+
+    def end_stream(self):
+        self._finish("whole")
+
+    def abort(self):
+        self._finish("broken off")
+
+    def _finish(self, end):
+        self.end = end
+        self.done.set()
+
+
+@pytest.fixture
+def router(context):
+    """Return a function that sends a request to targets by their raw servers."""
+    values = configuration(3, timeoutMs=1500)
+    del values["tenants"]
+    context.routes = RouteTable(decode_configuration(json.dumps(values).encode()))
+    context.loop.start()
+
+    def ask(path, servers, request_id="id-1"):
+        entries = [
+            TargetEntry(
+                ListedTarget(
+                    f"{service}-{n}",
+                    service,
+                    str(server.address),
+                    "north",
+                    8,
+                    models=(ModelVersion("model-1", 1),) if service == "llm" else (),
+                )
+            )
+            for service in ("llm", "desk")
+            for n, server in enumerate(servers)
+        ]
+        model = ("Berylnotch-Model", "model-1") if "chat" in path else ("X", "y")
+        headers = Headers(
+            (("Host", "app.example"), ("Berylnotch-Request-Id", request_id), model)
+        )
+        caller = Caller()
+
+        def send():
+            context.targets.update(entries)
+            request = HttpRequest("POST", path, headers, b"{}", boot_time())
+            route = context.routes.route("app.example", path)
+            admitted = Admitted(request, decode_request(request), route, None)
+            Exchange(context, caller, admitted, lambda exchange: None).start()
+
+        context.loop.call_soon(send)
+        assert caller.done.wait(PATIENCE_S)
+        return caller
+
+    yield ask
+    context.loop.close()
+
+
+# A second copy of an answer on a connection that is in use again.
+
+
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"])
+def test_a_late_second_copy_is_no_answer_to_the_next_request(router, interim):
+    server = RawServer(
+        whole("id-1", b"first"),
+        interim + whole("id-1", b"first") + whole("id-2", b"second"),
+    )
+    assert router("/read/x", [server], "id-1").body == b"first"
+    assert router("/read/x", [server], "id-2").body == b"second"
+
+
+def test_a_late_failure_without_a_name_is_no_answer_to_the_next_request(router):
+    server = RawServer(
+        whole("id-1", b"first"), whole("", b"", status="408 Request Timeout")
+    )
+    assert router("/book/x", [server], "id-1").body == b"first"
+    second = router("/book/x", [server], "id-2")
+    # It was sent, so it may have run; 408 would promise that it has not.
+    assert second.status in (502, 504)
+
+
+# Answers that break off.
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/book/x"])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        head("id-1", "Content-Length: 40") + b"half",
+        head("id-1", CHUNKED) + chunk(b"half"),
+        head("id-1", CHUNKED) + b"14\r\nhalf",
+        head("id-1", "Content-Encoding: gzip", "Content-Length: 4") + b"half",
+        head("id-1", "Content-Encoding: gzip", CHUNKED) + chunk(b"h") + b"0\r\n\r\n",
+        head("id-1", CHUNKED, "Trailer: A") + chunk(b"half") + b"0\r\nA: b\r\n",
+    ],
+)
+def test_an_answer_that_breaks_off_is_no_success(router, path, answer):
+    assert router(path, [RawServer(answer)]).status >= 500
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        head("id-1", STREAM, CHUNKED) + chunk(events(1, 2)),
+        head("id-1", STREAM, CHUNKED) + chunk(events(1) + b"id: 2\nda"),
+        head("id-1", STREAM, "Content-Length: 400") + events(1, 2),
+        # Without a length the end of the connection may be a loss.
+        head("id-1", STREAM) + events(1) + b"id: 2\nda",
+    ],
+)
+def test_a_stream_that_breaks_off_does_not_look_complete(router, answer):
+    caller = router("/chat/x", [RawServer(answer)])
+    assert caller.end == "broken off" or caller.status >= 500
+    assert b"da\n" not in caller.body
+
+
+def test_a_stream_without_a_length_that_ends_with_an_event_is_whole(router):
+    answer = head("id-1", STREAM) + events(1, 2)
+    caller = router("/chat/x", [RawServer(answer)])
+    assert caller.end == "whole" and caller.body == events(1, 2)
+
+
+# Answers that are lost.
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [b"", head("id-1", "Content-Length: 9"), head("id-1", "Content-Length: 9") + b"a"],
+)
+@pytest.mark.parametrize("reset", [False, True])
+def test_work_that_may_have_run_is_not_run_again_nor_called_not_run(
+    router, answer, reset
+):
+    first = RawServer(answer, reset=reset)
+    second = RawServer(whole("id-1", b"again"))
+    caller = router("/book/x", [first])
+    assert caller.status == 502
+    caller = router("/book/x", [first, second], "id-2")
+    assert caller.status == 502 or caller.body == b"again"
+
+
+# Slow and stalled streams.
+
+
+def test_bytes_without_events_do_not_keep_a_stalled_stream(router, context):
+    context.settings = attrs.evolve(context.settings, stall_s=0.3, slow_factor=1.0)
+    stalled = RawServer(
+        head("id-1", STREAM, CHUNKED) + chunk(events(1)),
+        then=[chunk(piece) for piece in [b": wait\n\n", b"x"] * 40],
+        pause_s=0.05,
+    )
+    sound = RawServer(head("id-1", STREAM, CHUNKED) + chunk(events(2)) + b"0\r\n\r\n")
+    caller = router("/chat/x", [stalled, sound])
+    assert caller.end == "whole"
+    assert caller.body.startswith(events(1)) and caller.body.endswith(events(2))
+
+
+def test_a_slow_stream_within_its_pauses_is_not_cut(router, context):
+    context.settings = attrs.evolve(context.settings, stall_s=0.3, slow_factor=1.0)
+    slow = RawServer(
+        head("id-1", STREAM, CHUNKED) + chunk(events(1)),
+        then=[*(chunk(events(n)) for n in range(2, 6)), b"0\r\n\r\n"],
+        pause_s=0.22,
+    )
+    caller = router("/chat/x", [slow])
+    assert caller.end == "whole" and caller.body == events(1, 2, 3, 4, 5)
--- a/tests/test_net/support.py
+++ b/tests/test_net/support.py
@@ -79,3 +79,45 @@
     """Answer with the target and the body."""
     body = f"{request.method} {request.target} ".encode() + request.body
     connection.respond(200, Headers(), body)
+
+
+class RawServer:
+    """Answers each request on each connection with given bytes.
+
+    After the last answer come the pieces of ``then``, with pauses.
+    """
+
+    def __init__(self, *answers, reset=False, then=(), pause_s=0.0):
+        self.then, self.pause_s = then, pause_s
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.answers, self.reset = answers, reset
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._answer, args=(sock,), daemon=True).start()
+
+    def _answer(self, sock):
+        for answer in self.answers:
+            if not sock.recv(65536):
+                break
+            sock.sendall(answer)
+        try:
+            for piece in self.then:
+                threading.Event().wait(self.pause_s)
+                sock.sendall(piece)
+        except OSError:
+            # The router has left the connection.
+            return
+        if self.reset:
+            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.close()
+
+    @property
+    def address(self):
+        return Address(*self.sock.getsockname())
--- a/tests/test_net/test_client.py
+++ b/tests/test_net/test_client.py
@@ -10,6 +10,7 @@
 from berylnotch.net.messages import Headers, HttpRequest
 from berylnotch.util.address import Address
 from berylnotch.util.loop import Loop
+from tests.test_net.support import RawServer
 
 
 class Sink(ResponseSink):
@@ -38,37 +39,6 @@
         self.done.set()
 
 
-class RawServer:
-    """Answers each request on each connection with given bytes."""
-
-    def __init__(self, *answers, reset=False):
-        self.sock = socket.create_server(("127.0.0.1", 0))
-        self.answers, self.reset = answers, reset
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def _serve(self):
-        while True:
-            try:
-                sock, _ = self.sock.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._answer, args=(sock,), daemon=True).start()
-
-    def _answer(self, sock):
-        for answer in self.answers:
-            if not sock.recv(65536):
-                break
-            sock.sendall(answer)
-        if self.reset:
-            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        sock.close()
-
-    @property
-    def address(self):
-        return Address(*self.sock.getsockname())
-
-
 @pytest.fixture
 def loop():
     errors = []
--- a/tests/test_net/test_server.py
+++ b/tests/test_net/test_server.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from berylnotch.net import server as net_server
+from berylnotch.net.messages import Headers
+from berylnotch.net.reading import HttpLimits
 from tests.test_net.support import Harness, echo, read_all
 
 
@@ -146,3 +149,31 @@
     server.server.is_draining = True
     data = server.exchange(GET)
     assert b"200 OK" in data and b"Connection: close" in data
+
+
+def test_a_body_that_trickles_is_refused(server):
+    head = b"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n"
+    data = server.exchange(head, *[b"x"] * 16, pause_s=0.1)
+    assert b" 408 " in data and server.refused == [(408, "body took too long")]
+
+
+def test_a_caller_that_does_not_read_its_answer_is_given_up(monkeypatch):
+    monkeypatch.setattr(net_server, "_MIN_BYTES_PER_S", 1e9)
+
+    def huge(_harness, connection, _request):
+        connection.respond(200, Headers(), b"x" * 40_000_000)
+
+    limits = HttpLimits(idle_s=0.5)
+    harness = Harness(huge, limits)
+    try:
+        sock = harness.connect()
+        sock.sendall(GET)
+        deadline = time.monotonic() + 5
+        while not harness.run(lambda: harness.server.busy_count):
+            assert time.monotonic() < deadline
+        while harness.run(lambda: harness.server.busy_count):
+            assert time.monotonic() < deadline
+            time.sleep(0.05)
+        sock.close()
+    finally:
+        harness.close()
--- a/tests/test_placement/test_costs.py
+++ b/tests/test_placement/test_costs.py
@@ -44,3 +44,16 @@
     costs = EngineCosts(copy_per_ms=1000.0, store_per_ms=100.0)
     assert costs.copy_ms(5000, is_far=True) == 2 * costs.copy_ms(5000, is_far=False)
     assert costs.store_ms(5000) > costs.copy_ms(5000, is_far=True)
+
+
+def test_the_wait_of_urgent_requests_is_learned():
+    meter = CostMeter()
+    for _ in range(100):
+        meter.note_urgent(2000, 400.0, meter.base_ms + 2000 * meter.token_ms + 40.0)
+    assert meter.urgent_part == pytest.approx(0.1, abs=0.02)
+    for _ in range(200):
+        meter.note_urgent(2000, 400.0, 5000.0)
+    assert 0.9 < meter.urgent_part <= 1.0
+    before = meter.urgent_part
+    meter.note_urgent(2000, 10.0, 5000.0)
+    assert meter.urgent_part == before
