--- a/berylnotch/entry/choice.py
+++ b/berylnotch/entry/choice.py
@@ -205,8 +205,8 @@
 ) -> tuple[Target | None, list[Target]]:
     """Return the home of a prompt, and the targets to compare for it.
 
-    With many routers these are a sample that the prompt decides, and the engines that
-    hold a part of it.
+    With many routers these are a sample that the prompt decides, the engines that hold
+    a part of it, and a random sample, which takes a copy while those are busy.
     """
     path = placing.chain.path
     if not placing.sample or placing.walk is None:
@@ -228,7 +228,9 @@
     ]
     while len(held) > MAX_HOLDERS:
         held.pop(placing.draw(len(held)))
-    return home, near + held or _usable(targets, placing)
+    known.update(t.target_id for t in held)
+    drawn = [t for t in _drawn(targets, placing) if t.target_id not in known]
+    return home, near + held + drawn
 
 
 def _choose_anywhere(targets: Collection[Target], placing: Placing) -> Choice | None:
--- a/berylnotch/placement/costs.py
+++ b/berylnotch/placement/costs.py
@@ -32,7 +32,7 @@
 #: Queue in ms from which the wait of an urgent request tells something, and the weight
 #: of the newest one.
 MIN_QUEUE_MS = 50.0
-URGENT_STEP = 0.04
+URGENT_STEP = 0.1
 
 #: Tokens in a ms that an engine takes over from another, or from a store, where the
 #: configuration does not state its links.
--- a/tests/test_entry/test_exchange.py
+++ b/tests/test_entry/test_exchange.py
@@ -56,3 +56,19 @@
     failover_s = max(CONSENSUS.election_max_s, LinkSettings().silence_s) + RETRY_S
     assert waited_s + float(headers.get("Retry-After")) >= failover_s
     assert context.log.events[-1][1]["reason"].startswith("no-grant")
+
+
+def test_at_the_end_of_the_process_what_was_not_sent_is_told_as_not_run(context):
+    exchange, connection, ended = make_exchange(context)
+    exchange.stop()
+    status, headers, _ = connection.answers[0]
+    assert status == 503 and headers.get("Retry-After") and len(ended) == 1
+    assert context.log.events[-1][1]["reason"].startswith("stopping")
+    assert context.targets.get("e").in_flight == 0
+
+
+def test_at_the_end_of_the_process_the_outcome_of_what_was_sent_is_unknown(context):
+    exchange, connection, _ = make_exchange(context)
+    exchange._attempt._connection._has_sent = True
+    exchange.stop()
+    assert connection.answers[0][0] == 504
