--- /dev/null
+++ b/benchmarks/fleet_choice.py
@@ -0,0 +1,99 @@
+"""Time of a fleet router's choice of an engine for a prompt of several parts.
+
+Run with ``python -m benchmarks.fleet_choice``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+import time
+from collections.abc import Sequence
+
+from hdrh.histogram import HdrHistogram
+
+from berylnotch.entry.choice import MAX_HOLDERS, Placing, choose
+from berylnotch.entry.targets import Target
+from berylnotch.group.messages import PromptNote
+from berylnotch.membership.ejection import Ejection
+from berylnotch.membership.listing import ListedTarget, ModelVersion
+from berylnotch.membership.settings import MembershipSettings
+from berylnotch.placement.chains import Chain, PromptPart, make_chain
+from berylnotch.placement.mirror import PromptMemory
+from berylnotch.placement.ring import Ring
+
+#: Longest time that is told apart, in microseconds.
+HIGHEST_US = 1_000_000
+
+#: Tokens of each part of a prompt, and of an engine's memory.
+PART_TOKENS, MEMORY = 2_000, 300_000
+
+
+def get_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="benchmarks.fleet_choice", description=__doc__
+    )
+    parser.add_argument("--engines", type=int, default=850)
+    parser.add_argument("--parts", type=int, default=5)
+    parser.add_argument("--subjects", type=int, default=400)
+    parser.add_argument("--decisions", type=int, default=20_000)
+    parser.add_argument("--sample", type=int, default=3)
+    return parser
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Measure and print the percentiles."""
+    args = get_parser().parse_args(argv)
+    rng = random.Random(1)
+    engines = [_engine(number) for number in range(args.engines)]
+    by_id = {engine.target_id: engine for engine in engines}
+    ring = Ring([(engine.target_id, engine) for engine in engines])
+    memory, times = PromptMemory(), HdrHistogram(1, HIGHEST_US, 3)
+    for number in range(args.decisions):
+        chain = _chain(rng.randrange(args.subjects), args.parts)
+        marks = chain.marks("v1")
+        placing = Placing(
+            now=float(number) / 1000,
+            model="m",
+            target_latency_s=1.0,
+            chain=chain,
+            prompt_tokens=args.parts * PART_TOKENS,
+            sample=args.sample,
+            draw=rng.randrange,
+            run=lambda t, m=marks: memory.run(0.0, t.target_id, m),
+            holders=lambda m=marks: [
+                by_id[name] for name in memory.holders(m, MAX_HOLDERS, rng.randrange)
+            ],
+            walk=ring.walk,
+        )
+        begun = time.perf_counter()
+        choice = choose(engines, placing)
+        times.record_value(max(1, int(1e6 * (time.perf_counter() - begun))))
+        for level, mark in zip(chain.levels, marks, strict=True):
+            note = PromptNote(mark, level.tokens, choice.target.target_id)
+            memory.read(0.0, note, MEMORY)
+        memory.take_notes()
+    for percentile in (50.0, 99.0, 99.9):
+        value = times.get_value_at_percentile(percentile)
+        print(f"engines={args.engines} parts={args.parts} p{percentile:g}={value} us")
+    return 0
+
+
+def _engine(number: int) -> Target:
+    models = (ModelVersion("m", 1),)
+    listed = ListedTarget(f"e{number}", "llm", "10.0.0.1:1", "d", 64, models=models)
+    return Target(listed, Ejection(MembershipSettings()))
+
+
+def _chain(subject: int, parts: int) -> Chain:
+    """Return a chain of a tree: half of the subjects share each further part."""
+    names = [f"{depth}-{subject % 2 ** (3 * depth)}" for depth in range(parts - 1)]
+    shared = [PromptPart(name, PART_TOKENS) for name in names]
+    own = PromptPart("own", PART_TOKENS)
+    return make_chain((*shared, own), parts * PART_TOKENS)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -390,8 +390,13 @@
         self._note_prompt(is_ready=True)
         meter = self._context.meter(self._target.listed.service)
         took_ms = 1000 * (boot_time() - self._sent_at)
-        if self._admitted.is_urgent:
-            meter.note_urgent(self._read_tokens, self._queue_ms, took_ms)
+        meter.note_wait(
+            self._admitted.priority,
+            self._admitted.is_urgent,
+            self._read_tokens,
+            self._queue_ms,
+            took_ms,
+        )
         if self._ahead <= self._read_tokens:
             meter.note(self._read_tokens + self._ahead, took_ms)
 
--- a/berylnotch/entry/choice.py
+++ b/berylnotch/entry/choice.py
@@ -41,7 +41,7 @@
 AFFINITY_FACTOR = 2.0
 
 #: Engines that hold a part of a prompt and are compared for it, at the most.
-MAX_HOLDERS = 48
+MAX_HOLDERS = 12
 
 #: Multiple of the expected delay after which a request has surely begun.
 BEGIN_FACTOR = 1.5
@@ -97,8 +97,9 @@
         What the prompt shares with others.
     prompt_tokens : int
         Tokens of the whole prompt.
-    is_urgent : bool
-        Whether engines admit the request before most others.
+    wait_part : float
+        Part of the queue at an engine that the request waits for; engines admit urgent
+        ones before the others.
     failure_domain : str
         Where the router is.
     excluded : collection of str
@@ -131,7 +132,7 @@
     target_latency_s: float = 0.0
     chain: Chain = NO_CHAIN
     prompt_tokens: int = 0
-    is_urgent: bool = False
+    wait_part: float = 1.0
     failure_domain: str = ""
     excluded: Collection[str] = ()
     sample: int = 0
@@ -226,8 +227,6 @@
         for t in placing.holders()
         if t.target_id not in known and _is_free(t, placing)
     ]
-    while len(held) > MAX_HOLDERS:
-        held.pop(placing.draw(len(held)))
     known.update(t.target_id for t in held)
     drawn = [t for t in _drawn(targets, placing) if t.target_id not in known]
     return home, near + held + drawn
@@ -419,8 +418,7 @@
         return Choice(target, own_ms + 1000 * target.latency_s, 0.0, drawback)
     costs = placing.costs
     queue = costs.read_ms(target.total_unread, target.load)
-    wait = costs.urgent_part * queue if placing.is_urgent else queue
-    delay = costs.base_ms + wait + own_ms
+    delay = costs.base_ms + placing.wait_part * queue + own_ms
     return Choice(target, delay, queue, drawback, **changes)
 
 
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -136,7 +136,6 @@
             meter.base_ms,
             copy or DEFAULT_COPY_PER_MS,
             store or DEFAULT_STORE_PER_MS,
-            meter.urgent_part,
         )
 
     def lost_target(self, target_id: str, fingerprint: bytes) -> None:
--- a/berylnotch/entry/placing.py
+++ b/berylnotch/entry/placing.py
@@ -6,7 +6,7 @@
 from collections.abc import Collection
 
 from berylnotch.entry.admitted import Admitted
-from berylnotch.entry.choice import Choice, Placing
+from berylnotch.entry.choice import MAX_HOLDERS, Choice, Placing
 from berylnotch.entry.context import EntryContext
 from berylnotch.entry.targets import Target
 from berylnotch.placement.chains import NO_CHAIN
@@ -40,8 +40,7 @@
         names = {
             name
             for sample in targets.weights_samples(service.name)
-            for mark in marks(sample)
-            for name in prompts.holders(mark)
+            for name in prompts.holders(marks(sample), MAX_HOLDERS, random.randrange)
         }
         return [t for t in map(targets.get, names) if t is not None]
 
@@ -59,7 +58,9 @@
         target_latency_s=admitted.route.target_latency_s,
         chain=chain if model else NO_CHAIN,
         prompt_tokens=caller.prompt_tokens if model else 0,
-        is_urgent=admitted.is_urgent,
+        wait_part=context.meter(service.name).wait_part(
+            admitted.priority, admitted.is_urgent
+        ),
         sample=settings.sample if is_crowded else 0,
         draw=random.randrange,
         run=run,
--- a/berylnotch/placement/costs.py
+++ b/berylnotch/placement/costs.py
@@ -24,15 +24,17 @@
 #: Prompt tokens below which a measurement says little of the time to read.
 MIN_TOKENS = 200
 
-#: Part of the queue that urgent requests wait for, before any answer was measured, and
+#: Part of the queue of unread prompts that an urgent request waits for, before any
+#: answer was measured, since engines admit it before the others; that of others; and
 #: the least that is expected.
 START_URGENT_PART = 0.3
-MIN_URGENT_PART = 0.05
+START_PART = 1.0
+MIN_PART = 0.03
 
-#: Queue in ms from which the wait of an urgent request tells something, and the weight
-#: of the newest one.
+#: Queue in ms from which the wait of a request tells something, and the weight of the
+#: newest one.
 MIN_QUEUE_MS = 50.0
-URGENT_STEP = 0.1
+PART_STEP = 0.1
 
 #: Tokens in a ms that an engine takes over from another, or from a store, where the
 #: configuration does not state its links.
@@ -60,16 +62,12 @@
         Tokens that an engine takes over from another in a ms.
     store_per_ms : float
         Tokens that an engine takes from a store in a ms.
-    urgent_part : float
-        Part of the queue of unread prompts that an urgent request waits for; engines
-        admit it before the others.
     """
 
     token_ms: float = START_TOKEN_MS
     base_ms: float = START_BASE_MS
     copy_per_ms: float = DEFAULT_COPY_PER_MS
     store_per_ms: float = DEFAULT_STORE_PER_MS
-    urgent_part: float = START_URGENT_PART
 
     def read_ms(self, tokens: int, load: int) -> float:
         """Return the time to read so many tokens beside so many requests."""
@@ -96,7 +94,7 @@
     _y: float = 0.0
     _xx: float = 0.0
     _xy: float = 0.0
-    _urgent_part: float = START_URGENT_PART
+    _parts: dict[int, float] = field(factory=dict)
     _line: tuple[float, float] = field(default=(START_BASE_MS, START_TOKEN_MS))
 
     @property
@@ -109,18 +107,40 @@
         """Time to read a prompt token, in ms."""
         return self._line[1]
 
-    @property
-    def urgent_part(self) -> float:
-        """Part of the queue that urgent requests wait for."""
-        return self._urgent_part
-
-    def note_urgent(self, tokens: int, queue_ms: float, took_ms: float) -> None:
-        """Take an urgent request's first event, and the queue that was before it."""
+    def wait_part(self, priority: int, is_urgent: bool) -> float:
+        """Return the part of the queue that requests of a priority wait for."""
+        start = START_URGENT_PART if is_urgent else START_PART
+        return self._parts.get(priority, start)
+
+    def note_wait(
+        self,
+        priority: int,
+        is_urgent: bool,
+        tokens: int,
+        queue_ms: float,
+        took_ms: float,
+    ) -> None:
+        """Take a first event, and the queue that was before the request.
+
+        Parameters
+        ----------
+        priority : int
+            Priority that the engine was told.
+        is_urgent : bool
+            Whether engines were expected to admit it before most others.
+        tokens : int
+            Prompt tokens that were read for it.
+        queue_ms : float
+            Time to read what was before it, if nothing went first.
+        took_ms : float
+            Time until the first event.
+        """
         if queue_ms < MIN_QUEUE_MS:
             return
         waited_ms = took_ms - self.base_ms - tokens * self.token_ms
-        part = min(1.0, max(MIN_URGENT_PART, waited_ms / queue_ms))
-        self._urgent_part += (part - self._urgent_part) * URGENT_STEP
+        part = min(START_PART, max(MIN_PART, waited_ms / queue_ms))
+        usual = self.wait_part(priority, is_urgent)
+        self._parts[priority] = usual + (part - usual) * PART_STEP
 
     def note(self, tokens: int, took_ms: float) -> None:
         """Take a first event that came after reading so many tokens."""
--- a/berylnotch/placement/mirror.py
+++ b/berylnotch/placement/mirror.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Sequence
 from enum import Enum
+from itertools import islice
 
 from attrs import define, evolve, field, frozen
 
@@ -120,9 +121,32 @@
                 break
         return Run(ready, coming) if coming else NO_RUN
 
-    def holders(self, prompt: int) -> Collection[str]:
-        """Return the engines that may hold a prompt or read it."""
-        return self._holders.get(prompt, ())
+    def holders(
+        self, marks: Sequence[int], limit: int, draw: Callable[[int], int]
+    ) -> set[str]:
+        """Return engines that may hold a level of a chain, or read it.
+
+        Those with the longest runs come first; of more than are wanted with the same
+        run, which ones is left to chance.
+
+        Parameters
+        ----------
+        marks : sequence of int
+            Marks of the chain's levels.
+        limit : int
+            Most engines to return.
+        draw : callable
+            Returns a random number below a given one.
+        """
+        found: set[str] = set()
+        for mark in reversed(marks):
+            names = self._holders.get(mark, ())
+            room = limit - len(found)
+            first = draw(len(names) - room + 1) if len(names) > room else 0
+            found.update(islice(names, first, first + room))
+            if len(found) >= limit:
+                break
+        return found
 
     def saved_levels(self, now: float, store: str, marks: Sequence[int]) -> int:
         """Return how many levels of a chain a store probably holds."""
--- a/tests/test_entry/support.py
+++ b/tests/test_entry/support.py
@@ -66,7 +66,7 @@
 
 def short_request(**changes):
     """Return the placing of a request with a short prompt."""
-    values = {"shared_tokens": 55, "prompt_tokens": 380, "is_urgent": True}
+    values = {"shared_tokens": 55, "prompt_tokens": 380, "wait_part": 0.3}
     values.update(changes)
     return long_request(**values)
 
--- a/tests/test_placement/test_costs.py
+++ b/tests/test_placement/test_costs.py
@@ -46,14 +46,22 @@
     assert costs.store_ms(5000) > costs.copy_ms(5000, is_far=True)
 
 
-def test_the_wait_of_urgent_requests_is_learned():
+def test_the_wait_of_each_priority_is_learned():
     meter = CostMeter()
+
+    def wait(priority, waited_ms, queue_ms=400.0):
+        took_ms = meter.base_ms + 2000 * meter.token_ms + waited_ms
+        meter.note_wait(priority, True, 2000, queue_ms, took_ms)
+
     for _ in range(100):
-        meter.note_urgent(2000, 400.0, meter.base_ms + 2000 * meter.token_ms + 40.0)
-    assert meter.urgent_part == pytest.approx(0.1, abs=0.02)
+        wait(0, 40.0)
+        wait(1, 300.0)
+    assert meter.wait_part(0, True) == pytest.approx(0.1, abs=0.02)
+    assert meter.wait_part(1, True) == pytest.approx(0.75, abs=0.02)
+    assert meter.wait_part(7, False) == 1.0
     for _ in range(200):
-        meter.note_urgent(2000, 400.0, 5000.0)
-    assert 0.9 < meter.urgent_part <= 1.0
-    before = meter.urgent_part
-    meter.note_urgent(2000, 10.0, 5000.0)
-    assert meter.urgent_part == before
+        wait(0, 5000.0)
+    assert 0.9 < meter.wait_part(0, True) <= 1.0
+    before = meter.wait_part(1, True)
+    wait(1, 5000.0, queue_ms=10.0)
+    assert meter.wait_part(1, True) == before
--- a/tests/test_placement/test_mirror.py
+++ b/tests/test_placement/test_mirror.py
@@ -100,18 +100,31 @@
     assert memory.run(1.5, "e2", (11, 12)) == Run()
 
 
+def holders(memory, *marks, limit=9):
+    return memory.holders(marks, limit, lambda count: 0)
+
+
 def test_holders_are_found_by_mark_and_forgotten_with_what_they_held():
     memory = PromptMemory()
     capacity = int(2000 / PROMPTS_PART) + 1
     memory.read(1.0, note("a"), capacity)
     memory.read(1.0, note("a", holder="e2"), capacity)
     mark = prompt_mark("v1", "a")
-    assert set(memory.holders(mark)) == {"e1", "e2"}
+    assert holders(memory, mark) == {"e1", "e2"}
     memory.forget_engine("e2")
-    assert set(memory.holders(mark)) == {"e1"}
+    assert holders(memory, mark) == {"e1"}
     memory.read(2.0, note("b", own=900), capacity)
     memory.read(3.0, note("c"), capacity)
-    assert set(memory.holders(mark)) == set()
+    assert holders(memory, mark) == set()
+
+
+def test_of_many_holders_those_with_the_longest_runs_come_first():
+    memory = PromptMemory()
+    for number in range(20):
+        memory.read(1.0, PromptNote(11, 1000, f"e{number}"), 10_000)
+    memory.read(1.0, PromptNote(12, 1000, "e7"), 10_000)
+    found = holders(memory, 11, 12, limit=4)
+    assert "e7" in found and 3 <= len(found) <= 4
 
 
 def test_prompts_without_a_home_fill_the_memory_with_the_next_note():
