--- a/tests/test_entry/test_choice.py
+++ b/tests/test_entry/test_choice.py
@@ -269,3 +269,12 @@
     assert choose(engines, placing).target is engines[7]
     # The home and its neighbours, the holder, and a random sample.
     assert len(looked) <= 3 + 1 + 3
+
+
+def test_an_engine_that_is_emptied_gets_short_requests_only():
+    emptying, other = names(2)
+    emptying.is_emptying = True
+    other.in_flight, other.unread = 10, 60_000
+    assert choose([emptying, other], long_request()).target is other
+    assert choose([emptying, other], short_request()).target is emptying
+    assert choose([emptying], long_request()).target is emptying
--- a/tests/test_membership/test_board.py
+++ b/tests/test_membership/test_board.py
@@ -76,3 +76,16 @@
     assert leaving(board) == {"t0", "t1"}
     board.said_leaving("r2", words)
     assert leaving(board) == {"t0", "t1", "t2", "t3"}
+
+
+def test_a_target_is_emptied_until_it_loads():
+    board = TargetBoard()
+    board.listed(0.0, fleet(2))
+    board.began_emptying("t1")
+    assert [e.is_emptying for e in board.entries()] == [False, True]
+    board.began_loading(1.0, "t1")
+    entry = board.entries()[1]
+    assert entry.is_loading and not entry.is_emptying
+    board.began_emptying("t0")
+    board.stopped_loading("t0")
+    assert not board.entries()[0].is_emptying
