--- a/benchmarks/fleet_choice.py
+++ b/benchmarks/fleet_choice.py
@@ -13,7 +13,9 @@
 
 from hdrh.histogram import HdrHistogram
 
-from berylnotch.entry.choice import MAX_HOLDERS, Placing, choose
+from berylnotch.entry.candidates import MAX_HOLDERS
+from berylnotch.entry.choice import choose
+from berylnotch.entry.model import Placing
 from berylnotch.entry.targets import Target
 from berylnotch.group.messages import PromptNote
 from berylnotch.membership.ejection import Ejection
--- a/berylnotch/entry/admission.py
+++ b/berylnotch/entry/admission.py
@@ -10,7 +10,7 @@
 
 from attrs import frozen
 
-from berylnotch.entry.choice import Choice
+from berylnotch.entry.model import Choice
 
 #: Multiple of the target latency up to which a stream is still of use: callers
 #: abandon it at four times, and the estimate may be short.
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import random
 from typing import TYPE_CHECKING
 
 from berylnotch.entry.events import MAX_EVENT_BYTES, EventSplitter
+from berylnotch.entry.reading import PromptReading
 from berylnotch.entry.results import AttemptEnd, AttemptOwner, AttemptResult
-from berylnotch.group.messages import PromptNote
+from berylnotch.entry.signals import take_signals
 from berylnotch.net.client import (
     ClientConnection,
     Failure,
@@ -15,7 +15,6 @@
     ResponseSink,
 )
 from berylnotch.net.messages import Headers
-from berylnotch.placement.mirror import Holding
 from berylnotch.platform.requests import (
     AnswerHead,
     TargetHeaders,
@@ -27,8 +26,8 @@
 
 if TYPE_CHECKING:
     from berylnotch.entry.admitted import Admitted
-    from berylnotch.entry.choice import Choice
     from berylnotch.entry.context import EntryContext
+    from berylnotch.entry.model import Choice
 
 #: Largest answer that is not a stream, in bytes.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -37,11 +36,6 @@
 #: request.
 FULL_S = 0.15
 
-#: Longest pause in seconds that a target may ask for, and the part by which routers
-#: extend it at random so that they do not all come back in the same moment.
-MAX_BACK_OFF_S = 300.0
-BACK_OFF_SPREAD = 0.1
-
 #: Seconds for which a target that is not the expected one, or runs other weights,
 #: gets no request; by then the leader knows more.
 MISDIRECTED_S = 0.4
@@ -83,11 +77,7 @@
     ) -> None:
         self._context = context
         self._target = choice.target
-        self._unread = self._read_tokens = choice.unread
-        #: Prompt tokens that the target had to read before this request's.
-        self._ahead = choice.target.total_unread
-        self._queue_ms = choice.queue_ms
-        self._has_begun = False
+        self._reading = PromptReading(context, choice, admitted, told)
         self._is_long = admitted.caller.chain.has_home
         self._expected_s = choice.delay_ms / 1000
         self._admitted = admitted
@@ -115,10 +105,7 @@
         self._connection = self._context.targets.connect(target, route.is_repeatable)
         target.in_flight += 1
         target.long_in_flight += self._is_long
-        target.unread += self._unread
-        if self._note_prompt(is_ready=False):
-            # Other routers choose the same engine until they know of this one.
-            self._context.report_soon()
+        self._reading.begin()
         self._sent_at = boot_time()
         target.ejection.sent(self._sent_at, self._number)
         self._connection.send(request, self)
@@ -182,7 +169,9 @@
     def on_head(self, head: ResponseHead) -> bool:
         """Take the head; one of another request is skipped."""
         answer = decode_answer(head.status, head.headers)
-        self._take_signals(answer)
+        take_signals(
+            self._context, self._target, answer, self._admitted.caller.request_id
+        )
         own_id = self._admitted.caller.request_id
         if not answer.request_id and head.status >= 300 and self._connection.is_reused:
             # It may be a late one of the request before.
@@ -220,9 +209,7 @@
         if not decode_answer(200, self._head.headers).stamp:
             self._break_off("stream without a stamp")
             return
-        if not self._has_begun:
-            self._has_begun = True
-            self._has_read()
+        self._reading.done(self._sent_at)
         for event in self._splitter.feed(data):
             if event.is_progress:
                 # Bytes alone, or comments, do not show that the stream goes on.
@@ -344,32 +331,6 @@
     def _stream_headers(self) -> Headers:
         return self._head.headers.end_to_end().without(("content-length",))
 
-    def _take_signals(self, answer: AnswerHead) -> None:
-        """Act on what a target says of itself, with an answer to any request."""
-        target, context = self._target, self._context
-        if answer.is_leaving and not target.has_said_leaving:
-            context.targets.leaves(target)
-            context.report_soon()
-            context.metrics.count("berylnotch_targets_said_leaving_total")
-            context.log.info(
-                "target_leaves",
-                id=self._admitted.caller.request_id,
-                target=target.target_id,
-                born_ms=target.listed.born_ms,
-            )
-        if answer.retry_after_s is not None:
-            pause_s = min(MAX_BACK_OFF_S, answer.retry_after_s)
-            target.back_off(
-                boot_time(), pause_s * random.uniform(1, 1 + BACK_OFF_SPREAD)
-            )
-            context.metrics.count("berylnotch_targets_back_off_total")
-            context.log.info(
-                "target_backs_off",
-                id=self._admitted.caller.request_id,
-                target=target.target_id,
-                pause_s=pause_s,
-            )
-
     def _connection_closing(self, head: ResponseHead) -> None:
         """Expect a target that closes its connections to leave soon."""
         self._context.log.info(
@@ -383,72 +344,6 @@
         self._connection.close()
         self._end(AttemptEnd.BROKEN, reason)
 
-    def _has_read(self) -> None:
-        """Note that the target has read the prompt."""
-        self._target.unread -= self._unread
-        self._unread = 0
-        self._note_prompt(is_ready=True)
-        meter = self._context.meter(self._target.listed.service)
-        took_ms = 1000 * (boot_time() - self._sent_at)
-        meter.note_wait(
-            self._admitted.priority,
-            self._admitted.is_urgent,
-            self._read_tokens,
-            self._queue_ms,
-            took_ms,
-        )
-        if self._ahead <= self._read_tokens:
-            meter.note(self._read_tokens + self._ahead, took_ms)
-
-    def _forget_prompt(self) -> None:
-        """Note that the target did not come to read the prompt."""
-        for mark in self._marks():
-            self._context.prompts.not_read(self._target.target_id, mark)
-
-    def _marks(self) -> tuple[int, ...]:
-        return self._admitted.caller.chain.marks(self._told.cache_salt)
-
-    def _note_prompt(self, is_ready: bool) -> bool:
-        """Note where the shared parts of the prompt are read, and saved.
-
-        The deepest level is always told, for its place among the least recently used
-        ones; those above it only where they are new.
-
-        Returns
-        -------
-        bool
-            Whether there is something that other routers should know soon.
-        """
-        caller, prompts, now = self._admitted.caller, self._context.prompts, boot_time()
-        chain, holder = caller.chain, self._target.target_id
-        capacity = self._context.cache_tokens(self._target)
-        if not chain.has_home:
-            if not is_ready and capacity:
-                prompts.fill(holder, caller.prompt_tokens)
-            return False
-        own = 0 if is_ready else max(0, caller.prompt_tokens - chain.shared_tokens)
-        known = Holding.READY if is_ready else Holding.READING
-        last = len(chain.levels) - 1
-        for number, (level, mark) in enumerate(
-            zip(chain.levels, self._marks(), strict=True)
-        ):
-            is_last = number == last
-            held = prompts.holding(now, holder, mark)
-            if not is_last and held in (known, Holding.READY):
-                continue
-            note = PromptNote(
-                mark,
-                level.tokens,
-                holder,
-                own if is_last else 0,
-                is_ready,
-                self._unread if is_last else 0,
-            )
-            prompts.read(now, note, capacity)
-            if is_ready and self._told.save_to:
-                prompts.saved(now, PromptNote(mark, level.tokens, self._told.save_to))
-        return True
-
     def _count(self, result: str) -> None:
         self._context.metrics.count(
             "berylnotch_attempts_total",
@@ -458,12 +353,9 @@
 
     def _leave(self) -> None:
         self._is_over = True
-        if not self._has_begun:
-            self._forget_prompt()
         self._target.in_flight -= 1
         self._target.long_in_flight -= self._is_long
-        self._target.unread -= self._unread
-        self._unread = 0
+        self._reading.close()
 
     def _end(self, end: AttemptEnd, reason: str, is_lost: bool = False) -> None:
         self._count(end.value.replace(" ", "-"))
--- a/berylnotch/entry/placing.py
+++ b/berylnotch/entry/placing.py
@@ -6,8 +6,9 @@
 from collections.abc import Collection
 
 from berylnotch.entry.admitted import Admitted
-from berylnotch.entry.choice import MAX_HOLDERS, Choice, Placing
+from berylnotch.entry.candidates import MAX_HOLDERS
 from berylnotch.entry.context import EntryContext
+from berylnotch.entry.model import Choice, Placing
 from berylnotch.entry.targets import Target
 from berylnotch.placement.chains import NO_CHAIN
 from berylnotch.placement.mirror import Run
--- a/berylnotch/entry/records.py
+++ b/berylnotch/entry/records.py
@@ -5,8 +5,8 @@
 from attrs import define, frozen
 
 from berylnotch.entry.admitted import Admitted
-from berylnotch.entry.choice import Choice, Placing
 from berylnotch.entry.context import EntryContext
+from berylnotch.entry.model import Choice, Placing
 from berylnotch.platform.requests import TargetHeaders
 from berylnotch.util.metrics import Label
 
--- /dev/null
+++ b/berylnotch/entry/signals.py
@@ -0,0 +1,42 @@
+"""What targets say of themselves with their answers: that they leave, or are full."""
+
+from __future__ import annotations
+
+import random
+
+from berylnotch.entry.context import EntryContext
+from berylnotch.entry.targets import Target
+from berylnotch.platform.requests import AnswerHead
+from berylnotch.util.clock import boot_time
+
+#: Longest pause in seconds that a target may ask for, and the part by which routers
+#: extend it at random so that they do not all come back in the same moment.
+MAX_BACK_OFF_S = 300.0
+BACK_OFF_SPREAD = 0.1
+
+
+def take_signals(
+    context: EntryContext, target: Target, answer: AnswerHead, request_id: str
+) -> None:
+    """Act on what a target says of itself, with an answer to any request."""
+    if answer.is_leaving and not target.has_said_leaving:
+        context.targets.leaves(target)
+        context.report_soon()
+        context.metrics.count("berylnotch_targets_said_leaving_total")
+        context.log.info(
+            "target_leaves",
+            id=request_id,
+            target=target.target_id,
+            born_ms=target.listed.born_ms,
+        )
+    if answer.retry_after_s is not None:
+        pause_s = min(MAX_BACK_OFF_S, answer.retry_after_s)
+        spread = random.uniform(1, 1 + BACK_OFF_SPREAD)
+        target.back_off(boot_time(), pause_s * spread)
+        context.metrics.count("berylnotch_targets_back_off_total")
+        context.log.info(
+            "target_backs_off",
+            id=request_id,
+            target=target.target_id,
+            pause_s=pause_s,
+        )
--- a/tests/test_entry/support.py
+++ b/tests/test_entry/support.py
@@ -1,8 +1,8 @@
 """Targets and choices for tests of the request path."""
 
 from berylnotch.entry.admitted import Admitted
-from berylnotch.entry.choice import Placing
 from berylnotch.entry.exchange import Exchange
+from berylnotch.entry.model import Placing
 from berylnotch.entry.targets import Target
 from berylnotch.membership.ejection import Ejection
 from berylnotch.membership.listing import ListedTarget, ModelVersion
--- a/tests/test_entry/test_load.py
+++ b/tests/test_entry/test_load.py
@@ -12,7 +12,8 @@
 from attrs import define, field
 
 from berylnotch.entry.admission import judge
-from berylnotch.entry.choice import Choice, choose
+from berylnotch.entry.choice import choose
+from berylnotch.entry.model import Choice
 from berylnotch.group.messages import PromptNote
 from berylnotch.placement.chains import prompt_mark
 from berylnotch.placement.mirror import PromptMemory
--- a/tests/test_entry/test_signals.py
+++ b/tests/test_entry/test_signals.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from berylnotch.entry.attempt import BACK_OFF_SPREAD, MAX_BACK_OFF_S
 from berylnotch.entry.choice import choose, usable_in_s
+from berylnotch.entry.signals import BACK_OFF_SPREAD, MAX_BACK_OFF_S
 from berylnotch.group.messages import LeavingWord, TargetEntry
 from berylnotch.membership.listing import ListedTarget, ModelVersion
 from berylnotch.net.client import ResponseHead
