fleet: long requests at engines are summed up with the loads

Cause: while engines are emptied the leader looked through the reports of all routers every 0.05 s for each of them, some 2 million loads a second at 191 routers and 15 engines (worked out). Now they are summed up with the other loads, two to ten times a second.

--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -77,6 +77,7 @@
         self._roster_feed = Feed()
         self._is_roster_complete = False
         self._loads = LoadsUpdate(())
+        self._long_requests: Counter[str] = Counter()
         #: Whether routers added the loads of notes to the newest sums.
         self._has_added_loads = False
         self._crashes: dict[CrashMark, None] = {}
@@ -186,10 +187,13 @@
         """Send the sums of all loads, if they differ from what routers hold."""
         requests: Counter[str] = Counter()
         unread: Counter[str] = Counter()
+        long: Counter[str] = Counter()
         for router in self._routers.values():
             for load in router.report.loads:
                 requests[load.target_id] += load.requests
                 unread[load.target_id] += load.unread
+                long[load.target_id] += load.long
+        self._long_requests = long
         update = LoadsUpdate(
             tuple(TargetLoad(t, n, unread[t]) for t, n in sorted(requests.items())),
             tuple(sorted(self._left_out(SUSPECT_ROUTERS))),
@@ -215,13 +219,8 @@
         return {load.target_id: load.requests for load in self._loads.loads}
 
     def long_requests(self, target_id: str) -> int:
-        """Return the requests under way at a target that take long."""
-        return sum(
-            load.long
-            for router in self._routers.values()
-            for load in router.report.loads
-            if load.target_id == target_id
-        )
+        """Return the requests at a target that take long, as last summed up."""
+        return self._long_requests[target_id]
 
     def unreachable(self) -> frozenset[str]:
         """Return the targets that routers avoid after failures."""
--- a/berylnotch/placement/costs.py
+++ b/berylnotch/placement/costs.py
@@ -21,6 +21,9 @@
 START_WEIGHT = 0.5
 START_TOKENS = (500.0, 12_000.0)
 
+#: Multiple of the usual time above which a measurement is cut.
+LONGEST_FACTOR = 4.0
+
 #: Prompt tokens below which a measurement says little of the time to read.
 MIN_TOKENS = 200
 
@@ -146,22 +149,16 @@
         """Take a first event that came after reading so many tokens."""
         if tokens < MIN_TOKENS or took_ms <= 0:
             return
-        for name in ("_weight", "_x", "_y", "_xx", "_xy"):
-            setattr(self, name, getattr(self, name) * KEPT_PART)
-        # What waits for others takes longer by any factor; the logarithm of it is
-        # not needed as long as such times are cut at a multiple of the usual.
+        # A request that waited for others tells little of the reading.
         usual_ms = self.base_ms + tokens * self.token_ms
-        took_ms = min(took_ms, 4 * usual_ms)
-        self._add(tokens, took_ms, 1.0)
+        took_ms = min(took_ms, LONGEST_FACTOR * usual_ms)
+        self._weight = KEPT_PART * self._weight + 1
+        self._x = KEPT_PART * self._x + tokens
+        self._y = KEPT_PART * self._y + took_ms
+        self._xx = KEPT_PART * self._xx + tokens * tokens
+        self._xy = KEPT_PART * self._xy + tokens * took_ms
         self._solve()
 
-    def _add(self, x: float, y: float, weight: float) -> None:
-        self._weight += weight
-        self._x += weight * x
-        self._y += weight * y
-        self._xx += weight * x * x
-        self._xy += weight * x * y
-
     def _solve(self) -> None:
         weight, x, y, xx, xy = self._weight, self._x, self._y, self._xx, self._xy
         for tokens in START_TOKENS:
--- a/tests/test_daemon/test_fleet_registry.py
+++ b/tests/test_daemon/test_fleet_registry.py
@@ -100,3 +100,14 @@
     registry.push_loads()
     kinds = [type(m) for m in link.sent if isinstance(m, (LoadColumns, NoteRecords))]
     assert kinds == [LoadColumns, LoadColumns, NoteRecords, LoadColumns]
+
+
+def test_long_requests_are_summed_up_over_routers():
+    registry = RouterRegistry(FleetState(), Log())
+    for name in "ab":
+        loads = (TargetLoad("t", 5, 30, long=2), TargetLoad("u", 1))
+        registry.take(Link(), report(name, loads=loads))
+    assert registry.long_requests("t") == 0
+    registry.push_loads()
+    assert registry.long_requests("t") == 4
+    assert registry.long_requests("u") == registry.long_requests("gone") == 0
