placement: all levels of a branch are kept in one store

With several stores the one that keeps a prompt was chosen by all its shared parts, so that a level that two prompts share could lie in a store where neither looked.

--- a/berylnotch/entry/placing.py
+++ b/berylnotch/entry/placing.py
@@ -29,7 +29,7 @@
     now = boot_time()
     model = caller.model if service.engine is not None else ""
     chain, prompts, targets = caller.chain, context.prompts, context.targets
-    store = store_of(context, service, chain.path) if chain.has_home else ""
+    store = store_of(context, service, chain.store_key) if chain.has_home else ""
 
     def marks(target: Target) -> tuple[int, ...]:
         return chain.marks(cache_salt(admitted, target, model))
@@ -96,7 +96,7 @@
     fetch_from = save_to = ""
     if placing.chain.has_home:
         # A store that lacks the prompt costs about a ms.
-        store = store_of(context, service, placing.chain.path)
+        store = store_of(context, service, placing.chain.store_key)
         fetch_from = choice.source.listed.address if choice.source else store
         if store and placing.saved(target) < len(placing.chain.levels):
             save_to = store
--- a/berylnotch/placement/chains.py
+++ b/berylnotch/placement/chains.py
@@ -77,6 +77,11 @@
         """Whether the prompt belongs to engines that hold a part of it."""
         return bool(self.levels)
 
+    @property
+    def store_key(self) -> str:
+        """What decides which store keeps the prompt, alike for a whole branch."""
+        return self.levels[0].path if self.levels else ""
+
     def total(self, count: int) -> int:
         """Return the tokens of the first so many levels."""
         return self.levels[count - 1].total if count else 0
--- a/tests/test_placement/test_chains.py
+++ b/tests/test_placement/test_chains.py
@@ -59,3 +59,14 @@
     made = chain(*[2000] * 20)
     assert len(made.levels) == MAX_LEVELS
     assert made.levels[-1].total == made.shared_tokens == 38_000
+
+
+def test_prompts_of_one_branch_are_kept_by_one_store():
+    one = make_chain(
+        [PromptPart("a", 2000), PromptPart("b", 2000), PromptPart("x", 1)], 4001
+    )
+    two = make_chain(
+        [PromptPart("a", 2000), PromptPart("c", 2000), PromptPart("x", 1)], 4001
+    )
+    assert one.store_key == two.store_key != ""
+    assert make_chain([PromptPart("x", 9)], 9).store_key == ""
