membership: one check tells whether a word on leaving is of the listed target

It stood three times in the board; the one in leaving_by_word could not fail, as words are checked when they are taken and dropped with each list. No change in behaviour.

--- a/berylnotch/membership/board.py
+++ b/berylnotch/membership/board.py
@@ -75,8 +75,7 @@
         """Take what a router heard from targets; return whether any of it is new."""
         before = self.leaving_by_word()
         for word in words:
-            target = self._listed.get(word.target_id)
-            if target is not None and target.born_ms == word.born_ms:
+            if self._is_current(word):
                 self._words.setdefault(word, set()).add(router)
         return self.leaving_by_word() != before
 
@@ -86,13 +85,11 @@
             return frozenset()
         sure, unsure = set(), {}
         for word, routers in self._words.items():
-            target = self._listed.get(word.target_id)
-            if target is None or target.born_ms != word.born_ms:
-                continue
             if len(routers) >= SURE_WORDS:
                 sure.add(word.target_id)
             else:
-                unsure.setdefault(target.service, []).append(word.target_id)
+                service = self._listed[word.target_id].service
+                unsure.setdefault(service, []).append(word.target_id)
         for service, targets in unsure.items():
             count = sum(t.service == service for t in self._listed.values())
             sure.update(sorted(targets)[: int(count * ONE_WORD_PART)])
@@ -112,8 +109,7 @@
         for name in self._loaded.keys() - self._listed.keys():
             del self._loaded[name]
         for word in tuple(self._words):
-            target = self._listed.get(word.target_id)
-            if target is None or target.born_ms != word.born_ms:
+            if not self._is_current(word):
                 del self._words[word]
 
     def began_emptying(self, target_id: str) -> None:
@@ -138,6 +134,11 @@
         self._loaded[target_id] = _Loaded(version, now, target.born_ms)
         self._listed[target_id] = self._correct(now, target)
 
+    def _is_current(self, word: LeavingWord) -> bool:
+        """Tell whether a word is of the target as it is listed now."""
+        target = self._listed.get(word.target_id)
+        return target is not None and target.born_ms == word.born_ms
+
     def _correct(self, now: float, target: ListedTarget) -> ListedTarget:
         known = self._loaded.get(target.target_id)
         if known is None or known.born_ms != target.born_ms:
