fleet: the right to give orders is given back after a lease without one

Cause: a new leader waited order_lease_s and a margin before its first order whenever another controller had ever held the right, also where no order had been sent for long. Ruled out: a wait measured by the time of day, which may jump by more than the lease.

Change: the right is taken when a load is due, held while loads are under way, and given back in the log once it has rested for a lease; an empty holder is waited for by nobody. A wait begins at the new leader's start, so time without a due load counts.

--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -5,13 +5,13 @@
 from attrs import evolve
 
 from berylnotch.daemon.fleet.notes import NoteFilter
+from berylnotch.daemon.fleet.order_right import OrderRight
 from berylnotch.daemon.fleet.registry import RouterRegistry
 from berylnotch.daemon.fleet.replica_host import ReplicaHost
 from berylnotch.daemon.fleet.stores import StoreWatch
 from berylnotch.daemon.fleet.watch import TargetWatch
 from berylnotch.daemon.fleet.weights import WeightsRollout
 from berylnotch.group.columns import is_store
-from berylnotch.group.commands import TakeOrders
 from berylnotch.group.messages import RouterReport, TargetEntry, TargetsUpdate
 from berylnotch.group.state import FleetState
 from berylnotch.membership.board import TargetBoard
@@ -23,7 +23,6 @@
 from berylnotch.quota.owner import QuotaOwner
 from berylnotch.settings.fleet import FleetSettings
 from berylnotch.transport.link import Link
-from berylnotch.transport.packing import pack
 from berylnotch.util.clock import boot_time
 from berylnotch.util.gathering import Gathering
 from berylnotch.util.lines import EventLog
@@ -37,12 +36,6 @@
 #: again, each of them is a change that goes to all the others.
 ROSTER_PER_ROUTER_S = 0.0005
 
-#: Seconds beyond the lease of orders that a new leader waits; timers may be late.
-ORDER_MARGIN_S = 0.3
-
-#: Pause in seconds before a leader asks again to take over the orders.
-TAKE_RETRY_S = 0.5
-
 #: Term of a group's first leader, before which there was none to give orders.
 FIRST_LEADER_TERM = 2
 
@@ -128,13 +121,22 @@
         self._quota = QuotaOwner(FLEET_QUOTA, host.term, boot_time())
         self._limits = {}
         self._limits_version = 0
-        self._may_order = False
         self._is_closed = False
+        self._right = OrderRight(
+            settings,
+            loop,
+            state,
+            host.propose,
+            host.term,
+            lambda: self._rollout.advance(),
+            log,
+        )
         self._rollout = WeightsRollout(
             loop,
             self._board,
             names,
-            lambda: self._may_order and host.is_active(),
+            self._right,
+            host.is_active,
             self.registry.requests,
             self.registry.long_requests,
             self.registry.unreachable,
@@ -173,11 +175,6 @@
             self._watch.start()
         self._loop.call_later(ROSTER_S, self._complete_roster)
         self._loop.call_later(MIN_LOADS_S, self._push_loads)
-        holder = self._state.order_holder
-        wait_s = 0.0
-        if holder not in ("", self._settings.name):
-            wait_s = self._settings.bounds.order_lease_s + ORDER_MARGIN_S
-        self._loop.call_later(wait_s, self._take_orders)
 
     def close(self) -> None:
         """Stop leading."""
@@ -186,6 +183,7 @@
         self._prompt_pushes.close()
         self._target_pushes.close()
         self._page_pushes.close()
+        self._right.close()
         self._rollout.close()
         self._stores.close()
         if self._watch is not None:
@@ -288,23 +286,6 @@
         self.push_targets()
         self._rollout.advance()
 
-    def _take_orders(self) -> None:
-        if self._is_closed:
-            return
-        command = pack(TakeOrders(self._settings.name))
-
-        def done(is_committed: bool) -> None:
-            self._may_order = is_committed and not self._is_closed
-            self._log.info(
-                "orders_taken", committed=is_committed, epoch=self._host.term
-            )
-            if self._may_order:
-                self._rollout.advance()
-            elif not self._is_closed:
-                self._loop.call_later(TAKE_RETRY_S, self._take_orders)
-
-        self._host.propose(command, done)
-
     def _complete_roster(self) -> None:
         if not self._is_closed:
             self.registry.complete_roster()
--- a/berylnotch/daemon/fleet/weights.py
+++ b/berylnotch/daemon/fleet/weights.py
@@ -6,6 +6,7 @@
 
 from attrs import define
 
+from berylnotch.daemon.fleet.order_right import OrderRight
 from berylnotch.daemon.fleet.survey import CALL_S, EngineSurvey
 from berylnotch.errors import GatewayError
 from berylnotch.membership.board import TargetBoard
@@ -68,6 +69,8 @@
     begun_at: float
     ordered_at: float = 0.0
     has_ended: bool = False
+    #: Whether an earlier leader ordered it.
+    is_followed: bool = False
 
 
 class WeightsRollout:
@@ -81,7 +84,9 @@
         All targets.
     names : WeightsNames
         Named versions, and when each was.
-    may_order : callable
+    right : OrderRight
+        Right to give orders.
+    is_active : callable
         Returns whether this process leads, by a fresh clock.
     busy : callable
         Returns the requests under way at each target.
@@ -106,7 +111,8 @@
         loop: Loop,
         board: TargetBoard,
         names: WeightsNames,
-        may_order: Callable[[], bool],
+        right: OrderRight,
+        is_active: Callable[[], bool],
         busy: Callable[[], dict[str, int]],
         long_requests: Callable[[str], int],
         unreachable: Callable[[], frozenset[str]],
@@ -119,7 +125,8 @@
         self._loop = loop
         self._board = board
         self._names = names
-        self._may_order = may_order
+        self._right = right
+        self._is_active = is_active
         self._busy = busy
         self._long_requests = long_requests
         self._unreachable = unreachable
@@ -169,7 +176,7 @@
             return
         now = boot_time()
         wanted = WeightsLoad(target.target_id, model, version)
-        load = _Load(wanted, target, now, ordered_at=now)
+        load = _Load(wanted, target, now, ordered_at=now, is_followed=True)
         self._loads[target.target_id] = load
         self._board.began_loading(now, target.target_id)
         self._loop.call_later(LOOK_S, lambda: self._look(load))
@@ -177,7 +184,7 @@
     def advance(self) -> None:
         """Begin the loads that are due."""
         wanted = self._names.versions()
-        if self._is_closed or not wanted or not self._may_order():
+        if self._is_closed or not wanted or not self._is_active():
             return
         now = boot_time()
         held_back = {name for name, until in self._held_until.items() if until > now}
@@ -191,10 +198,14 @@
             lambda model, version: self._names.outdated_s(now, model, version),
             self._hurry_s,
         )
+        if loads and not self._right.is_held:
+            self._right.ask()
+            return
         for due in loads:
             target = self._board.target(due.target_id)
             load = _Load(due, target, now)
             self._loads[due.target_id] = load
+            self._right.began()
             is_urgent = due.target_id in self._overdue(now)
             if is_urgent or not self._long_requests(due.target_id):
                 self._take_away(load)
@@ -266,8 +277,8 @@
         elif report.is_busy:
             load.ordered_at = boot_time()
             self._loop.call_later(LOOK_S, lambda: self._look(load))
-        elif not self._may_order():
-            self._end(load, "not the leader any more", FAILED_S)
+        elif not self._right.is_held or not self._is_active():
+            self._end(load, "no right to give orders", FAILED_S)
         else:
             self._order(load, report)
 
@@ -379,6 +390,8 @@
     def _end(self, load: _Load, reason: str, hold_s: float) -> None:
         target_id, now = load.wanted.target_id, boot_time()
         load.has_ended = True
+        if not load.is_followed:
+            self._right.ended()
         self._loads.pop(target_id, None)
         self._board.stopped_loading(target_id)
         if hold_s:
--- a/berylnotch/group/commands.py
+++ b/berylnotch/group/commands.py
@@ -32,4 +32,11 @@
     holder: str
 
 
+@frozen
+class GiveBackOrders:
+    """A controller gives no more orders, and has given none for a lease."""
+
+    holder: str
+
+
 COMMANDS = message_classes(sys.modules[__name__])
--- a/berylnotch/group/state.py
+++ b/berylnotch/group/state.py
@@ -6,6 +6,7 @@
 
 from berylnotch.group.commands import (
     COMMANDS,
+    GiveBackOrders,
     NameWeights,
     PutConfiguration,
     TakeOrders,
@@ -50,7 +51,7 @@
 
     @property
     def order_holder(self) -> str:
-        """Controller that may have given the newest order to an engine."""
+        """Controller whose orders may be under way; empty if there are none."""
         return self._order_holder
 
     def wanted_version(self, model: str) -> int:
@@ -69,6 +70,9 @@
             self._weights[command.model] = max(known, command.version)
         elif isinstance(command, TakeOrders):
             self._order_holder = command.holder
+        elif isinstance(command, GiveBackOrders):
+            if self._order_holder == command.holder:
+                self._order_holder = ""
 
     def snapshot(self) -> bytes:
         """Return the state as bytes."""
--- a/tests/test_daemon/test_fleet_weights.py
+++ b/tests/test_daemon/test_fleet_weights.py
@@ -30,6 +30,17 @@
         self.now = until
 
 
+class HeldRight:
+    """A right to give orders that this leader always has."""
+
+    is_held = True
+
+    def began(self):
+        """Take the begin of a load."""
+
+    ended = began
+
+
 class Log:
     """A log that is not read."""
 
@@ -72,6 +83,7 @@
         clock,
         board,
         names,
+        HeldRight(),
         lambda: True,
         dict,
         lambda target_id: long_requests.get(target_id, 0),
--- a/tests/test_group/test_state.py
+++ b/tests/test_group/test_state.py
@@ -3,7 +3,12 @@
 import pytest
 
 from berylnotch.errors import CodecError
-from berylnotch.group.commands import NameWeights, PutConfiguration, TakeOrders
+from berylnotch.group.commands import (
+    GiveBackOrders,
+    NameWeights,
+    PutConfiguration,
+    TakeOrders,
+)
 from berylnotch.group.state import FleetState
 from berylnotch.membership.listing import ModelVersion
 from berylnotch.transport.packing import pack
@@ -34,3 +39,12 @@
 def test_unknown_commands_are_refused():
     with pytest.raises(CodecError):
         FleetState().apply(b"\x93nonsense")
+
+
+def test_only_the_holder_gives_orders_back():
+    state = FleetState()
+    state.apply(pack(TakeOrders("core-2")))
+    state.apply(pack(GiveBackOrders("core-1")))
+    assert state.order_holder == "core-2"
+    state.apply(pack(GiveBackOrders("core-2")))
+    assert state.order_holder == ""
