consensus: a former leader resumes at once after a restart of all; early requests wait

Cause: after a loss of all power a voter refuses its vote for election_min_s, since it may have renewed a leader's lease just before. Routers that connected to a VM that was not up yet waited 0.9 s for the connection. Ruled out: shorter election timeouts, which the lease forbids.

Change: a replica that got its own vote asks each 0.1 s which voters support it in its term; with a majority no other lease can stand (spec/resumption.py, with four rules left out in turn), and it asks for votes that need not wait. Whom a replica followed is durable. A link that does not connect is opened again after 0.3 s. A router that was just started keeps requests until it knows configuration and targets, for 0.4 of their deadline and 1.6 s at the most, and serves them in order.

--- a/berylnotch/consensus/core.py
+++ b/berylnotch/consensus/core.py
@@ -69,6 +69,12 @@
         self._rng = rng
         self._outbox: list[Outgoing] = []
         self.restart_election_timer(now)
+        #: Time until which it asks whether it can resume the leadership that it may
+        #: have had before its restart.
+        self._resume_until = now
+        if self.hard_state.supports(self.identity):
+            self._resume_until = self.election_at
+            self.election_at = now
 
     @property
     def term(self) -> int:
@@ -96,9 +102,16 @@
         low, high = self.settings.election_min_s, self.settings.election_max_s
         self.election_at = now + self._rng.uniform(low, high)
 
-    def set_hard_state(self, term: int, voted_for: str) -> None:
-        """Change term and vote; they are saved before any message leaves."""
-        self.hard_state = HardState(term, voted_for)
+    def restart_resume_timer(self, now: float) -> None:
+        """Set when to ask next, which is sooner while it may resume."""
+        self.restart_election_timer(now)
+        if now < self._resume_until:
+            retry_at = now + self.settings.resume_retry_s
+            self.election_at = min(retry_at, self._resume_until)
+
+    def set_hard_state(self, hard_state: HardState) -> None:
+        """Change what must be saved before any message leaves."""
+        self.hard_state = hard_state
         self.is_hard_state_saved = False
 
     @property
--- a/berylnotch/consensus/messages.py
+++ b/berylnotch/consensus/messages.py
@@ -87,12 +87,17 @@
 
 @frozen
 class VoteReply:
-    """Answer to a `VoteRequest`."""
+    """Answer to a `VoteRequest`.
+
+    ``supported_term`` is the voter's term if its newest vote went to the candidate, or
+    if it last followed it; else 0.
+    """
 
     term: int
     voter: str
     granted: bool
     pre: bool = False
+    supported_term: int = 0
 
 
 @frozen
--- a/berylnotch/consensus/records.py
+++ b/berylnotch/consensus/records.py
@@ -29,6 +29,9 @@
 _ENTRY = struct.Struct("<QQB")
 _TERM = struct.Struct("<Q")
 
+#: What separates the names of a hard state; records of before have only the first.
+_NAMES_END = "\0"
+
 _KIND_CODES = {EntryKind.NOOP: 0, EntryKind.COMMAND: 1, EntryKind.MEMBERS: 2}
 _KINDS = {code: kind for kind, code in _KIND_CODES.items()}
 
@@ -68,8 +71,11 @@
 
 
 def pack_hard_state(hard_state: HardState) -> bytes:
-    """Return the record of a term and vote."""
-    payload = _TERM.pack(hard_state.term) + hard_state.voted_for.encode()
+    """Return the record of a term, a vote and the leader that was followed."""
+    names = hard_state.voted_for
+    if hard_state.followed:
+        names += _NAMES_END + hard_state.followed
+    payload = _TERM.pack(hard_state.term) + names.encode()
     return pack(RecordType.HARD_STATE, payload)
 
 
@@ -80,9 +86,11 @@
 
 
 def unpack_hard_state(record: Record) -> HardState:
-    """Return the term and vote of a record."""
+    """Return the term, the vote and the leader of a record."""
     (term,) = _TERM.unpack_from(record.payload)
-    return HardState(term, record.payload[_TERM.size :].decode())
+    names = record.payload[_TERM.size :].decode()
+    voted_for, _, followed = names.partition(_NAMES_END)
+    return HardState(term, voted_for, followed)
 
 
 def unpack_entry(record: Record) -> Entry:
--- a/berylnotch/consensus/roles.py
+++ b/berylnotch/consensus/roles.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+from attrs import evolve
+
 from berylnotch.consensus import election, following
 from berylnotch.consensus.core import State
 from berylnotch.consensus.election import Election
@@ -17,6 +19,7 @@
     VoteReply,
     VoteRequest,
 )
+from berylnotch.consensus.state import HardState
 
 if TYPE_CHECKING:
     from berylnotch.consensus.core import Core
@@ -101,7 +104,7 @@
     def _become_follower(self, now: float, term: int, leader: str) -> None:
         core = self._core
         if term > core.term:
-            core.set_hard_state(term, "")
+            core.set_hard_state(HardState(term))
         if self._leader is not None:
             core.restart_election_timer(now)
         self._leader = None
@@ -112,7 +115,7 @@
     def _start_pre_vote(self, now: float) -> None:
         core = self._core
         core.leader = ""
-        core.restart_election_timer(now)
+        core.restart_resume_timer(now)
         if not core.is_voter:
             return
         self._election.start_pre_vote(now)
@@ -120,6 +123,9 @@
 
     def _check_won(self, now: float) -> None:
         core = self._core
+        if core.state is State.PRE_CANDIDATE and self._election.may_resume:
+            self._election.start_vote(now, transfer=True)
+            return
         if not self._election.is_won:
             return
         if core.state is State.PRE_CANDIDATE:
@@ -165,6 +171,8 @@
         core.leader_address = request.address
         core.heard_at = now
         core.restart_election_timer(now)
+        if core.hard_state.followed != request.leader:
+            core.set_hard_state(evolve(core.hard_state, followed=request.leader))
         if isinstance(request, AppendRequest):
             reply = following.append(core, request)
         else:
--- a/berylnotch/consensus/settings.py
+++ b/berylnotch/consensus/settings.py
@@ -18,6 +18,9 @@
     election_min_s, election_max_s : float, default=1.0, 1.6
         Bounds in seconds of the randomised election timeout. A voter that
         heard a leader within ``election_min_s`` refuses its vote to others.
+    resume_retry_s : float, default=0.1
+        Pause after which a replica that may have led before its restart asks again
+        whether it can resume, until an election is due anyway.
     lease_s : float, default=0.8
         Seconds that a leader may act after it sent a round which a majority
         answered. The gap to ``election_min_s`` allows for clocks that differ
@@ -47,6 +50,7 @@
     heartbeat_s: float = 0.1
     election_min_s: float = 1.0
     election_max_s: float = 1.6
+    resume_retry_s: float = 0.1
     lease_s: float = 0.8
     max_append_entries: int = 512
     max_append_bytes: int = 1024 * 1024
--- a/berylnotch/consensus/state.py
+++ b/berylnotch/consensus/state.py
@@ -19,10 +19,17 @@
         Newest term that the replica has seen.
     voted_for : str
         Replica that got the vote in this term, or empty.
+    followed : str
+        Leader of this term whose entries or heartbeats were answered, or empty.
     """
 
     term: int = 0
     voted_for: str = ""
+    followed: str = ""
+
+    def supports(self, replica: str) -> bool:
+        """Whether no other replica got the vote, or was followed, in this term."""
+        return (self.followed or self.voted_for) == replica
 
 
 @frozen
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -17,6 +17,7 @@
 )
 from berylnotch.entry.admitted import Admitted
 from berylnotch.entry.context import EntryContext
+from berylnotch.entry.early import EarlyRequests
 from berylnotch.entry.exchange import Exchange
 from berylnotch.entry.quota_gate import QuotaGate
 from berylnotch.entry.settings import EntrySettings
@@ -130,6 +131,9 @@
             ask_quota=self._quota_looks.soon,
         )
         self._started_at = boot_time()
+        self._early = EarlyRequests(
+            loop, self._started_at + START_S, self._answer_caller
+        )
         self._incarnation = os.urandom(8).hex()
         self._roster: dict[str, RouterEntry] = {}
         self._numbered = NumberedTargets()
@@ -183,6 +187,7 @@
     def drain(self, done: Callable[[], None]) -> None:
         """Leave: take requests until no caller uses this address, then stop."""
         self._is_leaving = True
+        self._early.hand_on()
         self._reports.send()
         self._log.info("draining", requests=len(self._exchanges))
         lifetime_s = ADDRESS_TTL_S * TTL_FACTOR + REPORT_S
@@ -222,7 +227,20 @@
             "berylnotch_unreadable_requests_total", Label("status", str(status))
         )
 
+    @property
+    def _knows_targets(self) -> bool:
+        return self._context.routes is not None and self._targets_at > 0
+
     def _serve(self, connection: ServerConnection, request: HttpRequest) -> None:
+        if not self._knows_targets and not self._is_leaving:
+            deadline_s = decode_request(request).deadline_s
+            if self._early.keep(connection, request, deadline_s):
+                return
+        self._answer_caller(connection, request)
+
+    def _answer_caller(
+        self, connection: ServerConnection, request: HttpRequest
+    ) -> None:
         routes = self._context.routes
         caller = decode_request(request)
         if routes is None:
@@ -303,6 +321,7 @@
             self._targets_at = boot_time()
             self._numbered.take(message)
             take_targets(self._context, message)
+            self._hand_on_early()
         elif isinstance(message, RosterUpdate):
             if message.is_whole:
                 self._roster = {}
@@ -322,6 +341,11 @@
         elif isinstance(message, NoteRecords):
             take_prompts(self._context, self._numbered.notes(message))
 
+    def _hand_on_early(self) -> None:
+        if len(self._early) and self._knows_targets:
+            self._log.info("early_requests", count=len(self._early))
+            self._early.hand_on()
+
     def _take_configuration(self, update: ConfigurationUpdate) -> None:
         known = self._context.routes
         if known is not None and update.version <= known.version:
@@ -335,6 +359,7 @@
         )
         share_limits(self._context)
         self._reports.send()
+        self._hand_on_early()
 
     # Limits of the organisations.
 
--- a/berylnotch/transport/berylnotch.capnp
+++ b/berylnotch/transport/berylnotch.capnp
@@ -144,6 +144,7 @@
   voter @1 :Text;
   granted @2 :Bool;
   pre @3 :Bool;
+  supportedTerm @4 :Int64;
 }
 
 struct AppendRequest {
--- a/berylnotch/transport/channel.py
+++ b/berylnotch/transport/channel.py
@@ -72,6 +72,12 @@
         self._calls: dict[int, _Call] = {}
         self._next_call = 1
         self._closed = False
+        self._has_sent = False
+
+    @property
+    def has_sent(self) -> bool:
+        """Whether a byte has left this process, so the socket was connected."""
+        return self._has_sent
 
     @property
     def is_closed(self) -> bool:
@@ -134,6 +140,7 @@
         try:
             while self._output:
                 sent = self._sock.send(self._output)
+                self._has_sent = True
                 del self._output[:sent]
         except (BlockingIOError, InterruptedError):
             pass
--- a/berylnotch/transport/link.py
+++ b/berylnotch/transport/link.py
@@ -31,12 +31,16 @@
     silence_s : float, default=0.9
         Silence of the other side after which a link is given up. It lies below
         the shortest time in which a VM counts as being in touch.
+    connect_s : float, default=0.3
+        Longest wait for a connection. A packet to a VM that was not up yet is sent
+        again after a second only, so that a new connection is sooner there.
     retry_s : float, default=0.2
         Pause before a link that ended is opened again.
     """
 
     heartbeat_s: float = 0.25
     silence_s: float = 0.9
+    connect_s: float = 0.3
     retry_s: float = 0.2
 
 
@@ -107,6 +111,7 @@
         self._channel.start()
         self.send(Heartbeat())
         self._loop.call_later(self._settings.heartbeat_s / 2, self._beat)
+        self._loop.call_later(self._settings.connect_s, self._check_connected)
 
     def close(self, reason: str = "closed") -> None:
         """End the link."""
@@ -122,6 +127,10 @@
         if not isinstance(message, Heartbeat):
             self._handler(self, message)
 
+    def _check_connected(self) -> None:
+        if not self._channel.has_sent:
+            self.close(f"not connected within {self._settings.connect_s:g} s")
+
     def _beat(self) -> None:
         if self.is_closed:
             return
--- a/tests/test_consensus/test_properties.py
+++ b/tests/test_consensus/test_properties.py
@@ -72,6 +72,16 @@
                 vm.restart(self.group.now)
         self.group.run(0.5, seed)
 
+    @rule(seconds=st.sampled_from([0.0, 0.1, 0.5]), seed=st.integers(0, 1000))
+    def restart_all(self, seconds, seed):
+        down = [vm for vm in self.group.vms.values() if vm.is_up]
+        for vm in down:
+            self.group.crash(vm)
+        self.group.run(seconds, seed)
+        for vm in down:
+            vm.restart(self.group.now)
+        self.group.run(0.5, seed)
+
     @rule(number=vms)
     def pause_or_resume(self, number):
         vm = self.vm(number)
--- /dev/null
+++ b/tests/test_consensus/test_resume.py
@@ -0,0 +1,95 @@
+"""A former leader that resumes after all have restarted."""
+
+import pytest
+
+from berylnotch.consensus.messages import VoteRequest
+from tests.test_consensus.group import SETTINGS, Group
+
+IDS = ("a/1", "b/1", "c/1", "d/1", "e/1")
+
+#: Some messages and ticks after its first question.
+SOON_S = 2 * SETTINGS.resume_retry_s
+
+
+@pytest.fixture
+def group():
+    return Group(*IDS)
+
+
+def restart(group, identities):
+    for identity in identities:
+        group.nodes[identity].start(group.now)
+
+
+def test_a_former_leader_resumes_at_once_when_all_restart(group):
+    leader = group.elect()
+    group[leader].propose(group.now, b"x")
+    group.deliver()
+    term = group[leader].term
+    restart(group, IDS)
+    group.advance(SOON_S)
+    assert group.leaders == [leader] and group[leader].term == term + 1
+    assert group.nodes[leader].applied == [b"x"]
+
+
+def test_it_needs_no_more_than_a_majority(group):
+    leader = group.elect()
+    others = [identity for identity in IDS if identity != leader]
+    group.cut = set(others[:2])
+    restart(group, [leader, *others[2:]])
+    group.advance(SOON_S)
+    assert group.leaders == [leader]
+
+
+def test_it_asks_again_until_a_majority_is_there(group):
+    leader = group.elect()
+    others = [identity for identity in IDS if identity != leader]
+    group.cut = set(others)
+    restart(group, IDS)
+    group.advance(SETTINGS.election_min_s / 2)
+    group.cut = set(others[2:])
+    restart(group, others[:2])
+    group.advance(SOON_S)
+    assert group.leaders == [leader]
+
+
+def test_without_the_former_leader_no_other_is_elected_sooner(group):
+    leader = group.elect()
+    group.cut = {leader}
+    restart(group, IDS)
+    group.advance(SETTINGS.election_min_s - 0.1)
+    assert group.leaders == []
+    group.advance(2 * SETTINGS.election_max_s)
+    assert len(group.leaders) == 1
+
+
+def test_a_leader_of_an_older_term_does_not_resume(group):
+    first = group.elect()
+    group.cut = {first}
+    group.advance(3 * SETTINGS.election_max_s)
+    (second,) = group.leaders
+    group.cut = set()
+    restart(group, [first])
+    group.advance(SOON_S)
+    assert group.leaders == [second] and not group[first].is_leader
+
+
+def test_followers_that_restart_do_not_disturb_the_leader(group):
+    leader = group.elect()
+    term = group[leader].term
+    restart(group, [identity for identity in IDS if identity != leader])
+    group.advance(SOON_S)
+    assert group.leaders == [leader] and group[leader].term == term
+
+
+def test_a_voter_that_followed_another_leader_supports_no_loser(group):
+    leader = group.elect()
+    voter, loser = [identity for identity in IDS if identity != leader][:2]
+    node = group.nodes[voter]
+    state = node.disk.recovered.hard_state
+    assert state.followed == leader and state.supports(leader)
+    node.start(group.now)
+    request = VoteRequest(state.term + 1, loser, 99, 99, pre=True, replica=voter)
+    node.replica.step(group.now, request)
+    (outgoing,) = node.run()
+    assert not outgoing.message.granted and outgoing.message.supported_term == 0
--- a/tests/test_consensus/test_storage.py
+++ b/tests/test_consensus/test_storage.py
@@ -4,10 +4,12 @@
 import random
 import shutil
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from berylnotch.consensus import records
 from berylnotch.consensus import storage as storage_module
 from berylnotch.consensus.bootstrap import bootstrap, first_ready
 from berylnotch.consensus.errors import CopiedFolderError, DamagedFileError
@@ -326,3 +328,13 @@
     storage.save_snapshot(snapshot(10, 2))
     storage.close()
     assert LogStorage(folder).start().snapshot.last_index == 20
+
+
+def test_hard_states_of_earlier_versions_are_read():
+    known = HardState(7, "b", "a")
+    (record,) = records.read_segment(
+        "x", records.SEGMENT_HEADER + records.pack_hard_state(known), True
+    ).records
+    assert records.unpack_hard_state(record) == known
+    old = attrs.evolve(record, payload=(7).to_bytes(8, "little") + b"b")
+    assert records.unpack_hard_state(old) == HardState(7, "b")
--- /dev/null
+++ b/tests/test_spec/test_resumption.py
@@ -0,0 +1,104 @@
+"""Exhaustive check of leases over restarts, and of its mutations."""
+
+from __future__ import annotations
+
+import pytest
+
+from spec.checking import counterexample, holds
+from spec.resumption import Bounds, Mutation, Resumption, leases
+
+
+@pytest.mark.parametrize(
+    "bounds",
+    [
+        pytest.param(Bounds(terms=2, restarts=2), id="restarts"),
+        pytest.param(Bounds(terms=3, restarts=0), id="terms"),
+        pytest.param(Bounds(terms=2, restarts=1, removals=1), id="members"),
+    ],
+)
+def test_only_one_lease_stands_in_every_state(bounds):
+    assert holds(Resumption(bounds).protocol())
+
+
+@pytest.mark.parametrize(
+    ("mutation", "bounds", "last_step"),
+    [
+        (Mutation.NO_WAIT, Bounds(terms=2), "b answers c in term 2"),
+        (Mutation.NO_WAIT_AFTER_RESTART, Bounds(terms=2), "c answers b in term 2"),
+        (
+            Mutation.OWN_SUPPORT_ONLY,
+            Bounds(terms=3, restarts=0),
+            "b answers c in term 3",
+        ),
+    ],
+    ids=lambda value: value.name.lower() if isinstance(value, Mutation) else "",
+)
+def test_each_rule_is_needed(mutation, bounds, last_step):
+    assert counterexample(Resumption(bounds, mutation).protocol())[-1] == last_step
+
+
+#: Two voters of the loser are left after the winner removed two of its own.
+LOSER_WITH_A_MAJORITY = (
+    "a restarts",
+    "a may vote",
+    "b asks as candidate in term 2",
+    "c asks as candidate in term 2",
+    "a votes for b in term 2",
+    "d votes for c in term 2",
+    "e votes for c in term 2",
+    "c leads term 2",
+    "d answers c in term 2",
+    "e answers c in term 2",
+    "c removes d in term 2",
+    "a answers c in term 2",
+    "b answers c in term 2",
+    "c removes e in term 2",
+    "a answers c in term 2",
+    "b answers c in term 2",
+    "a restarts",
+    "b restarts",
+    "a supports b in term 2",
+    "b asks as resuming in term 3",
+    "a votes for b in term 3",
+    "b leads term 3",
+    "a answers b in term 3",
+)
+
+
+def replay(mutation, labels):
+    """Return the states that these steps lead through, as far as they can."""
+    bounds = Bounds(tuple("abcde"), terms=3, removals=2, restarts=3)
+    model = Resumption(bounds, mutation).protocol()
+    states = [model.initial]
+    for label in labels:
+        after = dict(model.transitions(states[-1])).get(label)
+        if after is None:
+            break
+        states.append(after)
+    return states
+
+
+def test_the_leader_that_was_followed_must_be_durable():
+    states = replay(Mutation.FOLLOWED_NOT_SAVED, LOSER_WITH_A_MAJORITY)
+    assert len(states) == len(LOSER_WITH_A_MAJORITY) + 1
+    assert [len(leases(state)) for state in states[-3:]] == [1, 1, 2]
+    followed = replay(Mutation.NONE, LOSER_WITH_A_MAJORITY)
+    assert LOSER_WITH_A_MAJORITY[len(followed) - 1] == "a supports b in term 2"
+
+
+def test_a_former_leader_resumes_although_voters_wait():
+    labels = (
+        "b answers a in term 1",
+        "a restarts",
+        "b restarts",
+        "b supports a in term 1",
+        "a asks as resuming in term 2",
+        "b votes for a in term 2",
+        "a leads term 2",
+        "b answers a in term 2",
+    )
+    model = Resumption(Bounds()).protocol()
+    state = model.initial
+    for label in labels:
+        state = dict(model.transitions(state))[label]
+    assert leases(state) == ["a"]
