entry: runs move to another engine with their memory before weights are loaded

Ruled out: runs that go on under other weights (earn nothing), copies at standby engines (displace prompts).

Change: while an engine is emptied or leaves, each of its long runs is copied to an engine with the same weights (the run goes on meanwhile), stopped, and goes on there; where none has room it ends where it is. Overdue weights get 0.5 s for that.

--- a/berylnotch/daemon/fleet/weights.py
+++ b/berylnotch/daemon/fleet/weights.py
@@ -31,9 +31,16 @@
 #: loads; it serves short ones meanwhile.
 EMPTY_S = 3.0
 
+#: The same for an engine whose weights must not be used for much longer: runs that
+#: can go on at another engine have left by then.
+EMPTY_OVERDUE_S = 0.5
+
+#: Part of the time that operators allow on older weights from which that holds.
+EMPTY_PART = 0.65
+
 #: Seconds from telling routers until their last long request has been reported, and
 #: between two looks whether the long requests have ended.
-EMPTY_SETTLE_S = 0.35
+EMPTY_SETTLE_S = 0.1
 EMPTY_LOOK_S = 0.05
 
 #: Seconds between marking an engine as loading and its order, so that routers
@@ -133,6 +140,7 @@
         self._holder = holder
         self._epoch = epoch
         self._hurry_s = HURRY_PART * weights_s
+        self._empty_until_s = EMPTY_PART * weights_s
         #: Shortest time from an order to the load that it led to.
         self._shortest_load_s: float | None = None
         self._on_change = on_change
@@ -188,7 +196,8 @@
             return
         now = boot_time()
         held_back = {name for name, until in self._held_until.items() if until > now}
-        held_back |= self._unreachable() - self._overdue(now)
+        # They must load now, even if routers do not reach them.
+        held_back |= self._unreachable() - self._overdue(now, self._hurry_s)
         loads = next_loads(
             self._board.targets(),
             wanted,
@@ -206,8 +215,7 @@
             load = _Load(due, target, now)
             self._loads[due.target_id] = load
             self._right.began()
-            is_urgent = due.target_id in self._overdue(now)
-            if is_urgent or not self._long_requests(due.target_id):
+            if not self._long_requests(due.target_id):
                 self._take_away(load)
             else:
                 self._board.began_emptying(due.target_id)
@@ -236,19 +244,21 @@
         if self._is_over(load):
             return
         target_id, now = load.wanted.target_id, boot_time()
-        is_late = now - load.begun_at > EMPTY_S or target_id in self._overdue(now)
+        is_overdue = target_id in self._overdue(now, self._empty_until_s)
+        allowed_s = EMPTY_OVERDUE_S if is_overdue else EMPTY_S
+        is_late = now - load.begun_at > allowed_s
         if is_late or not self._long_requests(target_id):
             self._take_away(load)
         else:
             self._loop.call_later(EMPTY_LOOK_S, lambda: self._wait_until_empty(load))
 
-    def _overdue(self, now: float) -> frozenset[str]:
-        """Return the targets that must load now, even if routers do not reach them."""
+    def _overdue(self, now: float, after_s: float) -> frozenset[str]:
+        """Return the targets whose weights were outdated for longer than this."""
         return frozenset(
             target.target_id
             for target in self._board.targets()
             for model in target.models
-            if self._names.outdated_s(now, model.name, model.version) > self._hurry_s
+            if self._names.outdated_s(now, model.name, model.version) > after_s
         )
 
     def _call(
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from berylnotch.entry.events import MAX_EVENT_BYTES, EventSplitter
+from berylnotch.entry.moving import MovedRun, RunMove
 from berylnotch.entry.reading import PromptReading
 from berylnotch.entry.results import AttemptEnd, AttemptOwner, AttemptResult
 from berylnotch.entry.signals import take_signals
@@ -49,6 +50,13 @@
 EXPECTED_FACTOR = 2.0
 EXPECTED_MARGIN_S = 1.0
 
+#: Seconds until a run that found no place is looked at again.
+MOVE_RETRY_S = 0.8
+
+#: Engines that are asked to take a run over before that pause: where two have no room
+#: the others are full as well.
+MAX_REFUGES = 2
+
 
 class Attempt(ResponseSink):
     """A request at one target.
@@ -92,6 +100,12 @@
         self._heard_at = 0.0
         self._is_over = False
         self._number = id(self)
+        self._move: RunMove | None = None
+        self._move_again_at = 0.0
+        #: Engines that did not take the run.
+        self._without_room: set[str] = set()
+        #: Whether the target may have stopped the run without saying so.
+        self._is_in_doubt = False
 
     @property
     def has_sent(self) -> bool:
@@ -137,6 +151,8 @@
         else:
             self._target.ejection.abandoned(self._number)
         self._count("overdue" if is_overdue else "cancelled")
+        if self._move is not None:
+            self._move.cancel()
         self._leave()
         self._connection.close()
 
@@ -144,6 +160,9 @@
         """Give up a repeatable request whose answer does not come or go on."""
         if self._is_over or not self._admitted.route.is_repeatable:
             return
+        if self._move is not None:
+            self._context.loop.call_later(MOVE_RETRY_S, self._watch_answer)
+            return
         settings, now = self._context.settings, boot_time()
         route = self._admitted.route
         if self._is_stream and self._heard_at:
@@ -220,11 +239,17 @@
                 return
         if len(self._splitter.tail) > MAX_EVENT_BYTES:
             self._break_off("event too large")
+        elif self._target.is_emptying or self._target.is_leaving:
+            self._leave_target()
 
     def on_complete(self) -> None:
         """Judge a whole answer."""
         if self._is_over:
             return
+        if self._move is not None and not self._head.is_delimited:
+            # The end of the connection may be that of the run, or that of its stay.
+            self._move.hold(self.on_complete)
+            return
         answer = decode_answer(self._head.status, self._head.headers)
         target, status = self._target, self._head.status
         self._leave()
@@ -278,12 +303,17 @@
         if self._is_stream and self._splitter.tail and not self._head.is_delimited:
             # The end of the connection is the end of the stream, or a loss.
             return "stream ends within an event"
+        if self._is_in_doubt and not self._head.is_delimited:
+            return "stream ends, and may have been stopped"
         return ""
 
     def on_failure(self, failure: Failure, reason: str) -> None:
         """Judge a failed connection."""
         if self._is_over:
             return
+        if self._move is not None:
+            self._move.hold(lambda: self.on_failure(failure, reason))
+            return
         self._leave()
         target, now = self._target, boot_time()
         target.ejection.failed(now, self._number)
@@ -305,6 +335,38 @@
         else:
             self._end(AttemptEnd.BROKEN, reason, is_lost=True)
 
+    def _leave_target(self) -> None:
+        """Let the run go on elsewhere, so that its engine is free sooner."""
+        now = boot_time()
+        is_due = self._is_long and self._move is None and now >= self._move_again_at
+        if self._is_over or not is_due:
+            return
+        refuge = None
+        if len(self._without_room) < MAX_REFUGES:
+            refuge = self._owner.refuge(self._without_room)
+        if refuge is None:
+            self._move_again_at = now + MOVE_RETRY_S
+            self._without_room.clear()
+            return
+        self._without_room.add(refuge.target_id)
+        request_id = self._admitted.caller.request_id
+        self._move = RunMove(
+            self._context, request_id, self._target, refuge, self._move_ended
+        )
+        self._move.start()
+
+    def _move_ended(self, moved: MovedRun | None, is_sure: bool) -> None:
+        move, self._move = self._move, None
+        if moved is not None:
+            self._target.ejection.succeeded(self._number, self._sent_at)
+            self._leave()
+            self._connection.close()
+            self._end(AttemptEnd.MOVED, "", moved=moved)
+            return
+        self._is_in_doubt = not is_sure
+        if move.stream_end is not None:
+            move.stream_end()
+
     def _refused(self, status: int) -> None:
         """Act on a target that did not run the request."""
         target = self._target
@@ -355,10 +417,20 @@
         self._is_over = True
         self._target.in_flight -= 1
         self._target.long_in_flight -= self._is_long
+        if self._target.is_emptying and not self._target.long_in_flight:
+            self._context.report_soon()
         self._reading.close()
 
-    def _end(self, end: AttemptEnd, reason: str, is_lost: bool = False) -> None:
+    def _end(
+        self,
+        end: AttemptEnd,
+        reason: str,
+        is_lost: bool = False,
+        moved: MovedRun | None = None,
+    ) -> None:
         self._count(end.value.replace(" ", "-"))
         status = self._head.status if self._head else 0
-        result = AttemptResult(self._target, end, reason, status, is_lost=is_lost)
+        result = AttemptResult(
+            self._target, end, reason, status, is_lost=is_lost, moved=moved
+        )
         self._owner.ended(result)
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 
@@ -12,10 +12,13 @@
 from berylnotch.entry.attempt import Attempt
 from berylnotch.entry.choice import choose, usable_in_s
 from berylnotch.entry.context import EntryContext
+from berylnotch.entry.model import Choice, Placing
+from berylnotch.entry.moving import MovedRun
 from berylnotch.entry.placing import make_placing, make_told
 from berylnotch.entry.quota_gate import Charge
 from berylnotch.entry.records import Progress, RequestEnd, note_end, note_sent
 from berylnotch.entry.refusals import Reason
+from berylnotch.entry.relocation import MIN_REST_S, Relocation
 from berylnotch.entry.reply import Reply
 from berylnotch.entry.results import AttemptEnd, AttemptResult
 from berylnotch.entry.targets import Target
@@ -23,6 +26,7 @@
 from berylnotch.net.server import ServerConnection
 from berylnotch.platform.requests import refusal_headers
 from berylnotch.quota.bounds import is_limited
+from berylnotch.routing.model import Service
 from berylnotch.routing.table import pick_service
 from berylnotch.util.clock import boot_time
 from berylnotch.util.loop import Timer
@@ -80,6 +84,7 @@
         self._timer: Timer | None = None
         self._fingerprint = b""
         self._target_id = ""
+        self._relocation = Relocation(context, admitted)
 
     # Facts for the log.
 
@@ -162,6 +167,12 @@
                 reason = f"first event expected after {choice.delay_ms:.0f} ms"
                 self._give_up(Reason.TOO_LATE, reason, verdict.retry_after_s)
                 return
+        self._progress.sends += 1
+        self._tried.add(choice.target.target_id)
+        self._send_to(service, placing, choice)
+
+    def _send_to(self, service: Service, placing: Placing, choice: Choice) -> None:
+        """Send the request, or what goes on of it, to a chosen target."""
         target = choice.target
         told = make_told(
             self._context,
@@ -171,9 +182,8 @@
             choice,
             self._left_s,
             self._reply.last_event,
+            self._relocation.origin,
         )
-        self._progress.sends += 1
-        self._tried.add(target.target_id)
         self._target_id = target.target_id
         self._context.crashes.began(self._fingerprint, target.target_id)
         note_sent(self._context, self._admitted, placing, choice, told, self._progress)
@@ -199,16 +209,54 @@
         has_time = self._left_s > MIN_MOVE_S
         return has_attempts and has_budget and has_time and self._has_other_target()
 
+    def refuge(self, without_room: Collection[str]) -> Target | None:
+        """Return the engine at which the run should go on, None if it stays."""
+        if self._reply.last_event is None or self._left_s < MIN_REST_S:
+            return None
+        source = self._context.targets.get(self._target_id)
+        excluded = {*self._tried, *without_room}
+        return self._relocation.refuge(self._service, source, excluded)
+
+    def _go_on(self, moved: MovedRun, target: Target) -> None:
+        """Send what goes on of a stopped run to an engine that has its memory."""
+        service = self._context.routes.service(self._service)
+        if service is None or self._left_s <= 0:
+            reason = Reason.NO_SERVICE if service is None else Reason.DEADLINE
+            self._fail(502, reason, "its run was stopped to move")
+            return
+        self._relocation.begin(moved)
+        placing = make_placing(self._context, self._admitted, service, self._tried)
+        self._send_to(service, placing, Choice(target, 0.0))
+
+    def _not_taken_over(self, moved: MovedRun, result: AttemptResult) -> None:
+        """Let a run go on where it stopped, or give it up."""
+        refused = result.target
+        if self._relocation.may_go_back(moved, self._service, refused):
+            self._note_retry(result, f"run not taken over: {result.reason}")
+            self._go_on(moved, moved.source)
+            return
+        self._progress.runs += 1
+        self._retry(result, is_run=True)
+
     def ended(self, result: AttemptResult) -> None:
         """Act on the end of an attempt."""
         target = result.target
         self._attempt = None
+        moved = self._relocation.end()
         if self._is_over:
             return
         if result.is_lost:
             self._context.lost_target(target.target_id, self._fingerprint)
         self._leave_target()
-        if result.end not in (AttemptEnd.NOT_RUN, AttemptEnd.NOT_REACHED):
+        if result.end is AttemptEnd.MOVED:
+            self._progress.moves += 1
+            self._go_on(result.moved, result.moved.refuge)
+            return
+        is_not_run = result.end in (AttemptEnd.NOT_RUN, AttemptEnd.NOT_REACHED)
+        if is_not_run and moved is not None:
+            self._not_taken_over(moved, result)
+            return
+        if not is_not_run:
             self._progress.runs += 1
         if result.end is AttemptEnd.STREAM_COMPLETE:
             self._context.crashes.completed(self._fingerprint, boot_time())
@@ -216,10 +264,8 @@
             self._finish("served", 200, target)
         elif result.end is AttemptEnd.ANSWERED:
             self._answered(result)
-        elif result.end in (AttemptEnd.NOT_RUN, AttemptEnd.NOT_REACHED):
-            self._retry(result, is_run=False)
         else:
-            self._retry(result, is_run=True)
+            self._retry(result, is_run=not is_not_run)
 
     def _leave_target(self) -> None:
         """Note that no target runs the request any more."""
--- a/berylnotch/entry/placing.py
+++ b/berylnotch/entry/placing.py
@@ -82,6 +82,7 @@
     choice: Choice,
     left_s: float,
     last_event: int | None,
+    run_origin: str = "",
 ) -> TargetHeaders:
     """Return what the chosen target is told beside the request.
 
@@ -91,10 +92,12 @@
         Time until the request's deadline.
     last_event : int or None
         Last event of a stream that the caller has from this router.
+    run_origin : str, default=""
+        Where the memory of a stopped run is, if it goes on with that.
     """
     target = choice.target
     fetch_from = save_to = ""
-    if placing.chain.has_home:
+    if placing.chain.has_home and not run_origin:
         # A store that lacks the prompt costs about a ms.
         store = store_of(context, service, placing.chain.store_key)
         fetch_from = choice.source.listed.address if choice.source else store
@@ -111,6 +114,7 @@
         fetch_from=fetch_from,
         save_to=save_to,
         resume_after=admitted.caller.resume_after if is_first else last_event,
+        run_origin=run_origin,
     )
 
 
--- a/berylnotch/entry/reading.py
+++ b/berylnotch/entry/reading.py
@@ -49,6 +49,11 @@
     def begin(self) -> None:
         """Count the prompt as unread, and note where its parts will be held."""
         self._target.unread += self._unread
+        if self._told.run_origin:
+            # Its memory comes with it and holds no prompt for others.
+            tokens = self._caller.prompt_tokens
+            self._context.prompts.fill(self._target.target_id, tokens)
+            return
         if self._note(is_ready=False):
             # Other routers choose the same engine until they know of this one.
             self._context.report_soon()
@@ -61,7 +66,7 @@
         sent_at : float
             Boot time at which the request was sent.
         """
-        if self._has_begun:
+        if self._has_begun or self._told.run_origin:
             return
         self._has_begun = True
         self._settle()
@@ -70,7 +75,7 @@
 
     def close(self) -> None:
         """End it; a prompt that was not read by now is held nowhere."""
-        if not self._has_begun:
+        if not self._has_begun and not self._told.run_origin:
             for mark in self._marks():
                 self._context.prompts.not_read(self._target.target_id, mark)
         self._settle()
--- a/berylnotch/entry/records.py
+++ b/berylnotch/entry/records.py
@@ -21,10 +21,13 @@
         Targets that it was sent to.
     runs : int, default=0
         Of these, the ones that may have run it.
+    moves : int, default=0
+        Times that its run was stopped, to go on with its memory.
     """
 
     sends: int = 0
     runs: int = 0
+    moves: int = 0
 
 
 @frozen
@@ -83,6 +86,7 @@
         unread=choice.unread,
         expected_s=choice.delay_ms / 1000,
         after=told.resume_after,
+        origin=told.run_origin,
         left_s=told.deadline_s,
         configuration=context.routes.version,
     )
@@ -104,6 +108,7 @@
         target=end.target,
         sends=progress.sends,
         runs=progress.runs,
+        moves=progress.moves,
         first_s=end.first_event_s,
         took_s=end.took_s,
         left_s=end.left_s,
--- a/berylnotch/entry/results.py
+++ b/berylnotch/entry/results.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
@@ -10,6 +11,7 @@
 from berylnotch.net.messages import Headers
 
 if TYPE_CHECKING:
+    from berylnotch.entry.moving import MovedRun
     from berylnotch.entry.targets import Target
 
 
@@ -24,6 +26,8 @@
     NOT_REACHED = "not reached"
     #: The target did not run the request.
     NOT_RUN = "not run"
+    #: The run was stopped and can go on elsewhere with its memory.
+    MOVED = "moved"
     #: The target may have run the request.
     BROKEN = "broken"
 
@@ -32,7 +36,8 @@
 class AttemptResult:
     """End of an attempt, with the answer if there is one.
 
-    ``is_lost`` tells that the connection broke while the target may have run it.
+    ``is_lost`` tells that the connection broke while the target may have run it,
+    ``moved`` by what a moved run goes on.
     """
 
     target: Target
@@ -42,6 +47,7 @@
     headers: Headers | None = None
     body: bytes = b""
     is_lost: bool = False
+    moved: MovedRun | None = None
 
 
 class AttemptOwner(Protocol):
@@ -56,5 +62,8 @@
     def may_move(self) -> bool:
         """Tell whether the request may go to another target now."""
 
+    def refuge(self, without_room: Collection[str]) -> Target | None:
+        """Return the engine at which the run should go on, None if it stays."""
+
     def ended(self, result: AttemptResult) -> None:
         """Take the end."""
--- a/berylnotch/platform/configuration.py
+++ b/berylnotch/platform/configuration.py
@@ -118,6 +118,7 @@
         token_bytes=int(number(values, "tokenBytes", 0)),
         models=tuple(text(model, "name") for model in models),
         link_mbps=number(values, "linkMbps", 0),
+        moves_runs=flag(values, "moves", False),
     )
 
 
--- a/berylnotch/platform/names.py
+++ b/berylnotch/platform/names.py
@@ -24,6 +24,8 @@
 CACHE_FETCH = "Berylnotch-Kv-Fetch"
 CACHE_SAVE = "Berylnotch-Kv-Save"
 #: Version of the weights that made an answer; a single number.
+#: Where the memory of a stopped run is, for the engine at which it goes on.
+RUN_ORIGIN = "Kv-From"
 WEIGHTS_VERSION = "Berylnotch-Weight-Versions"
 EXPECT_WEIGHTS = "Berylnotch-Expect-Version"
 LENGTH_HINT = "Berylnotch-Length-Hint"
@@ -48,6 +50,6 @@
         "Berylnotch-Pin-Ms",
         "Berylnotch-Kv-Hold",
         "Berylnotch-Kv-Backup",
-        "Kv-From",
+        RUN_ORIGIN,
     )
 )
--- a/berylnotch/platform/requests.py
+++ b/berylnotch/platform/requests.py
@@ -41,7 +41,8 @@
 
     ``priority`` is 0 (first) to 9, ``cache_salt`` separates cache entries that may
     not be shared, ``fetch_from`` and ``save_to`` are addresses of engines or
-    stores. None and empty values are left out.
+    stores, ``run_origin`` is where the memory of a stopped run is that goes on. None
+    and empty values are left out.
     """
 
     deadline_s: float
@@ -53,6 +54,7 @@
     fetch_from: str = ""
     save_to: str = ""
     resume_after: int | None = None
+    run_origin: str = ""
 
 
 @frozen
@@ -109,6 +111,7 @@
     _add(headers, names.CACHE_FETCH, told.fetch_from)
     _add(headers, names.CACHE_SAVE, told.save_to)
     _add(headers, names.LAST_EVENT_ID, told.resume_after)
+    _add(headers, names.RUN_ORIGIN, told.run_origin)
     return HttpRequest(request.method, request.target, headers, request.body)
 
 
--- a/berylnotch/routing/model.py
+++ b/berylnotch/routing/model.py
@@ -85,7 +85,7 @@
     ``slots`` is how many requests an engine runs at once, ``cache_tokens`` the
     tokens that its memory holds, ``token_bytes`` the bytes of a token there, and
     ``link_mbps`` the bits that it takes over from others, in millions a second; 0 if
-    that is not stated.
+    that is not stated. ``moves_runs`` tells whether a run can go on at another one.
     """
 
     slots: int
@@ -93,6 +93,7 @@
     token_bytes: int
     models: tuple[str, ...]
     link_mbps: float = 0.0
+    moves_runs: bool = False
 
     def tokens_per_ms(self, link_mbps: float) -> float:
         """Return the tokens that a link carries in a ms, 0 if that is not known."""
