placement: short prompts have a home on the ring and are copied from it without notes

Cause: a short prompt of 568 shared tokens had no home with more than 12 routers, since each looked for it among three engines drawn at random, and none was copied; each engine read the parts again after each change of weights.

Change: the home is the first free engine with the same weights on the prompt's ring, which all routers compute; other engines copy from the first on the ring without knowing whether it holds the prompt, which costs about a ms.

--- a/berylnotch/entry/candidates.py
+++ b/berylnotch/entry/candidates.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from itertools import islice
 
 from berylnotch.entry.model import Placing
@@ -50,6 +50,46 @@
     return home, near + held + drawn
 
 
+def homes_by_weights(
+    targets: Collection[Target], placing: Placing
+) -> dict[int | None, Target]:
+    """Return the home of a prompt among the free engines of each version of weights."""
+    homes: dict[int | None, Target] = {}
+    versions = {t.version(placing.model) for t in placing.weights_samples()}
+    for target in _along_ring(targets, placing):
+        version = target.version(placing.model)
+        if version not in homes and is_free(target, placing):
+            homes[version] = target
+            if len(homes) >= len(versions):
+                break
+    return homes
+
+
+def ring_source(
+    targets: Collection[Target], placing: Placing, taker: Target
+) -> Target | None:
+    """Return the engine next to a prompt's place on the ring from which to copy it.
+
+    For the home this is the engine that was the home before it, if any was.
+    """
+    version = taker.version(placing.model)
+    for target in _along_ring(targets, placing):
+        if target is taker or target.version(placing.model) != version:
+            continue
+        is_dark = target.is_suspect or target.ejection.blocks(placing.now)
+        if not (is_dark or target.is_loading or target.is_leaving):
+            return target
+    return None
+
+
+def _along_ring(targets: Collection[Target], placing: Placing) -> Iterable[Target]:
+    """Return the targets in the order that a prompt decides, alike at all routers."""
+    path = placing.chain.path
+    if placing.walk is not None:
+        return placing.walk(path)
+    return sorted(targets, key=lambda t: mix(t.target_id, path))
+
+
 def usable_targets(targets: Collection[Target], placing: Placing) -> list[Target]:
     """Return the candidates, without those to avoid if there are others."""
     usable = [t for t in targets if _is_candidate(t, placing)]
--- a/berylnotch/entry/choice.py
+++ b/berylnotch/entry/choice.py
@@ -9,7 +9,14 @@
 
 from collections.abc import Collection, Iterable
 
-from berylnotch.entry.candidates import drawn_targets, near_targets
+from attrs import evolve
+
+from berylnotch.entry.candidates import (
+    drawn_targets,
+    homes_by_weights,
+    near_targets,
+    ring_source,
+)
 from berylnotch.entry.model import Choice, Placing
 from berylnotch.entry.pricing import Holders, begins_in_time, price, priced, worth_ms
 from berylnotch.entry.targets import Target
@@ -27,10 +34,12 @@
 #: which none holds.
 HOME_MS = 80.0
 
-#: Shared tokens of a short prompt from which it has a home too, and the advantage of
-#: that, as a multiple of the time to read them.
+#: Shared tokens of a short prompt from which it has a home too.
 MIN_AFFINITY_TOKENS = 128
-AFFINITY_FACTOR = 2.0
+
+#: Cost of reading the shared parts of a short prompt elsewhere than at its home, in ms
+#: for 1,000 tokens: where the home has not read them yet, it does so again later.
+AWAY_MS_PER_K = 120.0
 
 
 def choose(targets: Collection[Target], placing: Placing) -> Choice | None:
@@ -59,29 +68,35 @@
 def _choose_anywhere(targets: Collection[Target], placing: Placing) -> Choice | None:
     """Return the best target for a request that belongs to no engine, or None.
 
-    A short prompt leans to an engine that all routers compute alike from its shared
-    parts, as far as the time to read them counts.
+    A short prompt has a home that all routers compute alike from its shared parts,
+    among the engines with the same weights. Other engines copy from it, whether it
+    holds them or not: to ask costs less than to read, and nobody needs to be told.
     """
     usable = drawn_targets(targets, placing)
+    homes: dict[int | None, Target] = {}
+    if placing.model and placing.chain.shared_tokens >= MIN_AFFINITY_TOKENS:
+        homes = homes_by_weights(targets, placing)
+        known = {target.target_id for target in usable}
+        usable += [t for t in homes.values() if t.target_id not in known]
     unread, costs = placing.prompt_tokens, placing.costs
     choices = [
         priced(t, placing, costs.read_ms(unread, t.load), unread=unread) for t in usable
     ]
     choices = [c for c in choices if begins_in_time(c, placing)]
-    home, gain_ms = None, 0.0
-    if placing.model and placing.chain.shared_tokens >= MIN_AFFINITY_TOKENS:
-        path = placing.chain.path
-        gain_ms = AFFINITY_FACTOR * costs.read_ms(placing.chain.shared_tokens, 0)
-        home = min(usable, key=lambda t: mix(t.target_id, path), default=None)
+    away_ms = AWAY_MS_PER_K * placing.chain.shared_tokens / 1000
 
     def cost_ms(choice: Choice) -> float:
-        return worth_ms(choice, placing) - (gain_ms if choice.target is home else 0.0)
+        home = homes.get(choice.target.version(placing.model), choice.target)
+        return worth_ms(choice, placing) + (away_ms if home is not choice.target else 0)
 
-    return min(
+    best = min(
         choices,
         key=lambda c: (cost_ms(c), mix(c.target.target_id, "")),
         default=None,
     )
+    if best is None or not homes:
+        return best
+    return evolve(best, source=ring_source(targets, placing, best.target))
 
 
 def usable_in_s(targets: Iterable[Target], placing: Placing) -> float | None:
--- a/berylnotch/entry/model.py
+++ b/berylnotch/entry/model.py
@@ -58,6 +58,8 @@
     walk : callable or None
         Returns the targets in the order that a key decides, alike at all routers;
         None to compare their hashes.
+    weights_samples : callable
+        Returns a target for each set of weights that is in use.
     costs : EngineCosts
         Times of the engines.
     """
@@ -80,6 +82,7 @@
     holders: Callable[[], Collection[Target]] = lambda: ()
     saved: Callable[[Target], int] = lambda target: 0
     walk: Callable[[str], Iterator[Target]] | None = None
+    weights_samples: Callable[[], Collection[Target]] = lambda: ()
     costs: EngineCosts = field(factory=EngineCosts)
 
 
--- a/berylnotch/entry/placing.py
+++ b/berylnotch/entry/placing.py
@@ -67,6 +67,7 @@
         run=run,
         holders=holders,
         saved=saved,
+        weights_samples=lambda: targets.weights_samples(service.name),
         walk=lambda key: targets.ring(service.name).walk(key),
         costs=context.costs(service),
         failure_domain=context.fleet.failure_domain,
@@ -103,6 +104,9 @@
         fetch_from = choice.source.listed.address if choice.source else store
         if store and placing.saved(target) < len(placing.chain.levels):
             save_to = store
+    elif choice.source is not None and not run_origin:
+        # A source that lacks the prompt costs about a ms too.
+        fetch_from = choice.source.listed.address
     is_first = last_event is None
     return TargetHeaders(
         deadline_s=left_s,
