entry: how late first events came counts before older weights are used; engines are emptied longer

Change: the worst overshoot of late is learned and added to the expected delay before a request goes to older weights; an engine is emptied for up to 4 s, or until 0.85 of the bound.

--- a/berylnotch/daemon/fleet/weights.py
+++ b/berylnotch/daemon/fleet/weights.py
@@ -29,14 +29,14 @@
 
 #: Longest time in seconds for which an engine is emptied of long requests before it
 #: loads; it serves short ones meanwhile.
-EMPTY_S = 3.0
+EMPTY_S = 4.0
 
 #: The same for an engine whose weights must not be used for much longer: runs that
 #: can go on at another engine have left by then.
 EMPTY_OVERDUE_S = 0.5
 
 #: Part of the time that operators allow on older weights from which that holds.
-EMPTY_PART = 0.65
+EMPTY_PART = 0.85
 
 #: Seconds from telling routers until their last long request has been reported, and
 #: between two looks whether the long requests have ended.
--- a/berylnotch/entry/model.py
+++ b/berylnotch/entry/model.py
@@ -39,6 +39,8 @@
     wait_part : float
         Part of the queue at an engine that the request waits for; engines admit urgent
         ones before the others.
+    overshoot_ms : float
+        Time by which first events came later than expected, at worst.
     failure_domain : str
         Where the router is.
     excluded : collection of str
@@ -74,6 +76,7 @@
     chain: Chain = NO_CHAIN
     prompt_tokens: int = 0
     wait_part: float = 1.0
+    overshoot_ms: float = 0.0
     failure_domain: str = ""
     excluded: Collection[str] = ()
     sample: int = 0
--- a/berylnotch/entry/placing.py
+++ b/berylnotch/entry/placing.py
@@ -62,6 +62,7 @@
         wait_part=context.meter(service.name).wait_part(
             admitted.priority, admitted.is_urgent
         ),
+        overshoot_ms=context.meter(service.name).overshoot_ms,
         sample=settings.sample if is_crowded else 0,
         draw=random.randrange,
         run=run,
--- a/berylnotch/entry/pricing.py
+++ b/berylnotch/entry/pricing.py
@@ -124,7 +124,10 @@
     outdated_s = placing.outdated_s(choice.target.version(placing.model) or 0)
     if not outdated_s:
         return True
-    return outdated_s + BEGIN_FACTOR * choice.delay_ms / 1000 < placing.stale_s
+    latest_ms = max(
+        BEGIN_FACTOR * choice.delay_ms, choice.delay_ms + placing.overshoot_ms
+    )
+    return outdated_s + latest_ms / 1000 < placing.stale_s
 
 
 def priced(target: Target, placing: Placing, own_ms: float, **changes: Any) -> Choice:
--- a/berylnotch/entry/reading.py
+++ b/berylnotch/entry/reading.py
@@ -44,6 +44,7 @@
         #: Prompt tokens that the target had to read before this request's.
         self._ahead = choice.target.total_unread
         self._queue_ms = choice.queue_ms
+        self._expected_ms = choice.delay_ms
         self._has_begun = False
 
     def begin(self) -> None:
@@ -86,6 +87,7 @@
 
     def _measure(self, took_ms: float) -> None:
         meter = self._context.meter(self._target.listed.service)
+        meter.note_overshoot(self._expected_ms, took_ms)
         admitted = self._admitted
         meter.note_wait(
             admitted.priority,
--- a/berylnotch/placement/costs.py
+++ b/berylnotch/placement/costs.py
@@ -39,6 +39,10 @@
 MIN_QUEUE_MS = 50.0
 PART_STEP = 0.1
 
+#: Part that is kept, with each answer, of the most by which one came later than
+#: expected: half of it after about 70 answers in time.
+OVERSHOOT_KEPT = 0.99
+
 #: Tokens in a ms that an engine takes over from another, or from a store, where the
 #: configuration does not state its links.
 DEFAULT_COPY_PER_MS = 1500.0
@@ -98,6 +102,7 @@
     _xx: float = 0.0
     _xy: float = 0.0
     _parts: dict[int, float] = field(factory=dict)
+    _overshoot_ms: float = 0.0
     _line: tuple[float, float] = field(default=(START_BASE_MS, START_TOKEN_MS))
 
     @property
@@ -110,6 +115,16 @@
         """Time to read a prompt token, in ms."""
         return self._line[1]
 
+    @property
+    def overshoot_ms(self) -> float:
+        """Time by which first events came later than expected, in ms, at worst."""
+        return self._overshoot_ms
+
+    def note_overshoot(self, expected_ms: float, took_ms: float) -> None:
+        """Take when a first event came, and when it was expected."""
+        kept = OVERSHOOT_KEPT * self._overshoot_ms
+        self._overshoot_ms = max(kept, took_ms - expected_ms)
+
     def wait_part(self, priority: int, is_urgent: bool) -> float:
         """Return the part of the queue that requests of a priority wait for."""
         start = START_URGENT_PART if is_urgent else START_PART
--- a/tests/test_entry/test_choice.py
+++ b/tests/test_entry/test_choice.py
@@ -278,3 +278,67 @@
     assert choose([emptying, other], long_request()).target is other
     assert choose([emptying, other], short_request()).target is emptying
     assert choose([emptying], long_request()).target is emptying
+
+
+def test_requests_that_came_later_than_expected_before_count_for_the_next():
+    old = make_target("old", version=1)
+    outdated = {"wanted_version": 2, "outdated_s": lambda v: 8.0, "stale_s": 9.0}
+    assert choose([old], short_request(**outdated, overshoot_ms=500.0)) is not None
+    assert choose([old], short_request(**outdated, overshoot_ms=1500.0)) is None
+
+
+def crowd(engines, **changes):
+    """Return a short request of one of many routers, which look at few engines."""
+    rng = random.Random(3)
+    ring = Ring([(e.target_id, e) for e in engines])
+    return short_request(
+        shared_id="s0",
+        shared_tokens=600,
+        prompt_tokens=2400,
+        sample=3,
+        draw=rng.randrange,
+        walk=ring.walk,
+        weights_samples=lambda: {e.listed.models: e for e in engines}.values(),
+        **changes,
+    )
+
+
+def test_all_of_many_routers_find_the_home_of_a_short_prompt():
+    engines = names(40)
+    chosen = {choose(engines, crowd(engines)).target.target_id for _ in range(20)}
+    assert len(chosen) == 1
+
+
+def test_other_engines_copy_a_short_prompt_from_its_home_without_notes():
+    engines = names(40)
+    home = choose(engines, crowd(engines)).target
+    home.in_flight = 60
+    choice = choose(engines, crowd(engines))
+    assert choice.target is not home and choice.source is home
+
+
+def test_a_new_home_copies_from_the_engine_that_was_home_before():
+    engines = names(40)
+    for engine in engines[20:]:
+        engine.listed = make_target(engine.target_id, version=2).listed
+    before = choose(engines[20:], crowd(engines[20:])).target
+    order = Ring([(e.target_id, e) for e in engines]).walk("s0")
+    joined = next(e for e in order if e in engines[:20])
+    joined.listed = make_target(joined.target_id, version=2).listed
+    now = [*engines[20:], joined]
+    choice = choose(now, crowd(now))
+    if choice.target is joined:
+        assert choice.source is before
+    else:
+        assert choice.target is before
+
+
+def test_a_short_prompt_is_not_copied_from_other_weights_or_a_dark_engine():
+    old, new = make_target("old"), make_target("new", version=2)
+    placing = crowd([old, new], wanted_version=2, fresh_s=0.5, outdated_s=lambda v: 1.0)
+    assert choose([new], crowd([new])).source is None
+    new.is_loading = True
+    assert choose([old, new], placing).source is None
+    dark, other = names(2)
+    dark.is_suspect = True
+    assert choose([dark, other], crowd([dark, other])).source is None
--- a/tests/test_placement/test_costs.py
+++ b/tests/test_placement/test_costs.py
@@ -65,3 +65,14 @@
     before = meter.wait_part(1, True)
     wait(1, 5000.0, queue_ms=10.0)
     assert meter.wait_part(1, True) == before
+
+
+def test_the_worst_overshoot_is_remembered_for_a_while():
+    meter = CostMeter()
+    assert meter.overshoot_ms == 0.0
+    meter.note_overshoot(100.0, 2000.0)
+    meter.note_overshoot(100.0, 50.0)
+    assert 1800 < meter.overshoot_ms < 1900
+    for _ in range(500):
+        meter.note_overshoot(100.0, 110.0)
+    assert meter.overshoot_ms == pytest.approx(10.0, abs=5.0)
