placement: copies are taken from the engine that used the prompt last

An engine that holds a prompt for long without use has probably displaced it, and the copy is then a miss and a second reading.

--- a/berylnotch/entry/pricing.py
+++ b/berylnotch/entry/pricing.py
@@ -79,10 +79,15 @@
         if target.is_loading or target.ejection.blocks(self._placing.now):
             return
         best = self._sources.get(version)
-        if run.ready and (best is None or run.ready > self.run(best).ready):
+        if run.ready and (best is None or _is_surer(run, self.run(best))):
             self._sources[version] = target
 
 
+def _is_surer(run: Run, other: Run) -> bool:
+    """Tell whether an engine holds more, or more surely: memory is used again soon."""
+    return (run.ready, run.used_at) > (other.ready, other.used_at)
+
+
 def price(target: Target, placing: Placing, holders: Holders) -> Choice:
     """Return the expected delay at a target, and how it gets the prompt."""
     chain, costs = placing.chain, placing.costs
--- a/berylnotch/placement/mirror.py
+++ b/berylnotch/placement/mirror.py
@@ -53,10 +53,13 @@
         Levels that it has read.
     coming : int
         The same with those that it is about to read.
+    used_at : float
+        When the deepest level that it has read was last used.
     """
 
     ready: int = 0
     coming: int = 0
+    used_at: float = field(default=0.0, eq=False)
 
 
 #: Run of an engine that holds nothing of a prompt.
@@ -112,14 +115,16 @@
         if target_id not in self._engines:
             return NO_RUN
         ready = coming = 0
+        used_at = 0.0
         for count in range(len(marks), 0, -1):
             holding = self.holding(now, target_id, marks[count - 1])
             if holding is not Holding.NONE and not coming:
                 coming = count
             if holding is Holding.READY:
                 ready = count
+                used_at = self._engines[target_id].prompts[marks[count - 1]].noted_at
                 break
-        return Run(ready, coming) if coming else NO_RUN
+        return Run(ready, coming, used_at) if coming else NO_RUN
 
     def holders(
         self, marks: Sequence[int], limit: int, draw: Callable[[int], int]
