--- a/berylnotch/orders/rolling.py
+++ b/berylnotch/orders/rolling.py
@@ -15,11 +15,12 @@
 #: The same while the engines are busy: those that stay serve cold for a while.
 BUSY_LOADING_PART = 0.2
 
-#: Requests under way at each serving engine from which a service counts as busy.
-BUSY_REQUESTS = 4.0
+#: Requests under way at each serving engine from which a service counts as busy, and
+#: the same as a part of an engine's slots; the larger one counts.
+BUSY_REQUESTS, BUSY_SLOTS_PART = 4.0, 0.25
 
 #: The same from which no further engine is taken away.
-FULL_REQUESTS = 14.0
+FULL_REQUESTS, FULL_SLOTS_PART = 14.0, 0.5
 
 #: Part of the time that operators allow on older weights after which an engine loads,
 #: however busy it is; the rest is for the loads themselves.
@@ -98,9 +99,11 @@
     under_way = sum(engine.target_id in loading for engine in healthy)
     serving = max(1, len(healthy) - under_way)
     requests = sum(busy.get(engine.target_id, 0) for engine in healthy) / serving
-    if requests >= FULL_REQUESTS and under_way:
+    slots = max((engine.slots for engine in healthy), default=0)
+    if requests >= max(FULL_REQUESTS, FULL_SLOTS_PART * slots) and under_way:
         return 0
-    part = BUSY_LOADING_PART if requests >= BUSY_REQUESTS else LOADING_PART
+    is_busy = requests >= max(BUSY_REQUESTS, BUSY_SLOTS_PART * slots)
+    part = BUSY_LOADING_PART if is_busy else LOADING_PART
     most = max(1, int(len(healthy) * part))
     if len(healthy) > 1:
         most = min(most, len(healthy) - 1)
