--- a/berylnotch/entry/candidates.py
+++ b/berylnotch/entry/candidates.py
@@ -16,6 +16,9 @@
 #: Engines that hold a part of a prompt and are compared for it, at the most.
 MAX_HOLDERS = 12
 
+#: Seconds after a load for which an engine holds little of what is in use.
+FRESH_S = 2.0
+
 #: Random draws for each target of a sample, before all targets are looked at: with
 #: half of them usable, one sample in a thousand is not complete by then.
 DRAWS_PER_SAMPLE = 6
@@ -70,16 +73,21 @@
 ) -> Target | None:
     """Return the engine next to a prompt's place on the ring from which to copy it.
 
-    For the home this is the engine that was the home before it, if any was.
+    For the home this is the engine that was the home before it, if any was. One that
+    has just loaded its weights holds little yet.
     """
     version = taker.version(placing.model)
+    fresh = None
     for target in _along_ring(targets, placing):
         if target is taker or target.version(placing.model) != version:
             continue
         is_dark = target.is_suspect or target.ejection.blocks(placing.now)
-        if not (is_dark or target.is_loading or target.is_leaving):
+        if is_dark or target.is_loading or target.is_leaving:
+            continue
+        if placing.now - target.weights_at > FRESH_S:
             return target
-    return None
+        fresh = fresh or target
+    return fresh
 
 
 def _along_ring(targets: Collection[Target], placing: Placing) -> Iterable[Target]:
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -57,6 +57,9 @@
         Moving average of its answer times, plain targets only.
     heard_at : float
         Boot time at which it last sent a part of an answer.
+    weights_at : float
+        Boot time at which it was first seen with its present weights, 0 if it had
+        them when it was first seen.
     is_suspect : bool
         Whether several routers left it out after failures.
     unread : int
@@ -82,6 +85,7 @@
     failure_rate: float = 0.0
     latency_s: float = 0.0
     heard_at: float = 0.0
+    weights_at: float = 0.0
     is_suspect: bool = False
 
     @property
@@ -289,6 +293,8 @@
             target = Target(listed, Ejection(self._settings.membership))
         if is_other:
             self._drop_idle(known)
+        if target.listed.models != listed.models:
+            target.weights_at = boot_time()
         target.listed = listed
         if entry.is_loading and not target.is_loading:
             target.loading_until = boot_time() + self._settings.load_s
--- a/tests/test_entry/test_choice.py
+++ b/tests/test_entry/test_choice.py
@@ -333,6 +333,17 @@
         assert choice.target is before
 
 
+def test_an_engine_that_has_just_loaded_is_the_last_to_copy_from():
+    engines = names(40)
+    home = choose(engines, crowd(engines)).target
+    home.in_flight, home.weights_at = 60, 99.0
+    choice = choose(engines, crowd(engines))
+    assert choice.source not in (home, None)
+    for engine in engines:
+        engine.weights_at = 99.0
+    assert choose(engines, crowd(engines)).source is home
+
+
 def test_a_short_prompt_is_not_copied_from_other_weights_or_a_dark_engine():
     old, new = make_target("old"), make_target("new", version=2)
     placing = crowd([old, new], wanted_version=2, fresh_s=0.5, outdated_s=lambda v: 1.0)
