net: bytes of a target that are no answer and do not end are left after a bounded number

Bodies had bounds before. A line without an end in a stream was searched from its first byte again with each piece.

--- a/berylnotch/entry/events.py
+++ b/berylnotch/entry/events.py
@@ -10,6 +10,7 @@
 MAX_EVENT_BYTES = 1024 * 1024
 
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
+_BOUNDARY_BYTES = 4
 _DATA = re.compile(rb"(?:\A|\n)data[:\r\n]")
 _ID = re.compile(rb"(?:\A|\n)id:[ \t]*(\d+)")
 
@@ -40,10 +41,12 @@
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that these bytes complete."""
+        # A boundary may have begun in the bytes before, which hold no whole one.
+        searched = max(0, len(self._tail) - _BOUNDARY_BYTES)
         self._tail += data
         events = []
         start = 0
-        for match in _BOUNDARY.finditer(self._tail):
+        for match in _BOUNDARY.finditer(self._tail, searched):
             part = self._tail[start : match.end()]
             found = _ID.search(part)
             events.append(StreamEvent(part, int(found[1]) if found else None))
--- a/berylnotch/net/client.py
+++ b/berylnotch/net/client.py
@@ -17,6 +17,10 @@
 
 _READ_BYTES = 64 * 1024
 
+#: Bytes beside the body of the own answer that are taken for one request, beyond as
+#: many as the body has: heads, interim and foreign answers, chunk sizes, trailers.
+MAX_OVERHEAD_BYTES = 256 * 1024
+
 
 class Failure(Enum):
     """How far an exchange came before its connection failed."""
@@ -98,6 +102,8 @@
         self._is_head_read = False
         self._is_complete = False
         self._method = "GET"
+        self._received = 0
+        self._handed_on = 0
         self._parser: httptools.HttpResponseParser | None = None
         self._headers = Headers()
         #: Boot time at which the connection became idle.
@@ -133,6 +139,7 @@
         self._requests += 1
         self._has_sent = False
         self._is_skipping = False
+        self._received = self._handed_on = 0
         self._method = request.method
         self._new_parser()
         self._output += request.encode()
@@ -244,9 +251,13 @@
                     self._is_reusable = False
                     self._fail(f"no HTTP answer: {error}")
                     return
+            self._received += len(data)
             data = b""
             if self._is_complete:
                 self._message_ended()
+            elif self._received > MAX_OVERHEAD_BYTES + 2 * self._handed_on:
+                self._is_reusable = False
+                self._fail(f"no whole answer in {self._received} bytes")
 
     def _end_of_input(self) -> None:
         sink = self._sink
@@ -293,6 +304,7 @@
         """Hand a part of the body on."""
         if self._is_complete or self._is_skipping or self._sink is None:
             return
+        self._handed_on += len(data)
         self._sink.on_body(data)
 
     def on_message_complete(self) -> None:
--- a/tests/test_entry/test_events.py
+++ b/tests/test_entry/test_events.py
@@ -1,8 +1,10 @@
 """Events are cut out of a stream without changing a byte."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from berylnotch.entry import events
 from berylnotch.entry.events import EventSplitter
 
 EVENTS = [
@@ -29,3 +31,34 @@
     splitter = EventSplitter()
     assert splitter.feed(b"id: 1\ndata: a\n") == []
     assert splitter.tail == b"id: 1\ndata: a\n"
+
+
+class Spy:
+    """A pattern that notes how many bytes it was given to search."""
+
+    def __init__(self, pattern):
+        self.pattern, self.searched = pattern, 0
+
+    def finditer(self, data, start):
+        self.searched += len(data) - start
+        return self.pattern.finditer(data, start)
+
+
+def test_a_line_without_end_is_looked_through_once(monkeypatch):
+    spy = Spy(events._BOUNDARY)
+    monkeypatch.setattr(events, "_BOUNDARY", spy)
+    splitter, piece = EventSplitter(), b"data: more " * 5
+    for _ in range(2_000):
+        assert splitter.feed(piece) == []
+    assert spy.searched < 2 * 2_000 * len(piece)
+    (event,) = splitter.feed(b"\n\n")
+    assert len(event.data) == 2_000 * len(piece) + 2
+
+
+@pytest.mark.parametrize("cut", range(1, 4))
+def test_a_boundary_is_found_wherever_it_was_cut(cut):
+    splitter = EventSplitter()
+    boundary = b"\r\n\r\n"
+    assert splitter.feed(b"id: 1\ndata: x" + boundary[:cut]) == []
+    (event,) = splitter.feed(boundary[cut:])
+    assert event.number == 1
