--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from berylnotch.entry.events import MAX_EVENT_BYTES, EventSplitter
+from berylnotch.entry.judging import is_encoded, passed_on, problem_of
 from berylnotch.entry.moving import MovedRun, RunMove
 from berylnotch.entry.reading import PromptReading
 from berylnotch.entry.results import AttemptEnd, AttemptOwner, AttemptResult
@@ -15,9 +16,7 @@
     ResponseHead,
     ResponseSink,
 )
-from berylnotch.net.messages import Headers
 from berylnotch.platform.requests import (
-    AnswerHead,
     TargetHeaders,
     decode_answer,
     encode_for_target,
@@ -207,7 +206,10 @@
             return False
         self._head = head
         if head.headers.get("Connection").lower() == "close":
-            self._connection_closing(head)
+            # It leaves soon.
+            self._context.log.info(
+                "target_closes", target=self._target.target_id, status=head.status
+            )
         content_type = head.headers.get("Content-Type").lower()
         self._is_stream = head.status == 200 and "text/event-stream" in content_type
         return True
@@ -216,7 +218,7 @@
         """Take a part of the body."""
         if self._is_over:
             return
-        if self._is_encoded:
+        if is_encoded(self._head):
             self._break_off("encoded answer")
             return
         if not self._is_stream:
@@ -233,7 +235,7 @@
             if event.is_progress:
                 # Bytes alone, or comments, do not show that the stream goes on.
                 self._heard_at = self._target.heard_at = boot_time()
-            self._owner.stream_began(200, self._stream_headers())
+            self._owner.stream_began(200, passed_on(self._head))
             self._owner.event(event.data, event.number)
             if self._is_over:
                 return
@@ -253,7 +255,8 @@
         answer = decode_answer(self._head.status, self._head.headers)
         target, status = self._target, self._head.status
         self._leave()
-        problem = self._problem(answer)
+        tail = self._splitter.tail if self._is_stream else None
+        problem = problem_of(self._head, answer, tail, self._is_in_doubt)
         if problem:
             self._connection.close()
             self._end(AttemptEnd.BROKEN, problem)
@@ -275,38 +278,16 @@
             target.ejection.abandoned(self._number)
         target.note_outcome(status >= 500, boot_time() - self._sent_at)
         self._count(f"status-{status // 100}xx")
-        headers = self._head.headers.end_to_end().without(("content-length",))
         self._owner.ended(
             AttemptResult(
                 target,
                 AttemptEnd.ANSWERED,
                 status=status,
-                headers=headers,
+                headers=passed_on(self._head),
                 body=bytes(self._body),
             )
         )
 
-    @property
-    def _is_encoded(self) -> bool:
-        """Whether the body is in an encoding that no caller asked for."""
-        encoding = self._head.headers.get("Content-Encoding").lower()
-        return self._head.status < 300 and encoding not in ("", "identity")
-
-    def _problem(self, answer: AnswerHead) -> str:
-        """Return why an answer is not the target's whole one, empty if it is."""
-        if self._head.status >= 300:
-            return ""
-        if not answer.stamp:
-            return "answer without a stamp"
-        if self._is_encoded:
-            return "encoded answer"
-        if self._is_stream and self._splitter.tail and not self._head.is_delimited:
-            # The end of the connection is the end of the stream, or a loss.
-            return "stream ends within an event"
-        if self._is_in_doubt and not self._head.is_delimited:
-            return "stream ends, and may have been stopped"
-        return ""
-
     def on_failure(self, failure: Failure, reason: str) -> None:
         """Judge a failed connection."""
         if self._is_over:
@@ -385,22 +366,11 @@
     def _end_stream(self) -> None:
         self._target.ejection.succeeded(self._number, self._sent_at)
         self._target.note_outcome(has_failed=False)
-        self._owner.stream_began(200, self._stream_headers())
+        self._owner.stream_began(200, passed_on(self._head))
         if self._splitter.tail:
             self._owner.event(self._splitter.tail, None)
         self._end(AttemptEnd.STREAM_COMPLETE, "")
 
-    def _stream_headers(self) -> Headers:
-        return self._head.headers.end_to_end().without(("content-length",))
-
-    def _connection_closing(self, head: ResponseHead) -> None:
-        """Expect a target that closes its connections to leave soon."""
-        self._context.log.info(
-            "target_closes",
-            target=self._target.target_id,
-            status=head.status,
-        )
-
     def _break_off(self, reason: str) -> None:
         self._leave()
         self._connection.close()
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -12,17 +12,23 @@
 from berylnotch.entry.attempt import Attempt
 from berylnotch.entry.choice import choose, usable_in_s
 from berylnotch.entry.context import EntryContext
+from berylnotch.entry.crash_trail import CrashTrail
 from berylnotch.entry.model import Choice, Placing
 from berylnotch.entry.moving import MovedRun
 from berylnotch.entry.placing import make_placing, make_told
 from berylnotch.entry.quota_gate import Charge
-from berylnotch.entry.records import Progress, RequestEnd, note_end, note_sent
+from berylnotch.entry.records import (
+    Progress,
+    RequestEnd,
+    note_end,
+    note_retry,
+    note_sent,
+)
 from berylnotch.entry.refusals import Reason
 from berylnotch.entry.relocation import MIN_REST_S, Relocation
 from berylnotch.entry.reply import Reply
 from berylnotch.entry.results import AttemptEnd, AttemptResult
 from berylnotch.entry.targets import Target
-from berylnotch.membership.crashes import light_fingerprint
 from berylnotch.net.server import ServerConnection
 from berylnotch.platform.requests import refusal_headers
 from berylnotch.quota.bounds import is_limited
@@ -82,8 +88,7 @@
         connection.on_drained = self._drained
         self._deadline = request.received_at + limit_s
         self._timer: Timer | None = None
-        self._fingerprint = b""
-        self._target_id = ""
+        self._trail = CrashTrail(context, admitted)
         self._relocation = Relocation(context, admitted)
 
     # Facts for the log.
@@ -130,13 +135,9 @@
             self._begin()
 
     def _begin(self) -> None:
-        admitted, context = self._admitted, self._context
-        self._service = pick_service(admitted.route.splits, random.random())
-        request = admitted.request
-        self._fingerprint = light_fingerprint(
-            admitted.organisation_name, request.target.encode() + b"\0" + request.body
-        )
-        if context.crashes.is_refused(boot_time(), self._fingerprint, context.losses):
+        splits = self._admitted.route.splits
+        self._service = pick_service(splits, random.random())
+        if self._trail.is_refused:
             self._fail(502, Reason.CRASHES, "three targets were lost with it")
             return
         self._context.budget(self._service).earn(boot_time())
@@ -184,8 +185,7 @@
             self._reply.last_event,
             self._relocation.origin,
         )
-        self._target_id = target.target_id
-        self._context.crashes.began(self._fingerprint, target.target_id)
+        self._trail.began(target.target_id)
         note_sent(self._context, self._admitted, placing, choice, told, self._progress)
         self._attempt = Attempt(self._context, choice, self._admitted, told, self)
         self._attempt.start()
@@ -213,7 +213,7 @@
         """Return the engine at which the run should go on, None if it stays."""
         if self._reply.last_event is None or self._left_s < MIN_REST_S:
             return None
-        source = self._context.targets.get(self._target_id)
+        source = self._context.targets.get(self._trail.target_id)
         excluded = {*self._tried, *without_room}
         return self._relocation.refuge(self._service, source, excluded)
 
@@ -246,8 +246,8 @@
         if self._is_over:
             return
         if result.is_lost:
-            self._context.lost_target(target.target_id, self._fingerprint)
-        self._leave_target()
+            self._trail.lost(target.target_id)
+        self._trail.ended()
         if result.end is AttemptEnd.MOVED:
             self._progress.moves += 1
             self._go_on(result.moved, result.moved.refuge)
@@ -259,7 +259,7 @@
         if not is_not_run:
             self._progress.runs += 1
         if result.end is AttemptEnd.STREAM_COMPLETE:
-            self._context.crashes.completed(self._fingerprint, boot_time())
+            self._trail.completed()
             self._reply.end_stream()
             self._finish("served", 200, target)
         elif result.end is AttemptEnd.ANSWERED:
@@ -267,12 +267,6 @@
         else:
             self._retry(result, is_run=not is_not_run)
 
-    def _leave_target(self) -> None:
-        """Note that no target runs the request any more."""
-        if self._target_id:
-            self._context.crashes.ended(self._fingerprint, self._target_id)
-            self._target_id = ""
-
     def _answered(self, result: AttemptResult) -> None:
         status, route = result.status, self._admitted.route
         if self._reply.has_head:
@@ -288,7 +282,7 @@
                     self._send()
                     return
         if not is_failure:
-            self._context.crashes.completed(self._fingerprint, boot_time())
+            self._trail.completed()
         self._reply.respond(status, result.headers, result.body)
         self._finish(
             "served" if status < 400 else "target_failed", status, result.target
@@ -323,17 +317,9 @@
             self._send()
 
     def _note_retry(self, result: AttemptResult, reason: str) -> None:
-        self._context.metrics.count(
-            "berylnotch_retries_total", Label("service", self._service)
-        )
-        self._context.log.warning(
-            "sent_again",
-            id=self._id,
-            target=result.target.target_id,
-            reason=reason,
-            sends=self._progress.sends,
-            runs=self._progress.runs,
-            last_event=self._reply.last_event,
+        last_event = self._reply.last_event
+        note_retry(
+            self._context, self._admitted, self._progress, result, reason, last_event
         )
 
     # Ends without an answer of a target.
@@ -414,7 +400,7 @@
     ) -> None:
         self._is_over = True
         self._attempt = None
-        self._leave_target()
+        self._trail.ended()
         if self._timer is not None:
             self._timer.cancel()
         end = RequestEnd(
--- a/berylnotch/entry/records.py
+++ b/berylnotch/entry/records.py
@@ -7,6 +7,7 @@
 from berylnotch.entry.admitted import Admitted
 from berylnotch.entry.context import EntryContext
 from berylnotch.entry.model import Choice, Placing
+from berylnotch.entry.results import AttemptResult
 from berylnotch.platform.requests import TargetHeaders
 from berylnotch.util.metrics import Label
 
@@ -92,6 +93,28 @@
     )
 
 
+def note_retry(
+    context: EntryContext,
+    admitted: Admitted,
+    progress: Progress,
+    result: AttemptResult,
+    reason: str,
+    last_event: int | None,
+) -> None:
+    """Log and count that a request goes to one more target."""
+    listed = result.target.listed
+    context.metrics.count("berylnotch_retries_total", Label("service", listed.service))
+    context.log.warning(
+        "sent_again",
+        id=admitted.caller.request_id,
+        target=listed.target_id,
+        reason=reason,
+        sends=progress.sends,
+        runs=progress.runs,
+        last_event=last_event,
+    )
+
+
 def note_end(
     context: EntryContext, admitted: Admitted, progress: Progress, end: RequestEnd
 ) -> None:
