placement: a bounded look along the ring; patience of an attempt is a module of its own

In a fleet of hundreds of engines of which none with some weights is free, a short prompt looked at all of them. With up to 64 engines nothing changes, nor by the new module; the two models replay their steps by one function.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -7,6 +7,7 @@
 from berylnotch.entry.events import MAX_EVENT_BYTES, EventSplitter
 from berylnotch.entry.judging import is_encoded, passed_on, problem_of
 from berylnotch.entry.moving import MovedRun, RunMove
+from berylnotch.entry.patience import Waiting, overdue_at
 from berylnotch.entry.reading import PromptReading
 from berylnotch.entry.results import AttemptEnd, AttemptOwner, AttemptResult
 from berylnotch.entry.signals import take_signals
@@ -40,15 +41,6 @@
 #: gets no request; by then the leader knows more.
 MISDIRECTED_S = 0.4
 
-#: Multiple of the longest pause that is in time within which a stream is slow, not
-#: stalled.
-STALL_FACTOR = 3.0
-
-#: Multiple of the delay expected at the choice, and seconds beside it, within which a
-#: target is busy and not stuck.
-EXPECTED_FACTOR = 2.0
-EXPECTED_MARGIN_S = 1.0
-
 #: Seconds until a run that found no place is looked at again.
 MOVE_RETRY_S = 0.8
 
@@ -162,20 +154,18 @@
         if self._move is not None:
             self._context.loop.call_later(MOVE_RETRY_S, self._watch_answer)
             return
-        settings, now = self._context.settings, boot_time()
-        route = self._admitted.route
-        if self._is_stream and self._heard_at:
-            stall_s = max(settings.stall_s, STALL_FACTOR * route.max_gap_s)
-            overdue_at = self._heard_at + stall_s
-        else:
-            overdue_at = self._sent_at + settings.slow_factor * route.target_latency_s
-        if self._head is None and self._admitted.is_stream:
-            # An engine that answers others, or has much to read, is busy, not lost.
-            expected_s = EXPECTED_FACTOR * self._expected_s + EXPECTED_MARGIN_S
-            heard_until = self._target.heard_at + settings.stall_s
-            overdue_at = max(overdue_at, self._sent_at + expected_s, heard_until)
-        if now < overdue_at or not route.target_latency_s:
-            delay_s = max(0.05, overdue_at - now)
+        route, now = self._admitted.route, boot_time()
+        waiting = Waiting(
+            self._sent_at,
+            self._expected_s,
+            self._admitted.is_stream,
+            self._head is not None,
+            self._heard_at if self._is_stream else 0.0,
+            self._target.heard_at,
+        )
+        overdue = overdue_at(self._context.settings, route, waiting)
+        if now < overdue or not route.target_latency_s:
+            delay_s = max(0.05, overdue - now)
             self._context.loop.call_later(delay_s, self._watch_answer)
         elif self._owner.may_move():
             waited_s = now - (self._heard_at or self._sent_at)
--- a/berylnotch/entry/candidates.py
+++ b/berylnotch/entry/candidates.py
@@ -16,6 +16,9 @@
 #: Engines that hold a part of a prompt and are compared for it, at the most.
 MAX_HOLDERS = 12
 
+#: Engines along a prompt's ring that are looked at for a home or a copy.
+MAX_ALONG_RING = 64
+
 #: Seconds after a load for which an engine holds little of what is in use.
 FRESH_S = 2.0
 
@@ -94,7 +97,7 @@
     """Return the targets in the order that a prompt decides, alike at all routers."""
     path = placing.chain.path
     if placing.walk is not None:
-        return placing.walk(path)
+        return islice(placing.walk(path), MAX_ALONG_RING)
     return sorted(targets, key=lambda t: mix(t.target_id, path))
 
 
--- a/spec/checking.py
+++ b/spec/checking.py
@@ -35,3 +35,14 @@
     paths = [found["counterexample"] for found in result["properties"].values()]
     found = [tuple(step["label"] for step in path[1:]) for path in paths if path]
     return min(found, key=len, default=())
+
+
+def replay(model: Protocol, labels: tuple[str, ...]) -> list[tuple]:
+    """Return the states that these steps lead through, as far as they can."""
+    states = [model.initial]
+    for label in labels:
+        after = dict(model.transitions(states[-1])).get(label)
+        if after is None:
+            break
+        states.append(after)
+    return states
--- a/tests/test_entry/test_choice.py
+++ b/tests/test_entry/test_choice.py
@@ -4,7 +4,9 @@
 from collections import Counter
 
 import pytest
+from attrs import evolve
 
+from berylnotch.entry.candidates import MAX_ALONG_RING
 from berylnotch.entry.choice import choose, usable_in_s
 from berylnotch.placement.mirror import Holding, Run
 from berylnotch.placement.ring import Ring
@@ -333,6 +335,24 @@
         assert choice.target is before
 
 
+def test_a_short_prompt_in_a_large_fleet_is_placed_after_a_look_at_few_engines():
+    engines, walked = names(900), []
+    loading = make_target("new", version=2)
+    loading.is_loading, loading.loading_until = True, 200.0
+    placing = crowd([*engines, loading])
+    ring = Ring([(e.target_id, e) for e in engines])
+
+    def walk(key):
+        for engine in ring.walk(key):
+            walked.append(engine)
+            yield engine
+
+    samples = [engines[0], loading]
+    placing = evolve(placing, walk=walk, weights_samples=lambda: samples)
+    assert choose([*engines, loading], placing).target is walked[0]
+    assert len(walked) <= 2 * MAX_ALONG_RING
+
+
 def test_an_engine_that_has_just_loaded_is_the_last_to_copy_from():
     engines = names(40)
     home = choose(engines, crowd(engines)).target
--- a/tests/test_spec/test_replication.py
+++ b/tests/test_spec/test_replication.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from spec.checking import counterexample, holds
+from spec.checking import counterexample, holds, replay
 from spec.replication import Bounds, Mutation, Replication
 
 
@@ -90,22 +90,15 @@
 )
 
 
-def replay(mutation, labels):
-    """Return the states that these steps lead through, as far as they can."""
+def replay_change(mutation):
+    """Return the states that an early change of members leads through."""
     bounds = Bounds(tuple("abcd"), terms=3, entries=2, changes=1)
-    model = Replication(bounds, mutation).protocol()
-    states = [model.initial]
-    for label in labels:
-        after = dict(model.transitions(states[-1])).get(label)
-        if after is None:
-            break
-        states.append(after)
-    return states
+    return replay(Replication(bounds, mutation).protocol(), EARLY_CHANGE)
 
 
 def test_change_before_an_own_commit_is_unsafe():
-    states = replay(Mutation.CHANGE_TOO_EARLY, EARLY_CHANGE)
+    states = replay_change(Mutation.CHANGE_TOO_EARLY)
     assert len(states) == len(EARLY_CHANGE) + 1
     assert states[-1].overwritten
     assert not any(state.overwritten for state in states[:-1])
-    assert len(replay(Mutation.NONE, EARLY_CHANGE)) == 1
+    assert len(replay_change(Mutation.NONE)) == 1
--- a/tests/test_spec/test_resumption.py
+++ b/tests/test_spec/test_resumption.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from spec.checking import counterexample, holds
+from spec.checking import counterexample, holds, replay
 from spec.resumption import Bounds, Mutation, Resumption, leases
 
 
@@ -65,24 +65,17 @@
 )
 
 
-def replay(mutation, labels):
-    """Return the states that these steps lead through, as far as they can."""
+def replay_loser(mutation):
+    """Return the states that such a loser's attempt to resume leads through."""
     bounds = Bounds(tuple("abcde"), terms=3, removals=2, restarts=3)
-    model = Resumption(bounds, mutation).protocol()
-    states = [model.initial]
-    for label in labels:
-        after = dict(model.transitions(states[-1])).get(label)
-        if after is None:
-            break
-        states.append(after)
-    return states
+    return replay(Resumption(bounds, mutation).protocol(), LOSER_WITH_A_MAJORITY)
 
 
 def test_the_leader_that_was_followed_must_be_durable():
-    states = replay(Mutation.FOLLOWED_NOT_SAVED, LOSER_WITH_A_MAJORITY)
+    states = replay_loser(Mutation.FOLLOWED_NOT_SAVED)
     assert len(states) == len(LOSER_WITH_A_MAJORITY) + 1
     assert [len(leases(state)) for state in states[-3:]] == [1, 1, 2]
-    followed = replay(Mutation.NONE, LOSER_WITH_A_MAJORITY)
+    followed = replay_loser(Mutation.NONE)
     assert LOSER_WITH_A_MAJORITY[len(followed) - 1] == "a supports b in term 2"
 
 
@@ -97,8 +90,6 @@
         "a leads term 2",
         "b answers a in term 2",
     )
-    model = Resumption(Bounds()).protocol()
-    state = model.initial
-    for label in labels:
-        state = dict(model.transitions(state))[label]
-    assert leases(state) == ["a"]
+    states = replay(Resumption(Bounds()).protocol(), labels)
+    assert len(states) == len(labels) + 1
+    assert leases(states[-1]) == ["a"]
