--- a/berylnotch/entry/moving.py
+++ b/berylnotch/entry/moving.py
@@ -16,6 +16,7 @@
     decode_move,
     free_copy_request,
     move_request,
+    run_origin,
 )
 from berylnotch.util.address import parse_address
 from berylnotch.util.metrics import Label
@@ -51,7 +52,7 @@
     @property
     def origin(self) -> str:
         """What tells an engine where the memory of the run is."""
-        return f"{self.source.listed.address}/{self.handle}"
+        return run_origin(self.source.listed.address, self.handle)
 
 
 class RunMove:
--- a/berylnotch/platform/moves.py
+++ b/berylnotch/platform/moves.py
@@ -71,6 +71,11 @@
         return MoveAnswer(503)
 
 
+def run_origin(address: str, handle: str) -> str:
+    """Return what tells an engine where the memory of a stopped run is."""
+    return f"{address}/{handle}"
+
+
 def free_copy_request(host: str, handle: str) -> HttpRequest:
     """Return the call that frees a copy at both of its engines."""
     target = f"/kv-handle/{quote(handle, safe='')}"
