--- a/berylnotch/entry/announcements.py
+++ b/berylnotch/entry/announcements.py
@@ -1,7 +1,8 @@
-"""Handles headers in which targets announce that they leave or are overloaded."""
+"""Handles headers in which targets announce that they leave, are full or limited."""
 
 from __future__ import annotations
 
+import math
 import random
 
 from berylnotch.entry.context import EntryContext
@@ -18,7 +19,11 @@
 
 
 def apply_announcements(
-    context: EntryContext, target: Target, answer: AnswerHead, request_id: str
+    context: EntryContext,
+    target: Target,
+    answer: AnswerHead,
+    request_id: str,
+    sent_at: float,
 ) -> None:
     """Apply what a target announces about itself in the headers of an answer.
 
@@ -33,7 +38,9 @@
     answer : AnswerHead
         Decoded headers of the answer.
     request_id : str
-        Request that was sent to the target, for the log.
+        Request that was sent to the target.
+    sent_at : float
+        Boot time at which the request was sent.
     """
     if answer.is_leaving and not target.has_announced_leaving:
         context.targets.leaves(target)
@@ -56,3 +63,36 @@
             target=target.target_id,
             pause_s=pause_s,
         )
+    _apply_limit(context, target, answer, request_id, sent_at)
+
+
+def _apply_limit(
+    context: EntryContext,
+    target: Target,
+    answer: AnswerHead,
+    request_id: str,
+    sent_at: float,
+) -> None:
+    """Record that a target announces, changes or ends a limit on its requests.
+
+    Answers may overtake each other. An answer without a limit ends the limit only if
+    its request was sent after the limit became known.
+    """
+    limit_per_s = answer.limit_per_s
+    if limit_per_s is None:
+        is_newer = sent_at > target.limit_known_at
+        if answer.request_id != request_id or not target.is_limited or not is_newer:
+            return
+        limit_per_s = math.inf
+    target.limit_known_at = boot_time()
+    if limit_per_s == target.limit_per_s:
+        return
+    context.log.info(
+        "target_limit",
+        id=request_id,
+        target=target.target_id,
+        born_ms=target.listed.born_ms,
+        limit_per_s=limit_per_s,
+        was_per_s=target.limit_per_s,
+    )
+    target.limit_per_s = limit_per_s
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -183,7 +183,11 @@
         """Accept the response head; skip the head of a response to another request."""
         answer = decode_answer(head.status, head.headers)
         apply_announcements(
-            self._context, self._target, answer, self._routed.caller.request_id
+            self._context,
+            self._target,
+            answer,
+            self._routed.caller.request_id,
+            self._sent_at,
         )
         own_id = self._routed.caller.request_id
         if not answer.request_id and head.status >= 300 and self._connection.is_reused:
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Collection, Iterable
 
@@ -42,6 +43,11 @@
         the target states that it leaves.
     has_announced_leaving : bool
         Whether the target announced in an answer to this router that it leaves.
+    limit_per_s : float
+        Requests per second that the target accepts from all routers together, infinite
+        if the target has no such limit.
+    limit_known_at : float
+        Boot time at which this router last learned the limit.
     in_flight : int
         Number of this router's requests in flight at the target.
     long_in_flight : int
@@ -81,6 +87,8 @@
     is_emptying: bool = False
     is_leaving: bool = False
     has_announced_leaving: bool = False
+    limit_per_s: float = math.inf
+    limit_known_at: float = 0.0
     in_flight: int = 0
     long_in_flight: int = 0
     others_in_flight: int = 0
@@ -100,6 +108,11 @@
         """Identity of the target."""
         return self.listed.target_id
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether the target limits the requests of all routers together."""
+        return self.limit_per_s < math.inf
+
     @property
     def load(self) -> int:
         """Estimated number of all routers' requests in flight at the target."""
--- a/berylnotch/platform/names.py
+++ b/berylnotch/platform/names.py
@@ -17,6 +17,9 @@
 TARGET_ID = "Berylnotch-Instance-Id"
 #: Set to 1 in every response of an engine that is draining before it leaves the fleet.
 LEAVING = "Server-Leaving"
+#: Requests per second that an engine accepts from all routers together, in every
+#: response while the engine has such a limit.
+LIMIT = "Server-Limit"
 MODEL = "Berylnotch-Model"
 TOKEN_COUNTS = "Berylnotch-Token-Count"
 CACHE_SALT = "Berylnotch-Cache-Salt"
--- a/berylnotch/platform/requests.py
+++ b/berylnotch/platform/requests.py
@@ -113,6 +113,9 @@
         Whether the target accepts no new work.
     retry_after_s : float or None
         Seconds for which no request may be sent to the target, None if not stated.
+    limit_per_s : float or None
+        Requests per second that the target accepts from all routers together, None if
+        the target has no such limit.
     """
 
     request_id: str
@@ -122,6 +125,7 @@
     weights_version: int | None
     is_leaving: bool = False
     retry_after_s: float | None = None
+    limit_per_s: float | None = None
 
 
 def decode_request(request: HttpRequest) -> CallerRequest:
@@ -183,6 +187,7 @@
         retry_after_s=_parse_number(headers.get(names.RETRY_AFTER))
         if status == 503
         else None,
+        limit_per_s=_parse_number(headers.get(names.LIMIT)),
     )
 
 
--- a/tests/fleet/platform.py
+++ b/tests/fleet/platform.py
@@ -9,6 +9,7 @@
 
 import json
 import threading
+import time
 
 from attrs import define, field
 
@@ -39,6 +40,10 @@
     #: Headers of the requests that arrived.
     seen: list[dict[str, str]] = field(factory=list)
     bodies: list[bytes] = field(factory=list)
+    #: Times of the monotonic clock at which requests of callers arrived, in seconds.
+    arrivals: list[float] = field(factory=list)
+    #: Limit in requests per second that all answers announce, None for no limit.
+    limit_per_s: float | None = None
     orders: list[dict] = field(factory=list)
     #: Fault that is injected into answers to requests: ok (none), refuse, error, hang,
     #: reset, cut, no_stamp, foreign.
@@ -59,6 +64,13 @@
     def address(self) -> str:
         return self.listed_address or str(self.server.address)
 
+    def headers(self, request_id: str) -> Headers:
+        """Return the headers that every answer to a request has."""
+        headers = Headers((("Berylnotch-Request-Id", request_id),))
+        if self.limit_per_s is not None:
+            headers.add("Server-Limit", str(self.limit_per_s))
+        return headers
+
     def entry(self) -> dict:
         """Return the target's entry in the target list."""
         models = []
@@ -219,7 +231,7 @@
     ) -> None:
         """Resume a stopped run from its copy, which is used once."""
         request_id = headers["berylnotch-request-id"]
-        answer = Headers((("Berylnotch-Request-Id", request_id),))
+        answer = target.headers(request_id)
         handle = origin.partition("/")[2]
         copy = target.copies.get(handle)
         if copy is None or copy[0] != request_id or target.fault == "refuse":
@@ -238,26 +250,23 @@
         headers = {name.lower(): value for name, value in request.headers}
         target.seen.append(headers)
         target.bodies.append(request.body)
+        target.arrivals.append(time.monotonic())
         request_id = headers.get("berylnotch-request-id", "")
         expected = headers.get("berylnotch-expect-version")
         if expected is not None and int(expected) != target.version:
-            connection.respond(421, Headers((("Berylnotch-Request-Id", request_id),)))
+            connection.respond(421, target.headers(request_id))
             return
         origin = headers.get("kv-from")
         if origin is not None and not target.is_loading:
             self._resume(target, connection, headers, origin)
             return
         if target.is_loading or target.fault == "refuse":
-            refusal = Headers(
-                (
-                    ("Berylnotch-Request-Id", request_id),
-                    ("Berylnotch-Not-Executed", "1"),
-                )
-            )
+            refusal = target.headers(request_id)
+            refusal.add("Berylnotch-Not-Executed", "1")
             connection.respond(503, refusal)
             return
         target.runs.append(request_id)
-        answer = Headers((("Berylnotch-Request-Id", request_id),))
+        answer = target.headers(request_id)
         if target.fault != "no_stamp":
             answer.add("Berylnotch-Server-Stamp", f"stamp-{target.target_id}")
         if target.fault == "hang":
--- a/tests/test_daemon/test_fleet_logs.py
+++ b/tests/test_daemon/test_fleet_logs.py
@@ -36,6 +36,32 @@
     assert logged[0]["target"] in logged[2]["reason"]
 
 
+def test_logs_show_the_limit_of_a_target_and_what_it_got_since(fleet, platform):
+    fleet.make_ready()
+    router, target = fleet.routers[0], platform.targets["desk-1"]
+    platform.targets["desk-2"].is_leaving = True
+    target.limit_per_s = 500
+
+    def read_until(event, limit_per_s):
+        """Send requests until the target's newest line of an event has the limit."""
+
+        def newest_line():
+            request_id = f"read-{len(target.arrivals)}"
+            assert fleet.ask(router, "/read/x", request_id, "GET").status == 200
+            fields = [f for f in router.lines() if f.get("target") == "desk-1"]
+            lines = [f for f in fields if f["event"] == event]
+            return lines and lines[-1]["limit_per_s"] == limit_per_s and lines[-1]
+
+        return wait_until(newest_line, f"{event} with a limit of {limit_per_s}")
+
+    assert read_until("target_limit", "500.000")["was_per_s"] == "inf"
+    read_until("sent", "500.000")
+    text = fleet.metrics(router)
+    assert gauge(text, 'berylnotch_limited_target_sends_total{target="desk-1"}') > 0
+    target.limit_per_s = None
+    assert read_until("target_limit", "inf")["was_per_s"] == "500.000"
+
+
 def test_metrics_count_requests_and_show_leadership(fleet, platform):
     fleet.make_ready()
     router = fleet.routers[0]
--- a/tests/test_entry/test_announcements.py
+++ b/tests/test_entry/test_announcements.py
@@ -1,5 +1,7 @@
 """Tests the headers by which targets announce that they leave or are overloaded."""
 
+import math
+
 import pytest
 
 from berylnotch.entry.announcements import BACK_OFF_SPREAD, MAX_BACK_OFF_S
@@ -113,3 +115,41 @@
 def test_a_back_off_with_another_status_is_ignored(context):
     answer(context, 429, ("Retry-After", "5"))
     assert context.targets.get("e").refused_until == 0.0
+
+
+def limit_answer(context, *headers, request_id="id-1", sent_at=None):
+    """Let the target answer as in `answer`, to a request of the given send time."""
+    exchange, _, _ = make_exchange(context)
+    attempt = exchange._attempt
+    if sent_at is not None:
+        attempt._sent_at = sent_at
+    fields = (("Berylnotch-Request-Id", request_id), *headers)
+    attempt.on_head(ResponseHead(200, Headers(fields), True))
+    return context.targets.get("e").limit_per_s
+
+
+@pytest.mark.parametrize("name", ["Server-Limit", "server-limit"])
+@pytest.mark.parametrize("value, limit_per_s", [("2.5", 2.5), ("0", 0.0), ("1e3", 1e3)])
+def test_a_limit_is_read_from_any_answer(context, name, value, limit_per_s):
+    assert limit_answer(context, (name, value), request_id="of-before") == limit_per_s
+
+
+@pytest.mark.parametrize("value", ["", "many", "-1", "nan", "inf"])
+def test_a_malformed_limit_is_ignored(context, value):
+    assert limit_answer(context, ("Server-Limit", value)) == math.inf
+
+
+def test_a_limit_ends_with_an_answer_without_it(context):
+    limit_answer(context, ("Server-Limit", "900"))
+    assert limit_answer(context, sent_at=boot_time()) == math.inf
+
+
+def test_an_overtaken_answer_does_not_end_a_limit(context):
+    sent_at = boot_time()
+    limit_answer(context, ("Server-Limit", "900"))
+    assert limit_answer(context, sent_at=sent_at) == 900
+
+
+def test_an_answer_to_another_request_does_not_end_a_limit(context):
+    limit_answer(context, ("Server-Limit", "900"))
+    assert limit_answer(context, request_id="foreign", sent_at=boot_time()) == 900
