tests: targets get far more than the limit that they named (known red)

Callers' requests reached a target that had named a limit of 2 requests/s 39 and 38 times in 4 s, where 1.5 x 2 x 4 + 5 = 17 are allowed: four routers on real processes, counted by the stand-in from all routers together; once calm, once over a killed leader, a restarted and a frozen router, and a cut of all links to and between controllers.

--- a/tests/fleet/platform.py
+++ b/tests/fleet/platform.py
@@ -32,6 +32,8 @@
     is_leaving: bool = False
     events: int = 3
     event_pause_s: float = 0.0
+    #: Time that a plain target takes for an answer, in seconds.
+    answer_s: float = 0.0
     load_s: float = 0.05
     is_loading: bool = False
     orders_taken: int = 0
@@ -284,7 +286,10 @@
             )
             connection.respond(200, other, b"another answer")
         elif target.version is None:
-            connection.respond(200, answer, b"answer to " + request_id.encode())
+            body = b"answer to " + request_id.encode()
+            self.loop.call_later(
+                target.answer_s, lambda: connection.respond(200, answer, body)
+            )
         else:
             after = int(headers.get("last-event-id", "0"))
             self._stream(target, connection, answer, after)
--- /dev/null
+++ b/tests/test_daemon/test_target_limits.py
@@ -0,0 +1,173 @@
+"""Limits that targets name hold for the requests of all routers together.
+
+Each router knows only its own requests and what it alone was told. The stand-ins count
+what they get from all routers, also while processes restart and lose each other.
+"""
+
+import random
+import signal
+import threading
+import time
+from bisect import bisect_left
+
+import pytest
+
+from soak.proxy import FaultProxy
+from tests.fleet.processes import FleetOfProcesses, wait_until
+
+#: Limit of the users: in any window of this length, in seconds, a target gets at most
+#: this multiple of its limit and this many requests more.
+WINDOW_S, MAX_MULTIPLE, MAX_EXCESS = 4.0, 1.5, 5
+
+#: Seconds after a target first names its limit from which the limit must hold.
+NOTICE_S = 3.0
+
+LIMIT_PER_S = 2.0
+
+#: Requests per second of all callers; without a limit each of three targets gets a
+#: third of them.
+REQUESTS_PER_S = 40
+
+#: Time that a target takes for an answer, in seconds. With it the requests are spread
+#: over the targets by load.
+ANSWER_S = 0.15
+
+N_CALLERS = 10
+
+
+class Load:
+    """Callers that send requests to random routers until they are stopped."""
+
+    def __init__(self, fleet, kind="read"):
+        self._fleet, self._kind = fleet, kind
+        self._is_stopping = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._send, args=(n,)) for n in range(N_CALLERS)
+        ]
+        self.statuses = []
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *error):
+        self._is_stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _send(self, caller):
+        rng, number = random.Random(caller), 0
+        while not self._is_stopping.is_set():
+            number += 1
+            router = rng.choice(self._fleet.routers)
+            request_id = f"{self._kind}-{caller}-{number}"
+            answer = self._fleet.ask(router, f"/{self._kind}/x", request_id, "GET")
+            self.statuses.append(answer.status if answer else 0)
+            time.sleep(N_CALLERS / REQUESTS_PER_S * rng.uniform(0.8, 1.2))
+
+
+def most_in_a_window(target, since):
+    """Return the largest number of requests that arrived in a window since a time."""
+    times = [t for t in target.arrivals if t >= since]
+    return max(
+        (bisect_left(times, t + WINDOW_S) - n for n, t in enumerate(times)), default=0
+    )
+
+
+def allowed_in_a_window(limit_per_s):
+    return MAX_MULTIPLE * limit_per_s * WINDOW_S + MAX_EXCESS
+
+
+@pytest.fixture
+def proxies():
+    return []
+
+
+@pytest.fixture
+def fleet(tmp_path, platform, proxies):
+    """Three controllers behind proxies, four routers and three plain targets."""
+    processes = FleetOfProcesses(tmp_path, platform, has_link_proxies=True)
+    for number in (1, 2, 3):
+        platform.add(f"desk-{number}", "desk").answer_s = ANSWER_S
+    processes.start(controllers=3, routers=4)
+    proxies += [
+        FaultProxy(
+            platform.loop,
+            processes.links_address(controller.ip, is_own=True),
+            processes.links_address(controller.ip),
+        )
+        for controller in processes.controllers
+    ]
+    for proxy in proxies:
+        platform.loop.call_soon(proxy.start)
+    processes.make_ready()
+    yield processes
+    processes.close()
+    for proxy in proxies:
+        platform.loop.call_soon(proxy.close)
+
+
+@pytest.fixture
+def set_links(proxies, platform):
+    """Set the mode of all links to the controllers and between them."""
+
+    def set_mode(mode):
+        for proxy in proxies:
+            platform.loop.call_soon(lambda proxy=proxy: proxy.set_mode(mode))
+
+    return set_mode
+
+
+def test_a_limited_target_gets_its_limit_from_all_routers_together(fleet, platform):
+    target = platform.targets["desk-1"]
+    with Load(fleet) as load:
+        wait_until(lambda: len(target.arrivals) > 20, "requests at the target")
+        target.limit_per_s = LIMIT_PER_S
+        time.sleep(NOTICE_S)
+        limited_at = time.monotonic()
+        time.sleep(2 * WINDOW_S)
+        most, used_s = most_in_a_window(target, limited_at), 2 * WINDOW_S
+        n_limited = len([t for t in target.arrivals if t >= limited_at])
+        target.limit_per_s = None
+        ended_at = time.monotonic()
+        wait_until(
+            lambda: len([t for t in target.arrivals if t >= ended_at]) > 30,
+            "the former share of the requests after the end of the limit",
+            timeout_s=10,
+        )
+    assert most <= allowed_in_a_window(LIMIT_PER_S)
+    assert n_limited >= LIMIT_PER_S * used_s / 2, "the target is hardly used"
+    assert set(load.statuses) == {200}
+
+
+def test_a_limit_holds_over_restarts_cuts_and_a_change_of_leader(
+    fleet, platform, set_links
+):
+    target = platform.targets["desk-1"]
+    with Load(fleet):
+        wait_until(lambda: len(target.arrivals) > 20, "requests at the target")
+        target.limit_per_s = LIMIT_PER_S
+        time.sleep(NOTICE_S)
+        limited_at = time.monotonic()
+        leader = wait_until(fleet.leader, "a leader")
+        leader.kill()
+        time.sleep(1.0)
+        restarted, frozen = fleet.routers[:2]
+        restarted.kill()
+        restarted.start()
+        time.sleep(2.0)
+        leader.start()
+        frozen.signal(signal.SIGSTOP)
+        set_links("silence")
+        time.sleep(2.0)
+        frozen.signal(signal.SIGCONT)
+        time.sleep(2.0)
+        set_links("ok")
+        time.sleep(WINDOW_S)
+    assert most_in_a_window(target, limited_at) <= allowed_in_a_window(LIMIT_PER_S)
+    for router in fleet.routers:
+        wait_until(
+            lambda r=router: fleet.ask(r, "/read/x", "after", "GET").status == 200,
+            f"{router.name} to serve",
+        )
