Report target losses to each new leader

What callers could see: a request that crashes the engines that run it is refused after three losses, counted over all routers. Losses that a router saw while it had no leader, or whose report went over a link that closed, reached nobody, and a new leader knew none of the earlier ones, so that a restarted router ran such a request again.

Cause: a report took the losses out of the router's memory whether or not a leader got it, and the leader keeps them in memory only.

The leader sends marks to all routers in batches, since all routers report to a new leader at the same moment.

--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -64,6 +64,10 @@
 #: into one message: limits the leader to about 1,400 such messages per second.
 PROMPTS_PER_ROUTER_S = 0.0007
 
+#: Seconds, multiplied by the number of routers, for which crash marks are collected
+#: into one message. All routers report their marks to a new leader at the same moment.
+CRASHES_BATCH_PER_ROUTER_S = 0.001
+
 #: Shortest time in seconds for which prompt notes are collected: several times the
 #: latency of a network hop.
 MIN_PROMPTS_S = 0.01
@@ -112,7 +116,14 @@
             lambda: self.registry.push_roster(),
             lambda: ROSTER_BATCH_PER_ROUTER_S * self.registry.count,
         )
-        self.registry = RouterRegistry(state, log, self._roster_pushes.schedule)
+        self._crash_pushes = CoalescedAction(
+            loop,
+            lambda: self.registry.push_crash_marks(),
+            lambda: CRASHES_BATCH_PER_ROUTER_S * self.registry.count,
+        )
+        self.registry = RouterRegistry(
+            state, log, self._roster_pushes.schedule, self._crash_pushes.schedule
+        )
         self._prompt_pushes = CoalescedAction(
             loop,
             self._push_notes,
@@ -195,6 +206,7 @@
         """Stop the services of the leader."""
         self._is_closed = True
         self._roster_pushes.close()
+        self._crash_pushes.close()
         self._prompt_pushes.close()
         self._target_pushes.close()
         self._page_pushes.close()
--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -53,6 +53,9 @@
         Log of the process.
     on_roster_changed : callable, optional
         Called when `push_roster` has changes to send; by default they are sent at once.
+    on_crash_marks : callable, optional
+        Called when `push_crash_marks` has marks to send; by default they are sent at
+        once.
     """
 
     def __init__(
@@ -60,10 +63,12 @@
         state: FleetState,
         log: EventLog,
         on_roster_changed: Callable[[], None] | None = None,
+        on_crash_marks: Callable[[], None] | None = None,
     ) -> None:
         self._state = state
         self._log = log
         self._on_roster_changed = on_roster_changed or self.push_roster
+        self._on_crash_marks = on_crash_marks or self.push_crash_marks
         self._routers: dict[str, _Router] = {}
         self._targets: TargetsUpdate | None = None
         #: Packed pages of the first target list, until all of it has been read.
@@ -81,6 +86,7 @@
         #: Whether routers added the loads of prompt notes to the newest sums.
         self._has_added_loads = False
         self._crash_marks: dict[CrashMark, None] = {}
+        self._unsent_crash_marks: list[CrashMark] = []
         self._pending_notes: list[PromptNote] = []
 
     @property
@@ -216,6 +222,12 @@
             self._has_added_loads = True
             self._send_all(note_records(notes, self._target_numbers))
 
+    def push_crash_marks(self) -> None:
+        """Send the crash marks that routers reported since the last call to all."""
+        marks, self._unsent_crash_marks = tuple(self._unsent_crash_marks), []
+        if marks:
+            self._send_all(CrashesUpdate(marks))
+
     def requests(self) -> dict[str, int]:
         """Return the running requests at each target, from the newest load sums."""
         return {load.target_id: load.requests for load in self._load_sums.loads}
@@ -284,7 +296,8 @@
             )
         while len(self._crash_marks) > MAX_CRASH_MARKS:
             del self._crash_marks[next(iter(self._crash_marks))]
-        self._send_all(CrashesUpdate(new_marks))
+        self._unsent_crash_marks.extend(new_marks)
+        self._on_crash_marks()
 
     def _send_all(self, message: object) -> None:
         self._send_packed(pack(message))
--- a/berylnotch/daemon/fleet/reports.py
+++ b/berylnotch/daemon/fleet/reports.py
@@ -63,6 +63,12 @@
         """Start the periodic reports."""
         self._context.loop.call_later(REPORT_S, self._send_periodically)
 
+    def on_link_open(self) -> None:
+        """Send a first report, with all that a new leader has to know."""
+        self._context.own_losses.report_all()
+        self._context.target_limits.report_all()
+        self.send()
+
     def schedule(self) -> None:
         """Schedule a report before the interval ends."""
         self._urgent_report.schedule()
@@ -81,7 +87,6 @@
             for target in context.targets.all()
             if target.in_flight
         )
-        crashes, context.crash_marks = context.crash_marks, []
         notes = context.prompts.take_notes()
         context.own_note_keys.extend(map(note_key, notes))
         self._send(
@@ -93,7 +98,7 @@
                 self._is_leaving(),
                 context.routes.version if context.routes else 0,
                 self._sent_loads,
-                crashes=tuple(crashes),
+                crashes=context.own_losses.take_unreported(),
                 prompts=notes,
                 ejected=tuple(
                     target.target_id
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -146,7 +146,7 @@
         self._leader_link = LeaderLink(
             loop,
             seeds,
-            self._on_link_open,
+            lambda: self._reports.on_link_open(),
             self._on_leader_message,
             log,
             LinkSettings(),
@@ -367,10 +367,6 @@
         elif isinstance(message, NoteRecords):
             apply_prompt_notes(self._context, self._numbered_targets.notes(message))
 
-    def _on_link_open(self) -> None:
-        self._context.target_limits.report_all()
-        self._reports.send()
-
     def _release_buffered_requests(self) -> None:
         if len(self._startup_buffer) and self._has_targets:
             self._log.info("early_requests", count=len(self._startup_buffer))
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -16,7 +16,7 @@
 from berylnotch.group.messages import CrashMark
 from berylnotch.membership.announced_weights import AnnouncedWeights
 from berylnotch.membership.crashes import CrashGuard
-from berylnotch.membership.marks import ReportedLosses
+from berylnotch.membership.marks import OwnLosses, ReportedLosses
 from berylnotch.placement.cache_model import CacheModel
 from berylnotch.placement.costs import (
     DEFAULT_COPY_TOKENS_PER_MS,
@@ -68,8 +68,8 @@
         Guard against requests that crash targets.
     losses : ReportedLosses
         Target losses that other routers reported.
-    crash_marks : list of CrashMark
-        Target losses for the next report to the leader.
+    own_losses : OwnLosses
+        Target losses that this router reports to the leader.
     target_limits : TargetLimits
         Limits that targets announced, and this router's tokens for these targets.
     routes : RouteTable or None
@@ -104,7 +104,7 @@
     prompts: CacheModel
     crashes: CrashGuard
     losses: ReportedLosses = field(factory=ReportedLosses)
-    crash_marks: list[CrashMark] = field(factory=list)
+    own_losses: OwnLosses = field(factory=OwnLosses)
     target_limits: TargetLimits = field(
         default=Factory(
             lambda self: TargetLimits(lambda: self.sharing_router_count),
@@ -165,7 +165,7 @@
             now, target_id, (fingerprint,), self.losses
         )
         for reported_fingerprint in verdict.reported:
-            self.crash_marks.append(CrashMark(reported_fingerprint, target_id))
+            self.own_losses.add(CrashMark(reported_fingerprint, target_id))
         for blamed_fingerprint in verdict.blamed:
             self.log.warning(
                 "request_blamed", fingerprint=blamed_fingerprint.hex(), target=target_id
--- a/tests/test_daemon/test_fleet_registry.py
+++ b/tests/test_daemon/test_fleet_registry.py
@@ -5,6 +5,8 @@
 from berylnotch.group.messages import (
     ROUTER_MESSAGES,
     ConfigurationUpdate,
+    CrashesUpdate,
+    CrashMark,
     LoadColumns,
     NoteRecords,
     PromptNote,
@@ -114,3 +116,19 @@
     registry.push_loads()
     assert registry.long_requests("t") == 4
     assert registry.long_requests("u") == registry.long_requests("gone") == 0
+
+
+def test_marks_of_many_routers_go_out_in_one_message_to_each():
+    # Guards against a new leader that sends one message to all routers for each of the
+    # routers that report their earlier losses.
+    registry = RouterRegistry(FleetState(), Log(), on_crash_marks=lambda: None)
+    links = [Link() for _ in range(20)]
+    for number, link in enumerate(links):
+        mark = CrashMark(b"%d" % number, "e")
+        registry.on_report(link, report(f"r{number}", crashes=(mark,)))
+    registry.push_crash_marks()
+    registry.push_crash_marks()
+    for number, link in enumerate(links):
+        updates = [m for m in link.sent if isinstance(m, CrashesUpdate)]
+        initial = [mark for update in updates[:-1] for mark in update.crashes]
+        assert len(initial) == number and len(updates[-1].crashes) == 20
