Keep no more idle connections than a target accepts from all routers

What callers could see: a target accepts a number of connections from all callers together and resets those beyond it. Each router kept up to 8 idle connections to each target: 512 from 64 routers where 440 are accepted, 1,528 from 191 where 1,200 are. New connections for requests would then be reset.

Cause: the limit was decoded from the configuration and used nowhere; the bound on idle connections was each router's own.

Change: all routers together keep at most half of what a service accepts, divided by the number of routers; never more than before.

Evidence: five of ten cases of test_kept_connections.py failed before (8 kept by each of 64 and 191 routers), all pass.

--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -37,6 +37,10 @@
 #: restart at the same moment.
 ASSUMED_ROUTER_COUNT = 24
 
+#: Fraction of the connections that a target accepts which all routers together keep
+#: open without a request. The rest is for requests in flight and new connections.
+KEPT_CONNECTIONS_FRACTION = 0.5
+
 #: Number of this router's own prompt notes that are remembered. It exceeds the number
 #: of notes that a router writes before the leader sends the first of them back.
 MAX_OWN_NOTES = 64
@@ -123,6 +127,9 @@
     _budgets: dict[str, WindowBudget] = field(factory=dict)
     _estimators: dict[str, PrefillEstimator] = field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        self.targets.limit_idle(self._max_idle_connections)
+
     @property
     def sharing_router_count(self) -> int:
         """Number of routers among which limits of the fleet are divided evenly."""
@@ -192,6 +199,15 @@
         for budget in self._budgets.values():
             budget.resize(self._retry_settings())
 
+    def _max_idle_connections(self, target: Target) -> int:
+        """Return the number of connections that this router keeps to a target."""
+        usual = self.settings.max_idle_connections
+        service = self.routes.service(target.listed.service) if self.routes else None
+        if service is None or not service.max_connections:
+            return usual
+        kept = service.max_connections * KEPT_CONNECTIONS_FRACTION
+        return min(usual, int(kept / self.sharing_router_count))
+
     def _retry_settings(self) -> RetrySettings:
         bounds, fraction = self.fleet.bounds, self.settings.retry_part
         slack_share = bounds.retry_slack / self.sharing_router_count
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import deque
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from attrs import define, field
 
@@ -184,6 +184,13 @@
         self._by_service: dict[str, list[Target]] = {}
         self._rings: dict[str, Ring[Target]] = {}
         self._samples: dict[str, Collection[Target]] = {}
+        self._max_idle: Callable[[Target], int] = lambda target: (
+            settings.max_idle_connections
+        )
+
+    def limit_idle(self, max_idle: Callable[[Target], int]) -> None:
+        """Set the function that returns how many connections to a target are kept."""
+        self._max_idle = max_idle
 
     def of(self, service: str) -> list[Target]:
         """Return all targets of a service, including unusable ones."""
@@ -288,7 +295,7 @@
             connection.close()
         elif connection.is_reusable:
             target.idle.append(connection)
-            while len(target.idle) > self._settings.max_idle_connections:
+            while len(target.idle) > self._max_idle(target):
                 target.idle.popleft().close()
 
     def leaves(self, target: Target) -> None:
