Ask for no tokens of targets whose limit has ended

A router that still had spent tokens to report for a target whose limit had ended asked for it on and on. The owner has no such account and answers without a grant, which the router took for a silent owner: it then sent only half of its even share to all other limited targets. Requests that waited for a token went on waiting after the end of the limit as well.

The asks leave out targets without a limit, and waiting requests look again after a change of a limit. Found by reading; both tests fail without the two changes.

--- a/berylnotch/entry/target_limits.py
+++ b/berylnotch/entry/target_limits.py
@@ -74,6 +74,8 @@
         #: Targets of which the router wants a token.
         self._wanted: set[str] = set()
         self._waiting: deque[_WaitingRequest] = deque()
+        #: Whether a limit changed since the waiting requests were last looked at.
+        self._has_changed = False
         self._asked_at = 0.0
         self._unanswered_since: float | None = None
         self._has_owner = True
@@ -104,14 +106,13 @@
     def set_limit(self, now: float, target: Target, per_s: float) -> bool:
         """Apply a target's limit, infinite for none; return whether it changed."""
         target.limit_known_at = now
-        known = target.limit
         if per_s == target.limit_per_s:
             return False
         target_id = target.target_id
-        if known is not None:
-            # Tokens of the former limit could exceed a lower one.
-            self._quota.give_up(target_id)
+        # Tokens of the former limit could exceed a lower one.
+        self._quota.give_up(target_id)
         self._stop_wanting(target_id)
+        self._has_changed = True
         if per_s == math.inf:
             target.limit = None
             self._limited.pop(target_id, None)
@@ -152,6 +153,8 @@
         if now < self._quota.next_ask_at:
             return None
         asks = self._quota.asks(now)
+        # The owner does not answer for targets whose limit has ended.
+        asks = tuple(ask for ask in asks if ask.organisation in self._limited)
         if not asks:
             self._quota.withdraw()
             return None
@@ -207,13 +210,14 @@
             request.on_tokens()
 
     def serve(self, now: float) -> None:
-        """Resume requests that have waited too long, and notice a silent owner."""
+        """Notice a silent owner, and resume requests after a wait or a new limit."""
         since = self._unanswered_since
         if since is not None and now - since > OWNER_SILENCE_S:
             self._set_owner(now, has_owner=False)
         waiting, self._waiting = self._waiting, deque()
+        has_changed, self._has_changed = self._has_changed, False
         for request in waiting:
-            if now >= request.expires_at:
+            if has_changed or now >= request.expires_at:
                 request.on_tokens()
             else:
                 self._waiting.append(request)
--- a/tests/test_entry/test_target_limits.py
+++ b/tests/test_entry/test_target_limits.py
@@ -123,6 +123,18 @@
     assert not limits.has_owner
 
 
+def test_an_ended_limit_does_not_make_the_owner_seem_silent(limits, target):
+    # The router still has to report what it spent, but the owner has no such account.
+    give(limits, NOW, tokens=2)
+    target.limit.take(NOW)
+    limits.set_limit(NOW + 0.1, target, math.inf)
+    for number in range(10):
+        now = NOW + 0.6 + number
+        assert limits.asks(now, "r", "1") is None
+        limits.serve(now)
+    assert limits.has_owner
+
+
 def test_only_announcements_to_this_router_are_reported(limits, target):
     assert limits.notices(NOW) == ()
     limits.announce(NOW + 1, target, 3.0)
@@ -219,6 +231,13 @@
     assert float(connection.answers[0][1].get("Retry-After")) == 1.0
 
 
+def test_a_waiting_request_is_sent_when_the_limit_ends(limited_context):
+    exchange, _, _ = make_exchange(limited_context)
+    apply_targets(limited_context, update(limited_entry(math.inf)))
+    limited_context.target_limits.serve(boot_time())
+    assert exchange._attempt is not None
+
+
 def test_messages_with_limits_survive_their_encoding():
     request = TargetLimits(lambda: 1).asks(NOW, "r", "1")
     assert request is None
