Answer a failed request once other routers know of the targets it lost

What callers could see (berylnotchd): a request that crashes the engines that run it ran on a third and fourth engine when its caller repeated it at once at another router.

Cause: a router proposed the loss and answered the caller without waiting; the other router learned of it by its next poll, tens of ms later, or hundreds under load.

Change: the answer to a failed request that lost targets waits until the losses are committed and every live router's view has them, for 1 s at most; then it is sent anyway, with a log line. Heartbeats carry the version of the router's view, the leader answers with the lowest of all live routers. Complete answers do not wait.

Tried and given up: asking the other routers for their version directly.

--- a/berylnotch/daemon/controller/leader.py
+++ b/berylnotch/daemon/controller/leader.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from attrs import evolve
+
 from berylnotch.control.commands import ExpireClaims
 from berylnotch.control.protocol import RouterLine
 from berylnotch.daemon.controller.ordering import OrderDispatcher
@@ -120,9 +122,11 @@
         if term_state is None:
             raise RuntimeError("cannot grant quota: no leader term was started")
         term_state.router_heartbeats.record(now, request)
-        return term_state.quota_owner.grant(
+        reply = term_state.quota_owner.grant(
             now, request, self._state.fleet.organisations
         )
+        shared_version = term_state.router_heartbeats.shared_version(now)
+        return evolve(reply, shared_version=shared_version)
 
     def tick(self, now: float, valid_until: float) -> None:
         """Run the leader's periodic work: reports, orders, life states and expiry.
--- a/berylnotch/daemon/controller/routers.py
+++ b/berylnotch/daemon/controller/routers.py
@@ -21,6 +21,10 @@
 #: Seconds without a heartbeat after which a router counts as lost.
 LOST_AFTER_S = 5.0
 
+#: Seconds without a heartbeat after which the version of a router's view is not waited
+#: for: the time for which a router serves requests on an unconfirmed view.
+SHARED_MAX_AGE_S = 2.0
+
 
 @frozen
 class _ReceivedHeartbeat:
@@ -47,6 +51,24 @@
         """Record a heartbeat."""
         self._heartbeats[request.vm] = _ReceivedHeartbeat(now, request)
 
+    def shared_version(self, now: float) -> int:
+        """Return the version that the views of all live routers have reached.
+
+        A router without a recent heartbeat is frozen, lost or cut off. It refuses
+        requests with a key once its view can no longer be confirmed. The version is 0
+        while this leader may not have heard from all live routers yet.
+        """
+        if now - self._leading_since <= SHARED_MAX_AGE_S:
+            return 0
+        return min(
+            (
+                heartbeat.request.view_version
+                for heartbeat in self._heartbeats.values()
+                if now - heartbeat.received_at <= SHARED_MAX_AGE_S
+            ),
+            default=0,
+        )
+
     def life_state_changes(
         self, now: float, state: ControlState
     ) -> tuple[SetLifeState, ...]:
--- a/berylnotch/daemon/router/heartbeat.py
+++ b/berylnotch/daemon/router/heartbeat.py
@@ -44,6 +44,8 @@
         Called after grants were received.
     incarnation : str
         Random id of this process.
+    view_version : callable
+        Returns the version of this router's view.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         leader_address: Callable[[], str],
         on_grant: Callable[[], None],
         incarnation: str,
+        view_version: Callable[[], int],
     ) -> None:
         self._loop = loop
         self._peers = peers
@@ -63,6 +66,9 @@
         self._leader_address = leader_address
         self._on_grant = on_grant
         self._incarnation = incarnation
+        self._view_version = view_version
+        self._sent_version = 0
+        self._shared_version = 0
         self._http_address = ""
         self._is_leaving = False
         self._is_awaiting_answer = False
@@ -73,6 +79,16 @@
         self._is_closed = False
         self._timer: Timer | None = None
 
+    @property
+    def shared_version(self) -> int:
+        """Version that the views of all live routers have reached."""
+        return self._shared_version
+
+    def on_view_change(self) -> None:
+        """Report a new version of the view early; other routers may wait for it."""
+        if self._view_version() != self._sent_version:
+            self.send_soon()
+
     def start(self, http_address: str) -> None:
         """Start to send heartbeats.
 
@@ -108,6 +124,7 @@
         self._is_awaiting_answer = True
         self._sent_at = now = time.monotonic()
         asks = self._quota.asks(now)
+        self._sent_version = self._view_version()
         request = GrantRequest(
             self._settings.name,
             self._incarnation,
@@ -116,6 +133,7 @@
             self._is_leaving,
             self._quota.sequence,
             asks,
+            self._sent_version,
         )
         future = self._peers.call(self._pick_controller(), request, _ANSWER_TIMEOUT_S)
         future.add_done_callback(lambda done: self._on_answer(now, bool(asks), done))
@@ -132,6 +150,7 @@
         answer = None if future.exception() is not None else future.result()
         if isinstance(answer, GrantReply):
             self._quota.receive(sent_at, answer)
+            self._shared_version = answer.shared_version
             self._on_grant()
         elif isinstance(answer, NotLeader):
             self._leader_hint = answer.leader_address
--- a/berylnotch/daemon/router/router.py
+++ b/berylnotch/daemon/router/router.py
@@ -16,6 +16,7 @@
 
 from berylnotch.control.protocol import Refused, SyncRequest, WhyRequest
 from berylnotch.control.view import View
+from berylnotch.daemon.router.confirmation import LossConfirmation
 from berylnotch.daemon.router.follower import Follower
 from berylnotch.daemon.router.heartbeat import Heartbeat
 from berylnotch.daemon.router.proposer import Proposer
@@ -100,6 +101,7 @@
             lambda: self._follower.leader_address,
             lambda: self._request_path.on_grant(),
             self._incarnation,
+            lambda: self._view.version,
         )
         self._context = self._make_context()
         stream_secret = identity_key(settings.secret, STREAM_KEY_NAME)
@@ -203,6 +205,12 @@
             placer=Placer(settings.placement),
             upstreams=Upstreams(self._loop),
             proposer=proposer,
+            loss_confirmation=LossConfirmation(
+                self._loop,
+                self._view,
+                lambda: self._heartbeat.shared_version,
+                self._heartbeat.send_soon,
+            ),
             metrics=self._metrics,
             incarnation=self._incarnation,
             send_heartbeat_soon=self._heartbeat.send_soon,
@@ -223,6 +231,7 @@
 
     def _on_view_change(self) -> None:
         self._request_path.on_view_change()
+        self._heartbeat.on_view_change()
         self._sync_server.tick(time.monotonic())
 
     def _handle(
--- a/berylnotch/quota/messages.py
+++ b/berylnotch/quota/messages.py
@@ -26,7 +26,10 @@
 
 @frozen
 class GrantRequest:
-    """Periodic report of a router to the quota owner; also the router's heartbeat."""
+    """Periodic report of a router to the quota owner; also the router's heartbeat.
+
+    ``view_version`` is the version of the router's view, 0 if it is not reported.
+    """
 
     vm: str
     incarnation: str
@@ -35,6 +38,7 @@
     leaving: bool
     sequence: int
     asks: tuple[QuotaAsk, ...] = ()
+    view_version: int = 0
 
 
 @frozen
@@ -58,9 +62,11 @@
     """Reply of the quota owner.
 
     ``owner_term`` changes with the owner. Grants of an older term stay valid until
-    their lifetime ends.
+    their lifetime ends. ``shared_version`` is the lowest version of the live routers'
+    views, 0 if it is unknown.
     """
 
     owner_term: int
     sequence: int
     grants: tuple[Grant, ...] = ()
+    shared_version: int = 0
--- a/berylnotch/server/context.py
+++ b/berylnotch/server/context.py
@@ -14,6 +14,7 @@
     from collections.abc import Callable
 
     from berylnotch.control.view import View
+    from berylnotch.daemon.router.confirmation import LossConfirmation
     from berylnotch.daemon.router.proposer import Proposer
     from berylnotch.gateways.transfers import Upstreams
     from berylnotch.keys.freshness import Freshness
@@ -72,6 +73,7 @@
     placer: Placer
     upstreams: Upstreams
     proposer: Proposer
+    loss_confirmation: LossConfirmation
     metrics: Metrics
     incarnation: str
     send_heartbeat_soon: Callable[[], None]
--- a/berylnotch/server/job.py
+++ b/berylnotch/server/job.py
@@ -84,6 +84,8 @@
         to be ended.
     is_poison : bool
         Whether the request is refused because targets were lost while running it.
+    lost_targets : set of str
+        Targets that were lost while running the request, as this router reported.
     """
 
     request: CallerRequest
@@ -115,6 +117,7 @@
     pending_finish: Callable[[], None] | None = None
     has_ended: bool = False
     is_poison: bool = False
+    lost_targets: set[str] = field(factory=set)
 
     @property
     def organisation_name(self) -> str:
--- a/berylnotch/server/judging.py
+++ b/berylnotch/server/judging.py
@@ -112,6 +112,8 @@
         )
         head = job.attempt.head
         incarnation = head.incarnation if head is not None else ""
+        if job.fingerprint in verdict.reported:
+            job.lost_targets.add(action.target)
         for fingerprint in verdict.reported:
             command = ReportCrash(fingerprint, action.target, incarnation)
             self._context.proposer.propose(
--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -42,6 +42,11 @@
     from berylnotch.server.delivery import Delivery
     from berylnotch.server.job import Job
 
+#: Longest time in seconds for which the answer to a failed request waits until other
+#: routers know of the targets that were lost. A commit usually takes some
+#: milliseconds; without a leader, the caller must not wait until the next election.
+LOSS_CONFIRMATION_S = 1.0
+
 _POISON_CODE = "request_crashes_targets"
 
 
@@ -258,14 +263,39 @@
         if job.claim_attempt:
             self._claim_client.close(job, action, lambda: self._send_held(job, action))
         else:
-            self._send_ending(job, action)
+            self._confirm_losses(job, action)
 
     def _send_held(self, job: Job, action: Finish) -> None:
         held_actions, job.held_actions = job.held_actions, []
         job.claim_attempt = ""
         for held_action in held_actions:
             self._send(job, held_action)
-        self._send_ending(job, action)
+        self._confirm_losses(job, action)
+
+    def _confirm_losses(self, job: Job, action: Finish) -> None:
+        """End a failed request once other routers know of the targets that it lost."""
+        has_ending = action.reason not in (
+            FinishReason.COMPLETE,
+            FinishReason.CALLER_GONE,
+        )
+        if not (has_ending and job.lost_targets):
+            self._send_ending(job, action)
+            return
+        deadline = min(job.deadline, time.monotonic() + LOSS_CONFIRMATION_S)
+
+        def on_done(is_confirmed: bool) -> None:
+            if not is_confirmed:
+                logger.warning(
+                    "event=losses_unconfirmed request={} targets={}",
+                    job.request.request_id,
+                    ",".join(sorted(job.lost_targets)),
+                )
+            if not job.has_ended:
+                self._send_ending(job, action)
+
+        self._context.loss_confirmation.confirm(
+            job.fingerprint, job.lost_targets, deadline, on_done
+        )
 
     def _send_ending(self, job: Job, action: Finish) -> None:
         if action.status and action.reason is not FinishReason.CALLER_GONE:
--- a/berylnotch/transport/berylnotch.capnp
+++ b/berylnotch/transport/berylnotch.capnp
@@ -407,6 +407,7 @@
   leaving @4 :Bool;
   sequence @5 :Int64;
   asks @6 :List(QuotaAsk);
+  viewVersion @7 :Int64;
 }
 
 struct Grant {
@@ -421,6 +422,7 @@
   ownerTerm @0 :Int64;
   sequence @1 :Int64;
   grants @2 :List(Grant);
+  sharedVersion @3 :Int64;
 }
 
 struct ProposeRequest {
--- a/tests/test_daemon/test_losses.py
+++ b/tests/test_daemon/test_losses.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import threading
 
 import pytest
@@ -107,13 +108,53 @@
         return callers[0].chat("sake-1", "innocent").status == 200
 
     wait_for(is_innocent_served, "an innocent request is served")
+    assert len(poisoned_requests(small_fleet)) == 2
+
+
+def test_poison_request_is_refused_while_controllers_answer_late(
+    fleet, small_fleet, callers
+):
+    inject_engine_faults(small_fleet, crash_marker="POISON", restart_ms=1)
+    # With recent use, both routers hold tokens and need no controller to send requests.
+    for caller in (*callers, *callers):
+        assert caller.chat("sake-1", "innocent", max_tokens=20).status == 200
+    controllers = [fleet.children[name] for name in ("c1", "c2", "c3")]
+    answers = []
+    poisoned = threading.Thread(
+        target=lambda: answers.append(callers[0].chat("sake-1", "POISON contract"))
+    )
+    poisoned.start()
+    wait_for(
+        lambda: any(
+            generation_requests(address, "POISON") for _, address in small_fleet.engines
+        ),
+        "the request arrives at an engine",
+    )
+    for controller in controllers:
+        controller.signal(signal.SIGSTOP)
+
+    def resume_controllers():
+        for controller in controllers:
+            controller.signal(signal.SIGCONT)
+
+    timer = threading.Timer(0.5, resume_controllers)
+    timer.start()
+    poisoned.join()
+    repeated = callers[1].chat("sake-1", "POISON contract")
+    timer.join()
+    assert answers[0].status >= 400
+    assert (repeated.status, repeated.run) == (422, "not-run")
+    assert len(poisoned_requests(small_fleet)) == 2
+
+
+def poisoned_requests(small_fleet):
+    """Return the requests at all engines that crash the engines."""
     requests = [
         request
         for _, address in small_fleet.engines
         for request in received_requests(address)
     ]
-    poisoned = [request for request in requests if "POISON" in json.dumps(request)]
-    assert len(poisoned) == 2
+    return [request for request in requests if "POISON" in json.dumps(request)]
 
 
 def test_leaving_target_gets_no_new_work(small_fleet, callers):
