soak: targets name limits, and what all routers send them is checked

The soak looked at callers and at single requests; nothing counted at a target what comes from all routers together. A worker of its own lets one target after the other name a limit, with draws of its own, so that earlier seeds inject the same faults. The bound of the users is one function for the soak, the load in virtual time and the processes; routers that restart, freeze or are cut off are not excused.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,15 +7,33 @@
 
 from attrs import define, field
 
+from tests.fleet.limits import (
+    NOTICE_S,
+    WINDOW_S,
+    allowed_in_a_window,
+    most_in_a_window,
+)
+from tests.fleet.platform import StandInTarget
 from tests.fleet.processes import Answer
 
 
+@define(eq=False)
+class LimitPeriod:
+    """Time in which a target named a limit, in seconds of the monotonic clock."""
+
+    target: StandInTarget
+    limit_per_s: float
+    began_at: float
+    ended_at: float
+
+
 @define
 class Observations:
     """Answers to callers and operators, and the violated guarantees.
 
     ``refused`` holds the requests with an answer of status 429 or 503, ``booked`` the
-    sent booking requests, and ``violations`` a message for each violation.
+    sent booking requests, ``violations`` a message for each violation, and ``limits``
+    the times in which targets named a limit.
     """
 
     answers: int = 0
@@ -24,6 +42,7 @@
     booked: set[str] = field(factory=set)
     acked_version: int = 0
     violations: list[str] = field(factory=list)
+    limits: list[LimitPeriod] = field(factory=list)
     _lock: threading.Lock = field(factory=threading.Lock)
 
     def record_caller_answer(
@@ -59,6 +78,29 @@
                 f"read version {version} after {earlier_acked_version} was acknowledged"
             )
 
+    def record_limit(
+        self, target: StandInTarget, began_at: float, ended_at: float
+    ) -> None:
+        """Record that a target named a limit until now."""
+        period = LimitPeriod(target, target.limit_per_s, began_at, ended_at)
+        self.limits.append(period)
+
+    def check_limits(self) -> None:
+        """Check the requests of all routers together at targets with a limit."""
+        for period in self.limits:
+            begin = period.began_at + NOTICE_S
+            arrivals = period.target.arrivals
+            times = [t for t in arrivals if begin <= t < period.ended_at]
+            most, allowed = (
+                most_in_a_window(times),
+                allowed_in_a_window(period.limit_per_s),
+            )
+            if most > allowed:
+                self.record_violation(
+                    f"{period.target.target_id} got {most} requests in {WINDOW_S:g} s "
+                    f"with a limit of {period.limit_per_s:g}/s, {allowed:g} allowed"
+                )
+
     def check_targets(self, targets) -> None:
         """Check the requests that the targets received and ran.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,7 @@
 
 from soak.checks import Observations
 from soak.proxy import MODES, FaultProxy
+from tests.fleet.limits import NOTICE_S, WINDOW_S
 from tests.fleet.platform import PlatformStandIn
 from tests.fleet.processes import FleetOfProcesses, configuration, wait_until
 
@@ -33,6 +34,9 @@
 #: Maximum wait for the proxies to close, in seconds.
 CLOSE_TIMEOUT_S = 2.0
 
+#: Longest time for which a target names a limit, in seconds.
+MAX_LIMIT_S = 12.0
+
 #: Maximum pause between two faults and maximum duration of a fault, in seconds.
 MAX_PAUSE_S, MAX_FAULT_S = 0.6, 2.5
 
@@ -98,6 +102,7 @@
                 for n in range(4)
             ]
             workers.append(threading.Thread(target=self._change_configuration))
+            workers.append(threading.Thread(target=self._change_limits))
             for worker in workers:
                 worker.start()
             self._inject_faults()
@@ -106,6 +111,7 @@
                 worker.join()
             self._recover()
             self._observations.check_targets(self._platform.targets.values())
+            self._observations.check_limits()
         except AssertionError as error:
             self._observations.record_violation(str(error))
         finally:
@@ -186,6 +192,19 @@
                 self._observations.record_acked_version(version)
             time.sleep(rng.uniform(0.1, 0.4))
 
+    def _change_limits(self) -> None:
+        """Let one target after the other name a limit for a while."""
+        # The draws of faults must not depend on those of limits, so that seeds of
+        # earlier failures still inject the same faults.
+        rng = random.Random(self._report.seed + 2)
+        while not self._is_stopping.wait(rng.uniform(0.0, 1.0)):
+            target = rng.choice(list(self._platform.targets.values()))
+            target.limit_per_s = rng.choice((1.0, 2.0, 6.0))
+            limited_at = time.monotonic()
+            self._is_stopping.wait(rng.uniform(NOTICE_S + WINDOW_S, MAX_LIMIT_S))
+            self._observations.record_limit(target, limited_at, time.monotonic())
+            target.limit_per_s = None
+
     # Faults. The names of the fault methods are the keys of the printed counts.
 
     def _inject_faults(self) -> None:
--- a/tests/test_daemon/test_target_limits.py
+++ b/tests/test_daemon/test_target_limits.py
@@ -8,20 +8,18 @@
 import signal
 import threading
 import time
-from bisect import bisect_left
 
 import pytest
 
 from soak.proxy import FaultProxy
+from tests.fleet.limits import (
+    NOTICE_S,
+    WINDOW_S,
+    allowed_in_a_window,
+    most_in_a_window,
+)
 from tests.fleet.processes import FleetOfProcesses, wait_until
 
-#: Limit of the users: in any window of this length, in seconds, a target gets at most
-#: this multiple of its limit and this many requests more.
-WINDOW_S, MAX_MULTIPLE, MAX_EXCESS = 4.0, 1.5, 5
-
-#: Seconds after a target first names its limit from which the limit must hold.
-NOTICE_S = 3.0
-
 LIMIT_PER_S = 2.0
 
 #: Requests per second of all callers; without a limit each of three targets gets a
@@ -67,16 +65,8 @@
             time.sleep(N_CALLERS / REQUESTS_PER_S * rng.uniform(0.8, 1.2))
 
 
-def most_in_a_window(target, since):
-    """Return the largest number of requests that arrived in a window since a time."""
-    times = [t for t in target.arrivals if t >= since]
-    return max(
-        (bisect_left(times, t + WINDOW_S) - n for n, t in enumerate(times)), default=0
-    )
-
-
-def allowed_in_a_window(limit_per_s):
-    return MAX_MULTIPLE * limit_per_s * WINDOW_S + MAX_EXCESS
+def arrivals_since(target, time_s):
+    return [t for t in target.arrivals if t >= time_s]
 
 
 @pytest.fixture
@@ -90,22 +80,19 @@
     processes = FleetOfProcesses(tmp_path, platform, has_link_proxies=True)
     for number in (1, 2, 3):
         platform.add(f"desk-{number}", "desk").answer_s = ANSWER_S
-    processes.start(controllers=3, routers=4)
-    proxies += [
-        FaultProxy(
-            platform.loop,
-            processes.links_address(controller.ip, is_own=True),
-            processes.links_address(controller.ip),
-        )
-        for controller in processes.controllers
-    ]
-    for proxy in proxies:
-        platform.loop.call_soon(proxy.start)
-    processes.make_ready()
-    yield processes
-    processes.close()
-    for proxy in proxies:
-        platform.loop.call_soon(proxy.close)
+    try:
+        processes.start(controllers=3, routers=4)
+        for controller in processes.controllers:
+            listen = processes.links_address(controller.ip)
+            links = processes.links_address(controller.ip, is_own=True)
+            proxies.append(FaultProxy(platform.loop, links, listen))
+            platform.loop.call_soon(proxies[-1].start)
+        processes.make_ready()
+        yield processes
+    finally:
+        processes.close()
+        for proxy in proxies:
+            platform.loop.call_soon(proxy.close)
 
 
 @pytest.fixture
@@ -127,17 +114,16 @@
         time.sleep(NOTICE_S)
         limited_at = time.monotonic()
         time.sleep(2 * WINDOW_S)
-        most, used_s = most_in_a_window(target, limited_at), 2 * WINDOW_S
-        n_limited = len([t for t in target.arrivals if t >= limited_at])
+        limited_arrivals = arrivals_since(target, limited_at)
         target.limit_per_s = None
         ended_at = time.monotonic()
         wait_until(
-            lambda: len([t for t in target.arrivals if t >= ended_at]) > 30,
+            lambda: len(arrivals_since(target, ended_at)) > 30,
             "the former share of the requests after the end of the limit",
             timeout_s=10,
         )
-    assert most <= allowed_in_a_window(LIMIT_PER_S)
-    assert n_limited >= LIMIT_PER_S * used_s / 2, "the target is hardly used"
+    assert most_in_a_window(limited_arrivals) <= allowed_in_a_window(LIMIT_PER_S)
+    assert len(limited_arrivals) >= LIMIT_PER_S * WINDOW_S, "the target is hardly used"
     assert set(load.statuses) == {200}
 
 
@@ -165,7 +151,8 @@
         time.sleep(2.0)
         set_links("ok")
         time.sleep(WINDOW_S)
-    assert most_in_a_window(target, limited_at) <= allowed_in_a_window(LIMIT_PER_S)
+    limited_arrivals = arrivals_since(target, limited_at)
+    assert most_in_a_window(limited_arrivals) <= allowed_in_a_window(LIMIT_PER_S)
     for router in fleet.routers:
         wait_until(
             lambda r=router: fleet.ask(r, "/read/x", "after", "GET").status == 200,
--- a/tests/test_entry/test_target_limit_load.py
+++ b/tests/test_entry/test_target_limit_load.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from bisect import bisect_left
 
 import pytest
 from attrs import define, field
@@ -14,6 +13,7 @@
 from berylnotch.entry.target_limits import TargetLimits
 from berylnotch.quota.owner import QuotaOwner
 from berylnotch.quota.target_limits import TARGET_QUOTA, enforced_limit
+from tests.fleet.limits import allowed_in_a_window, most_in_a_window
 from tests.test_entry.support import make_target
 
 STEP_S = 0.01
@@ -21,10 +21,6 @@
 #: Interval of periodic reports, and delay of a message, in seconds.
 REPORT_S, DELAY_S = 0.15, 0.02
 
-#: Limit of the users: at most this multiple of the limit and this many requests more
-#: in any window of this length, in seconds.
-WINDOW_S, MAX_MULTIPLE, MAX_EXCESS = 4.0, 1.5, 5
-
 
 @define(eq=False)
 class SimulatedRouter:
@@ -122,17 +118,6 @@
             if router.is_linked:
                 action()
 
-    def most_in_a_window(self):
-        times = self.arrivals
-        return max(
-            (bisect_left(times, t + WINDOW_S) - n for n, t in enumerate(times)),
-            default=0,
-        )
-
-    @property
-    def allowed(self):
-        return MAX_MULTIPLE * self.limit_per_s * WINDOW_S + MAX_EXCESS
-
 
 FLEETS = [(4, 2.0, 20), (9, 1.9, 40), (9, 0.0, 10), (64, 30.0, 200), (191, 1.9, 100)]
 
@@ -141,7 +126,7 @@
 def test_a_target_gets_no_more_than_its_limit(n_routers, limit_per_s, demand_per_s):
     simulation = Simulation(n_routers, limit_per_s, demand_per_s, seed=1)
     simulation.run(20)
-    assert simulation.most_in_a_window() <= simulation.allowed
+    assert most_in_a_window(simulation.arrivals) <= allowed_in_a_window(limit_per_s)
 
 
 # With 191 routers, tokens mostly return unused before a router's next request.
@@ -183,7 +168,7 @@
             for router in cut:
                 router.is_linked = True
         simulation.run(rng.uniform(0, 2))
-    assert simulation.most_in_a_window() <= simulation.allowed
+    assert most_in_a_window(simulation.arrivals) <= allowed_in_a_window(limit_per_s)
 
 
 def test_routers_without_an_owner_use_half_of_the_limit():
