Report limits again while no tokens come

A new leader ignores announcements of targets that it has not read from the list yet. Routers reported them again only after 2 s, and until then got no tokens. They do so now with each ask until one is answered. Inert without limited targets.

--- a/berylnotch/entry/target_limits.py
+++ b/berylnotch/entry/target_limits.py
@@ -141,8 +141,13 @@
         self._refreshed_at = -math.inf
 
     def notices(self, now: float) -> tuple[LimitNotice, ...]:
-        """Return the announcements for the next report to the leader."""
-        if now - self._refreshed_at >= NOTICE_REFRESH_S:
+        """Return the announcements for the next report to the leader.
+
+        All are returned while the owner does not answer: a new leader ignores those of
+        targets that it has not read from the target list yet, and grants no tokens.
+        """
+        is_due = now - self._refreshed_at >= NOTICE_REFRESH_S
+        if is_due or self._unanswered_since is not None:
             self._refreshed_at = now
             self._unreported = set(self._announcements)
         target_ids, self._unreported = sorted(self._unreported), set()
--- a/tests/test_entry/test_target_limits.py
+++ b/tests/test_entry/test_target_limits.py
@@ -143,6 +143,17 @@
     assert limits.notices(NOW + 4.1) == (LimitNotice("t", 0, 3.0, 3100),)
 
 
+def test_announcements_are_reported_again_while_the_owner_does_not_answer(
+    limits, target
+):
+    limits.announce(NOW, target, 3.0)
+    limits.request_tokens(NOW, "llm")
+    assert limits.asks(NOW, "r", "1") and len(limits.notices(NOW)) == 1
+    assert len(limits.notices(NOW + 0.2)) == 1
+    give(limits, NOW + 0.6, tokens=1)
+    assert limits.notices(NOW + 0.7) == ()
+
+
 def test_a_new_leader_gets_all_announcements(limits, target):
     limits.announce(NOW, target, 3.0)
     limits.notices(NOW)
