Show prompt parts of failed runs, and whether their target ended

The logs could not tell which part that is, nor a crash from connections that were reset or cut, nor a run that had begun to write from one that waited. attempt_failed now has the parts and the number of events; a probe of the target's address tells whether its process ended.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -91,6 +91,9 @@
         self._body = bytearray()
         self._sent_at = 0.0
         self._last_event_at = 0.0
+        #: Number of events that show progress of the run, and boot time of the first.
+        self._event_count = 0
+        self._first_event_at = 0.0
         self._has_ended = False
         self._attempt_id = id(self)
         self._migration: RunMigration | None = None
@@ -236,6 +239,8 @@
             if event.is_progress:
                 # Incomplete events and comments do not show progress of the run.
                 self._last_event_at = self._target.heard_at = boot_time()
+                self._event_count += 1
+                self._first_event_at = self._first_event_at or self._last_event_at
             self._owner.on_stream_begin(200, forwarded_headers(self._head))
             self._owner.on_event(event.data, event.number)
             if self._has_ended:
@@ -316,6 +321,8 @@
             reason=reason,
             after_s=now - self._sent_at,
             failures=target.ejection.failures,
+            events=self._event_count,
+            parts=",".join(self._routed.caller.part_ids),
         )
         if failure is Failure.NOT_SENT:
             self._report_end(AttemptEnd.NOT_REACHED, reason)
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -9,6 +9,7 @@
 
 from berylnotch.admission.retry import RetrySettings
 from berylnotch.admission.window import WindowBudget
+from berylnotch.entry.loss_probe import LossProber
 from berylnotch.entry.quota_gate import QuotaGate
 from berylnotch.entry.settings import EntrySettings
 from berylnotch.entry.target_limits import TargetLimits
@@ -74,6 +75,8 @@
         Target losses that other routers reported.
     own_losses : OwnLosses
         Target losses that this router reports to the leader.
+    loss_prober : LossProber
+        Finds out whether targets ended whose connections broke.
     target_limits : TargetLimits
         Limits that targets announced, and this router's tokens for these targets.
     routes : RouteTable or None
@@ -109,6 +112,7 @@
     crashes: CrashGuard
     losses: ReportedLosses = field(factory=ReportedLosses)
     own_losses: OwnLosses = field(factory=OwnLosses)
+    loss_prober: LossProber = field(default=Factory(LossProber, takes_self=True))
     target_limits: TargetLimits = field(
         default=Factory(
             lambda self: TargetLimits(lambda: self.sharing_router_count),
--- a/berylnotch/entry/crash_trail.py
+++ b/berylnotch/entry/crash_trail.py
@@ -4,6 +4,7 @@
 
 from berylnotch.entry.context import EntryContext
 from berylnotch.entry.routed_request import RoutedRequest
+from berylnotch.entry.targets import Target
 from berylnotch.membership.crashes import checksum_fingerprint
 from berylnotch.util.clock import boot_time
 
@@ -47,9 +48,10 @@
         self._target_id = target_id
         self._context.crashes.on_request_started(self._fingerprint, target_id)
 
-    def on_target_lost(self, target_id: str) -> None:
+    def on_target_lost(self, target: Target) -> None:
         """Record that a target was lost while it ran the request."""
-        self._context.record_target_loss(target_id, self._fingerprint)
+        self._context.record_target_loss(target.target_id, self._fingerprint)
+        self._context.loss_prober.on_connection_lost(target, lambda has_ended: None)
 
     def on_completed(self) -> None:
         """Record that the request completed without the loss of its target."""
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -303,7 +303,7 @@
         if self._has_ended:
             return
         if result.is_lost:
-            self._crash_tracker.on_target_lost(target.target_id)
+            self._crash_tracker.on_target_lost(target)
         self._crash_tracker.on_attempt_end()
         if result.end is AttemptEnd.MOVED:
             self._progress.moves += 1
--- a/berylnotch/platform/requests.py
+++ b/berylnotch/platform/requests.py
@@ -5,7 +5,12 @@
 from attrs import frozen
 
 from berylnotch.net.messages import Headers, HttpRequest
-from berylnotch.placement.chains import PrefixChain, PromptPart, make_prefix_chain
+from berylnotch.placement.chains import (
+    MAX_PARTS,
+    PrefixChain,
+    PromptPart,
+    make_prefix_chain,
+)
 from berylnotch.platform import names
 
 
@@ -33,6 +38,9 @@
         Prefixes that the prompt shares with other prompts.
     resume_after : int or None
         Number of the last event that the caller has received, None if not stated.
+    part_ids : tuple of str, default=()
+        Identities of the prompt's parts that other requests may share, also if the
+        parts cannot be used for `chain`; at most ``MAX_PARTS``.
     """
 
     request_id: str
@@ -44,6 +52,7 @@
     output_tokens: int
     chain: PrefixChain
     resume_after: int | None
+    part_ids: tuple[str, ...] = ()
 
     @property
     def tokens(self) -> int:
@@ -135,6 +144,7 @@
     deadline_ms = _parse_number(headers.get(names.DEADLINE_MS))
     token_counts = headers.get(names.TOKEN_COUNTS).split(",")
     prompt_tokens = int(_parse_number(token_counts[0]) or 0)
+    parts = _parse_parts(headers.get(names.PROMPT_PARTS))
     return CallerRequest(
         request_id=headers.get(names.REQUEST_ID),
         host=headers.get("Host"),
@@ -145,10 +155,10 @@
         output_tokens=int(_parse_number(token_counts[1]) or 0)
         if len(token_counts) > 1
         else 0,
-        chain=make_prefix_chain(
-            _parse_parts(headers.get(names.PROMPT_PARTS)), prompt_tokens
-        ),
+        chain=make_prefix_chain(parts, prompt_tokens),
         resume_after=_parse_integer(headers.get(names.LAST_EVENT_ID)),
+        # The last part belongs to the request itself or to its session.
+        part_ids=tuple(part.part_id for part in parts[:-1][:MAX_PARTS]),
     )
 
 
--- a/tests/fleet/platform.py
+++ b/tests/fleet/platform.py
@@ -32,6 +32,8 @@
     is_leaving: bool = False
     events: int = 3
     event_pause_s: float = 0.0
+    #: Time from the arrival of a model request to the begin of its run, in seconds.
+    prefill_s: float = 0.0
     #: Time that a plain target takes for an answer, in seconds.
     answer_s: float = 0.0
     load_s: float = 0.05
@@ -55,6 +57,9 @@
     move_fault: str = "ok"
     #: Connection and next event number of the running streams, by request id.
     streams: dict[str, list] = field(factory=dict)
+    #: Connections of the model requests that have not begun to be written.
+    waiting: set[ServerConnection] = field(factory=set)
+    has_ended: bool = False
     #: Request id and next event number of the KV cache copies held, by handle.
     copies: dict[str, tuple[str, int]] = field(factory=dict)
     #: Request ids of the runs that resumed here from a KV cache copy.
@@ -104,6 +109,17 @@
         #: for later pages fail.
         self.page_size = 50
         self.readable_pages = 1000
+        #: Prompt part that ends each engine which begins to write an answer on it.
+        self.crashing_part = ""
+        #: Times of the monotonic clock at which engines crashed, in seconds.
+        self.crashes: list[float] = []
+        #: Time from a crash to the start of the next engine at the same address, and
+        #: time that a crashed engine stays in the list, both in seconds.
+        self.restart_s, self.relist_s = 1.0, 0.5
+        #: Model requests that arrived and those that began to be written, at all
+        #: engines: time of the monotonic clock and parts of the prompt, by request id.
+        self.arrivals: list[tuple[float, str, tuple[str, ...]]] = []
+        self.begun: list[tuple[float, str, tuple[str, ...]]] = []
         self._list = HttpServer(self.loop, Address("127.0.0.1", 0), self._serve_list)
         self._lock = threading.Lock()
 
@@ -122,17 +138,56 @@
         self, target_id: str, service: str, version: int | None = None
     ) -> StandInTarget:
         """Start a target; a target with a version is an engine."""
+        return self._add(target_id, service, version, Address("127.0.0.1", 0))
+
+    def _add(
+        self, target_id: str, service: str, version: int | None, address: Address
+    ) -> StandInTarget:
         target: StandInTarget
 
         def serve(connection: ServerConnection, request: HttpRequest) -> None:
             self._serve_target(target, connection, request)
 
-        server = HttpServer(self.loop, Address("127.0.0.1", 0), serve)
+        server = HttpServer(self.loop, address, serve)
         target = StandInTarget(target_id, service, server, version)
         self.targets[target_id] = target
         self.loop.call_soon(server.start)
         return target
 
+    def crash(self, target: StandInTarget) -> None:
+        """End an engine; another one starts later at its address."""
+        if target.has_ended:
+            return
+        target.has_ended = True
+        self.crashes.append(time.monotonic())
+        address = target.server.address
+        target.server.close()
+        number = len(self.crashes)
+
+        def unlist() -> None:
+            self.targets.pop(target.target_id, None)
+
+        def restart() -> None:
+            name = f"{target.target_id.partition('+')[0]}+{number}"
+            successor = self._add(name, target.service, target.version, address)
+            successor.events, successor.event_pause_s = (
+                target.events,
+                target.event_pause_s,
+            )
+            successor.prefill_s = target.prefill_s
+
+        self.loop.call_later(self.relist_s, unlist)
+        self.loop.call_later(self.restart_s, restart)
+
+    def break_streams(self, target: StandInTarget) -> None:
+        """Reset the connections of all runs of an engine, which goes on."""
+        for connection in tuple(target.waiting):
+            connection.abort()
+        for connection, _ in tuple(target.streams.values()):
+            connection.abort()
+        target.waiting.clear()
+        target.streams.clear()
+
     def stop(self, target_id: str) -> None:
         """Kill a target: its connections are reset, and its port is closed."""
         self.loop.call_soon(self.targets[target_id].server.close)
@@ -292,7 +347,39 @@
             )
         else:
             after = int(headers.get("last-event-id", "0"))
-            self._stream(target, connection, answer, after)
+            parts = headers.get("berylnotch-prefix-hash", "").split(",")[:-1]
+            part_ids = tuple(part.partition(":")[0] for part in parts)
+            self._prefill(target, connection, answer, after, part_ids)
+
+    def _prefill(
+        self,
+        target: StandInTarget,
+        connection: ServerConnection,
+        answer: Headers,
+        after: int,
+        part_ids: tuple[str, ...],
+    ) -> None:
+        """Begin to write an answer after the prefill; the engine may crash then."""
+        request_id = answer.get("Berylnotch-Request-Id")
+        self.arrivals.append((time.monotonic(), request_id, part_ids))
+        target.waiting.add(connection)
+
+        def begin() -> None:
+            if connection not in target.waiting or target.has_ended:
+                return
+            target.waiting.discard(connection)
+            if connection.is_closed:
+                return
+            self.begun.append((time.monotonic(), request_id, part_ids))
+            if self.crashing_part in part_ids:
+                self.crash(target)
+            else:
+                self._stream(target, connection, answer, after)
+
+        if target.prefill_s:
+            self.loop.call_later(target.prefill_s, begin)
+        else:
+            begin()
 
     def _stream(
         self,
--- a/tests/test_daemon/test_fleet_logs.py
+++ b/tests/test_daemon/test_fleet_logs.py
@@ -159,3 +159,57 @@
     assert why_request.main(["nobody", log]) == why_request.EXIT_NOT_FOUND
     assert why_request.main(["x", "/nowhere.log"]) == why_request.EXIT_BAD_INPUT
     assert "nowhere" in capsys.readouterr().err
+
+
+def test_logs_tell_an_engine_that_ended_from_a_broken_connection(fleet, platform):
+    # Requests that crash engines differ from popular ones by the first only.
+    fleet.make_ready()
+    router = fleet.routers[0]
+
+    def losses_of(request_id):
+        fleet.ask(router, "/chat/x", request_id)
+        failures = wait_until(
+            lambda: [
+                f
+                for f in router.lines()
+                if f["event"] == "attempt_failed" and f["id"] == request_id
+            ],
+            f"the failure of {request_id}",
+        )
+        target = failures[0]["target"]
+        probes = wait_until(
+            lambda: [
+                f
+                for f in router.lines()
+                if f["event"] == "target_probed" and f["target"] == target
+            ],
+            f"a probe of {target}",
+        )
+        return failures[0], probes[0]
+
+    engines = [t for t in platform.targets.values() if t.service == "llm"]
+    for engine in engines:
+        engine.fault = "reset"
+    failure, probe = losses_of("reset")
+    assert failure["parts"] == "aa01" and failure["events"] == "0"
+    assert probe["state"] == "listening"
+    for engine in engines:
+        engine.fault = "ok"
+    platform.crashing_part = "cc03"
+    parts = {"Berylnotch_Prefix_Hash": "aa01:1000,cc03:1000,bb02:1000"}
+    remaining = {e.target_id for e in engines} - {failure["target"]}
+    fleet.ask(router, "/chat/x", "crash", **parts)
+    crashed = wait_until(
+        lambda: [
+            f
+            for f in router.lines()
+            if f["event"] == "target_probed" and f["state"] == "refused"
+        ],
+        "a probe of the crashed engine",
+    )
+    failures = [f for f in router.lines() if f.get("id") == "crash"]
+    assert any(f.get("parts") == "aa01,cc03" for f in failures)
+    assert crashed[0]["target"] in remaining | {failure["target"]}
+    text = fleet.metrics(router)
+    series = 'berylnotch_target_losses_total{service="llm",ended="true"}'
+    assert gauge(text, series) >= 1
