--- a/tests/fleet/platform.py
+++ b/tests/fleet/platform.py
@@ -161,6 +161,8 @@
         target.has_ended = True
         self.crashes.append(time.monotonic())
         address = target.server.address
+        # The list names a crashed engine for some time.
+        target.listed_address = str(address)
         target.server.close()
         number = len(self.crashes)
 
--- /dev/null
+++ b/tests/test_daemon/test_crashing_parts.py
@@ -0,0 +1,248 @@
+"""A prompt part that crashes engines is kept from them; sound requests are served.
+
+Requests with the part arrive at all routers, and no two are alike. Sound requests share
+their caller and their other parts. The stand-ins count what they get from all routers.
+"""
+
+import random
+import signal
+import threading
+import time
+
+import pytest
+
+from soak.proxy import FaultProxy
+from tests.fleet.crashing import (
+    CONTACT_S,
+    KNOWN_CRASHES,
+    MAX_LATER_ARRIVALS,
+    MIN_SOUND_FRACTION,
+    arrivals_after_notice,
+)
+from tests.fleet.processes import FleetOfProcesses, configuration, wait_until
+
+#: Part of the first position that sound and crashing requests share, part that crashes
+#: engines, and number of other second parts.
+FIRST_PART, CRASHING_PART, N_SOUND_PARTS = "aa01", "dead", 12
+
+#: Requests per second of all callers, and share of those with the crashing part.
+REQUESTS_PER_S, CRASHING_SHARE = 40, 0.15
+
+N_CALLERS = 16
+
+#: Time from the arrival of a request at an engine to its first event, in seconds.
+PREFILL_S = 0.06
+
+
+class Load:
+    """Callers that send model requests to random routers until they are stopped.
+
+    Attributes
+    ----------
+    sound : list of tuple
+        Start time and success of each sound request.
+    crashing : list of tuple
+        Start time and status of each request with the crashing part.
+    """
+
+    def __init__(self, fleet, body_of=lambda request_id: request_id.encode()):
+        self._fleet, self._body_of = fleet, body_of
+        self._is_stopping = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._send_all, args=(n,)) for n in range(N_CALLERS)
+        ]
+        self.crashing_share = 0.0
+        self.sound, self.crashing = [], []
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *error):
+        self._is_stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _send_all(self, caller):
+        rng, number = random.Random(caller), 0
+        while not self._is_stopping.is_set():
+            number += 1
+            self._send(rng, f"{caller}-{number}")
+            time.sleep(N_CALLERS / REQUESTS_PER_S * rng.uniform(0.6, 1.0))
+
+    def _send(self, rng, request_id):
+        is_crashing = rng.random() < self.crashing_share
+        sound_part = f"{rng.randrange(N_SOUND_PARTS):x}b"
+        second_part = CRASHING_PART if is_crashing else sound_part
+        parts = f"{FIRST_PART}:150,{second_part}:50,{request_id.encode().hex()}:100"
+        started_at = time.monotonic()
+        answer = self._fleet.ask(
+            rng.choice(self._fleet.routers),
+            "/chat/x",
+            request_id,
+            body=self._body_of(request_id),
+            Berylnotch_Prefix_Hash=parts,
+            Berylnotch_Token_Count="300,20",
+        )
+        status = answer.status if answer is not None and answer.is_whole else 0
+        if is_crashing:
+            self.crashing.append((started_at, status))
+        else:
+            self.sound.append((started_at, status == 200))
+
+    def served_share(self, since, until=float("inf")):
+        """Return the share of the sound requests of a time that were served."""
+        served = [ok for at, ok in self.sound if since <= at < until]
+        assert len(served) >= 20, "too few sound requests to judge"
+        return sum(served) / len(served)
+
+
+@pytest.fixture
+def proxies():
+    return []
+
+
+@pytest.fixture
+def fleet(tmp_path, platform, proxies):
+    """Three controllers behind proxies, four routers and six engines."""
+    processes = FleetOfProcesses(tmp_path, platform, has_link_proxies=True)
+    for number in range(6):
+        platform.add(f"llm-{number}", "llm", version=1).prefill_s = PREFILL_S
+    platform.add("desk-1", "desk")
+    try:
+        processes.start(controllers=3, routers=4)
+        for controller in processes.controllers:
+            listen = processes.links_address(controller.ip)
+            links = processes.links_address(controller.ip, is_own=True)
+            proxies.append(FaultProxy(platform.loop, links, listen))
+            platform.loop.call_soon(proxies[-1].start)
+        # As in the incident, a stream that has begun cannot be resumed.
+        assert processes.put(configuration(3, resumable=False)).status == 200
+        processes.wait_ready()
+        yield processes
+    finally:
+        processes.close()
+        for proxy in proxies:
+            platform.loop.call_soon(proxy.close)
+
+
+@pytest.fixture
+def set_links(proxies, platform):
+    """Set the mode of all links to the controllers and between them."""
+
+    def set_mode(mode):
+        for proxy in proxies:
+            platform.loop.call_soon(lambda proxy=proxy: proxy.set_mode(mode))
+
+    return set_mode
+
+
+def start_crashes(load, platform):
+    """Send only sound requests for a while, then others too; return the usual share."""
+    wait_until(lambda: len(load.sound) > 80, "sound requests")
+    usual_share = load.served_share(0)
+    platform.crashing_part = CRASHING_PART
+    load.crashing_share = CRASHING_SHARE
+    return usual_share
+
+
+def late_arrivals(platform):
+    arrivals = [
+        at for at, _, parts in tuple(platform.arrivals) if CRASHING_PART in parts
+    ]
+    return arrivals_after_notice(platform.crashes, arrivals)
+
+
+def wait_for_crashes(platform, count=KNOWN_CRASHES, timeout_s=8.0):
+    """Wait until enough engines crashed, or until requests crash no more."""
+    deadline = time.monotonic() + timeout_s
+    while len(platform.crashes) < count and time.monotonic() < deadline:
+        time.sleep(0.05)
+    return platform.crashes[:count][-1]
+
+
+def test_part_that_crashes_engines_is_refused_by_all_routers(fleet, platform):
+    with Load(fleet) as load:
+        usual_share = start_crashes(load, platform)
+        known_at = wait_for_crashes(platform) + CONTACT_S
+        time.sleep(max(0.0, known_at - time.monotonic()) + CONTACT_S + 5.0)
+        judged_from = known_at + CONTACT_S
+    assert len(late_arrivals(platform)) <= MAX_LATER_ARRIVALS
+    sound_share = load.served_share(judged_from)
+    assert sound_share >= MIN_SOUND_FRACTION * usual_share
+    refused = [status for at, status in load.crashing if at > judged_from]
+    assert refused and 200 not in refused
+
+
+def test_part_stays_refused_over_restarts_cuts_and_changes_of_leader(
+    fleet, platform, set_links
+):
+    with Load(fleet) as load:
+        usual_share = start_crashes(load, platform)
+        wait_for_crashes(platform)
+        leader = wait_until(fleet.leader, "a leader")
+        leader.kill()
+        time.sleep(1.0)
+        restarted, frozen = fleet.routers[:2]
+        restarted.kill()
+        restarted.start()
+        time.sleep(2.0)
+        leader.start()
+        frozen.signal(signal.SIGSTOP)
+        set_links("silence")
+        time.sleep(2.0)
+        frozen.signal(signal.SIGCONT)
+        time.sleep(1.0)
+        set_links("ok")
+        time.sleep(2.0)
+        # All processes lose power at once.
+        for process in (*fleet.routers, *fleet.controllers):
+            process.kill()
+        for process in (*fleet.controllers, *fleet.routers):
+            process.start()
+        fleet.wait_ready()
+        judged_from = time.monotonic() + CONTACT_S
+        time.sleep(CONTACT_S + 4.0)
+    assert len(late_arrivals(platform)) <= MAX_LATER_ARRIVALS
+    assert load.served_share(judged_from) >= MIN_SOUND_FRACTION * usual_share
+
+
+@pytest.mark.parametrize(
+    "body_of",
+    [lambda request_id: request_id.encode(), lambda request_id: b"{}"],
+    ids=["bodies differ", "bodies are alike"],
+)
+def test_broken_connections_of_engines_that_go_on_blame_no_request(
+    fleet, platform, body_of
+):
+    with Load(fleet, body_of) as load:
+        wait_until(lambda: len(load.sound) > 80, "sound requests")
+        usual_share = load.served_share(0)
+        rng = random.Random(31)
+        for _ in range(8):
+            engines = [t for t in platform.targets.values() if t.service == "llm"]
+            for engine in rng.sample(engines, 3):
+                for delay_s in (0.0, 0.1, 0.2, 0.3, 0.4):
+                    platform.loop.call_later(
+                        delay_s, lambda e=engine: platform.break_streams(e)
+                    )
+            time.sleep(0.8)
+        judged_from = time.monotonic()
+        time.sleep(3.0)
+    assert load.served_share(judged_from) >= MIN_SOUND_FRACTION * usual_share
+
+
+def test_engines_that_end_together_blame_no_request(fleet, platform):
+    # A loss of power takes the runs of popular parts at many engines at once.
+    with Load(fleet, lambda request_id: b"{}") as load:
+        wait_until(lambda: len(load.sound) > 80, "sound requests")
+        usual_share = load.served_share(0)
+        for _ in range(3):
+            for engine in tuple(platform.targets.values()):
+                if engine.service == "llm":
+                    platform.loop.call_soon(lambda e=engine: platform.crash(e))
+            time.sleep(3.0)
+        judged_from = time.monotonic()
+        time.sleep(3.0)
+    assert load.served_share(judged_from) >= MIN_SOUND_FRACTION * usual_share
