Break off streams that end within an event or hold a response's head

Cause: the rest after the last whole event was only looked at if the stream had no length; an event could be any text.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -236,6 +236,11 @@
             return
         self._reading.on_processed(self._sent_at)
         for event in self._splitter.feed(data):
+            if event.is_response_head:
+                # Without a length, nothing else separates a stream from a response
+                # that a faulty target or a relay before it writes after it.
+                self._abort("another response follows within the stream")
+                return
             if event.is_progress:
                 # Incomplete events and comments do not show progress of the run.
                 self._last_event_at = self._target.heard_at = boot_time()
--- a/berylnotch/entry/events.py
+++ b/berylnotch/entry/events.py
@@ -12,6 +12,7 @@
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
 _BOUNDARY_BYTES = 4
 _DATA = re.compile(rb"(?:\A|\n)data[:\r\n]")
+_STATUS_LINE = re.compile(rb"\s*HTTP/\d")
 _ID = re.compile(rb"(?:\A|\n)id:[ \t]*(\d+)")
 
 
@@ -35,6 +36,11 @@
         """Whether the event has an id or data, so that it is not only a comment."""
         return self.number is not None or _DATA.search(self.data) is not None
 
+    @property
+    def is_response_head(self) -> bool:
+        """Whether the bytes are the head of an HTTP response instead of an event."""
+        return _STATUS_LINE.match(self.data) is not None
+
 
 class EventSplitter:
     """Splits a stream into events, however the network splits the bytes."""
--- a/berylnotch/entry/judging.py
+++ b/berylnotch/entry/judging.py
@@ -45,10 +45,11 @@
         return "response has no server stamp"
     if is_encoded(head):
         return "response has a content encoding that was not requested"
-    if stream_tail is not None and not head.is_delimited:
-        # The target closes its connection at the end of a stream and also if it fails.
-        if stream_tail:
+    if stream_tail is not None:
+        # The text of an error may follow the events of a stream whose framing is valid.
+        if stream_tail.strip():
             return "stream ended within an event"
-        if may_have_stopped:
+        # The target closes its connection at the end of a stream and also if it fails.
+        if may_have_stopped and not head.is_delimited:
             return "stream ended, possibly because its run was stopped for a migration"
     return ""
--- a/tests/test_entry/test_failures.py
+++ b/tests/test_entry/test_failures.py
@@ -45,6 +45,23 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+class FirstThenOthers(RawServer):
+    """Fake target whose answer to the first connection differs from later ones.
+
+    Listed under several names, it is the first and the next target of a request.
+    """
+
+    def __init__(self, first, other):
+        self._first, self._other, self._count = first, other, 0
+        super().__init__()
+
+    def _serve_connection(self, sock):
+        self._count += 1
+        if sock.recv(65536):
+            sock.sendall(self._first if self._count == 1 else self._other)
+        sock.close()
+
+
 STREAM = "Content-Type: text/event-stream"
 CHUNKED = "Transfer-Encoding: chunked"
 
@@ -235,3 +252,91 @@
     )
     caller = router("/chat/x", [slow])
     assert caller.end == "whole" and caller.body == events(1, 2, 3, 4, 5)
+
+
+# A refusal that is written once more on a reused connection.
+
+REFUSAL = "Berylnotch-Not-Executed: 1"
+
+
+def refusal(request_id, status="503 Service Unavailable"):
+    return head(request_id, REFUSAL, "Content-Length: 0", status=status)
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/book/x", "/chat/x"])
+@pytest.mark.parametrize(
+    "status", ["503 Service Unavailable", "429 Too Many Requests", "421 Misdirected"]
+)
+@pytest.mark.parametrize("repeated_id", ["id-1", ""], ids=["id", "no id"])
+def test_repeated_refusal_does_not_refuse_the_next_request(
+    router, context, path, status, repeated_id
+):
+    server = RawServer(
+        refusal("id-1", status),
+        refusal(repeated_id, status),
+        then=[complete_response("id-2", b"second")],
+        pause_s=0.05,
+    )
+    assert router(path, [server], "id-1").status == 503
+    for target in context.targets.all():
+        target.refused_until = 0.0
+    second = router(path, [server], "id-2")
+    # The target has the request, so no answer may promise that it has not run.
+    assert second.status in (200, 502, 504)
+    assert len(server.requests) == 2
+
+
+# An error of the next target after a stream has begun.
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        complete_response("id-1", b"overloaded", status="500 Internal Server Error"),
+        complete_response("id-1", b"overloaded", status="429 Too Many Requests"),
+        complete_response("id-1", b"overloaded", status="404 Not Found"),
+        complete_response("id-1", b"overloaded"),
+        head("id-1", status="503 Service Unavailable") + b"overloaded",
+        head("id-1", STREAM, status="500 Internal Server Error") + b"overloaded\n\n",
+        head("id-1", STREAM, CHUNKED) + chunk(b'{"error": "overloaded"}') + chunk(b""),
+        head("id-1", STREAM) + b'{"error": "overloaded"}',
+        head("id-1", STREAM, CHUNKED) + refusal("id-1") + b"overloaded",
+        head("id-1", STREAM) + complete_response("id-1", b"overloaded", "500 Error"),
+        head("id-1", STREAM) + b"HTTP/1.1 500 Error\r\n\r\n" + b"overloaded\n\n",
+    ],
+)
+def test_error_of_the_next_target_does_not_become_part_of_a_stream(router, answer):
+    begun = head("id-1", STREAM, CHUNKED) + chunk(events(1, 2))
+    caller = router("/chat/x", [FirstThenOthers(begun, answer)] * 2)
+    assert caller.end == "broken off"
+    assert caller.body == events(1, 2)
+
+
+def test_error_head_within_a_stream_without_length_is_not_passed_on(router):
+    answer = head("id-1", STREAM) + events(1, 2) + refusal("id-1") + b"not run\n\n"
+    caller = router("/chat/x", [RawServer(answer)])
+    assert caller.end == "broken off"
+    assert caller.body == events(1, 2)
+
+
+# A response that ends within its head.
+
+COMPLETE_HEAD = head("id-1", "Content-Length: 4")
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/book/x", "/chat/x"])
+@pytest.mark.parametrize("cut", [12, 17, 40, len(COMPLETE_HEAD) - 1])
+@pytest.mark.parametrize("is_stream", [False, True])
+@pytest.mark.parametrize("reset", [False, True])
+def test_response_that_ends_within_its_head_is_no_answer(
+    router, path, cut, is_stream, reset
+):
+    whole = head("id-1", STREAM, CHUNKED) if is_stream else COMPLETE_HEAD
+    caller = router(path, [RawServer(whole[:cut], reset=reset)])
+    assert caller.status >= 500 and caller.body == b""
+
+
+def test_response_that_ends_within_its_head_on_a_reused_connection(router):
+    server = RawServer(complete_response("id-1", b"first"), COMPLETE_HEAD[:-2])
+    assert router("/book/x", [server], "id-1").body == b"first"
+    assert router("/book/x", [server], "id-2").status >= 500
--- a/tests/test_net/support.py
+++ b/tests/test_net/support.py
@@ -90,6 +90,8 @@
 
     def __init__(self, *responses, reset=False, then=(), pause_s=0.0):
         self.then, self.pause_s = then, pause_s
+        #: Requests in the order of their arrival.
+        self.requests = []
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.responses, self.reset = responses, reset
         threading.Thread(target=self._accept_connections, daemon=True).start()
@@ -106,8 +108,10 @@
 
     def _serve_connection(self, sock):
         for response in self.responses:
-            if not sock.recv(65536):
+            request = sock.recv(65536)
+            if not request:
                 break
+            self.requests.append(request)
             sock.sendall(response)
         try:
             for piece in self.then:
