Fail transfers whose response ends within its head

Cause: curl takes that close for the end of an empty response. The fleet's own client is not affected (tests/test_entry/test_failures.py).

--- a/berylnotch/gateways/transfers.py
+++ b/berylnotch/gateways/transfers.py
@@ -66,6 +66,7 @@
         self._on_end = on_end
         self._head_lines: list[bytes] = []
         self._head_bytes = 0
+        self._is_head_complete = False
         self._is_head_delivered = False
         self._pending_chunks: list[bytes] = []
         self._pending_bytes = 0
@@ -155,9 +156,11 @@
         if transfer._head_bytes > _MAX_HEAD_BYTES:
             return 0
         if line in (b"\r\n", b"\n"):
+            transfer._is_head_complete = True
             return len(line)
         if line.startswith(b"HTTP/"):
             transfer._head_lines = []
+            transfer._is_head_complete = False
         transfer._head_lines.append(line)
         return len(line)
 
@@ -269,6 +272,10 @@
         transfer = self._transfers.get(curl)
         if transfer is None:
             return
+        if not error and not transfer._is_head_complete:
+            # curl takes a connection that the target closes within the head for the
+            # end of an empty response.
+            error = "connection closed within the head of the response"
         sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
         transfer._end = TransferEnd(error, sent)
         self._release(transfer)
