Keep the losses of earlier reports while a router waits for a leader

A controller that knows no leader kept only the newest report of a waiting router, so the losses in its first one never reached the leader that was elected a moment later on that controller. test_losses_in_an_earlier_report_... failed before. Also: a test that answers of the next target do not become part of a stream of berylnotchd (passed at once).

--- a/berylnotch/daemon/fleet/waiting_routers.py
+++ b/berylnotch/daemon/fleet/waiting_routers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from berylnotch.group.messages import RouterReport
 from berylnotch.transport.link import Link
@@ -34,8 +34,16 @@
     def add(self, link: Link, report: RouterReport, now: float) -> None:
         """Keep the report of a router; a later report does not extend its wait."""
         earlier = self._waiting.get(link)
-        expires_at = earlier.expires_at if earlier is not None else now + MAX_WAIT_S
-        self._waiting[link] = _WaitingRouter(report, expires_at)
+        if earlier is None:
+            self._waiting[link] = _WaitingRouter(report, now + MAX_WAIT_S)
+            return
+        # A router reports each loss and completion only once over a link.
+        merged = evolve(
+            report,
+            crashes=earlier.report.crashes + report.crashes,
+            completed=earlier.report.completed + report.completed,
+        )
+        self._waiting[link] = _WaitingRouter(merged, earlier.expires_at)
 
     def remove(self, link: Link) -> None:
         """Remove a link that was closed."""
--- a/tests/test_daemon/test_fleet_waiting_routers.py
+++ b/tests/test_daemon/test_fleet_waiting_routers.py
@@ -1,6 +1,7 @@
 """Tests of the routers that wait at a controller without a known leader."""
 
 from berylnotch.daemon.fleet.waiting_routers import MAX_WAIT_S, WaitingRouters
+from berylnotch.group.messages import CompletionNotice, CrashMark
 from tests.test_daemon.test_fleet_registry import Link, report
 
 
@@ -28,3 +29,12 @@
     waiting_routers.add(link, report(), 10.0)
     waiting_routers.remove(link)
     assert waiting_routers.pop_due(20.0, True) == []
+
+
+def test_losses_in_an_earlier_report_reach_the_leader_that_is_found_later():
+    waiting_routers, link = WaitingRouters(), Link()
+    mark, notice = CrashMark(b"request", "e"), CompletionNotice(b"other", 5)
+    waiting_routers.add(link, report(crashes=(mark,), completed=(notice,)), 10.0)
+    waiting_routers.add(link, report(), 10.15)
+    ((_, merged),) = waiting_routers.pop_due(10.2, True)
+    assert merged.crashes == (mark,) and merged.completed == (notice,)
--- a/tests/test_streams/test_exchange.py
+++ b/tests/test_streams/test_exchange.py
@@ -325,3 +325,17 @@
     assert receive_buffered_response(exchange, 1) == ()
     actions = exchange.resume(1, PauseReason.KEY)
     assert single_action(actions, SendBytes).data == b"{}"
+
+
+@pytest.mark.parametrize("status", [200, 204, 400, 404, 429, 500, 503])
+def test_answer_of_the_next_target_is_no_part_of_a_stream_that_has_begun(
+    running, status
+):
+    running.on_transfer_end(1, 1, UpstreamEnd(False))
+    actions = receive_buffered_response(running, 2, status=status, body=b"overloaded")
+    assert find_actions(actions, SendHead) == []
+    assert find_actions(actions, SendBytes) == []
+    actions = running.tick(10**6)
+    assert find_actions(actions, SendHead) == []
+    assert b"overloaded" not in single_action(actions, SendBytes).data
+    assert single_action(actions, Finish).reason is FinishReason.DEADLINE
