--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -33,6 +33,9 @@
 #: Maximum size, in bytes, of a response that is not a stream.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
+#: Number of prompt parts in a log line.
+MAX_LOGGED_PARTS = 16
+
 #: Back-off, in seconds, after a target refuses a request because it is full and
 #: specifies no back-off.
 FULL_TARGET_BACKOFF_S = 0.15
@@ -329,7 +332,7 @@
             after_s=now - self._sent_at,
             failures=target.ejection.failures,
             events=self._event_count,
-            parts=",".join(self._routed.caller.part_ids),
+            parts=",".join(self._routed.caller.part_ids[:MAX_LOGGED_PARTS]),
         )
         if failure is Failure.NOT_SENT:
             self._report_end(AttemptEnd.NOT_REACHED, reason)
--- a/berylnotch/membership/crash_causes.py
+++ b/berylnotch/membership/crash_causes.py
@@ -14,6 +14,7 @@
 
 from attrs import define, field
 
+from berylnotch.membership.crashes import checksum_fingerprint
 from berylnotch.membership.settings import MembershipSettings
 
 #: Seconds within which losses of one target count as the same loss. Each connection to
@@ -32,7 +33,7 @@
 #: Targets of which the times of losses are kept.
 MAX_LOST_TARGETS = 1024
 
-#: Longest identity of a prompt part in bytes; longer ones are cut.
+#: Longest name of a prompt part in bytes; of longer ones the fingerprint is used.
 MAX_PART_BYTES = 64
 
 _PART_PREFIX = b"part:"
@@ -50,7 +51,10 @@
     Identities of parts depend on their content, so a caller who does not know a part
     cannot crash targets in its name.
     """
-    return _PART_PREFIX + part_id.encode()[:MAX_PART_BYTES]
+    name = part_id.encode()
+    if len(name) > MAX_PART_BYTES:
+        name = checksum_fingerprint("", name).hex().encode()
+    return _PART_PREFIX + name
 
 
 def describe_identities(identities: Iterable[bytes]) -> str:
--- /dev/null
+++ b/tests/test_daemon/test_fleet_crash_judge.py
@@ -0,0 +1,144 @@
+"""Decisions of the leader on the causes of crashes, and what outlasts a leader."""
+
+import msgpack
+import pytest
+
+from berylnotch.daemon.fleet import crash_judge
+from berylnotch.daemon.fleet.crash_judge import REFUSAL_S, SETTLE_S, CrashJudge
+from berylnotch.entry.settings import EntrySettings
+from berylnotch.group.commands import AllowCause, RefuseCause
+from berylnotch.group.messages import CompletionNotice, CrashMark
+from berylnotch.group.state import FleetState
+from berylnotch.transport.packing import pack
+from tests.test_daemon.test_crash_load import Clock
+from tests.test_daemon.test_fleet_registry import Log, report
+
+BAD, FIRST = b"part:bad", b"part:first"
+
+
+class Group:
+    """Replicated state, in which proposals are committed unless they are lost."""
+
+    def __init__(self):
+        self.state, self.loses_proposals = FleetState(), False
+        self.judge = None
+
+    def propose(self, command, done):
+        if not self.loses_proposals:
+            self.state.apply(command)
+        done(not self.loses_proposals)
+        if not self.loses_proposals:
+            self.judge.on_applied()
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    clock = Clock()
+    monkeypatch.setattr(crash_judge, "boot_time", lambda: clock.now)
+    return clock
+
+
+@pytest.fixture
+def group():
+    return Group()
+
+
+@pytest.fixture
+def lead(clock, group):
+    """Make a new leader of the group."""
+
+    def start_leader():
+        settings = EntrySettings().membership
+        group.judge = CrashJudge(
+            settings, clock, group.state, group.propose, lambda: None, Log()
+        )
+        group.judge.on_applied()
+        return group.judge
+
+    return start_leader
+
+
+def crash(clock, judge, *identities, count=3):
+    for number in range(count):
+        marks = tuple(CrashMark(i, f"e{clock.now}-{number}") for i in identities)
+        judge.on_report(report(crashes=marks))
+        clock.advance(1.0)
+
+
+def test_cause_outlasts_the_leader_and_a_restart_of_all_controllers(clock, group, lead):
+    crash(clock, lead(), BAD)
+    assert group.state.refused == {frozenset({BAD})}
+    restarted = FleetState()
+    restarted.restore(group.state.snapshot())
+    group.state = restarted
+    assert lead().update.refused == ((BAD,),)
+
+
+def test_routers_learn_of_a_cause_before_it_is_committed(clock, group, lead):
+    judge, group.loses_proposals = lead(), True
+    crash(clock, judge, BAD, count=2)
+    committed = []
+    group.propose = lambda command, done: committed.append(command)
+    judge._propose = group.propose
+    crash(clock, judge, BAD, count=1)
+    assert committed == [pack(RefuseCause((BAD,)))]
+    assert group.state.refused == set() and judge.update.refused == ((BAD,),)
+
+
+def test_lost_proposal_is_repeated(clock, group, lead):
+    judge, group.loses_proposals = lead(), True
+    crash(clock, judge, BAD)
+    assert group.state.refused == set()
+    group.loses_proposals = False
+    clock.advance(1.0)
+    assert group.state.refused == {frozenset({BAD})}
+
+
+def test_completion_at_any_router_clears_a_part_of_a_cause(clock, group, lead):
+    judge = lead()
+    crash(clock, judge, FIRST, BAD)
+    assert group.state.refused == {frozenset({FIRST, BAD})}
+    # A later leader has no losses in its memory.
+    clock.advance(5.0)
+    judge = lead()
+    clock.advance(5.0)
+    judge.on_report(report(completed=(CompletionNotice(FIRST, 9000),)))
+    assert group.state.refused == {frozenset({FIRST, BAD})}
+    judge.on_report(report(completed=(CompletionNotice(FIRST, 100),)))
+    assert group.state.refused == {frozenset({BAD})}
+    clock.advance(1.0)
+    judge.on_report(report(completed=(CompletionNotice(BAD, 100),)))
+    assert group.state.refused == set()
+
+
+def test_routers_are_asked_for_completions_before_the_decision(clock, group, lead):
+    judge = lead()
+    # A loss of power takes runs with a frequent part along at three targets.
+    marks = tuple(CrashMark(FIRST, f"e{n}") for n in range(3))
+    judge.on_report(report(crashes=marks))
+    assert {mark.fingerprint for mark in judge.update.crashes} == {FIRST}
+    clock.advance(SETTLE_S / 2)
+    judge.on_report(report(completed=(CompletionNotice(FIRST, 10_000),)))
+    clock.advance(SETTLE_S)
+    assert group.state.refused == set()
+
+
+def test_cause_ends_after_a_while_and_returns_after_one_more_crash(clock, group, lead):
+    judge = lead()
+    crash(clock, judge, BAD)
+    clock.advance(REFUSAL_S)
+    assert group.state.refused == set()
+    clock.advance(1.0)
+    crash(clock, judge, BAD, count=1)
+    assert group.state.refused == {frozenset({BAD})}
+
+
+def test_snapshot_of_an_earlier_version_is_readable():
+    state = FleetState()
+    state.apply(pack(RefuseCause((BAD,))))
+    state.apply(pack(AllowCause((BAD,))))
+    data = state.snapshot()
+    name, values = msgpack.unpackb(data)
+    restored = FleetState()
+    restored.restore(msgpack.packb((name, values[:4])))
+    assert restored.refused == set() and restored.snapshot() == data
