--- a/tests/test_daemon/conftest.py
+++ b/tests/test_daemon/conftest.py
@@ -9,6 +9,7 @@
 from berylnotch.standins.caller import CallerClient
 from berylnotch.standins.fleet import LocalFleet, wait_for
 from berylnotch.standins.texts import DOMAINS, SmallFleet, small_fleet_text
+from soak.proxy import FaultProxy
 from tests.fleet.platform import PlatformStandIn
 from tests.fleet.processes import FleetOfProcesses
 
@@ -125,3 +126,38 @@
     processes.start()
     yield processes
     processes.close()
+
+
+@pytest.fixture
+def proxies():
+    """Proxies of the links to the controllers of ``proxied_fleet``."""
+    return []
+
+
+@pytest.fixture
+def proxied_fleet(tmp_path, platform, proxies):
+    """Three controllers behind proxies and four routers, without a configuration."""
+    processes = FleetOfProcesses(tmp_path, platform, has_link_proxies=True)
+    try:
+        processes.start(controllers=3, routers=4)
+        for controller in processes.controllers:
+            listen = processes.links_address(controller.ip)
+            links = processes.links_address(controller.ip, is_own=True)
+            proxies.append(FaultProxy(platform.loop, links, listen))
+            platform.loop.call_soon(proxies[-1].start)
+        yield processes
+    finally:
+        processes.close()
+        for proxy in proxies:
+            platform.loop.call_soon(proxy.close)
+
+
+@pytest.fixture
+def set_links(proxies, platform):
+    """Set the mode of all links to the controllers and between them."""
+
+    def set_mode(mode):
+        for proxy in proxies:
+            platform.loop.call_soon(lambda proxy=proxy: proxy.set_mode(mode))
+
+    return set_mode
--- a/tests/test_daemon/test_crashing_parts.py
+++ b/tests/test_daemon/test_crashing_parts.py
@@ -11,7 +11,6 @@
 
 import pytest
 
-from soak.proxy import FaultProxy
 from tests.fleet.crashing import (
     CONTACT_S,
     KNOWN_CRASHES,
@@ -19,7 +18,7 @@
     MIN_SOUND_FRACTION,
     arrivals_after_notice,
 )
-from tests.fleet.processes import FleetOfProcesses, configuration, wait_until
+from tests.fleet.processes import configuration, wait_until
 
 #: Part of the first position that sound and crashing requests share, part that crashes
 #: engines, and number of other second parts.
@@ -99,43 +98,15 @@
 
 
 @pytest.fixture
-def proxies():
-    return []
-
-
-@pytest.fixture
-def fleet(tmp_path, platform, proxies):
+def fleet(proxied_fleet, platform):
     """Three controllers behind proxies, four routers and six engines."""
-    processes = FleetOfProcesses(tmp_path, platform, has_link_proxies=True)
     for number in range(6):
         platform.add(f"llm-{number}", "llm", version=1).prefill_s = PREFILL_S
     platform.add("desk-1", "desk")
-    try:
-        processes.start(controllers=3, routers=4)
-        for controller in processes.controllers:
-            listen = processes.links_address(controller.ip)
-            links = processes.links_address(controller.ip, is_own=True)
-            proxies.append(FaultProxy(platform.loop, links, listen))
-            platform.loop.call_soon(proxies[-1].start)
-        # As in the incident, a stream that has begun cannot be resumed.
-        assert processes.put(configuration(3, resumable=False)).status == 200
-        processes.wait_ready()
-        yield processes
-    finally:
-        processes.close()
-        for proxy in proxies:
-            platform.loop.call_soon(proxy.close)
-
-
-@pytest.fixture
-def set_links(proxies, platform):
-    """Set the mode of all links to the controllers and between them."""
-
-    def set_mode(mode):
-        for proxy in proxies:
-            platform.loop.call_soon(lambda proxy=proxy: proxy.set_mode(mode))
-
-    return set_mode
+    # As in the incident, a stream that has begun cannot be resumed.
+    assert proxied_fleet.put(configuration(3, resumable=False)).status == 200
+    proxied_fleet.wait_ready()
+    return proxied_fleet
 
 
 def start_crashes(load, platform):
--- a/tests/test_daemon/test_target_limits.py
+++ b/tests/test_daemon/test_target_limits.py
@@ -11,14 +11,13 @@
 
 import pytest
 
-from soak.proxy import FaultProxy
 from tests.fleet.limits import (
     NOTICE_S,
     WINDOW_S,
     allowed_in_a_window,
     most_in_a_window,
 )
-from tests.fleet.processes import FleetOfProcesses, wait_until
+from tests.fleet.processes import wait_until
 
 LIMIT_PER_S = 2.0
 
@@ -70,40 +69,12 @@
 
 
 @pytest.fixture
-def proxies():
-    return []
-
-
-@pytest.fixture
-def fleet(tmp_path, platform, proxies):
+def fleet(proxied_fleet, platform):
     """Three controllers behind proxies, four routers and three plain targets."""
-    processes = FleetOfProcesses(tmp_path, platform, has_link_proxies=True)
     for number in (1, 2, 3):
         platform.add(f"desk-{number}", "desk").answer_s = ANSWER_S
-    try:
-        processes.start(controllers=3, routers=4)
-        for controller in processes.controllers:
-            listen = processes.links_address(controller.ip)
-            links = processes.links_address(controller.ip, is_own=True)
-            proxies.append(FaultProxy(platform.loop, links, listen))
-            platform.loop.call_soon(proxies[-1].start)
-        processes.make_ready()
-        yield processes
-    finally:
-        processes.close()
-        for proxy in proxies:
-            platform.loop.call_soon(proxy.close)
-
-
-@pytest.fixture
-def set_links(proxies, platform):
-    """Set the mode of all links to the controllers and between them."""
-
-    def set_mode(mode):
-        for proxy in proxies:
-            platform.loop.call_soon(lambda proxy=proxy: proxy.set_mode(mode))
-
-    return set_mode
+    proxied_fleet.make_ready()
+    return proxied_fleet
 
 
 def test_a_limited_target_gets_its_limit_from_all_routers_together(fleet, platform):
