--- a/berylnotch/cmd/why_request.py
+++ b/berylnotch/cmd/why_request.py
@@ -39,6 +39,8 @@
         "store_back",
         "crash_mark",
         "request_blamed",
+        "cause_refused",
+        "cause_allowed",
         "disk_failed",
         "started",
         "stop_asked",
--- a/berylnotch/daemon/fleet/crash_judge.py
+++ b/berylnotch/daemon/fleet/crash_judge.py
@@ -96,7 +96,7 @@
             self._causes.record_loss(now, mark.fingerprint, mark.target_id, lost_at)
         if report.completed or report.crashes:
             self._decisions.schedule()
-            self._push_changes(now)
+            self._push_changes()
 
     def on_applied(self) -> None:
         """Follow the causes in the newly applied state."""
@@ -106,7 +106,7 @@
             self._loop.call_later(REFUSAL_S, lambda c=cause: self._expire(c))
         for cause in self._refused_at.keys() - refused:
             del self._refused_at[cause]
-        self._push_changes(now)
+        self._push_changes()
 
     def _record_completion(self, identity: bytes, completed_at: float) -> None:
         """Record a completion, and remove its identity from the causes."""
@@ -127,7 +127,7 @@
                     self._submit(AllowCause(tuple(sorted(refused))), "narrowed")
         if self._causes.has_unsettled(now):
             self._decisions.schedule()
-        self._push_changes(now)
+        self._push_changes()
 
     def _replace(self, cause: Cause, remaining: Cause, reason: str) -> None:
         if remaining and not any(r <= remaining for r in self._state.refused):
@@ -167,7 +167,7 @@
             {t for identity in command.identities for t, _ in losses.get(identity, ())}
         )
 
-    def _push_changes(self, now: float) -> None:
+    def _push_changes(self) -> None:
         """Tell the routers of suspects and causes that changed.
 
         A cause is sent before its command is committed, because each moment may cost
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -147,7 +147,7 @@
     def _admit(self) -> None:
         splits = self._routed.route.splits
         self._service_name = pick_service(splits, random.random())
-        if self._fails_as_refused():
+        if self._fail_if_refused():
             return
         self._context.budget(self._service_name).earn(boot_time())
         self._choose_and_send()
@@ -160,9 +160,9 @@
             # The target drops a request that waits there once its connection closes.
             self._attempt.cancel()
             self._attempt = None
-        self._fails_as_refused()
+        self._fail_if_refused()
 
-    def _fails_as_refused(self) -> bool:
+    def _fail_if_refused(self) -> bool:
         if not self._crash_tracker.is_refused:
             return False
         detail = "targets crashed while they ran requests like this one"
@@ -172,7 +172,7 @@
     # Target choice.
 
     def _choose_and_send(self) -> None:
-        if self._has_ended or self._fails_as_refused():
+        if self._has_ended or self._fail_if_refused():
             return
         if self._remaining_s < MIN_SEND_TIME_S:
             self._give_up(Reason.DEADLINE, "too little time left to send the request")
@@ -282,7 +282,7 @@
 
     def _continue_run(self, stopped_run: StoppedRun, target: Target) -> None:
         """Send the rest of a stopped run to the engine that has its KV cache."""
-        if self._fails_as_refused():
+        if self._fail_if_refused():
             return
         service = self._context.routes.service(self._service_name)
         if service is None or self._remaining_s <= 0:
