--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -94,9 +94,8 @@
         self._body = bytearray()
         self._sent_at = 0.0
         self._last_event_at = 0.0
-        #: Number of events that show progress of the run, and boot time of the first.
+        #: Number of events that show progress of the run.
         self._event_count = 0
-        self._first_event_at = 0.0
         self._has_ended = False
         self._attempt_id = id(self)
         self._migration: RunMigration | None = None
@@ -240,15 +239,14 @@
         self._reading.on_processed(self._sent_at)
         for event in self._splitter.feed(data):
             if event.is_response_head:
-                # Without a length, nothing else separates a stream from a response
-                # that a faulty target or a relay before it writes after it.
+                # The framing does not show where a stream without a length ends, so
+                # a response that a faulty target adds looks like an event.
                 self._abort("another response follows within the stream")
                 return
             if event.is_progress:
                 # Incomplete events and comments do not show progress of the run.
                 self._last_event_at = self._target.heard_at = boot_time()
                 self._event_count += 1
-                self._first_event_at = self._first_event_at or self._last_event_at
             self._owner.on_stream_begin(200, forwarded_headers(self._head))
             self._owner.on_event(event.data, event.number)
             if self._has_ended:
