--- a/berylnotch/cmd/why_request.py
+++ b/berylnotch/cmd/why_request.py
@@ -38,6 +38,7 @@
         "store_lost",
         "store_back",
         "crash_mark",
+        "crash_suspect",
         "request_blamed",
         "cause_refused",
         "cause_allowed",
--- a/berylnotch/entry/crash_watch.py
+++ b/berylnotch/entry/crash_watch.py
@@ -83,8 +83,7 @@
             Whether the leader should soon learn of earlier completions.
         """
         self._refused = frozenset(frozenset(cause) for cause in update.refused)
-        suspects = {mark.fingerprint for mark in update.crashes}
-        watched = suspects.union(*self._refused)
+        watched = set(update.suspects).union(*self._refused)
         for identity in watched - self._watched:
             completed_at = self._own.completed_at(identity)
             if completed_at is not None:
--- a/berylnotch/group/messages.py
+++ b/berylnotch/group/messages.py
@@ -261,11 +261,12 @@
 class CrashesUpdate:
     """Suspects and causes of crashes, all of them in each update.
 
-    ``crashes`` are the marks of the identities that ran on several lost targets.
-    ``refused`` are the causes: requests with all identities of one are refused.
+    ``suspects`` are identities that ran on several lost targets; routers report the
+    completions of requests with them. ``refused`` are the causes: requests with all
+    identities of one are refused.
     """
 
-    crashes: tuple[CrashMark, ...] = ()
+    suspects: tuple[bytes, ...] = ()
     refused: tuple[tuple[bytes, ...], ...] = ()
 
 
--- a/berylnotch/membership/crash_causes.py
+++ b/berylnotch/membership/crash_causes.py
@@ -10,9 +10,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
-
-from attrs import define, field
+from collections.abc import Container, Iterable
 
 from berylnotch.membership.crashes import checksum_fingerprint
 from berylnotch.membership.settings import MembershipSettings
@@ -65,17 +63,6 @@
     )
 
 
-@define
-class _Suspect:
-    """Losses of targets that ran requests with an identity.
-
-    ``repeated_at`` is the time at which the second loss was recorded.
-    """
-
-    losses: set[_Loss] = field(factory=set)
-    repeated_at: float = 0.0
-
-
 class CrashCauses:
     """Losses of targets by the identities of the requests that ran there.
 
@@ -83,23 +70,19 @@
     ----------
     settings : MembershipSettings
         Number of losses after which a cause is known, retention time, and largest
-        number of suspects.
-    settle_s : float, default=0.0
-        Time in seconds after the second loss of an identity in which other routers
-        report that requests with it completed. A cause is not known earlier.
+        number of identities.
     """
 
-    def __init__(self, settings: MembershipSettings, settle_s: float = 0.0) -> None:
+    def __init__(self, settings: MembershipSettings) -> None:
         self._settings = settings
-        self._settle_s = settle_s
-        self._suspects: OrderedDict[bytes, _Suspect] = OrderedDict()
-        #: Suspects with several losses; few of all suspects are among them.
-        self._repeated: dict[bytes, _Suspect] = {}
+        self._losses: OrderedDict[bytes, set[_Loss]] = OrderedDict()
+        #: Identities with several losses; few of all identities are among them.
+        self._repeated: dict[bytes, set[_Loss]] = {}
         self._completed_at: OrderedDict[bytes, float] = OrderedDict()
         self._losses_of_target: OrderedDict[str, list[_Loss]] = OrderedDict()
 
     def __len__(self) -> int:
-        return len(self._suspects)
+        return len(self._losses)
 
     def record_loss(
         self, now: float, identity: bytes, target_id: str, lost_at: float
@@ -121,15 +104,14 @@
         """
         if lost_at <= self._completed_at.get(identity, float("-inf")):
             return
-        suspect = self._suspects.setdefault(identity, _Suspect())
-        self._suspects.move_to_end(identity)
-        suspect.losses.add(self._canonical_loss(target_id, lost_at))
-        if len(suspect.losses) > 1 and identity not in self._repeated:
-            suspect.repeated_at = now
-            self._repeated[identity] = suspect
+        losses = self._losses.setdefault(identity, set())
+        self._losses.move_to_end(identity)
+        losses.add(self._canonical_loss(target_id, lost_at))
+        if len(losses) > 1:
+            self._repeated[identity] = losses
         self._remove_expired(now)
-        while len(self._suspects) > self._settings.max_suspicions:
-            oldest, _ = self._suspects.popitem(last=False)
+        while len(self._losses) > self._settings.max_suspicions:
+            oldest, _ = self._losses.popitem(last=False)
             self._repeated.pop(oldest, None)
 
     def record_completion(self, identity: bytes, completed_at: float) -> None:
@@ -139,49 +121,67 @@
         self._completed_at.move_to_end(identity)
         if len(self._completed_at) > self._settings.max_suspicions:
             self._completed_at.popitem(last=False)
-        suspect = self._suspects.get(identity)
-        if suspect is not None:
-            losses = {loss for loss in suspect.losses if loss[1] > completed_at}
-            self._keep_losses(identity, suspect, losses)
+        losses = self._losses.get(identity, ())
+        self._keep_losses(identity, {loss for loss in losses if loss[1] > completed_at})
 
     def completed_at(self, identity: bytes) -> float | None:
         """Return the time of the newest known completion, None without one."""
         return self._completed_at.get(identity)
 
-    def repeated(self) -> dict[bytes, frozenset[_Loss]]:
-        """Return the identities that ran on several lost targets, with their losses."""
-        return {
-            identity: frozenset(suspect.losses)
-            for identity, suspect in self._repeated.items()
-        }
+    def suspects(self, count: int) -> tuple[bytes, ...]:
+        """Return the identities that ran on several lost targets, likely ones first.
+
+        Parameters
+        ----------
+        count : int
+            Largest number of identities to return.
+        """
+        return tuple(sorted(self._repeated, key=self._rank)[:count])
+
+    def lost_targets(self, identity: bytes) -> tuple[str, ...]:
+        """Return the targets that were lost while they ran an identity, in order."""
+        losses = self._losses.get(identity, ())
+        return tuple(target_id for target_id, _ in sorted(losses))
 
     def losses(self) -> list[tuple[bytes, str, float]]:
-        """Return the identity, target and time of all losses, oldest suspect first."""
+        """Return the identity, target and time of all losses, oldest identity first."""
         return [
             (identity, target_id, lost_at)
-            for identity, suspect in self._suspects.items()
-            for target_id, lost_at in sorted(suspect.losses, key=lambda loss: loss[1])
+            for identity, losses in self._losses.items()
+            for target_id, lost_at in sorted(losses, key=lambda loss: loss[1])
         ]
 
-    def find_causes(self, now: float) -> frozenset[Cause]:
+    def find_causes(
+        self, now: float, candidates: Container[bytes] | None = None
+    ) -> frozenset[Cause]:
         """Return the sets of identities that explain enough losses.
 
         A set holds all identities that ran on each of these lost targets: one of them
         is the cause, but which one is not known yet. A request that lacks one of them
         is not to be refused. An identity that was never completed is more likely than
         one that was. Losses that one cause explains do not count for another.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        candidates : container of bytes, optional
+            Identities that may be found to be a cause. By default, all may.
         """
         self._remove_expired(now)
         causes, explained = set(), set()
-        for identity in sorted(self._known_suspects(now), key=self._rank):
-            losses = self._repeated[identity].losses
+        for identity in sorted(self._repeated, key=self._rank):
+            losses = self._repeated[identity]
+            is_candidate = candidates is None or identity in candidates
+            if not is_candidate or not self._is_limit_reached(identity, losses):
+                continue
             if len(losses - explained) < self._settings.crash_limit:
                 continue
             explained |= losses
             cause = frozenset(
                 other
-                for other, suspect in self._repeated.items()
-                if suspect.losses >= losses
+                for other, other_losses in self._repeated.items()
+                if other_losses >= losses
                 and self._was_completed(other) <= self._was_completed(identity)
             )
             if len(cause) <= MAX_CAUSE_IDENTITIES:
@@ -194,40 +194,23 @@
             return False
         return any(cause <= identities for cause in self.find_causes(now))
 
-    def _known_suspects(self, now: float) -> list[bytes]:
-        """Return the suspects with enough losses, known for long enough."""
-        return [
-            identity
-            for identity, suspect in self._repeated.items()
-            if self._is_limit_reached(identity, suspect)
-            and now >= suspect.repeated_at + self._settle_s
-        ]
+    def release(self, cause: Cause) -> None:
+        """Let requests with a cause run again, until they crash one more target."""
+        kept = self._settings.crash_limit - 1
+        for identity in cause:
+            by_time = sorted(
+                self._losses.get(identity, ()), key=lambda loss: loss[1], reverse=True
+            )
+            self._keep_losses(identity, set(by_time[:kept]))
 
     def _rank(self, identity: bytes) -> tuple:
-        """Order suspects by likelihood: never completed first, then by losses."""
-        losses = self._repeated[identity].losses
+        """Order identities by likelihood: never completed first, then by losses."""
+        losses = self._repeated[identity]
         return self._was_completed(identity), -len(losses), identity
 
     def _was_completed(self, identity: bytes) -> bool:
         return identity in self._completed_at
 
-    def has_unsettled(self, now: float) -> bool:
-        """Return whether a cause may become known without another report."""
-        return any(
-            now < suspect.repeated_at + self._settle_s
-            and self._is_limit_reached(identity, suspect)
-            for identity, suspect in self._repeated.items()
-        )
-
-    def release(self, cause: Cause) -> None:
-        """Let requests with a cause run again, until they crash one more target."""
-        for identity in cause:
-            suspect = self._suspects.get(identity)
-            if suspect is not None:
-                by_time = sorted(suspect.losses, key=lambda loss: loss[1])
-                kept = by_time[len(by_time) - self._settings.crash_limit + 1 :]
-                self._keep_losses(identity, suspect, set(kept))
-
     def _canonical_loss(self, target_id: str, lost_at: float) -> _Loss:
         """Return the loss that all reports of it share."""
         known = self._losses_of_target.setdefault(target_id, [])
@@ -240,32 +223,33 @@
             self._losses_of_target.popitem(last=False)
         return known[-1]
 
-    def _is_limit_reached(self, identity: bytes, suspect: _Suspect) -> bool:
-        if len(suspect.losses) < self._settings.crash_limit:
+    def _is_limit_reached(self, identity: bytes, losses: set[_Loss]) -> bool:
+        if len(losses) < self._settings.crash_limit:
             return False
         if not self._was_completed(identity):
             return True
-        times = [lost_at for _, lost_at in suspect.losses]
+        times = [lost_at for _, lost_at in losses]
         return max(times) - min(times) >= MIN_SPAN_S
 
-    def _keep_losses(
-        self, identity: bytes, suspect: _Suspect, losses: set[_Loss]
-    ) -> None:
-        suspect.losses = losses
-        if len(losses) < 2:
-            self._repeated.pop(identity, None)
+    def _keep_losses(self, identity: bytes, losses: set[_Loss]) -> None:
+        """Replace the losses of an identity by some of them."""
+        self._repeated.pop(identity, None)
         if not losses:
-            del self._suspects[identity]
+            self._losses.pop(identity, None)
+            return
+        self._losses[identity] = losses
+        if len(losses) > 1:
+            self._repeated[identity] = losses
 
     def _remove_expired(self, now: float) -> None:
-        """Remove old losses, and the suspects that have no others."""
+        """Remove old losses, and the identities that have no others."""
         oldest_at = now - self._settings.crash_retention_s
-        while self._suspects:
-            identity, suspect = next(iter(self._suspects.items()))
-            if max(lost_at for _, lost_at in suspect.losses) >= oldest_at:
+        while self._losses:
+            identity, losses = next(iter(self._losses.items()))
+            if max(lost_at for _, lost_at in losses) >= oldest_at:
                 break
-            self._keep_losses(identity, suspect, set())
-        for identity, suspect in tuple(self._repeated.items()):
-            losses = {loss for loss in suspect.losses if loss[1] >= oldest_at}
-            if len(losses) < len(suspect.losses):
-                self._keep_losses(identity, suspect, losses)
+            self._keep_losses(identity, set())
+        for identity, losses in tuple(self._repeated.items()):
+            kept = {loss for loss in losses if loss[1] >= oldest_at}
+            if len(kept) < len(losses):
+                self._keep_losses(identity, kept)
