Serve callers of a new router once the leader has heard of it

What callers saw: two runs too many of a request that crashes engines, in test_poison_request_is_refused_after_the_second_engine, once, at a load of 17 to 20: the other router had started 0.2 s before and ran the request 2 ms after the first one's answer. The answer waits for the views of all routers that the leader has heard of; a router served as soon as its view was confirmed, which another flow of messages does. So it was not waited for until its first heartbeat arrived. The log has no line of heartbeats; that the first one was late is by reading, and in line with all times in the log.

A new router uses its view once a heartbeat was answered, after 1 s without a leader at the latest. test_router_does_not_serve_before_... failed before.

Known red: a race of test_router_without_controllers_..., traced: a request that is accepted some ms before the view's lease ends is held until its deadline. It is older than this change.

--- a/berylnotch/daemon/router/follower.py
+++ b/berylnotch/daemon/router/follower.py
@@ -29,6 +29,10 @@
 #: Delay in seconds before the next source is asked after a failure, and shortest
 #: interval between requests.
 _RETRY_DELAY_S = 0.05
+#: Longest time in seconds for which a new router waits for the leader's first answer to
+#: a heartbeat before it uses its view. The answer to a failed request waits as long for
+#: the views of the routers that the leader has heard of.
+LEADER_CONTACT_S = 1.0
 #: Number of consecutive replies without a confirmation of the view after which the
 #: follower switches to the next source.
 _MAX_STALE_REPLIES = 2
@@ -54,6 +58,8 @@
         Lease that each confirmation of the view renews.
     vm, incarnation : str
         Name and incarnation of this router.
+    is_known_to_leader : callable
+        Returns whether the leader has answered a heartbeat of this router.
     on_change : callable
         Called after each reply has been processed.
     """
@@ -67,6 +73,7 @@
         freshness: Freshness,
         vm: str,
         incarnation: str,
+        is_known_to_leader: Callable[[], bool],
         on_change: Callable[[], None],
     ) -> None:
         self._loop = loop
@@ -76,7 +83,9 @@
         self._freshness = freshness
         self._vm = vm
         self._incarnation = incarnation
+        self._is_known_to_leader = is_known_to_leader
         self._on_change = on_change
+        self._started_at = 0.0
         self._source_index = 0
         self._stale_replies = 0
         self._leader_address = ""
@@ -89,6 +98,7 @@
 
     def start(self) -> None:
         """Start to send requests."""
+        self._started_at = time.monotonic()
         self._loop.call_soon(self._send_request)
 
     def close(self) -> None:
@@ -146,7 +156,17 @@
                 self._switch_source()
             return
         self._stale_replies = 0
-        self._freshness.observe(sent_at, reply.age_ms)
+        if self._is_awaited_by_others():
+            self._freshness.observe(sent_at, reply.age_ms)
+
+    def _is_awaited_by_others(self) -> bool:
+        """Return whether other routers wait for this router's view before they answer.
+
+        They do so once the leader has heard of this router. Without a leader, they wait
+        for a fixed time instead.
+        """
+        is_new = time.monotonic() - self._started_at < LEADER_CONTACT_S
+        return self._is_known_to_leader() or not is_new
 
     def _on_other_group(self, reply: SyncReply) -> None:
         # The view switches to another group only if its leader has a lease. A
--- a/berylnotch/daemon/router/heartbeat.py
+++ b/berylnotch/daemon/router/heartbeat.py
@@ -69,6 +69,7 @@
         self._view_version = view_version
         self._sent_version = 0
         self._shared_version = 0
+        self._is_answered = False
         self._http_address = ""
         self._is_leaving = False
         self._is_awaiting_answer = False
@@ -84,6 +85,11 @@
         """Version that the views of all live routers have reached."""
         return self._shared_version
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether a leader has answered a heartbeat."""
+        return self._is_answered
+
     def on_view_change(self) -> None:
         """Report a new version of the view early; other routers may wait for it."""
         if self._view_version() != self._sent_version:
@@ -151,6 +157,7 @@
         if isinstance(answer, GrantReply):
             self._quota.receive(sent_at, answer)
             self._shared_version = answer.shared_version
+            self._is_answered = True
             self._on_grant()
         elif isinstance(answer, NotLeader):
             self._leader_hint = answer.leader_address
--- a/berylnotch/daemon/router/router.py
+++ b/berylnotch/daemon/router/router.py
@@ -186,6 +186,7 @@
             self._freshness,
             settings.name,
             self._incarnation,
+            lambda: self._heartbeat.is_answered,
             self._on_view_change,
         )
 
