--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -34,6 +34,7 @@
     TokenReply,
 )
 from berylnotch.membership.answers import answer_addresses
+from berylnotch.membership.departure import StopSchedule
 from berylnotch.net.messages import Headers, HttpRequest
 from berylnotch.net.reading import HttpLimits
 from berylnotch.net.server import HttpServer, ServerConnection
@@ -163,6 +164,7 @@
             self._serve,
             self._http_limits,
             self._on_unreadable_request,
+            self._on_unanswered_request,
         )
         self._status_servers = [
             HttpServer(loop, address, self._serve_status)
@@ -203,10 +205,11 @@
         self._is_leaving = True
         self._startup_buffer.release_all()
         self._reports.send()
-        self._log.info("draining", requests=len(self._exchanges))
+        stop_s, now = self._settings.bounds.stop_s, boot_time()
+        self._context.stop = StopSchedule(now, now + stop_s)
+        self._log.info("draining", requests=len(self._exchanges), stop_s=stop_s)
         address_lifetime_s = ADDRESS_TTL_S * MAX_TTL_FACTOR + REPORT_S
-        max_drain_s = max(0.0, self._settings.bounds.stop_s - STOP_MARGIN_S)
-        now = boot_time()
+        max_drain_s = max(0.0, stop_s - STOP_MARGIN_S)
         accept_until, exit_at = (
             now + min(address_lifetime_s, max_drain_s),
             now + max_drain_s,
@@ -223,7 +226,15 @@
                 and self._caller_server.active_connection_count == 0
                 or now >= exit_at
             ):
-                self._log.info("drained", requests=len(self._exchanges))
+                counts = self._caller_server.connection_counts()
+                self._log.info(
+                    "drained",
+                    requests=len(self._exchanges),
+                    left_s=self._context.stop.exit_by - now,
+                    idle=counts["idle"],
+                    reading=counts["reading"],
+                    sending=counts["sending"],
+                )
                 for exchange in tuple(self._exchanges):
                     exchange.stop()
                 self._loop.call_later(RESPONSE_FLUSH_S, done)
@@ -249,6 +260,14 @@
             "berylnotch_unreadable_requests_total", Label("status", str(status))
         )
 
+    def _on_unanswered_request(self, request: HttpRequest) -> None:
+        self._log.warning(
+            "request_unanswered",
+            id=decode_request(request).request_id,
+            read_age_s=boot_time() - request.read_at,
+        )
+        self.metrics.count("berylnotch_unanswered_requests_total")
+
     @property
     def _has_targets(self) -> bool:
         return self._context.routes is not None and self._targets_received_at > 0
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -16,6 +16,7 @@
 from berylnotch.entry.target_limits import TargetLimits
 from berylnotch.entry.targets import Target, TargetTable
 from berylnotch.membership.announced_weights import AnnouncedWeights
+from berylnotch.membership.departure import StopSchedule
 from berylnotch.placement.cache_model import CacheModel
 from berylnotch.placement.costs import (
     DEFAULT_COPY_TOKENS_PER_MS,
@@ -92,6 +93,8 @@
         Schedules a request for tokens to the quota owner.
     schedule_report : callable
         Schedules the next report to the leader earlier than its regular time.
+    stop : StopSchedule or None
+        Times of the router's planned stop, None while it serves.
     own_note_keys : deque of tuple
         Identifying fields of this router's newest prompt notes. The leader sends the
         notes back to their author as well, and the router skips these copies.
@@ -129,6 +132,7 @@
     has_leader: Callable[[], bool] = lambda: True
     ask_quota: Callable[[], None] = lambda: None
     schedule_report: Callable[[], None] = lambda: None
+    stop: StopSchedule | None = None
     own_note_keys: deque[tuple] = field(factory=lambda: deque(maxlen=MAX_OWN_NOTES))
     _budgets: dict[str, WindowBudget] = field(factory=dict)
     _estimators: dict[str, PrefillEstimator] = field(factory=dict)
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -484,6 +484,7 @@
         self._crash_tracker.on_attempt_end()
         if self._timer is not None:
             self._timer.cancel()
+        request, stop = self._routed.request, self._context.stop
         end = RequestEnd(
             outcome,
             status,
@@ -492,6 +493,8 @@
             self._reply.first_event_s,
             boot_time() - self._started_at,
             self._remaining_s,
+            request.read_at - request.received_at,
+            request.read_at - stop.began_at if stop is not None else None,
         )
         note_end(self._context, self._routed, self._progress, end)
         self._on_end(self)
--- a/berylnotch/entry/records.py
+++ b/berylnotch/entry/records.py
@@ -54,6 +54,11 @@
         Seconds from the arrival of the request to its end.
     remaining_s : float
         Seconds from the end to the deadline, negative if the deadline has passed.
+    read_s : float
+        Seconds from the first to the last byte of the request.
+    stopping_s : float or None
+        Seconds from the begin of the router's planned stop to the last byte of the
+        request, negative if it was read before; None if the router does not stop.
     """
 
     outcome: str
@@ -63,6 +68,8 @@
     first_event_s: float
     took_s: float
     remaining_s: float
+    read_s: float
+    stopping_s: float | None
 
 
 def note_sent(
@@ -146,7 +153,13 @@
         first_s=end.first_event_s,
         took_s=end.took_s,
         left_s=end.remaining_s,
+        read_s=end.read_s,
+        stopping_s=end.stopping_s,
     )
+    if end.stopping_s is not None:
+        context.metrics.count(
+            "berylnotch_stopping_requests_total", Label("outcome", end.outcome)
+        )
     context.metrics.count(
         "berylnotch_requests_total",
         Label("route", routed.route.name),
--- a/berylnotch/net/messages.py
+++ b/berylnotch/net/messages.py
@@ -87,8 +87,8 @@
 class HttpRequest:
     """A complete request.
 
-    ``received_at`` is the time at which its first byte was read, in seconds since the
-    VM started.
+    ``received_at`` and ``read_at`` are the times at which its first and its last byte
+    were read, in seconds since the VM started.
     """
 
     method: str
@@ -97,6 +97,7 @@
     body: bytes = b""
     received_at: float = 0.0
     keep_alive: bool = True
+    read_at: float = 0.0
 
     @property
     def path(self) -> str:
--- a/berylnotch/net/reading.py
+++ b/berylnotch/net/reading.py
@@ -93,7 +93,7 @@
             raise UnreadableRequestError(400, f"unreadable: {cause!r}") from error
         except httptools.HttpParserError as error:
             raise UnreadableRequestError(400, f"unreadable: {error}") from error
-        return self._take_request() if self._is_complete else None
+        return self._take_request(now) if self._is_complete else None
 
     def reset(self) -> None:
         """Discard the current request and prepare for the next."""
@@ -106,7 +106,7 @@
         self._head_bytes = 0
         self._head_tail = b""
 
-    def _take_request(self) -> HttpRequest:
+    def _take_request(self, now: float) -> HttpRequest:
         request = HttpRequest(
             method=self._parser.get_method().decode("latin-1"),
             target=self._url.decode("latin-1"),
@@ -114,6 +114,7 @@
             body=bytes(self._body),
             received_at=self._started_at,
             keep_alive=self._parser.should_keep_alive(),
+            read_at=now,
         )
         self.reset()
         return request
--- a/berylnotch/net/server.py
+++ b/berylnotch/net/server.py
@@ -8,6 +8,7 @@
 
 import selectors
 import socket
+from collections import Counter
 from collections.abc import Callable
 
 from berylnotch.net.messages import Headers, HttpRequest, encode_head
@@ -146,6 +147,15 @@
         self.on_disconnected = None
         self._close()
 
+    @property
+    def state(self) -> str:
+        """``idle``, ``reading``, ``serving`` or ``sending`` the rest of a response."""
+        if self.request is not None:
+            return "serving"
+        if self._output:
+            return "sending"
+        return "reading" if self._reader.started_at else "idle"
+
     def check_limits(self, now: float) -> None:
         """Refuse a request that arrives too slowly; close an idle connection."""
         if self._is_closed or self.request is not None or self._is_lingering:
@@ -315,6 +325,8 @@
     on_refused : callable
         Called with the status and the reason of each request that was refused before
         it was read in full.
+    on_unanswered : callable
+        Called with each request whose connection the server closes without a response.
     """
 
     def __init__(
@@ -324,11 +336,13 @@
         handler: RequestHandler,
         limits: Callable[[], HttpLimits] = HttpLimits,
         on_refused: Callable[[int, str], None] = lambda status, reason: None,
+        on_unanswered: Callable[[HttpRequest], None] = lambda request: None,
     ) -> None:
         self.loop = loop
         self.handler = handler
         self.limits = limits
         self.on_refused = on_refused
+        self.on_unanswered = on_unanswered
         #: Whether each connection is closed after its current response.
         self.is_draining = False
         #: Time at which the newest connection was accepted, in seconds since boot.
@@ -341,6 +355,10 @@
         """Address that the server listens on, with the actual port."""
         return self._acceptor.address
 
+    def connection_counts(self) -> Counter[str]:
+        """Return the number of connections by their state."""
+        return Counter(connection.state for connection in self._connections)
+
     @property
     def active_connection_count(self) -> int:
         """Number of connections that are not idle."""
@@ -355,6 +373,8 @@
         """Stop accepting connections and abort the open ones."""
         self._acceptor.close()
         for connection in tuple(self._connections):
+            if connection.request is not None:
+                self.on_unanswered(connection.request)
             connection.abort()
 
     def close_idle(self) -> None:
--- a/tests/test_daemon/test_fleet_logs.py
+++ b/tests/test_daemon/test_fleet_logs.py
@@ -213,3 +213,20 @@
     text = fleet.metrics(router)
     series = 'berylnotch_target_probes_total{service="llm",state="refused"}'
     assert gauge(text, series) >= 1
+
+
+def test_logs_tell_when_a_request_came_in_a_planned_stop(fleet, platform):
+    fleet.make_ready()
+    router = fleet.routers[0]
+    platform.targets["desk-1"].answer_s = platform.targets["desk-2"].answer_s = 0.5
+    router.signal(signal.SIGTERM)
+    wait_until(
+        lambda: any(f["event"] == "draining" for f in router.lines()), "the stop"
+    )
+    fleet.ask(router, "/book/x", "late")
+    router.process.wait(timeout=10)
+    lines = {f["event"]: f for f in router.lines() if f.get("id") in (None, "late")}
+    assert 0 <= float(lines["finished"]["stopping_s"]) < 1
+    assert 0 <= float(lines["finished"]["read_s"]) < 1
+    assert lines["draining"]["stop_s"] == "8.000"
+    assert 0 < float(lines["drained"]["left_s"]) < 8
