--- a/tests/test_daemon/conftest.py
+++ b/tests/test_daemon/conftest.py
@@ -128,6 +128,21 @@
     processes.close()
 
 
+@pytest.fixture
+def wide_fleet(tmp_path, platform):
+    """Three controllers, three routers that serve, three engines, three order desks."""
+    processes = FleetOfProcesses(tmp_path, platform)
+    for number in (1, 2, 3):
+        platform.add(f"llm-{number}", "llm", version=1)
+        platform.add(f"desk-{number}", "desk")
+    try:
+        processes.start(controllers=3, routers=3)
+        processes.make_ready()
+        yield processes
+    finally:
+        processes.close()
+
+
 @pytest.fixture
 def proxies():
     """Proxies of the links to the controllers of ``proxied_fleet``."""
