Bound requests of a stopping router by the time that it has left

A router that stops went on accepting requests, as it must, but gave each the deadline of its route or caller, also when the process was to exit before that.

The end of each request is its deadline or the router's last moment for answers, whichever is earlier: in the queue, at a retry, a resume, a hedge, and in the deadline that targets get. A request whose answer may last longer, by the recent answers of its route, is refused at once as not run, with a retry delay of 0 if other routers take callers.

--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -15,7 +15,7 @@
     apply_prompt_notes,
     apply_targets,
 )
-from berylnotch.entry.context import EntryContext
+from berylnotch.entry.context import EXPECTED_STARTUP_S, EntryContext
 from berylnotch.entry.exchange import Exchange
 from berylnotch.entry.quota_gate import QuotaGate
 from berylnotch.entry.routed_request import RoutedRequest
@@ -34,7 +34,7 @@
     TokenReply,
 )
 from berylnotch.membership.answers import answer_addresses
-from berylnotch.membership.departure import StopSchedule
+from berylnotch.membership.departure import StopSchedule, plan_stop
 from berylnotch.net.messages import Headers, HttpRequest
 from berylnotch.net.reading import HttpLimits
 from berylnotch.net.server import HttpServer, ServerConnection
@@ -76,12 +76,8 @@
 #: Seconds allowed for the last responses to be written to their sockets.
 RESPONSE_FLUSH_S = 0.1
 
-#: Seconds before the stop deadline at which the process ends its remaining exchanges.
-STOP_MARGIN_S = 0.7
-
-#: Seconds from the start of a router until it usually has its configuration, even if
-#: all controllers start at the same time and have to elect a leader first.
-EXPECTED_STARTUP_S = 1.6
+#: Interval in seconds between two checks whether a stopping router has drained.
+DRAIN_CHECK_INTERVAL_S = 0.05
 
 #: Shortest retry delay in seconds that a router without a configuration returns to
 #: callers.
@@ -157,6 +153,7 @@
             self._leader_link.send,
         )
         self._context.schedule_report = self._reports.schedule
+        self._context.has_other_routers = lambda: bool(self._other_routers)
         self._context.has_leader = lambda: self._leader_link.has_leader
         self._caller_server = HttpServer(
             loop,
@@ -174,6 +171,17 @@
             loop, settings.metrics, self.metrics, self._update_gauges
         )
 
+    @property
+    def _other_routers(self) -> list[str]:
+        """Addresses of the other routers that take callers."""
+        own_address = str(self._settings.listen)
+        return [address for address in self._roster if address != own_address]
+
+    @property
+    def _address_ttl_s(self) -> float:
+        """Seconds for which address answers are valid."""
+        return min(ADDRESS_TTL_S, self._settings.bounds.address_ttl_s)
+
     @property
     def is_ready(self) -> bool:
         """Whether this router has a configuration and is not leaving."""
@@ -203,46 +211,50 @@
             Called when the router has drained, or shortly before the stop deadline.
         """
         self._is_leaving = True
+        stop = self._context.stop = plan_stop(
+            boot_time(),
+            self._settings.bounds.stop_s,
+            self._address_ttl_s * MAX_TTL_FACTOR + REPORT_S,
+        )
         self._startup_buffer.release_all()
         self._reports.send()
-        stop_s, now = self._settings.bounds.stop_s, boot_time()
-        self._context.stop = StopSchedule(now, now + stop_s)
-        self._log.info("draining", requests=len(self._exchanges), stop_s=stop_s)
-        address_lifetime_s = ADDRESS_TTL_S * MAX_TTL_FACTOR + REPORT_S
-        max_drain_s = max(0.0, stop_s - STOP_MARGIN_S)
-        accept_until, exit_at = (
-            now + min(address_lifetime_s, max_drain_s),
-            now + max_drain_s,
+        self._log.info(
+            "draining",
+            requests=len(self._exchanges),
+            stop_s=self._settings.bounds.stop_s,
         )
         self._caller_server.is_draining = True
+        for exchange in tuple(self._exchanges):
+            exchange.on_stop_planned()
+        end_by = stop.answer_by + self._context.settings.deadline_grace_s
 
         def check_drained() -> None:
             now = boot_time()
-            has_drained = now >= accept_until and not self._exchanges
-            is_quiet = now - self._caller_server.accepted_at >= QUIET_PERIOD_S
-            if (
-                has_drained
-                and is_quiet
-                and self._caller_server.active_connection_count == 0
-                or now >= exit_at
-            ):
-                counts = self._caller_server.connection_counts()
-                self._log.info(
-                    "drained",
-                    requests=len(self._exchanges),
-                    left_s=self._context.stop.exit_by - now,
-                    idle=counts["idle"],
-                    reading=counts["reading"],
-                    sending=counts["sending"],
-                )
-                for exchange in tuple(self._exchanges):
-                    exchange.stop()
-                self._loop.call_later(RESPONSE_FLUSH_S, done)
+            if now < end_by and not self._has_drained(now, stop):
+                self._loop.call_later(DRAIN_CHECK_INTERVAL_S, check_drained)
                 return
-            self._loop.call_later(0.05, check_drained)
+            counts = self._caller_server.connection_counts()
+            self._log.info(
+                "drained",
+                requests=len(self._exchanges),
+                left_s=stop.exit_by - now,
+                idle=counts["idle"],
+                reading=counts["reading"],
+                sending=counts["sending"],
+            )
+            for exchange in tuple(self._exchanges):
+                exchange.stop()
+            self._loop.call_later(RESPONSE_FLUSH_S, done)
 
         check_drained()
 
+    def _has_drained(self, now: float, stop: StopSchedule) -> bool:
+        """Whether no caller uses this router any more."""
+        server = self._caller_server
+        is_quiet = now - server.accepted_at >= QUIET_PERIOD_S
+        has_requests = self._exchanges or server.active_connection_count
+        return now >= stop.accept_until and is_quiet and not has_requests
+
     def close(self) -> None:
         """Close the link to the leader and the server for callers."""
         self._leader_link.close()
@@ -285,10 +297,7 @@
         routes = self._context.routes
         caller = decode_request(request)
         if routes is None:
-            retry_s = max(
-                MIN_RETRY_AFTER_S,
-                self._started_at + EXPECTED_STARTUP_S - boot_time(),
-            )
+            retry_s = self._startup_retry_s()
             self._refuse(
                 connection, caller.request_id, 503, "no configuration", retry_s
             )
@@ -314,6 +323,13 @@
         self._exchanges.add(exchange)
         exchange.start()
 
+    def _startup_retry_s(self) -> float:
+        """Return the retry delay for callers while there is no configuration."""
+        if self._context.stop is not None:
+            return self._context.stopping_retry_s()
+        starts_at = self._started_at + EXPECTED_STARTUP_S
+        return max(MIN_RETRY_AFTER_S, starts_at - boot_time())
+
     def _refuse(
         self,
         connection: ServerConnection,
@@ -344,13 +360,11 @@
         self, connection: ServerConnection, request: HttpRequest
     ) -> None:
         own_address = str(self._settings.listen)
-        others = [address for address in self._roster if address != own_address]
-        addresses = answer_addresses(own_address, self.is_ready, others)
+        addresses = answer_addresses(own_address, self.is_ready, self._other_routers)
         if not addresses:
             connection.respond(503, Headers())
             return
-        ttl_s = min(ADDRESS_TTL_S, self._settings.bounds.address_ttl_s)
-        body = address_body(addresses, ttl_s)
+        body = address_body(addresses, self._address_ttl_s)
         headers = Headers((("Content-Type", "application/json"),))
         connection.respond(200, headers, body)
 
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -116,6 +116,8 @@
         target, route = self._target, self._routed.route
         request = encode_for_target(self._routed.request, self._target_headers)
         self._connection = self._context.targets.connect(target, route.is_retryable)
+        if not target.in_flight:
+            target.busy_since = boot_time()
         target.in_flight += 1
         target.long_in_flight += self._is_long
         self._reading.begin()
@@ -173,7 +175,9 @@
             self._last_event_at if self._is_stream else 0.0,
             self._target.heard_at,
         )
-        due_at = failover_at(self._context.settings, route, pending)
+        due_at = failover_at(
+            self._context.settings, route, pending, self._context.answer_by
+        )
         if now < due_at or not route.target_latency_s:
             delay_s = max(0.05, due_at - now)
             self._context.loop.call_later(delay_s, self._check_overdue)
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable, Iterable
 
@@ -9,6 +10,7 @@
 
 from berylnotch.admission.retry import RetrySettings
 from berylnotch.admission.window import WindowBudget
+from berylnotch.entry.answer_times import AnswerTimes
 from berylnotch.entry.crash_watch import CrashWatch
 from berylnotch.entry.loss_probe import LossProber
 from berylnotch.entry.quota_gate import QuotaGate
@@ -41,6 +43,10 @@
 #: open without a request. The rest is for requests in flight and new connections.
 KEPT_CONNECTIONS_FRACTION = 0.5
 
+#: Seconds from the start of a router until it usually has its configuration, even if
+#: all controllers start at the same time and have to elect a leader first.
+EXPECTED_STARTUP_S = 1.6
+
 #: Number of this router's own prompt notes that are remembered. It exceeds the number
 #: of notes that a router writes before the leader sends the first of them back.
 MAX_OWN_NOTES = 64
@@ -93,8 +99,12 @@
         Schedules a request for tokens to the quota owner.
     schedule_report : callable
         Schedules the next report to the leader earlier than its regular time.
+    answer_times : AnswerTimes
+        Durations of recent answers.
     stop : StopSchedule or None
-        Times of the router's planned stop, None while it serves.
+        Schedule of the router's planned stop, None while it serves.
+    has_other_routers : callable
+        Returns whether callers can use other routers.
     own_note_keys : deque of tuple
         Identifying fields of this router's newest prompt notes. The leader sends the
         notes back to their author as well, and the router skips these copies.
@@ -132,7 +142,9 @@
     has_leader: Callable[[], bool] = lambda: True
     ask_quota: Callable[[], None] = lambda: None
     schedule_report: Callable[[], None] = lambda: None
+    answer_times: AnswerTimes = field(factory=AnswerTimes)
     stop: StopSchedule | None = None
+    has_other_routers: Callable[[], bool] = lambda: False
     own_note_keys: deque[tuple] = field(factory=lambda: deque(maxlen=MAX_OWN_NOTES))
     _budgets: dict[str, WindowBudget] = field(factory=dict)
     _estimators: dict[str, PrefillEstimator] = field(factory=dict)
@@ -140,6 +152,17 @@
     def __attrs_post_init__(self) -> None:
         self.targets.limit_idle(self._max_idle_connections)
 
+    @property
+    def answer_by(self) -> float:
+        """Boot time by which answers must have ended, infinite while serving."""
+        return self.stop.answer_by if self.stop is not None else math.inf
+
+    def stopping_retry_s(self) -> float:
+        """Return the retry delay of a request that this stopping router refuses."""
+        if self.stop is None or self.has_other_routers():
+            return 0.0
+        return max(0.0, self.stop.exit_by - boot_time()) + EXPECTED_STARTUP_S
+
     @property
     def sharing_router_count(self) -> int:
         """Number of routers among which limits of the fleet are divided evenly."""
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Collection
 
@@ -32,6 +33,7 @@
 from berylnotch.entry.reply import Reply
 from berylnotch.entry.results import AttemptEnd, AttemptResult
 from berylnotch.entry.routed_request import RoutedRequest
+from berylnotch.entry.stopping import longest_answer_s
 from berylnotch.entry.targets import Target
 from berylnotch.net.server import ServerConnection
 from berylnotch.platform.requests import refusal_headers
@@ -91,6 +93,8 @@
         connection.on_disconnected = self._on_caller_disconnect
         connection.on_drained = self._on_drained
         self._deadline = request.received_at + timeout_s
+        #: Boot time at which the request was last sent to a target.
+        self._sent_at = 0.0
         self._timer: Timer | None = None
         #: Boot time until which the request may wait for a token of a limited target.
         self._token_deadline: float | None = None
@@ -103,16 +107,22 @@
     def _request_id(self) -> str:
         return self._routed.caller.request_id
 
+    @property
+    def _end_by(self) -> float:
+        """Boot time by which the answer must end: its deadline or the router's stop."""
+        return min(self._deadline, self._context.answer_by)
+
     @property
     def _remaining_s(self) -> float:
-        return self._deadline - boot_time()
+        return self._end_by - boot_time()
+
+    @property
+    def _is_ended_by_stop(self) -> bool:
+        return self._context.answer_by < self._deadline
 
     def start(self) -> None:
         """Charge the request to its organisation's rate limit, and then send it."""
-        grace_s = self._context.settings.deadline_grace_s
-        self._timer = self._context.loop.call_later(
-            max(0.0, self._remaining_s) + grace_s, self._end_without_response
-        )
+        self._set_timer()
         organisation = self._routed.organisation
         if not is_limited(organisation):
             self._on_charge(Charge.CHARGED, 0.0)
@@ -123,9 +133,22 @@
         ):
             self._context.ask_quota()
 
+    def on_stop_planned(self) -> None:
+        """Shorten the time limit of the request to the time that the router has."""
+        if not self._has_ended:
+            self._set_timer()
+
     def stop(self) -> None:
         """Answer the request at once, because the process is stopping."""
-        self._end_without_response(Reason.STOPPING, "the router is stopping")
+        self._end_without_response(is_stopping=True)
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        grace_s = self._context.settings.deadline_grace_s
+        self._timer = self._context.loop.call_later(
+            max(0.0, self._remaining_s) + grace_s, self._end_without_response
+        )
 
     def _on_charge(self, outcome: Charge, retry_s: float) -> None:
         if self._has_ended:
@@ -175,7 +198,11 @@
         if self._has_ended or self._fail_if_refused():
             return
         if self._remaining_s < MIN_SEND_TIME_S:
-            self._give_up(Reason.DEADLINE, "too little time left to send the request")
+            detail = "too little time left to send the request"
+            if self._is_ended_by_stop:
+                self._give_up_stopping(detail)
+            else:
+                self._give_up(Reason.DEADLINE, detail)
             return
         service = self._context.routes.service(self._service_name)
         if service is None:
@@ -197,10 +224,29 @@
                 reason = f"first event expected after {choice.delay_ms:.0f} ms"
                 self._give_up(Reason.TOO_LATE, reason, decision.retry_after_s)
                 return
+        if not self._has_time_for(choice):
+            longest_s = longest_answer_s(self._context, self._routed, choice)
+            self._give_up_stopping(f"the answer may take {longest_s:.2f} s")
+            return
         self._progress.sends += 1
         self._tried_targets.add(choice.target.target_id)
         self._send_to(service, inputs, choice)
 
+    def _has_time_for(self, choice: Choice) -> bool:
+        """Whether the answer of a target will end before this router stops."""
+        time_left_s = self._context.answer_by - boot_time()
+        return math.isinf(time_left_s) or (
+            longest_answer_s(self._context, self._routed, choice) <= time_left_s
+        )
+
+    def _give_up_stopping(self, detail: str) -> None:
+        """End a request for which the stopping router has too little time."""
+        if self._progress.runs or self._reply.has_head:
+            self._fail(504, Reason.STOPPING, detail)
+        else:
+            retry_s = self._context.stopping_retry_s()
+            self._refuse(503, Reason.STOPPING, detail, retry_s)
+
     def _wait_or_give_up(self, inputs: ChoiceInputs) -> None:
         """Wait briefly for a token of a limited target, or refuse the request."""
         targets = self._context.targets.of(self._service_name)
@@ -249,6 +295,7 @@
         self._attempt = Attempt(
             self._context, choice, self._routed, target_headers, self
         )
+        self._sent_at = boot_time()
         self._attempt.start()
 
     # Callbacks of the attempt.
@@ -270,7 +317,10 @@
         has_attempts = self._progress.runs + 1 < self._routed.route.max_attempts
         has_budget = self._context.budget(self._service_name).has_room(boot_time())
         has_time = self._remaining_s > MIN_RETRY_TIME_S
-        return has_attempts and has_budget and has_time and self._has_other_target()
+        if not (has_attempts and has_budget and has_time):
+            return False
+        choice = self._choose_other_target()
+        return choice is not None and self._has_time_for(choice)
 
     def choose_destination(self, full_engines: Collection[str]) -> Target | None:
         """Return the engine to which the run should migrate, None if the run stays."""
@@ -333,6 +383,7 @@
             self._progress.runs += 1
         if result.end is AttemptEnd.STREAM_COMPLETE:
             self._crash_tracker.on_completed(target, result.is_delimited)
+            self._record_answer_time()
             self._reply.end_stream()
             self._finish("served", 200, target)
         elif result.end is AttemptEnd.ANSWERED:
@@ -350,26 +401,38 @@
         is_failure = status in _RETRIED_STATUSES
         may_repeat = route.is_retryable and self._progress.runs < route.max_attempts
         if is_failure and may_repeat:
-            if self._remaining_s > MIN_SEND_TIME_S and self._has_other_target():
+            choice = self._choose_other_target()
+            if self._remaining_s > MIN_SEND_TIME_S and choice is not None:
                 if self._context.budget(self._service_name).spend(boot_time()):
                     self._record_retry(result, f"status {status}")
                     self._choose_and_send()
                     return
         if status < 400:
             self._crash_tracker.on_completed(result.target, result.is_delimited)
+            self._record_answer_time()
         self._reply.respond(status, result.headers, result.body)
         self._finish(
             "served" if status < 400 else "target_failed", status, result.target
         )
 
-    def _has_other_target(self) -> bool:
+    def _record_answer_time(self) -> None:
+        begun_at = self._sent_at
+        if self._routed.is_stream and self._reply.first_event_s:
+            begun_at = self._started_at + self._reply.first_event_s
+        self._context.answer_times.record(
+            self._routed.route.name,
+            boot_time() - begun_at,
+            self._routed.caller.output_tokens,
+        )
+
+    def _choose_other_target(self) -> Choice | None:
         service = self._context.routes.service(self._service_name)
         if service is None:
-            return False
+            return None
         inputs = make_choice_inputs(
             self._context, self._routed, service, self._tried_targets
         )
-        return choose(self._context.targets.of(self._service_name), inputs) is not None
+        return choose(self._context.targets.of(self._service_name), inputs)
 
     def _retry(self, result: AttemptResult, is_run: bool) -> None:
         """Send the request to another target, or give up."""
@@ -448,20 +511,21 @@
         outcome = "refused" if status in (429, 503) else "failed"
         self._finish(outcome, status, None, f"{reason.value}: {detail}")
 
-    def _end_without_response(
-        self,
-        reason: Reason = Reason.DEADLINE,
-        detail: str = "no response before the deadline",
-    ) -> None:
+    def _end_without_response(self, is_stopping: bool = False) -> None:
         if self._has_ended:
             return
+        reason, detail = Reason.DEADLINE, "no response before the deadline"
+        retry_s = None
+        if is_stopping or self._is_ended_by_stop:
+            reason, detail = Reason.STOPPING, "no response before the router stops"
+            retry_s = self._context.stopping_retry_s()
         has_sent = self._attempt is not None and self._attempt.has_sent
         if self._attempt is not None:
             self._attempt.cancel(is_overdue=True)
         if has_sent or self._progress.runs or self._reply.has_head:
             self._fail(504, reason, detail)
         else:
-            self._refuse(503, reason, f"not sent: {detail}", None)
+            self._refuse(503, reason, f"not sent: {detail}", retry_s)
 
     def _on_caller_disconnect(self) -> None:
         if self._has_ended:
--- a/berylnotch/entry/failover.py
+++ b/berylnotch/entry/failover.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from attrs import frozen
 
 from berylnotch.entry.settings import EntrySettings
@@ -46,8 +48,36 @@
     target_heard_at: float
 
 
-def failover_at(settings: EntrySettings, route: Route, pending: PendingAnswer) -> float:
-    """Return the boot time from which the request should go to another target."""
+#: Fraction of the time that a stopping router has after the last sign of the target,
+#: for which it waits for the next one. The rest is for the answer of another target.
+STOPPING_WAIT_FRACTION = 0.5
+
+
+def failover_at(
+    settings: EntrySettings,
+    route: Route,
+    pending: PendingAnswer,
+    answer_by: float = math.inf,
+) -> float:
+    """Return the boot time from which the request should go to another target.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Time limits for the lack of an answer.
+    route : Route
+        Route of the request.
+    pending : PendingAnswer
+        What has arrived of the answer.
+    answer_by : float, default=inf
+        Boot time by which a stopping router must have the answer.
+    """
+    heard_at = pending.last_event_at or pending.sent_at
+    wait_s = STOPPING_WAIT_FRACTION * max(0.0, answer_by - heard_at)
+    return min(_overdue_at(settings, route, pending), heard_at + wait_s)
+
+
+def _overdue_at(settings: EntrySettings, route: Route, pending: PendingAnswer) -> float:
     if pending.last_event_at:
         stall_s = max(settings.stall_s, STALL_FACTOR * route.max_gap_s)
         return pending.last_event_at + stall_s
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -68,6 +68,9 @@
         Moving average of the target's answer times in seconds, for plain targets only.
     heard_at : float
         Boot time at which the target last sent part of an answer.
+    busy_since : float
+        Boot time at which the oldest uninterrupted sequence of this router's requests
+        in flight began.
     weights_at : float
         Boot time at which the target was first listed with its current weights, 0 if
         its weights have not changed since it was first listed.
@@ -100,6 +103,7 @@
     failure_rate: float = 0.0
     latency_s: float = 0.0
     heard_at: float = 0.0
+    busy_since: float = 0.0
     weights_at: float = 0.0
     is_suspect: bool = False
 
@@ -137,6 +141,10 @@
             weight = EWMA_WEIGHT if self.latency_s else 1.0
             self.latency_s += (latency_s - self.latency_s) * weight
 
+    def silent_s(self, now: float) -> float:
+        """Return for how many seconds the target has kept this router waiting."""
+        return now - max(self.heard_at, self.busy_since) if self.in_flight else 0.0
+
     def back_off(self, now: float, pause_s: float) -> None:
         """Pause the use of the target, without shortening an earlier pause."""
         self.refused_until = max(self.refused_until, now + pause_s)
--- a/tests/test_daemon/test_planned_stops.py
+++ b/tests/test_daemon/test_planned_stops.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from tests.fleet.processes import wait_until
 from tests.fleet.stops import STOP_S, LateCallers, describe, lost_requests
 
 #: Time that each target takes for an answer, in seconds.
@@ -58,11 +59,12 @@
     stopping, *others = fleet.routers
     results, signal_at = stop_under_load(fleet, [stopping], others)
     check_results(results, signal_at, platform)
-    assert all(result.is_served_in_the_end for result in results)
+    unserved = [result for result in results if not result.is_served_in_the_end]
+    assert not unserved, describe(unserved, signal_at)
 
 
 def test_stops_of_two_routers_and_the_leader_together_cut_no_request(fleet, platform):
     *stopping, other = fleet.routers
-    leader = fleet.leader()
+    leader = wait_until(fleet.leader, "a leader")
     results, signal_at = stop_under_load(fleet, stopping, [other], [leader])
     check_results(results, signal_at, platform)
