--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Callable, Collection
 
@@ -35,13 +34,13 @@
 from berylnotch.entry.routed_request import RoutedRequest
 from berylnotch.entry.stopping import longest_answer_s
 from berylnotch.entry.targets import Target
+from berylnotch.entry.time_limit import TimeLimit
 from berylnotch.net.server import ServerConnection
 from berylnotch.platform.requests import refusal_headers
 from berylnotch.quota.bounds import is_limited
 from berylnotch.routing.model import Service
 from berylnotch.routing.table import pick_service
 from berylnotch.util.clock import boot_time
-from berylnotch.util.loop import Timer
 from berylnotch.util.metrics import Label
 
 #: Status codes that indicate a failure of the target, not of the request.
@@ -84,18 +83,15 @@
         self._tried_targets: set[str] = set()
         self._service_name = ""
         self._has_ended = False
-        request, caller, route = routed.request, routed.caller, routed.route
-        timeout_s = route.timeout_s
-        if caller.deadline_s is not None:
-            timeout_s = min(timeout_s, caller.deadline_s)
-        self._started_at = request.received_at
-        self._reply = Reply(connection, context.metrics, route.name, self._started_at)
+        self._started_at = routed.request.received_at
+        self._reply = Reply(
+            connection, context.metrics, routed.route.name, self._started_at
+        )
         connection.on_disconnected = self._on_caller_disconnect
         connection.on_drained = self._on_drained
-        self._deadline = request.received_at + timeout_s
+        self._time_limit = TimeLimit(context, routed, self._end_without_response)
         #: Boot time at which the request was last sent to a target.
         self._sent_at = 0.0
-        self._timer: Timer | None = None
         #: Boot time until which the request may wait for a token of a limited target.
         self._token_deadline: float | None = None
         self._crash_tracker = CrashTracker(context, routed)
@@ -107,22 +103,13 @@
     def _request_id(self) -> str:
         return self._routed.caller.request_id
 
-    @property
-    def _end_by(self) -> float:
-        """Boot time by which the answer must end: its deadline or the router's stop."""
-        return min(self._deadline, self._context.answer_by)
-
     @property
     def _remaining_s(self) -> float:
-        return self._end_by - boot_time()
-
-    @property
-    def _is_ended_by_stop(self) -> bool:
-        return self._context.answer_by < self._deadline
+        return self._time_limit.remaining_s
 
     def start(self) -> None:
         """Charge the request to its organisation's rate limit, and then send it."""
-        self._set_timer()
+        self._time_limit.start()
         organisation = self._routed.organisation
         if not is_limited(organisation):
             self._on_charge(Charge.CHARGED, 0.0)
@@ -136,20 +123,12 @@
     def on_stop_planned(self) -> None:
         """Shorten the time limit of the request to the time that the router has."""
         if not self._has_ended:
-            self._set_timer()
+            self._time_limit.start()
 
     def stop(self) -> None:
         """Answer the request at once, because the process is stopping."""
         self._end_without_response(is_stopping=True)
 
-    def _set_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        grace_s = self._context.settings.deadline_grace_s
-        self._timer = self._context.loop.call_later(
-            max(0.0, self._remaining_s) + grace_s, self._end_without_response
-        )
-
     def _on_charge(self, outcome: Charge, retry_s: float) -> None:
         if self._has_ended:
             return
@@ -199,7 +178,7 @@
             return
         if self._remaining_s < MIN_SEND_TIME_S:
             detail = "too little time left to send the request"
-            if self._is_ended_by_stop:
+            if self._time_limit.is_set_by_stop:
                 self._give_up_stopping(detail)
             else:
                 self._give_up(Reason.DEADLINE, detail)
@@ -224,7 +203,7 @@
                 reason = f"first event expected after {choice.delay_ms:.0f} ms"
                 self._give_up(Reason.TOO_LATE, reason, decision.retry_after_s)
                 return
-        if not self._has_time_for(choice):
+        if not self._time_limit.allows(choice):
             longest_s = longest_answer_s(self._context, self._routed, choice)
             self._give_up_stopping(f"the answer may take {longest_s:.2f} s")
             return
@@ -232,13 +211,6 @@
         self._tried_targets.add(choice.target.target_id)
         self._send_to(service, inputs, choice)
 
-    def _has_time_for(self, choice: Choice) -> bool:
-        """Whether the answer of a target will end before this router stops."""
-        time_left_s = self._context.answer_by - boot_time()
-        return math.isinf(time_left_s) or (
-            longest_answer_s(self._context, self._routed, choice) <= time_left_s
-        )
-
     def _give_up_stopping(self, detail: str) -> None:
         """End a request for which the stopping router has too little time."""
         if self._progress.runs or self._reply.has_head:
@@ -320,7 +292,7 @@
         if not (has_attempts and has_budget and has_time):
             return False
         choice = self._choose_other_target()
-        return choice is not None and self._has_time_for(choice)
+        return choice is not None and self._time_limit.allows(choice)
 
     def choose_destination(self, full_engines: Collection[str]) -> Target | None:
         """Return the engine to which the run should migrate, None if the run stays."""
@@ -516,7 +488,7 @@
             return
         reason, detail = Reason.DEADLINE, "no response before the deadline"
         retry_s = None
-        if is_stopping or self._is_ended_by_stop:
+        if is_stopping or self._time_limit.is_set_by_stop:
             reason, detail = Reason.STOPPING, "no response before the router stops"
             retry_s = self._context.stopping_retry_s()
         has_sent = self._attempt is not None and self._attempt.has_sent
@@ -546,8 +518,7 @@
         self._has_ended = True
         self._attempt = None
         self._crash_tracker.on_attempt_end()
-        if self._timer is not None:
-            self._timer.cancel()
+        self._time_limit.cancel()
         request, stop = self._routed.request, self._context.stop
         end = RequestEnd(
             outcome,
--- /dev/null
+++ b/tests/test_entry/test_planned_stop.py
@@ -0,0 +1,119 @@
+"""Requests of a router that stops, without a network.
+
+The tests guard against answers that are cut because their request was sent, queued or
+sent again with more time than the router has.
+"""
+
+import pytest
+from attrs import evolve
+
+from berylnotch.entry.context import EXPECTED_STARTUP_S
+from berylnotch.entry.failover import PendingAnswer, failover_at
+from berylnotch.entry.model import Choice
+from berylnotch.membership.departure import plan_stop
+from berylnotch.routing.model import Organisation
+from berylnotch.util.clock import boot_time
+from tests.test_entry.support import make_exchange
+
+#: Duration of the route's recent answers in seconds.
+ANSWER_S = 1.0
+
+
+@pytest.fixture
+def stop_with(context):
+    """Let the router stop, with a number of seconds left for answers."""
+    context.has_other_routers = lambda: True
+    context.answer_times.record("chat", ANSWER_S, 20)
+
+    def stop(left_s):
+        planned = plan_stop(boot_time(), 8.0, 3.0)
+        context.stop = evolve(planned, answer_by=boot_time() + left_s)
+
+    return stop
+
+
+def check_refusal(context, connection, reason):
+    status, headers, _ = connection.answers[0]
+    event, fields = context.log.events[-1]
+    assert status == 503 and event == "finished"
+    assert fields["reason"].startswith(reason) and fields["runs"] == 0
+    return float(headers.get("Retry-After"))
+
+
+def test_request_whose_answer_may_outlast_the_router_is_not_sent(context, stop_with):
+    stop_with(ANSWER_S)
+    _, connection, ended = make_exchange(context)
+    assert check_refusal(context, connection, "stopping") == 0.0
+    assert len(ended) == 1 and context.targets.get("e").in_flight == 0
+
+
+def test_request_whose_answer_ends_in_time_is_sent(context, stop_with):
+    stop_with(5 * ANSWER_S)
+    exchange, connection, _ = make_exchange(context)
+    assert connection.answers == [] and context.targets.get("e").in_flight == 1
+    assert exchange._attempt._target_headers.deadline_s <= 5 * ANSWER_S
+
+
+def test_refused_caller_without_another_router_waits_for_the_restart(
+    context, stop_with
+):
+    stop_with(ANSWER_S)
+    context.has_other_routers = lambda: False
+    _, connection, _ = make_exchange(context)
+    retry_s = check_refusal(context, connection, "stopping")
+    restart_s = context.stop.exit_by - boot_time() + EXPECTED_STARTUP_S
+    assert retry_s == pytest.approx(restart_s, abs=0.1)
+
+
+def test_request_that_waits_for_tokens_is_not_sent_too_late(context, stop_with):
+    alpha = Organisation("alpha", ("k",), 0, 50_000, 100_000, True, 200)
+    exchange, connection, _ = make_exchange(context, organisation=alpha)
+    stop_with(ANSWER_S)
+    exchange.on_stop_planned()
+    exchange._admit()
+    assert check_refusal(context, connection, "stopping") == 0.0
+
+
+def test_target_that_fell_silent_gets_no_late_request(context, stop_with):
+    target = context.targets.get("e")
+    make_exchange(context)
+    target.heard_at = target.busy_since = boot_time() - 4 * ANSWER_S
+    stop_with(4 * ANSWER_S)
+    _, connection, _ = make_exchange(context)
+    check_refusal(context, connection, "stopping")
+
+
+def test_router_without_a_recent_answer_refuses_late_requests(context, stop_with):
+    context.answer_times = type(context.answer_times)()
+    stop_with(0.5)
+    _, connection, _ = make_exchange(context)
+    check_refusal(context, connection, "stopping")
+
+
+def test_repeatable_request_is_not_sent_again_without_time_for_an_answer(
+    context, stop_with
+):
+    exchange, _, _ = make_exchange(context)
+    exchange._tried_targets.clear()
+    assert exchange.can_retry_elsewhere()
+    stop_with(ANSWER_S)
+    assert not exchange.can_retry_elsewhere()
+
+
+def test_failover_leaves_time_for_another_answer(context):
+    route = context.routes.route("app.example", "/chat/x")
+    pending = PendingAnswer(100.0, 0.1, True, True, 101.0, 101.0)
+    usual_at = failover_at(context.settings, route, pending)
+    assert failover_at(context.settings, route, pending, 102.0) == 101.5
+    assert failover_at(context.settings, route, pending, 200.0) == usual_at
+
+
+def test_planned_stop_shortens_the_time_of_running_requests(context, stop_with):
+    exchange, connection, _ = make_exchange(context)
+    assert exchange._remaining_s > 3.0
+    stop_with(1.0)
+    exchange.on_stop_planned()
+    assert exchange._remaining_s <= 1.0
+    assert exchange._time_limit.allows(Choice(context.targets.get("e"), 0.0)) is False
+    exchange._end_without_response()
+    check_refusal(context, connection, "stopping")
