tests: a configuration that changes under way fails requests (known red)

Not seen: with sound targets, 8 configurations that replace all services in 4 s, each with a SIGHUP, fail none of over 100 requests; targets that leave the list under way end their answers whole. Both have tests that pass.

--- /dev/null
+++ b/tests/test_daemon/test_planned_work.py
@@ -0,0 +1,122 @@
+"""Planned work other than a router's SIGTERM, with a fleet of real processes.
+
+Configurations, signals and stops of controllers must cut no request. Each caller's
+result is counted.
+"""
+
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from tests.fleet.processes import configuration, wait_until
+from tests.fleet.stops import LateCallers, describe, send_request
+
+#: Time that each target takes for an answer, in seconds; routers do not take it for
+#: a slow one yet.
+ANSWER_S = 0.8
+
+#: Kinds of requests, in turn; with three routers, each gets all of them.
+KINDS = ("chat", "book", "read", "read")
+
+
+@pytest.fixture
+def fleet(wide_fleet, platform):
+    """Three controllers and three routers, and targets of two sets of services."""
+    for number in (1, 2, 3):
+        platform.add(f"llm-b-{number}", "llm-b", version=1)
+        platform.add(f"desk-b-{number}", "desk-b")
+    assert wide_fleet.put(other_services(4)).status == 200
+    wait_until(lambda: has_version(wide_fleet, 4), "the configuration")
+    wide_fleet.wait_ready()
+    for target in platform.targets.values():
+        target.answer_s = ANSWER_S
+        target.events, target.event_pause_s = 10, ANSWER_S / 10
+    return wide_fleet
+
+
+def other_services(version):
+    """Return a configuration with other services and narrower limits on requests."""
+    values = configuration(version)
+    for entry in (*values["routes"], *values["services"]):
+        entry["service" if "service" in entry else "name"] += "-b"
+    values["limits"] = {"headerTimeoutMs": 300, "idleTimeoutMs": 500}
+    return values
+
+
+def has_version(fleet, version):
+    return all(
+        any(
+            line.get("event") == "configuration" and line["version"] == str(version)
+            for line in router.lines()
+        )
+        for router in fleet.routers
+    )
+
+
+def gone_targets(leader):
+    return {f["target"] for f in leader.lines() if f.get("event") == "target_gone"}
+
+
+def break_runs(platform):
+    """Break the runs of the busiest engine, which goes on; return their number."""
+    busiest = max(platform.targets.values(), key=lambda t: len(t.streams))
+    count = len(busiest.streams)
+    platform.loop.call_soon(lambda: platform.break_streams(busiest))
+    return count
+
+
+def test_configurations_that_replace_services_fail_no_request(fleet):
+    callers = LateCallers(fleet.routers, [], KINDS, rate_per_s=30)
+    callers.start()
+    started_at = time.monotonic()
+    try:
+        for version in range(5, 13):
+            make = other_services if version % 2 == 0 else configuration
+            assert fleet.put(make(version)).status == 200
+            for router in fleet.routers:
+                router.signal(signal.SIGHUP)
+            time.sleep(0.5)
+    finally:
+        callers.close()
+    failed = [result for result in callers.results if result.outcome != "served"]
+    assert not failed, describe(failed, started_at)
+    assert len(callers.results) > 100
+
+
+def test_streams_of_a_service_that_was_removed_resume(fleet, platform):
+    started_at = time.monotonic()
+    with ThreadPoolExecutor() as pool:
+        calls = [
+            pool.submit(send_request, router, "chat", f"{router.name}-{n}")
+            for n in (1, 2)
+            for router in fleet.routers
+        ]
+        time.sleep(ANSWER_S / 4)
+        assert fleet.put(configuration(5)).status == 200
+        wait_until(lambda: has_version(fleet, 5), "the configuration")
+        assert break_runs(platform) > 0
+        results = [call.result() for call in calls]
+    failed = [result for result in results if result.outcome != "served"]
+    assert not failed, describe(failed, started_at)
+
+
+def test_streams_of_targets_that_leave_the_list_end_whole(fleet, platform):
+    started_at = time.monotonic()
+    with ThreadPoolExecutor() as pool:
+        calls = [
+            pool.submit(send_request, router, kind, f"{router.name}-{kind}")
+            for kind in ("chat", "book", "read")
+            for router in fleet.routers
+        ]
+        time.sleep(ANSWER_S / 4)
+        gone = [name for name in platform.targets if "-b-" in name]
+        for name in gone:
+            del platform.targets[name]
+        assert fleet.put(configuration(5)).status == 200
+        leader = wait_until(fleet.leader, "a leader")
+        wait_until(lambda: len(gone_targets(leader)) == len(gone), "a shorter list")
+        results = [call.result() for call in calls]
+    failed = [result for result in results if result.outcome != "served"]
+    assert not failed, describe(failed, started_at)
--- a/tests/test_net/support.py
+++ b/tests/test_net/support.py
@@ -16,7 +16,8 @@
     def __init__(self, handler, limits=None):
         self.errors, self.refused, self.requests = [], [], []
         self.loop = Loop("test", on_error=self.errors.append)
-        limits = limits or HttpLimits(header_bytes=2000, header_s=0.3, idle_s=0.8)
+        #: Limits in force.
+        self.limits = limits or HttpLimits(header_bytes=2000, header_s=0.3, idle_s=0.8)
 
         def serve(connection, request):
             self.requests.append(request)
@@ -26,7 +27,7 @@
             self.loop,
             Address("127.0.0.1", 0),
             serve,
-            lambda: limits,
+            lambda: self.limits,
             lambda status, reason: self.refused.append((status, reason)),
         )
         self.loop.start()
