Keep the service of a request whose configuration is replaced under way

Callers saw 503, 502 or a broken stream with no-service: each retry, resume and continued run looked its service up in the newest configuration.

A request now takes its service when it is admitted and keeps it; new requests follow the new configuration. The reason no-service is gone. Ruled out: routes, timeouts and organisations, which a request keeps already.

--- a/berylnotch/entry/refusals.py
+++ b/berylnotch/entry/refusals.py
@@ -30,5 +30,3 @@
     TARGET_LOST = "target-lost"
     #: The router process stops before the request ends.
     STOPPING = "stopping"
-    #: The service was removed from the configuration in the meantime.
-    NO_SERVICE = "no-service"
--- a/berylnotch/entry/relocation.py
+++ b/berylnotch/entry/relocation.py
@@ -16,6 +16,7 @@
 from berylnotch.entry.model import ChoiceInputs
 from berylnotch.entry.routed_request import RoutedRequest
 from berylnotch.entry.targets import Target
+from berylnotch.routing.model import Service
 from berylnotch.util.clock import boot_time
 
 #: Remaining time, in seconds, below which a run is not migrated any more.
@@ -82,20 +83,19 @@
         return self._stopped_run.origin if self._stopped_run is not None else ""
 
     def choose_destination(
-        self, service_name: str, source: Target | None, excluded: Collection[str]
+        self, service: Service, source: Target | None, excluded: Collection[str]
     ) -> Target | None:
         """Return the engine to which the run should migrate, None if the run stays."""
-        service = self._context.routes.service(service_name)
-        if service is None or service.engine is None or source is None:
+        if service.engine is None or source is None:
             return None
         if not service.engine.supports_migration:
             return None
         inputs = make_choice_inputs(self._context, self._routed, service, excluded)
-        targets = self._context.targets.of(service_name)
+        targets = self._context.targets.of(service.name)
         destination = choose_destination(targets, inputs, source)
         return (
             destination
-            if destination is not None and self._charge_budget(service_name)
+            if destination is not None and self._charge_budget(service.name)
             else None
         )
 
