Read requests, and time idle connections, by the limits at their begin

Callers saw 408 or 413 for a request that they had begun to send before a configuration lowered the limits on requests, and a connection that went idle under a longer idle time was closed at the next check, up to 0.5 s after the configuration. Cause: each check took the newest limits.

A connection keeps the limits of the moment at which its request or idle time began, and the higher ones hold. What begins later is held to the new ones.

--- a/berylnotch/net/reading.py
+++ b/berylnotch/net/reading.py
@@ -24,6 +24,17 @@
     header_s: float = 3.0
     idle_s: float = 15.0
 
+    def widen(self, other: HttpLimits) -> HttpLimits:
+        """Return the higher of each of two limits."""
+        if other is self:
+            return self
+        return HttpLimits(
+            max(self.header_bytes, other.header_bytes),
+            max(self.body_bytes, other.body_bytes),
+            max(self.header_s, other.header_s),
+            max(self.idle_s, other.idle_s),
+        )
+
 
 class UnreadableRequestError(RequestError):
     """A request that is refused with ``status`` before it is read in full."""
--- a/berylnotch/net/server.py
+++ b/berylnotch/net/server.py
@@ -61,7 +61,9 @@
         self._server = server
         self._loop = server.loop
         self._sock = sock
-        self._reader = RequestReader(server.limits)
+        self._reader = RequestReader(self._limits)
+        #: Limits in force when the current request or idle time began.
+        self._initial_limits = server.limits()
         self._output = bytearray()
         self._is_closed = False
         self._is_lingering = False
@@ -160,7 +162,7 @@
         """Refuse a request that arrives too slowly; close an idle connection."""
         if self._is_closed or self.request is not None or self._is_lingering:
             return
-        limits = self._server.limits()
+        limits = self._limits()
         if self._reader.started_at and not self._reader.is_head_read:
             if now - self._reader.started_at > limits.header_s:
                 self._refuse(408, "headers not received in time")
@@ -183,6 +185,10 @@
 
     # Reading.
 
+    def _limits(self) -> HttpLimits:
+        # Limits that fall meanwhile hold for the next request only.
+        return self._initial_limits.widen(self._server.limits())
+
     def _on_ready(self, events: int) -> None:
         if events & selectors.EVENT_READ:
             self._receive()
@@ -212,6 +218,8 @@
         now = boot_time()
         self._last_active_at = now
         was_head_read = self._reader.is_head_read
+        if not self._reader.started_at:
+            self._initial_limits = self._server.limits()
         try:
             request = self._reader.feed(now, data)
         except UnreadableRequestError as error:
@@ -243,6 +251,7 @@
         self.on_disconnected = None
         self.on_drained = None
         self._last_active_at = boot_time()
+        self._initial_limits = self._server.limits()
         self._backlog_bytes = len(self._output)
         self._is_reading = True
         if close:
