Let requests go on that wait for tokens of a limit that was lifted

Callers saw 503 no-grant 0.45 s after a configuration that took the limit from their organisation: requests that waited for tokens went on waiting, and the quota owner grants none to an organisation without a limit. Applying a configuration now releases them. An organisation that vanishes keeps the old behaviour: what waits for its tokens at that moment is refused as not run.

--- a/berylnotch/daemon/fleet/updates.py
+++ b/berylnotch/daemon/fleet/updates.py
@@ -16,7 +16,12 @@
     TargetsUpdate,
 )
 from berylnotch.membership.crash_causes import describe_identities
-from berylnotch.quota.bounds import FLEET_QUOTA, HELD_SHARE, effective_limits
+from berylnotch.quota.bounds import (
+    FLEET_QUOTA,
+    HELD_SHARE,
+    effective_limits,
+    is_limited,
+)
 from berylnotch.util.clock import boot_time
 
 #: Factor, in seconds, by which the number of routers in a large fleet is multiplied to
@@ -128,7 +133,9 @@
     """Set how many tokens of each organisation's limit this router holds in advance.
 
     The part of a burst that routers may hold is divided evenly among them. The
-    function also sets the interval between requests for these tokens.
+    function also sets the interval between requests for these tokens. Requests that
+    wait for tokens go on if their organisation has no limit any more, because the quota
+    owner grants it none.
     """
     if context.routes is None:
         return
@@ -144,3 +151,4 @@
     )
     for name, limit in limits.items():
         quota.keep(name, int(limit.burst * share))
+    context.gate.release(o.name for o in organisations if not is_limited(o))
--- a/berylnotch/entry/quota_gate.py
+++ b/berylnotch/entry/quota_gate.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 from attrs import frozen
@@ -77,6 +77,15 @@
         self._update_demand(organisation)
         return True
 
+    def release(self, organisations: Iterable[str]) -> None:
+        """Let the waiting requests of organisations without a limit go on."""
+        for organisation in organisations:
+            pending_charges = self._pending.pop(organisation, ())
+            if pending_charges:
+                self._update_demand(organisation)
+            for pending in pending_charges:
+                pending.on_charged(Charge.CHARGED, 0.0)
+
     def receive(self, now: float, sent_at: float, reply: GrantReply) -> None:
         """Apply a reply of the quota owner, and charge the waiting requests."""
         if self._quota.receive(sent_at, reply):
--- a/tests/test_daemon/test_fleet_updates.py
+++ b/tests/test_daemon/test_fleet_updates.py
@@ -11,6 +11,7 @@
     apply_loads,
     apply_prompt_notes,
 )
+from berylnotch.entry.quota_gate import QuotaGate
 from berylnotch.entry.settings import EntrySettings
 from berylnotch.entry.targets import TargetTable
 from berylnotch.group.columns import note_key
@@ -102,7 +103,7 @@
         SimpleNamespace(
             routes=SimpleNamespace(configuration=configuration),
             fleet=SimpleNamespace(bounds=FleetBounds()),
-            gate=SimpleNamespace(quota=quota),
+            gate=QuotaGate(quota, 0.45),
             router_count=router_count,
             is_roster_known=is_roster_known,
         )
