--- a/berylnotch/entry/answer_times.py
+++ b/berylnotch/entry/answer_times.py
@@ -1,8 +1,7 @@
 """Predicts how long an answer will take, from the recent answers of its route.
 
-A stopping router must know this before it sends a request: an answer that has not ended
-when the process exits is lost, and if the request must not be repeated, its caller
-cannot send it again.
+A stopping router must know this before it sends a request, because an answer that has
+not ended when the process exits is lost.
 """
 
 from __future__ import annotations
@@ -12,10 +11,10 @@
 #: Number of answers of a route that are remembered.
 MAX_SAMPLES = 64
 
-#: Multiples of the longest remembered answer up to which the next answer may last. An
-#: answer that may be repeated is lost only for now; any other is lost for good.
-REPEATABLE_FACTOR = 1.25
-UNREPEATABLE_FACTOR = 2.0
+#: Multiple of the longest remembered answer up to which the next answer may last. A
+#: refused caller loses a few ms, and a caller whose answer is cut all of its time, so
+#: that answers which last longer than this have to be very rare.
+LONGEST_FACTOR = 2.0
 
 #: Seconds added to each expected time, for the delays of the network and the loop.
 MARGIN_S = 0.1
@@ -47,9 +46,7 @@
         durations = self._durations.setdefault(route, deque(maxlen=MAX_SAMPLES))
         durations.append(duration_s / max(1, output_tokens))
 
-    def longest_s(
-        self, route: str, output_tokens: int, is_repeatable: bool
-    ) -> float | None:
+    def longest_s(self, route: str, output_tokens: int) -> float | None:
         """Return the longest duration to expect, None if the route has no answers yet.
 
         Parameters
@@ -58,11 +55,8 @@
             Name of the route.
         output_tokens : int
             Tokens that the request may generate, 0 if not stated.
-        is_repeatable : bool
-            Whether the request may be sent again if its answer is lost.
         """
         durations = self._durations.get(route)
         if not durations:
             return None
-        factor = REPEATABLE_FACTOR if is_repeatable else UNREPEATABLE_FACTOR
-        return factor * max(durations) * max(1, output_tokens) + MARGIN_S
+        return LONGEST_FACTOR * max(durations) * max(1, output_tokens) + MARGIN_S
--- a/berylnotch/entry/stopping.py
+++ b/berylnotch/entry/stopping.py
@@ -27,9 +27,7 @@
     """
     route = routed.route
     first_event_s = choice.delay_ms / 1000 if routed.is_stream else 0.0
-    rest_s = context.answer_times.longest_s(
-        route.name, routed.caller.output_tokens, route.is_retryable
-    )
+    rest_s = context.answer_times.longest_s(route.name, routed.caller.output_tokens)
     if rest_s is None:
         rest_s = context.settings.slow_factor * route.target_latency_s
     longest_s = first_event_s + (rest_s or route.timeout_s)
