--- a/tests/fleet/platform.py
+++ b/tests/fleet/platform.py
@@ -10,6 +10,7 @@
 import json
 import threading
 import time
+from collections.abc import Callable
 
 from attrs import define, field
 
@@ -55,6 +56,9 @@
     #: Fault that is injected into answers to migration calls: ok (none), no_room, lost
     #: (the call is carried out, but its answer is not sent), gone.
     move_fault: str = "ok"
+    #: Time of the monotonic clock until which the target runs and sends nothing, in
+    #: seconds. It goes on afterwards; its health answers come all the time.
+    silent_until: float = 0.0
     #: Connection and next event number of the running streams, by request id.
     streams: dict[str, list] = field(factory=dict)
     #: Connections of the model requests that have not begun to be written.
@@ -71,6 +75,13 @@
     def address(self) -> str:
         return self.listed_address or str(self.server.address)
 
+    def hold_while_silent(self, loop: Loop, action: Callable[[], None]) -> bool:
+        """Schedule an action for the end of a silence; return whether there is one."""
+        delay_s = self.silent_until - time.monotonic()
+        if delay_s > 0:
+            loop.call_later(delay_s, action)
+        return delay_s > 0
+
     def headers(self, request_id: str) -> Headers:
         """Return the headers that every answer to a request has."""
         headers = Headers((("Berylnotch-Request-Id", request_id),))
@@ -306,6 +317,10 @@
     def _run(
         self, target: StandInTarget, connection: ServerConnection, request: HttpRequest
     ) -> None:
+        if target.hold_while_silent(
+            self.loop, lambda: self._run(target, connection, request)
+        ):
+            return
         headers = {name.lower(): value for name, value in request.headers}
         target.seen.append(headers)
         target.bodies.append(request.body)
@@ -344,9 +359,12 @@
             connection.respond(200, other, b"another answer")
         elif target.version is None:
             body = b"answer to " + request_id.encode()
-            self.loop.call_later(
-                target.answer_s, lambda: connection.respond(200, answer, body)
-            )
+
+            def respond() -> None:
+                if not target.hold_while_silent(self.loop, respond):
+                    connection.respond(200, answer, body)
+
+            self.loop.call_later(target.answer_s, respond)
         else:
             after = int(headers.get("last-event-id", "0"))
             parts = headers.get("berylnotch-prefix-hash", "").split(",")[:-1]
@@ -398,6 +416,8 @@
         def send(number: int) -> None:
             if connection.is_closed or target.streams.get(request_id) is not stream:
                 return
+            if target.hold_while_silent(self.loop, lambda: send(number)):
+                return
             if target.fault == "cut" and number == after + 3:
                 connection.send_chunk(b"id: %d\nda" % number)
                 connection.abort()
--- a/tests/fleet/stops.py
+++ b/tests/fleet/stops.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import http.client
+import io
+import socket
 import threading
 import time
 from collections import Counter
@@ -24,6 +26,14 @@
 #: Seconds for which a caller waits for its answer.
 CALLER_TIMEOUT_S = 12.0
 
+#: Seconds after which a caller that cannot reach its router tries again.
+UNREACHABLE_PAUSE_S = 0.05
+
+_BODY = b"{}"
+
+#: Number of pieces in which a slow body is sent.
+_SLOW_PIECES = 20
+
 
 @define(eq=False)
 class CallResult:
@@ -67,13 +77,21 @@
     request_id: str,
     connection: http.client.HTTPConnection | None = None,
     deadline_ms: int = 10_000,
+    key: str = KEY,
+    body_s: float = 0.0,
 ) -> CallResult:
     """Send one request and wait for all of its answer.
 
     Parameters
     ----------
+    kind : str
+        First part of the path. It ends in ``chat``, ``book`` or ``read``.
     connection : http.client.HTTPConnection, optional
         Kept connection to send it on; by default, a new one that is closed afterwards.
+    key : str, optional
+        Key of the caller.
+    body_s : float, default=0.0
+        Seconds for which the body is sent, in pieces; 0 to send it at once.
     """
     is_kept = connection is not None
     if connection is None:
@@ -83,31 +101,18 @@
     result = CallResult(
         request_id, kind, router.name, time.monotonic(), is_kept_connection=is_kept
     )
-    headers = {
-        "Host": "app.example",
-        "Authorization": f"Bearer {KEY}",
-        "Berylnotch-Request-Id": request_id,
-        "Berylnotch-Deadline-Ms": str(deadline_ms),
-    }
-    if kind == "chat":
-        headers["Berylnotch-Model"] = MODEL
-        headers["Berylnotch-Token-Count"] = "300,20"
-        headers["Berylnotch-Prefix-Hash"] = "aa01:200,bb02:100"
+    headers = _headers(kind, request_id, deadline_ms, key)
     try:
-        method = "GET" if kind == "read" else "POST"
-        body = None if kind == "read" else b"{}"
         if connection.sock is None:
             connection.connect()
-        connection.request(method, f"/{kind}/x", body=body, headers=headers)
+        if body_s:
+            _send_slowly(connection, kind, headers, body_s)
+        else:
+            body = None if _method(kind) == "GET" else _BODY
+            connection.request(_method(kind), f"/{kind}/x", body=body, headers=headers)
         result.sent_at = time.monotonic()
         result.outcome = "cut"
-        response = connection.getresponse()
-        result.status = response.status
-        response.read()
-        result.closes = response.will_close
-        result.outcome = _outcome(response.status)
-        retry_after = response.getheader("Retry-After")
-        result.retry_after_s = float(retry_after) if retry_after else None
+        _read_answer(result, connection.getresponse())
     except (OSError, http.client.HTTPException):
         pass
     finally:
@@ -117,6 +122,99 @@
     return result
 
 
+def send_pipelined(
+    router: FleetProcess, kinds: Sequence[str], request_ids: Sequence[str]
+) -> list[CallResult]:
+    """Send requests at once on one connection, and wait for all of their answers."""
+    data = b"".join(
+        _encode(kind, request_id)
+        for kind, request_id in zip(kinds, request_ids, strict=True)
+    )
+    results = [
+        CallResult(request_id, kind, router.name, time.monotonic())
+        for kind, request_id in zip(kinds, request_ids, strict=True)
+    ]
+    try:
+        with socket.create_connection((router.ip, router.port)) as sock:
+            sock.settimeout(CALLER_TIMEOUT_S)
+            sock.sendall(data)
+            sent_at = time.monotonic()
+            for result in results:
+                result.sent_at, result.outcome = sent_at, "cut"
+            reader = _SharedReader(socket.SocketIO(sock, "r"))
+            for result in results:
+                response = http.client.HTTPResponse(reader)
+                response.begin()
+                _read_answer(result, response)
+                result.took_s = time.monotonic() - sent_at
+    except (OSError, http.client.HTTPException):
+        for result in results:
+            result.took_s = result.took_s or time.monotonic() - result.sent_at
+    return results
+
+
+class _SharedReader(io.BufferedReader):
+    """Reader of the answers on one connection, which an answer's end does not close."""
+
+    def makefile(self, _mode: str) -> _SharedReader:
+        return self
+
+    def close(self) -> None:
+        pass
+
+
+def _headers(kind: str, request_id: str, deadline_ms: int, key: str) -> dict[str, str]:
+    headers = {
+        "Host": "app.example",
+        "Authorization": f"Bearer {key}",
+        "Berylnotch-Request-Id": request_id,
+        "Berylnotch-Deadline-Ms": str(deadline_ms),
+    }
+    if kind.endswith("chat"):
+        headers["Berylnotch-Model"] = MODEL
+        headers["Berylnotch-Token-Count"] = "300,20"
+        headers["Berylnotch-Prefix-Hash"] = "aa01:200,bb02:100"
+    return headers
+
+
+def _method(kind: str) -> str:
+    return "GET" if kind.endswith("read") else "POST"
+
+
+def _encode(kind: str, request_id: str) -> bytes:
+    headers = _headers(kind, request_id, 10_000, KEY)
+    body = b"" if _method(kind) == "GET" else _BODY
+    if body:
+        headers["Content-Length"] = str(len(body))
+    lines = [f"{_method(kind)} /{kind}/x HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def _send_slowly(
+    connection: http.client.HTTPConnection,
+    kind: str,
+    headers: dict[str, str],
+    body_s: float,
+) -> None:
+    connection.putrequest(_method(kind), f"/{kind}/x", skip_host=True)
+    for name, value in {**headers, "Content-Length": str(_SLOW_PIECES)}.items():
+        connection.putheader(name, value)
+    connection.endheaders()
+    for _ in range(_SLOW_PIECES):
+        time.sleep(body_s / _SLOW_PIECES)
+        connection.send(b" ")
+
+
+def _read_answer(result: CallResult, response: http.client.HTTPResponse) -> None:
+    result.status = response.status
+    response.read()
+    result.closes = response.will_close
+    result.outcome = _outcome(response.status)
+    retry_after = response.getheader("Retry-After")
+    result.retry_after_s = float(retry_after) if retry_after else None
+
+
 def _outcome(status: int) -> str:
     if status < 400:
         return "served"
@@ -136,6 +234,10 @@
         Kinds of requests, in turn: ``chat``, ``book`` or ``read``.
     rate_per_s : float
         Requests per second.
+    prefix : str
+        Begin of all request identifiers.
+    send : callable
+        Sends a request; called with the router, the kind and the request's identifier.
     """
 
     def __init__(
@@ -144,9 +246,12 @@
         others: Sequence[FleetProcess],
         kinds: Sequence[str] = ("chat", "book", "read"),
         rate_per_s: float = 20.0,
+        prefix: str = "",
+        send: Callable[[FleetProcess, str, str], CallResult] = send_request,
     ) -> None:
         self._stopping, self._others = stopping, others
         self._kinds, self._rate_per_s = kinds, rate_per_s
+        self._prefix, self._send = prefix, send
         self._threads: list[threading.Thread] = []
         self._is_ending = threading.Event()
         self._pacer = threading.Thread(target=self._send_all)
@@ -176,12 +281,40 @@
     def _call(self, number: int) -> None:
         kind = self._kinds[number % len(self._kinds)]
         router = self._stopping[number % len(self._stopping)]
-        result = send_request(router, kind, f"{kind}-{number}")
+        request_id = f"{self._prefix}{kind}-{number}"
+        result = self._send(router, kind, request_id)
         self.results.append(result)
         if self._others and result.outcome in ("refused", "unread"):
             time.sleep(result.retry_after_s or 0.0)
             other = self._others[number % len(self._others)]
-            result.later.append(send_request(other, kind, f"{kind}-{number}-again"))
+            result.later.append(self._send(other, kind, f"{request_id}-again"))
+
+
+def call_on_kept_connections(
+    router: FleetProcess,
+    kinds: Sequence[str],
+    prefix: str,
+    is_ending: threading.Event,
+    pause_s: float = 0.0,
+) -> list[CallResult]:
+    """Send requests in turn on one connection, and open another when it is closed.
+
+    Requests go on until ``is_ending`` is set.
+    """
+    results: list[CallResult] = []
+    connection = http.client.HTTPConnection(
+        router.ip, router.port, timeout=CALLER_TIMEOUT_S
+    )
+    while not is_ending.wait(pause_s):
+        number = len(results)
+        kind = kinds[number % len(kinds)]
+        result = send_request(router, kind, f"{prefix}{kind}-{number}", connection)
+        results.append(result)
+        if result.outcome == "unread":
+            connection.close()
+            is_ending.wait(UNREACHABLE_PAUSE_S)
+    connection.close()
+    return results
 
 
 def lost_requests(
