soak: planned stops in series, kept connections, long answers and silent targets

Around planned stops the users' bound (lost_requests) applies to each request whose router and targets had no unplanned fault from 3 s before it to its end, unless its time budget or its route's time-out was reached. A process that has not exited 8 s after SIGTERM counts as a violation.

Draws have generators of their own: earlier seeds inject the same faults.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,12 @@
     parser.add_argument("--seconds", type=float, default=8.0, help="time with faults")
     parser.add_argument("--routers", type=int, default=2)
     parser.add_argument("--controllers", type=int, default=3)
+    parser.add_argument(
+        "--pause-factor",
+        type=float,
+        default=1.0,
+        help="multiple of the usual pauses between unplanned faults",
+    )
     return parser
 
 
@@ -27,13 +33,16 @@
     faults: Counter[str] = Counter()
     failed = []
     for seed in range(args.first_seed, args.first_seed + args.seeds):
-        report = Soak(seed, args.seconds, args.routers, args.controllers).run()
+        report = Soak(
+            seed, args.seconds, args.routers, args.controllers, args.pause_factor
+        ).run()
         recovered_ms = report.faults.pop("recovered_ms", -1)
         faults.update(report.faults)
         outcome = "broken" if report.violations else "kept"
         print(
             f"seed={seed} outcome={outcome} answers={report.answers} "
-            f"served={report.served} recovered_ms={recovered_ms}",
+            f"served={report.served} stops={report.stops} judged={report.judged} "
+            f"recovered_ms={recovered_ms}",
             flush=True,
         )
         for violation in report.violations[:10]:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import json
+import math
 import threading
+import time
+from collections.abc import Sequence
 
 from attrs import define, field
 
@@ -15,6 +18,21 @@
 )
 from tests.fleet.platform import StandInTarget
 from tests.fleet.processes import Answer
+from tests.fleet.stops import STOP_S, CallResult, lost_requests
+
+#: Seconds before a request from which a fault of its router or a target excuses its
+#: loss. It is the time after which the users count a machine as in touch again.
+CONTACT_S = 3.0
+
+#: Seconds after the end of a planned stop to which the users count its losses.
+AFTER_STOP_S = 1.0
+
+#: Shortest time-out of a route in a soak test, in seconds. A request that lasted as
+#: long may have ended for it.
+MIN_TIMEOUT_S = 4.0
+
+#: Services that the requests of each kind go to.
+SERVICES = {"chat": "llm", "book": "desk", "read": "desk"}
 
 
 @define(eq=False)
@@ -27,13 +45,28 @@
     ended_at: float
 
 
+@define(eq=False)
+class Fault:
+    """Unplanned fault of a process or of a target and the connections to it.
+
+    Times are in seconds of the monotonic clock; ``ended_at`` is infinite as long as the
+    fault lasts.
+    """
+
+    subject: str
+    began_at: float
+    ended_at: float = math.inf
+
+
 @define
 class Observations:
     """Answers to callers and operators, and the violated guarantees.
 
     ``refused`` holds the requests with an answer of status 429 or 503, ``booked`` the
-    sent booking requests, ``violations`` a message for each violation, and ``limits``
-    the times in which targets named a limit.
+    sent booking requests, ``violations`` a message for each violation, ``limits`` the
+    times in which targets named a limit, ``results`` those of all requests, ``stops``
+    the names of stopped processes with the monotonic times of SIGTERM in seconds, and
+    ``judged`` the requests that the check of planned stops applied to.
     """
 
     answers: int = 0
@@ -43,23 +76,83 @@
     acked_version: int = 0
     violations: list[str] = field(factory=list)
     limits: list[LimitPeriod] = field(factory=list)
+    results: list[CallResult] = field(factory=list)
+    stops: list[tuple[str, float]] = field(factory=list)
+    faults: list[Fault] = field(factory=list)
+    judged: set[str] = field(factory=set)
     _lock: threading.Lock = field(factory=threading.Lock)
 
-    def record_caller_answer(
-        self, request_id: str, kind: str, answer: Answer | None
-    ) -> None:
-        """Record the answer to a caller's request and check its body."""
+    def record_result(self, result: CallResult) -> None:
+        """Record the result of a caller's request and check the body of its answer."""
         with self._lock:
             self.answers += 1
-            if kind == "book":
-                self.booked.add(request_id)
-            if answer is None:
-                return
-            if answer.status in (429, 503):
-                self.refused.add(request_id)
-            if answer.status == 200 and answer.is_whole:
+            self.results.append(result)
+            if result.kind == "book":
+                self.booked.add(result.request_id)
+            if result.outcome == "refused":
+                self.refused.add(result.request_id)
+            if result.outcome == "served":
                 self.served += 1
-                self._check_body(request_id, kind, answer.body)
+                self._check_body(result.request_id, result.kind, result.body)
+
+    def record_fault(self, subject: str) -> Fault:
+        """Record the begin of a fault, and return it."""
+        fault = Fault(subject, time.monotonic())
+        self.faults.append(fault)
+        return fault
+
+    def record_stop(self, name: str, signal_at: float) -> None:
+        """Record a planned stop of a process."""
+        self.stops.append((name, signal_at))
+
+    def check_exit(self, name: str, signal_at: float) -> None:
+        """Record that a process did not exit in time, unless a fault delayed it."""
+        if not self._has_fault({name}, signal_at, time.monotonic()):
+            self.record_violation(f"{name} did not exit within {STOP_S:g} s of SIGTERM")
+
+    def check_planned_stops(self, targets: Sequence[StandInTarget]) -> None:
+        """Check that no request is lost around a planned stop of its router.
+
+        Requests with an unplanned fault at their router or at a target of their service
+        are left out, and those whose time budget or route's time-out was reached.
+        """
+        run_ids = frozenset(i for target in targets for i in target.runs)
+        for name, signal_at in self.stops:
+            end_at = signal_at + STOP_S + AFTER_STOP_S
+            results = [
+                result
+                for result in self.results
+                if result.router == name
+                and result.sent_at <= end_at
+                and result.sent_at + result.took_s >= signal_at
+                and self._is_judged(result, targets)
+            ]
+            self.judged.update(result.request_id for result in results)
+            for result in lost_requests(results, lambda _, s=signal_at: s, run_ids):
+                ran = "ran" if result.request_id in run_ids else "did not run"
+                self.record_violation(
+                    f"{result.request_id}, sent to {name} "
+                    f"{result.sent_at - signal_at:.2f} s after SIGTERM, {ran} and was "
+                    f"cut after {result.took_s:.2f} s"
+                )
+
+    def _is_judged(self, result: CallResult, targets: Sequence[StandInTarget]) -> bool:
+        service = SERVICES[result.kind]
+        subjects = {t.target_id for t in targets if t.service == service}
+        ended_at = result.sent_at + result.took_s
+        has_time = result.took_s < min(MIN_TIMEOUT_S, result.deadline_s)
+        return has_time and not self._has_fault(
+            subjects | {result.router}, result.sent_at, ended_at
+        )
+
+    def _has_fault(self, subjects: set[str], begin_at: float, end_at: float) -> bool:
+        """Whether a subject has a fault until a time or shortly before its begin."""
+        return any(
+            fault.subject in subjects
+            and fault.began_at <= end_at
+            and fault.ended_at >= begin_at - CONTACT_S
+            for fault in self.faults
+        )
 
     def record_acked_version(self, version: int) -> None:
         """Record the version of an acknowledged configuration."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,11 +15,13 @@
 
 from attrs import define, field
 
-from soak.checks import Observations
+from soak.checks import Fault, Observations
+from soak.planned import PlannedStops, TargetTimes
 from soak.proxy import MODES, FaultProxy
 from tests.fleet.limits import NOTICE_S, WINDOW_S
 from tests.fleet.platform import PlatformStandIn
 from tests.fleet.processes import FleetOfProcesses, configuration, wait_until
+from tests.fleet.stops import call_on_kept_connections, send_request
 
 #: Time after the last fault within which the fleet must serve again, in seconds. This
 #: is the bound of the users' deployments.
@@ -37,6 +39,12 @@
 #: Longest time for which a target names a limit, in seconds.
 MAX_LIMIT_S = 12.0
 
+#: Deadline that callers without a kept connection state, in milliseconds.
+DEADLINE_MS = 1500
+
+#: Kinds of requests on kept connections, in turn, and number of routers with them.
+KEPT_KINDS, MAX_KEPT_ROUTERS = ("read", "chat", "book"), 8
+
 #: Maximum pause between two faults and maximum duration of a fault, in seconds.
 MAX_PAUSE_S, MAX_FAULT_S = 0.6, 2.5
 
@@ -48,6 +56,8 @@
     seed: int
     answers: int
     served: int
+    stops: int = 0
+    judged: int = 0
     faults: Counter = field(factory=Counter)
     violations: list[str] = field(factory=list)
     folder: Path | None = None
@@ -66,10 +76,18 @@
         Number of routers; the fleet also has two engines and two plain targets.
     controllers : int, default=3
         Number of controllers, each with a proxy in front of its link port.
+    pause_factor : float, default=1.0
+        Multiple of the usual pauses between unplanned faults. Losses around planned
+        stops are judged only without unplanned faults.
     """
 
     def __init__(
-        self, seed: int, seconds: float, routers: int = 2, controllers: int = 3
+        self,
+        seed: int,
+        seconds: float,
+        routers: int = 2,
+        controllers: int = 3,
+        pause_factor: float = 1.0,
     ) -> None:
         self._rng = random.Random(seed)
         self._seconds = seconds
@@ -78,12 +96,14 @@
         self._fleet = FleetOfProcesses(self._folder, self._platform)
         self._routers = routers
         self._controllers = controllers
+        self._pause_factor = pause_factor
         self._has_lost_disk = False
         self._target_proxies: dict[str, FaultProxy] = {}
         self._link_proxies: list[FaultProxy] = []
         self._observations = Observations()
         self._report = Report(seed, 0, 0, folder=self._folder)
         self._is_stopping = threading.Event()
+        self._process_lock = threading.RLock()
         self._version = 1
         self._pending_undos: list[tuple[float, object]] = []
 
@@ -103,6 +123,7 @@
             ]
             workers.append(threading.Thread(target=self._change_configuration))
             workers.append(threading.Thread(target=self._change_limits))
+            workers += self._planned_work()
             for worker in workers:
                 worker.start()
             self._inject_faults()
@@ -110,7 +131,9 @@
             for worker in workers:
                 worker.join()
             self._recover()
-            self._observations.check_targets(self._platform.targets.values())
+            targets = list(self._platform.targets.values())
+            self._observations.check_targets(targets)
+            self._observations.check_planned_stops(targets)
             self._observations.check_limits()
         except AssertionError as error:
             self._observations.record_violation(str(error))
@@ -161,6 +184,28 @@
         self._link_proxies.append(proxy)
         self._platform.loop.call_soon(proxy.start)
 
+    def _planned_work(self) -> list[threading.Thread]:
+        """Return threads that stop processes, change targets and keep connections."""
+        # Like those of limits, these draws must not change those of faults.
+        seed, is_stopping = self._report.seed, self._is_stopping
+        stops = PlannedStops(
+            self._fleet, self._observations, seed + 3, is_stopping, self._process_lock
+        )
+        times = TargetTimes(self._platform, seed + 4, is_stopping)
+        threads = [
+            threading.Thread(target=stops.run),
+            threading.Thread(target=times.run),
+        ]
+        for number, router in enumerate(self._fleet.routers[:MAX_KEPT_ROUTERS]):
+            arguments = (router, KEPT_KINDS, f"kept-{number}-", is_stopping, 0.01)
+            options = {"on_result": self._observations.record_result}
+            threads.append(
+                threading.Thread(
+                    target=call_on_kept_connections, args=arguments, kwargs=options
+                )
+            )
+        return threads
+
     # Load: callers and the operator.
 
     def _send_requests(self, worker: int, seed: float) -> None:
@@ -170,11 +215,8 @@
             kind = rng.choice(("chat", "book", "read"))
             request_id = f"{kind}-{worker}-{number}"
             router = rng.choice(self._fleet.routers)
-            method = "GET" if kind == "read" else "POST"
-            answer = self._fleet.ask(
-                router, f"/{kind}/x", request_id, method, deadline_ms="1500"
-            )
-            self._observations.record_caller_answer(request_id, kind, answer)
+            result = send_request(router, kind, request_id, deadline_ms=DEADLINE_MS)
+            self._observations.record_result(result)
             time.sleep(rng.uniform(0.01, 0.05))
 
     def _change_configuration(self) -> None:
@@ -213,7 +255,7 @@
             fault = self._rng.choice(self._available_faults())
             self._report.faults[fault.__name__.strip("_")] += 1
             fault()
-            time.sleep(self._rng.uniform(0.1, MAX_PAUSE_S))
+            time.sleep(self._rng.uniform(0.1, MAX_PAUSE_S) * self._pause_factor)
             self._undo_due_faults(time.monotonic())
         self._undo_due_faults(float("inf"))
 
@@ -228,9 +270,16 @@
         ]
         return faults if self._has_lost_disk else [*faults, self._wipe]
 
-    def _schedule_undo(self, undo) -> None:
+    def _schedule_undo(self, undo, fault: Fault | None = None) -> None:
+        """Schedule the end of a fault; planned stops are no faults of their process."""
+
+        def end() -> None:
+            undo()
+            if fault is not None:
+                fault.ended_at = time.monotonic()
+
         self._pending_undos.append(
-            (time.monotonic() + self._rng.uniform(0.2, MAX_FAULT_S), undo)
+            (time.monotonic() + self._rng.uniform(0.2, MAX_FAULT_S), end)
         )
 
     def _undo_due_faults(self, now: float) -> None:
@@ -248,22 +297,26 @@
     def _kill(self) -> None:
         process = self._choose_process()
         if process.process.poll() is None:
+            fault = self._observations.record_fault(process.name)
             process.kill()
-            self._schedule_undo(lambda: self._restart(process))
+            self._schedule_undo(lambda: self._restart(process), fault)
 
     def _restart(self, process) -> None:
-        if process.process.poll() is not None:
-            process.start()
+        with self._process_lock:
+            if process.process.poll() is not None:
+                process.start()
 
     def _freeze(self) -> None:
         process = self._choose_process()
+        fault = self._observations.record_fault(process.name)
         process.signal(signal.SIGSTOP)
-        self._schedule_undo(lambda: process.signal(signal.SIGCONT))
+        self._schedule_undo(lambda: process.signal(signal.SIGCONT), fault)
 
     def _stop(self) -> None:
         process = self._choose_process()
         stopped = process.process
         if stopped.poll() is None:
+            self._observations.record_stop(process.name, time.monotonic())
             process.signal(signal.SIGTERM)
             self._schedule_undo(lambda: self._await_exit(process, stopped))
 
@@ -284,27 +337,33 @@
         """Delete a controller's disk; a group of three tolerates one such loss."""
         self._has_lost_disk = True
         controller = self._rng.choice(self._fleet.controllers)
-        controller.kill()
-        shutil.rmtree(controller.data, ignore_errors=True)
-        settings_text = controller.settings.read_text()
-        controller.settings.write_text(
-            settings_text.replace("founds-group = true", "founds-group = no")
-        )
-        self._schedule_undo(lambda: self._restart(controller))
+        fault = self._observations.record_fault(controller.name)
+        with self._process_lock:
+            controller.kill()
+            shutil.rmtree(controller.data, ignore_errors=True)
+            settings_text = controller.settings.read_text()
+            controller.settings.write_text(
+                settings_text.replace("founds-group = true", "founds-group = no")
+            )
+        self._schedule_undo(lambda: self._restart(controller), fault)
 
     def _proxy(self) -> None:
         """Inject a fault into the connections to one target."""
-        self._inject_proxy_fault(self._rng.choice(list(self._target_proxies.values())))
+        name = self._rng.choice(list(self._target_proxies))
+        self._inject_proxy_fault(self._target_proxies[name], name)
 
     def _links_cut(self) -> None:
         """Inject a fault into the links of other processes to one controller."""
-        self._inject_proxy_fault(self._rng.choice(self._link_proxies))
+        proxy = self._rng.choice(self._link_proxies)
+        number = self._link_proxies.index(proxy)
+        self._inject_proxy_fault(proxy, self._fleet.controllers[number].name)
 
-    def _inject_proxy_fault(self, proxy: FaultProxy) -> None:
+    def _inject_proxy_fault(self, proxy: FaultProxy, subject: str) -> None:
+        fault = self._observations.record_fault(subject)
         self._set_mode(
             proxy, self._rng.choice([mode for mode in MODES if mode != "ok"])
         )
-        self._schedule_undo(lambda: self._set_mode(proxy, "ok"))
+        self._schedule_undo(lambda: self._set_mode(proxy, "ok"), fault)
 
     def _set_mode(self, proxy: FaultProxy, mode: str) -> None:
         self._platform.loop.call_soon(lambda: proxy.set_mode(mode))
@@ -312,12 +371,13 @@
     def _mood(self) -> None:
         """Set a random fault mode of one target."""
         target = self._rng.choice(list(self._platform.targets.values()))
+        fault = self._observations.record_fault(target.target_id)
         target.fault = self._rng.choice(FAULTS)
 
         def restore() -> None:
             target.fault = "ok"
 
-        self._schedule_undo(restore)
+        self._schedule_undo(restore, fault)
 
     # Recovery and report.
 
@@ -350,6 +410,8 @@
             self._observations.answers,
             self._observations.served,
         )
+        report.stops = len(self._observations.stops)
+        report.judged = len(self._observations.judged)
         report.violations = list(self._observations.violations)
         if report.served == 0:
             report.violations.append("no request was served")
--- a/tests/fleet/stops.py
+++ b/tests/fleet/stops.py
@@ -26,6 +26,9 @@
 #: Seconds for which a caller waits for its answer.
 CALLER_TIMEOUT_S = 12.0
 
+#: Time budget that requests state by default, in milliseconds.
+DEADLINE_MS = 10_000
+
 #: Seconds after which a caller that cannot reach its router tries again.
 UNREACHABLE_PAUSE_S = 0.05
 
@@ -61,7 +64,9 @@
     took_s: float = 0.0
     is_kept_connection: bool = False
     closes: bool = True
+    deadline_s: float = DEADLINE_MS / 1000
     later: list[CallResult] = field(factory=list)
+    body: bytes = field(default=b"", repr=False)
 
     @property
     def is_served_in_the_end(self) -> bool:
@@ -76,7 +81,7 @@
     kind: str,
     request_id: str,
     connection: http.client.HTTPConnection | None = None,
-    deadline_ms: int = 10_000,
+    deadline_ms: int = DEADLINE_MS,
     key: str = KEY,
     body_s: float = 0.0,
 ) -> CallResult:
@@ -99,7 +104,12 @@
             router.ip, router.port, timeout=CALLER_TIMEOUT_S
         )
     result = CallResult(
-        request_id, kind, router.name, time.monotonic(), is_kept_connection=is_kept
+        request_id,
+        kind,
+        router.name,
+        time.monotonic(),
+        is_kept_connection=is_kept,
+        deadline_s=deadline_ms / 1000,
     )
     headers = _headers(kind, request_id, deadline_ms, key)
     try:
@@ -182,7 +192,7 @@
 
 
 def _encode(kind: str, request_id: str) -> bytes:
-    headers = _headers(kind, request_id, 10_000, KEY)
+    headers = _headers(kind, request_id, DEADLINE_MS, KEY)
     body = b"" if _method(kind) == "GET" else _BODY
     if body:
         headers["Content-Length"] = str(len(body))
@@ -208,7 +218,7 @@
 
 def _read_answer(result: CallResult, response: http.client.HTTPResponse) -> None:
     result.status = response.status
-    response.read()
+    result.body = response.read()
     result.closes = response.will_close
     result.outcome = _outcome(response.status)
     retry_after = response.getheader("Retry-After")
@@ -296,10 +306,11 @@
     prefix: str,
     is_ending: threading.Event,
     pause_s: float = 0.0,
+    on_result: Callable[[CallResult], None] = lambda result: None,
 ) -> list[CallResult]:
     """Send requests in turn on one connection, and open another when it is closed.
 
-    Requests go on until ``is_ending`` is set.
+    Requests go on until ``is_ending`` is set. Each result is passed on at once.
     """
     results: list[CallResult] = []
     connection = http.client.HTTPConnection(
@@ -310,6 +321,7 @@
         kind = kinds[number % len(kinds)]
         result = send_request(router, kind, f"{prefix}{kind}-{number}", connection)
         results.append(result)
+        on_result(result)
         if result.outcome == "unread":
             connection.close()
             is_ending.wait(UNREACHABLE_PAUSE_S)
