--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -203,7 +203,7 @@
                 reason = f"first event expected after {choice.delay_ms:.0f} ms"
                 self._give_up(Reason.TOO_LATE, reason, decision.retry_after_s)
                 return
-        if not self._time_limit.allows(choice):
+        if not self._has_time_for(choice):
             longest_s = longest_answer_s(self._context, self._routed, choice)
             self._give_up_stopping(f"the answer may take {longest_s:.2f} s")
             return
@@ -211,6 +211,12 @@
         self._tried_targets.add(choice.target.target_id)
         self._send_to(service, inputs, choice)
 
+    def _has_time_for(self, choice: Choice) -> bool:
+        # A stream that has begun needs time only for its rest, which has no estimate,
+        # and is cut without another run.
+        has_begun = self._reply.last_event is not None
+        return has_begun or self._time_limit.allows(choice)
+
     def _give_up_stopping(self, detail: str) -> None:
         """End a request for which the stopping router has too little time."""
         if self._progress.runs or self._reply.has_head:
@@ -292,7 +298,7 @@
         if not (has_attempts and has_budget and has_time):
             return False
         choice = self._choose_other_target()
-        return choice is not None and self._time_limit.allows(choice)
+        return choice is not None and self._has_time_for(choice)
 
     def choose_destination(self, full_engines: Collection[str]) -> Target | None:
         """Return the engine to which the run should migrate, None if the run stays."""
--- a/tests/test_entry/support.py
+++ b/tests/test_entry/support.py
@@ -88,10 +88,17 @@
 
     def __init__(self):
         self.answers = []
+        self.chunks = []
 
     def respond(self, status, headers, body=b""):
         self.answers.append((status, headers, body))
 
+    def start_stream(self, status, headers):
+        self.answers.append((status, headers, b""))
+
+    def send_chunk(self, data):
+        self.chunks.append(data)
+
 
 class Log:
     """Fake log that records its events."""
--- a/tests/test_entry/test_planned_stop.py
+++ b/tests/test_entry/test_planned_stop.py
@@ -10,7 +10,9 @@
 from berylnotch.entry.context import EXPECTED_STARTUP_S
 from berylnotch.entry.failover import PendingAnswer, failover_at
 from berylnotch.entry.model import Choice
+from berylnotch.entry.results import AttemptEnd, AttemptResult
 from berylnotch.membership.departure import plan_stop
+from berylnotch.net.messages import Headers
 from berylnotch.routing.model import Organisation
 from berylnotch.util.clock import boot_time
 from tests.test_entry.support import make_exchange
@@ -100,6 +102,22 @@
     assert not exchange.can_retry_elsewhere()
 
 
+def test_silent_stream_that_has_begun_is_resumed_in_the_time_that_is_left(
+    context, stop_with
+):
+    exchange, _, _ = make_exchange(context)
+    exchange._tried_targets.clear()
+    exchange.on_stream_begin(200, Headers())
+    exchange.on_event(b"id: 1\ndata: piece 1\n\n", 1)
+    stop_with(ANSWER_S)
+    assert exchange.can_retry_elsewhere()
+    exchange._attempt.cancel()
+    exchange.on_attempt_end(
+        AttemptResult(context.targets.get("e"), AttemptEnd.BROKEN, "no data")
+    )
+    assert not exchange._has_ended and context.targets.get("e").in_flight == 1
+
+
 def test_failover_leaves_time_for_another_answer(context):
     route = context.routes.route("app.example", "/chat/x")
     pending = PendingAnswer(100.0, 0.1, True, True, 101.0, 101.0)
