--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -244,7 +244,15 @@
             )
             for exchange in tuple(self._exchanges):
                 exchange.stop()
-            self._loop.call_later(RESPONSE_FLUSH_S, done)
+            self._loop.call_later(RESPONSE_FLUSH_S, end)
+
+        def end() -> None:
+            # Callers may have sent again while the last responses were written.
+            now = boot_time()
+            if now < end_by and not self._has_drained(now, stop):
+                check_drained()
+            else:
+                done()
 
         check_drained()
 
--- a/tests/test_daemon/test_late_requests.py
+++ b/tests/test_daemon/test_late_requests.py
@@ -1,6 +1,6 @@
 """Requests that come late in a planned stop, in the ways in which callers send them.
 
-Five routers stop together with the leader while callers of five kinds use one each, so
+Six routers stop together with the leader while callers of six kinds use one each, so
 that all tests share one stop. Each caller's result is counted, and the stand-ins record
 which requests targets ran.
 """
@@ -49,6 +49,9 @@
 #: Seconds after SIGTERM until which repeatable requests are served in spite of silence.
 REPEATED_UNTIL_S = 5.5
 
+#: Seconds from an answer to the next request of the caller that is alone at its router.
+LONE_PAUSE_S = 0.03
+
 #: Timeout of all routes in milliseconds, longer than a stop: it excuses no request.
 TIMEOUT_MS = 12_000
 
@@ -91,7 +94,7 @@
     """Return a configuration with services that fall silent and a second tenant."""
     values = configuration(3, timeoutMs=TIMEOUT_MS)
     by_name = {route["name"]: route for route in values["routes"]}
-    for service in ("quiet", "alone"):
+    for service in ("quiet", "alone", "medium"):
         values["services"].append({**values["services"][1], "name": service})
         for kind in ("book", "read"):
             name = f"{service}-{kind}"
@@ -114,18 +117,19 @@
             engine.events, engine.event_pause_s = 10, STREAM_S / 10
         platform.add(f"desk-{number}", "desk").answer_s = SHORT_ANSWER_S
         platform.add(f"quiet-{number}", "quiet").answer_s = MEDIUM_ANSWER_S
-    platform.add("alone-1", "alone").answer_s = MEDIUM_ANSWER_S
+    for service in ("alone", "medium"):
+        platform.add(f"{service}-1", service).answer_s = MEDIUM_ANSWER_S
 
 
 @pytest.fixture(scope="module")
 def stop(tmp_path_factory):
-    """The results of one planned stop of five of seven routers and the leader."""
+    """The results of one planned stop of six of eight routers and the leader."""
     platform = PlatformStandIn()
     platform.start()
     fleet = FleetOfProcesses(tmp_path_factory.mktemp("late"), platform)
     add_targets(platform)
     try:
-        fleet.start(controllers=3, routers=7)
+        fleet.start(controllers=3, routers=8)
         assert fleet.put(late_configuration()).status == 200
         fleet.wait_ready()
         yield stop_under_load(fleet, platform)
@@ -138,7 +142,7 @@
     """Stop routers and the leader while callers send, and return the results."""
     stop = Stop(platform)
     leader = wait_until(fleet.leader, "a leader")
-    stopping, others = fleet.routers[:5], fleet.routers[5:]
+    stopping, others = fleet.routers[:6], fleet.routers[6:]
     is_ending, is_stopping = threading.Event(), threading.Event()
     groups = {
         "kept": kept_callers,
@@ -146,6 +150,7 @@
         "short": short_callers,
         "quiet": callers_of_silent_targets,
         "tokens": callers_without_tokens,
+        "lone": lone_caller,
     }
     groups = {
         name: partial(group, router, others, is_stopping, is_ending)
@@ -215,6 +220,13 @@
     return sum(in_threads(calls), [])
 
 
+def lone_caller(router, _others, _is_stopping, is_ending) -> list[CallResult]:
+    # Its answers take longer than the quiet period after which a router may exit.
+    return call_on_kept_connections(
+        router, ("medium-book",), "lone-", is_ending, LONE_PAUSE_S
+    )
+
+
 def send_until(
     is_ending: threading.Event, rate_per_s: float, send: Callable[[int], list]
 ) -> list[CallResult]:
@@ -291,7 +303,7 @@
     return [result for result in results if result.kind == kind]
 
 
-@pytest.mark.parametrize("group", ["kept", "short", "tokens"])
+@pytest.mark.parametrize("group", ["kept", "short", "tokens", "lone"])
 def test_late_requests_get_whole_answers_that_are_no_failures(stop, group):
     results = stop.results[group]
     check_whole(stop, results)
