--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -116,7 +116,7 @@
         target, route = self._target, self._routed.route
         request = encode_for_target(self._routed.request, self._target_headers)
         self._connection = self._context.targets.connect(target, route.is_retryable)
-        if not target.in_flight:
+        if not target.in_flight and not target.was_left_silent:
             target.busy_since = boot_time()
         target.in_flight += 1
         target.long_in_flight += self._is_long
@@ -148,6 +148,8 @@
         """
         if self._has_ended:
             return
+        if is_overdue:
+            self._target.left_silent_at = boot_time()
         if is_overdue and self._head is None:
             self._target.ejection.on_failure(boot_time(), self._attempt_id)
             self._target.note_outcome(has_failed=True)
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -71,6 +71,9 @@
     busy_since : float
         Boot time at which the oldest uninterrupted sequence of this router's requests
         in flight began.
+    left_silent_at : float
+        Boot time at which this router last gave up a request because the target did
+        not answer, 0 if it never did.
     weights_at : float
         Boot time at which the target was first listed with its current weights, 0 if
         its weights have not changed since it was first listed.
@@ -104,6 +107,7 @@
     latency_s: float = 0.0
     heard_at: float = 0.0
     busy_since: float = 0.0
+    left_silent_at: float = 0.0
     weights_at: float = 0.0
     is_suspect: bool = False
 
@@ -141,9 +145,15 @@
             weight = EWMA_WEIGHT if self.latency_s else 1.0
             self.latency_s += (latency_s - self.latency_s) * weight
 
+    @property
+    def was_left_silent(self) -> bool:
+        """Whether it sent nothing since this router gave up a request to it."""
+        return self.left_silent_at > self.heard_at
+
     def silent_s(self, now: float) -> float:
         """Return for how many seconds the target has kept this router waiting."""
-        return now - max(self.heard_at, self.busy_since) if self.in_flight else 0.0
+        is_waiting = self.in_flight or self.was_left_silent
+        return now - max(self.heard_at, self.busy_since) if is_waiting else 0.0
 
     def back_off(self, now: float, pause_s: float) -> None:
         """Pause the use of the target, without shortening an earlier pause."""
--- a/tests/test_entry/test_planned_stop.py
+++ b/tests/test_entry/test_planned_stop.py
@@ -85,6 +85,17 @@
     check_refusal(context, connection, "stopping")
 
 
+def test_target_that_was_left_for_its_silence_gets_no_late_request(context, stop_with):
+    target = context.targets.get("e")
+    exchange, _, _ = make_exchange(context)
+    target.heard_at = target.busy_since = boot_time() - 4 * ANSWER_S
+    exchange._attempt.cancel(is_overdue=True)
+    assert target.in_flight == 0
+    stop_with(4 * ANSWER_S)
+    _, connection, _ = make_exchange(context)
+    check_refusal(context, connection, "stopping")
+
+
 def test_router_without_a_recent_answer_refuses_late_requests(context, stop_with):
     context.answer_times = type(context.answer_times)()
     stop_with(0.5)
