Take the time to stop from the newest settings file

A router read stop-s once at its start: after a change of the file, with or without SIGHUP, a stop still took the old time, so that with a shorter one the platform would kill the process under its callers' requests (8 s instead of 5 s on processes).

The router asks for the newest limits when it begins to stop; the seed source, which reads the file on each use, provides them, and the last readable ones if the file is broken. The process tests stay listed until cmd/fleetd.py passes this on: FleetRouter(settings, seeds, loop, log, seeds.bounds).

--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -50,7 +50,7 @@
 from berylnotch.quota.local import LocalQuota
 from berylnotch.quota.messages import GrantReply
 from berylnotch.routing.table import RouteTable
-from berylnotch.settings.fleet import FleetSettings
+from berylnotch.settings.fleet import FleetBounds, FleetSettings
 from berylnotch.transport.link import LinkSettings
 from berylnotch.util.clock import boot_time
 from berylnotch.util.coalesced_action import CoalescedAction
@@ -100,6 +100,9 @@
         Event loop of the process.
     log : EventLog
         Log of the process.
+    bounds : callable, optional
+        Returns the newest limits of the fleet, from which a stop takes its time. By
+        default these are the limits of ``settings``.
     """
 
     def __init__(
@@ -108,8 +111,10 @@
         seeds: Callable[[], tuple[str, ...]],
         loop: Loop,
         log: EventLog,
+        bounds: Callable[[], FleetBounds] | None = None,
     ) -> None:
         self._settings = settings
+        self._newest_bounds = bounds or (lambda: settings.bounds)
         self._loop = loop
         self._log = log
         self.metrics = Metrics()
@@ -211,9 +216,10 @@
             Called when the router has drained, or shortly before the stop deadline.
         """
         self._is_leaving = True
+        stop_s = self._newest_bounds().stop_s
         stop = self._context.stop = plan_stop(
             boot_time(),
-            self._settings.bounds.stop_s,
+            stop_s,
             self._address_ttl_s * MAX_TTL_FACTOR + REPORT_S,
         )
         self._startup_buffer.release_all()
@@ -221,7 +227,7 @@
         self._log.info(
             "draining",
             requests=len(self._exchanges),
-            stop_s=self._settings.bounds.stop_s,
+            stop_s=stop_s,
         )
         self._caller_server.is_draining = True
         for exchange in tuple(self._exchanges):
--- a/berylnotch/settings/fleet.py
+++ b/berylnotch/settings/fleet.py
@@ -156,7 +156,7 @@
 
 
 class SeedSource:
-    """Provides the seeds of a settings file that may change while the process runs.
+    """Provides values of a settings file that may change while the process runs.
 
     Parameters
     ----------
@@ -167,7 +167,7 @@
     on_change : callable
         Called with the new seeds, as comma-separated text, when they change.
     on_error : callable
-        Called with the error if the file cannot be read; the last seeds then remain in
+        Called with the error if the file cannot be read; the last values then remain in
         use.
     """
 
@@ -179,22 +179,31 @@
         on_error: Callable[[ConfigurationError], None] = lambda error: None,
     ) -> None:
         self._path = path
+        self._settings = settings
         self._seeds = settings.seed_links
         self._on_change = on_change
         self._on_error = on_error
 
     def __call__(self) -> tuple[str, ...]:
         """Read the file again and return the link addresses of its seeds."""
-        try:
-            seeds = read_fleet_settings(self._path).seed_links
-        except ConfigurationError as error:
-            self._on_error(error)
-            return self._seeds
+        self._read()
+        seeds = self._settings.seed_links
         if seeds and seeds != self._seeds:
             self._seeds = seeds
             self._on_change(",".join(seeds))
         return self._seeds
 
+    def bounds(self) -> FleetBounds:
+        """Read the file again and return its limits of the fleet."""
+        self._read()
+        return self._settings.bounds
+
+    def _read(self) -> None:
+        try:
+            self._settings = read_fleet_settings(self._path)
+        except ConfigurationError as error:
+            self._on_error(error)
+
 
 def _build_settings(parser: configparser.ConfigParser) -> FleetSettings:
     if not parser.has_section("process"):
--- a/tests/test_daemon/test_planned_work.py
+++ b/tests/test_daemon/test_planned_work.py
@@ -11,7 +11,7 @@
 import pytest
 
 from tests.fleet.processes import configuration, wait_until
-from tests.fleet.stops import LateCallers, describe, send_request
+from tests.fleet.stops import STOP_S, UNREAD_S, LateCallers, describe, send_request
 
 #: Time that each target takes for an answer, in seconds; routers do not take it for
 #: a slow one yet.
@@ -119,3 +119,34 @@
         results = [call.result() for call in calls]
     failed = [result for result in results if result.outcome != "served"]
     assert not failed, describe(failed, started_at)
+
+
+@pytest.mark.parametrize("is_signalled", [True, False])
+def test_a_stop_uses_the_time_of_the_newest_settings_file(fleet, is_signalled):
+    router = fleet.routers[0]
+    text = router.settings.read_text()
+    router.settings.write_text(text.replace("stop-s = 8", "stop-s = 5"))
+    if is_signalled:
+        router.signal(signal.SIGHUP)
+    callers = LateCallers([router], fleet.routers[1:], KINDS)
+    callers.start()
+    try:
+        router.signal(signal.SIGTERM)
+        began_at = time.monotonic()
+        assert router.process.wait(timeout=STOP_S - 1) == 0
+    finally:
+        callers.close()
+    draining = next(f for f in router.lines() if f.get("event") == "draining")
+    assert float(draining["stop_s"]) == 5
+    lost = [r for r in callers.results if r.outcome == "cut" and r.took_s > UNREAD_S]
+    assert not lost, describe(lost, began_at)
+
+
+def test_a_stop_goes_on_with_the_last_readable_settings(fleet):
+    router = fleet.routers[0]
+    router.settings.write_text("no settings")
+    router.signal(signal.SIGHUP)
+    router.signal(signal.SIGTERM)
+    assert router.process.wait(timeout=8) == 0
+    draining = next(f for f in router.lines() if f.get("event") == "draining")
+    assert float(draining["stop_s"]) == 8
--- a/tests/test_settings/test_fleet.py
+++ b/tests/test_settings/test_fleet.py
@@ -3,7 +3,7 @@
 import pytest
 
 from berylnotch.errors import ConfigurationError
-from berylnotch.settings.fleet import read_fleet_settings
+from berylnotch.settings.fleet import SeedSource, read_fleet_settings
 from berylnotch.util.address import Address
 
 GOOD = """[process]
@@ -104,3 +104,14 @@
 def test_a_missing_file_is_named(tmp_path):
     with pytest.raises(ConfigurationError, match="none.ini"):
         read_fleet_settings(tmp_path / "none.ini")
+
+
+def test_limits_of_a_changed_file_are_used_and_an_unreadable_file_keeps_them(tmp_path):
+    path, errors = tmp_path / "settings.ini", []
+    path.write_text(GOOD)
+    source = SeedSource(path, read_fleet_settings(path), on_error=errors.append)
+    path.write_text(GOOD + "stop-s = 3\n")
+    assert source.bounds().stop_s == 3
+    path.write_text("no settings")
+    assert source.bounds().stop_s == 3 and len(errors) == 1
+    assert source() == ("10.0.0.1:7600", "10.0.0.2:7600") and len(errors) == 2
