--- a/tests/test_daemon/test_planned_work.py
+++ b/tests/test_daemon/test_planned_work.py
@@ -4,12 +4,16 @@
 result is counted.
 """
 
+import json
 import signal
 import time
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
+from tests.fleet.callers import CallerThreads
+from tests.fleet.operators import call_controller, put_version
 from tests.fleet.processes import configuration, wait_until
 from tests.fleet.stops import STOP_S, UNREAD_S, LateCallers, describe, send_request
 
@@ -150,3 +154,74 @@
     assert router.process.wait(timeout=8) == 0
     draining = next(f for f in router.lines() if f.get("event") == "draining")
     assert float(draining["stop_s"]) == 8
+
+
+def test_a_configuration_that_waits_for_the_group_is_answered_at_a_stop(fleet):
+    leader = wait_until(fleet.leader, "a leader")
+    followers = [c for c in fleet.controllers if c is not leader]
+    for follower in followers:
+        follower.signal(signal.SIGSTOP)
+    try:
+        with ThreadPoolExecutor() as pool:
+            calls = [pool.submit(put_version, leader, v) for v in range(5, 10)]
+            time.sleep(0.1)
+            leader.signal(signal.SIGTERM)
+            time.sleep(0.05)
+            for follower in followers:
+                follower.signal(signal.SIGCONT)
+            results = [call.result() for call in calls]
+    finally:
+        for follower in followers:
+            follower.signal(signal.SIGCONT)
+    assert leader.process.wait(timeout=STOP_S) == 0
+    assert {result.outcome for result in results} == {"answered"}, results
+    check_held_version(fleet, results)
+
+
+def test_calls_of_operators_are_answered_while_controllers_stop(fleet):
+    leader = wait_until(fleet.leader, "a leader")
+    results = []
+
+    def call(_draws, caller, number):
+        controller = fleet.controllers[caller % len(fleet.controllers)]
+        version = 5 + number * 12 + caller
+        if caller % 4 == 0:
+            results.append(call_controller(controller, "GET", "/config"))
+        else:
+            results.append(put_version(controller, version))
+
+    callers = CallerThreads(12, call, lambda _draws: 0.01)
+    callers.start()
+    try:
+        time.sleep(0.5)
+        leader.signal(signal.SIGTERM)
+        assert leader.process.wait(timeout=STOP_S) == 0
+        time.sleep(1.5)
+    finally:
+        callers.close()
+    counts = Counter((r.controller, r.outcome, r.status) for r in results)
+    assert not [r for r in results if r.outcome == "cut"], counts
+    check_held_version(fleet, results)
+
+
+def check_held_version(fleet, results):
+    """Check that the configuration in force is not older than an acknowledged one."""
+    acknowledged = max(r.version for r in results if r.status == 200)
+    held = json.loads(fleet.operator("GET", "/config").body)["version"]
+    assert held >= acknowledged
+
+
+def test_a_stop_of_the_leader_fails_no_request(fleet):
+    leader = wait_until(fleet.leader, "a leader")
+    callers = LateCallers(fleet.routers, [], KINDS, rate_per_s=40)
+    callers.start()
+    started_at = time.monotonic()
+    try:
+        time.sleep(1.0)
+        leader.signal(signal.SIGTERM)
+        assert leader.process.wait(timeout=STOP_S) == 0
+        time.sleep(2.0)
+    finally:
+        callers.close()
+    failed = [result for result in callers.results if result.outcome != "served"]
+    assert not failed, describe(failed, started_at)
