Answer operators and hand routers over before a controller stops

Callers (operators) saw their connection cut when the leader was stopped: orders that waited for the group (5 of 5), and calls in the accept queue (1 of about 1,100). The leader closed its connections first, then transferred leadership. Routers were sent away without the next leader's address and searched for it: 0.10 to 0.22 s without a leader.

A stopping leader now commits pending orders (0.1 s at most), transfers leadership, follows and votes until its exit, and answers orders whose outcome the next leader decides. Connections in the accept queue are accepted before the port closes. Routers are sent to the next leader as soon as it is known.

--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -32,6 +32,22 @@
 #: Interval in seconds between checks whether this controller leads.
 LEADERSHIP_CHECK_S = 0.05
 
+#: Longest time in seconds for which a stopping leader waits for the group to commit
+#: pending commands: several times the duration of a commit on a busy VM.
+COMMIT_WAIT_S = 0.1
+
+#: Seconds from the begin of a stop until routers and operators are sent away without
+#: the address of the next leader. An election takes some hundredths of a second.
+SUCCESSOR_WAIT_S = 0.18
+
+#: Interval in seconds between two steps of a hand-over.
+HAND_OVER_CHECK_S = 0.01
+
+#: Seconds from the begin of a stop until the port for operators and until everything
+#: is closed. Calls that waited in the accept queue are answered in between, and the
+#: process exits shortly afterwards.
+CLOSE_PORT_S, CLOSE_S = 0.2, 0.27
+
 _CONSENSUS_MESSAGES = message_classes(consensus)
 
 
@@ -64,6 +80,7 @@
         self._state = FleetState()
         self._announced_weights = AnnouncedWeights()
         self._leader: Leader | None = None
+        self._is_stopping = False
         self._links: set[Link] = set()
         self._waiting_routers = WaitingRouters()
         self._peers = PeerLinks(
@@ -91,13 +108,46 @@
         self._log.info("started", internal=self._settings.internal)
 
     def close(self) -> None:
-        """Transfer leadership and stop all servers."""
-        self._stop_leading("stopping")
-        self._operators.close()
-        self._host.close()
-        self._loop.call_later(0.1, self._close_links)
+        """Transfer leadership, answer the operators, and stop all servers.
+
+        Commands that wait for the group are committed first, if that takes
+        `COMMIT_WAIT_S` at most. Routers stay until the next leader is known, so that
+        they need not search for it.
+        """
+        self._is_stopping = True
+        self._operators.drain()
+        now = boot_time()
+        commit_by, successor_by = now + COMMIT_WAIT_S, now + SUCCESSOR_WAIT_S
+
+        def hand_over() -> None:
+            now = boot_time()
+            is_committing = self._host.has_proposals and now < commit_by
+            if not is_committing:
+                self._stop_leading("stopping")
+                self._host.hand_over()
+            if is_committing or not (self._has_successor() or now >= successor_by):
+                self._loop.call_later(HAND_OVER_CHECK_S, hand_over)
+                return
+            self._redirect_all()
 
-    def _close_links(self) -> None:
+        hand_over()
+        self._loop.call_later(CLOSE_PORT_S, self._operators.stop_accepting)
+        self._loop.call_later(CLOSE_S, self._close_all)
+
+    def _has_successor(self) -> bool:
+        return self._redirect().leader != ""
+
+    def _redirect_all(self) -> None:
+        """Send routers and operators that wait here to the next leader, if known."""
+        self._operators.release()
+        redirect = self._redirect()
+        for link in tuple(self._links):
+            link.send(redirect)
+
+    def _close_all(self) -> None:
+        self._operators.release()
+        self._host.close()
+        self._operators.close()
         self._acceptor.close()
         self._peers.close()
         for link in tuple(self._links):
@@ -170,7 +220,7 @@
 
     def _check_leadership(self) -> None:
         is_active = self._host.is_active()
-        if is_active and self._leader is None:
+        if is_active and self._leader is None and not self._is_stopping:
             self._log.info("leading", term=self._host.term, version=self._state.version)
             self._leader = Leader(
                 self._settings,
@@ -196,6 +246,8 @@
         )
         self._leader.close()
         self._leader = None
+        if self._is_stopping:
+            return
         # Redirects without a leader make routers search for the next one at once.
         redirect = Redirect("", self._host.known_addresses)
         for link in tuple(self._links):
--- a/berylnotch/daemon/fleet/operators.py
+++ b/berylnotch/daemon/fleet/operators.py
@@ -67,6 +67,9 @@
         self._state = state
         self._log = log
         self._metrics = metrics
+        self._is_draining = False
+        #: Calls that wait at a stopping controller until the next leader is known.
+        self._waiting_calls: list[tuple[ServerConnection, HttpRequest]] = []
         self._server = HttpServer(
             loop, settings.listen, self._serve, lambda: LIMITS, self._on_refused
         )
@@ -75,6 +78,24 @@
         """Start to serve."""
         self._server.start()
 
+    def drain(self) -> None:
+        """Accept no more orders; calls wait until they can be sent to the next leader.
+
+        Orders that were proposed before are answered when their outcome is known.
+        """
+        self._is_draining = self._server.is_draining = True
+
+    def release(self) -> None:
+        """Redirect the waiting calls, or refuse them if no other leader is known."""
+        waiting_calls, self._waiting_calls = self._waiting_calls, []
+        for connection, request in waiting_calls:
+            if not connection.is_closed:
+                self._redirect_to_leader(connection, request)
+
+    def stop_accepting(self) -> None:
+        """Close the port; calls on open connections are still answered."""
+        self._server.stop_accepting()
+
     def close(self) -> None:
         """Stop serving."""
         self._server.close()
@@ -86,7 +107,9 @@
         call = decode_call(request)
         if call is OperatorCall.UNKNOWN:
             self._answer(connection, request, 404, "no such call")
-        elif not self._host.is_active():
+        elif self._is_draining and not self._is_other_leader_known():
+            self._waiting_calls.append((connection, request))
+        elif self._is_draining or not self._host.is_active():
             self._redirect_to_leader(connection, request)
         elif call is OperatorCall.PUT_CONFIGURATION:
             self._put_configuration(connection, request)
@@ -95,11 +118,14 @@
         else:
             self._name_weights(connection, request)
 
+    def _is_other_leader_known(self) -> bool:
+        return self._host.leader_address not in ("", self._host.address)
+
     def _redirect_to_leader(
         self, connection: ServerConnection, request: HttpRequest
     ) -> None:
         leader = self._host.leader_address
-        if not leader or leader == self._host.address:
+        if not self._is_other_leader_known():
             self._answer(connection, request, 503, "no leader is known")
             return
         address = Address(parse_address(leader).host, self._settings.listen.port)
--- a/berylnotch/daemon/fleet/replica_host.py
+++ b/berylnotch/daemon/fleet/replica_host.py
@@ -104,6 +104,8 @@
         self._replica: Replica | None = None
         self._is_processing_scheduled = False
         self._is_closed = False
+        #: Whether this replica is about to stop and must not lead any more.
+        self._is_leaving = False
         self._proposals: dict[int, _Proposal] = {}
         self._logged_leader = ""
 
@@ -148,9 +150,17 @@
         self._loop.call_every(TICK_INTERVAL_S, self._tick)
         self._loop.call_every(MEMBERS_CHECK_INTERVAL_S, self._check_members)
 
-    def close(self) -> None:
-        """Transfer leadership, if held, and close the log folder."""
-        self._is_closed = True
+    @property
+    def has_proposals(self) -> bool:
+        """Whether commands that were proposed here are not committed yet."""
+        return bool(self._proposals)
+
+    def hand_over(self) -> None:
+        """Transfer leadership, if held, and only follow and vote from then on.
+
+        Commands that were proposed here may still be committed by the next leader.
+        """
+        self._is_leaving = True
         replica = self._replica
         if replica is not None and replica.is_leader:
             try:
@@ -158,6 +168,11 @@
                 self._process_ready()
             except ConsensusError as error:
                 self._log.info("transfer_failed", reason=str(error))
+
+    def close(self) -> None:
+        """Report the outcome of pending commands as unknown, close the log folder."""
+        self._is_closed = True
+        self._fail_proposals()
         self._replica = None
         if self._storage is not None:
             self._storage.close()
@@ -307,7 +322,7 @@
 
     def _tick(self) -> None:
         replica = self._replica
-        if replica is None or self._is_closed:
+        if replica is None or self._is_closed or self._is_leaving:
             return
         replica.tick(boot_time())
         self._schedule_processing()
@@ -327,7 +342,7 @@
             proposal.done(False)
 
     def _check_members(self) -> None:
-        if self._replica is None or self._is_closed:
+        if self._replica is None or self._is_closed or self._is_leaving:
             return
         if not self.is_active():
             self._membership_manager.ask_to_join(self._replica)
--- a/berylnotch/net/server.py
+++ b/berylnotch/net/server.py
@@ -378,6 +378,10 @@
         self._acceptor.start()
         self.loop.call_every(_LIMIT_CHECK_INTERVAL_S, self._check_all_limits)
 
+    def stop_accepting(self) -> None:
+        """Accept the connections that wait, and close the port."""
+        self._acceptor.close()
+
     def close(self) -> None:
         """Stop accepting connections and abort the open ones."""
         self._acceptor.close()
--- a/berylnotch/net/sockets.py
+++ b/berylnotch/net/sockets.py
@@ -103,14 +103,19 @@
         self._loop.watch(self._sock, selectors.EVENT_READ, self._accept)
 
     def close(self) -> None:
-        """Stop listening."""
+        """Accept the connections that wait, and stop listening."""
         if self._is_open:
             self._is_open = False
             self._loop.watch(self._sock, 0, self._accept)
+            # The kernel resets connections that are not accepted by then.
+            self._accept_waiting(BACKLOG)
         self._sock.close()
 
     def _accept(self, _events: int) -> None:
-        for _ in range(_MAX_ACCEPTS_PER_EVENT):
+        self._accept_waiting(_MAX_ACCEPTS_PER_EVENT)
+
+    def _accept_waiting(self, max_count: int) -> None:
+        for _ in range(max_count):
             try:
                 sock, _ = self._sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
