tests: berylnotchd cuts requests taken late in a planned stop (known red)

Operators saw requests taken late in the grace of a stop and cut at its end with no answer. No logic is changed.

--- a/berylnotch/standins/fleet.py
+++ b/berylnotch/standins/fleet.py
@@ -68,9 +68,15 @@
     ----------
     folder : Path
         Folder for settings files, data and logs.
+
+    Attributes
+    ----------
+    router_settings : str
+        Further lines of the section ``[router]`` of routers that are started later.
     """
 
     def __init__(self, folder: Path) -> None:
+        self.router_settings = ""
         self._folder = folder
         self._secret = secrets.token_hex(32).encode()
         self._children: dict[str, Child] = {}
@@ -217,6 +223,7 @@
         settings.write_text(
             f"[router]\nname = {name}\nfailure-domain = {domain}\nhttp = {http}\n"
             f"listen = 127.0.0.1:0\nsecret-file = {self.secret_file}\n"
+            f"{self.router_settings}"
             f"[controllers]\n{controllers}[routers]\n{routers}",
             encoding="utf-8",
         )
--- a/tests/fleet/stops.py
+++ b/tests/fleet/stops.py
@@ -7,6 +7,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Sequence
+from typing import Any
 
 from attrs import define, field
 
@@ -37,6 +38,9 @@
         ``served`` (a whole success), ``refused`` (a whole 429 or 503), ``failed`` (a
         whole answer of another kind), ``cut`` (the connection ended after the request
         was sent) or ``unread`` (it could not be sent).
+    run : str
+        What the answer says of the request: ``ran``, ``not-run`` or ``unknown``;
+        empty if it says nothing.
     later : list of CallResult
         Results of the requests that the caller sent to other routers afterwards.
     """
@@ -51,6 +55,7 @@
     took_s: float = 0.0
     is_kept_connection: bool = False
     closes: bool = True
+    run: str = ""
     later: list[CallResult] = field(factory=list)
 
     @property
@@ -136,15 +141,19 @@
         Kinds of requests, in turn: ``chat``, ``book`` or ``read``.
     rate_per_s : float
         Requests per second.
+    send : callable, default=send_request
+        Sends one request to a router, given its kind and identifier.
     """
 
     def __init__(
         self,
-        stopping: Sequence[FleetProcess],
-        others: Sequence[FleetProcess],
+        stopping: Sequence[Any],
+        others: Sequence[Any],
         kinds: Sequence[str] = ("chat", "book", "read"),
         rate_per_s: float = 20.0,
+        send: Callable[[Any, str, str], CallResult] = send_request,
     ) -> None:
+        self._send = send
         self._stopping, self._others = stopping, others
         self._kinds, self._rate_per_s = kinds, rate_per_s
         self._threads: list[threading.Thread] = []
@@ -176,12 +185,12 @@
     def _call(self, number: int) -> None:
         kind = self._kinds[number % len(self._kinds)]
         router = self._stopping[number % len(self._stopping)]
-        result = send_request(router, kind, f"{kind}-{number}")
+        result = self._send(router, kind, f"{kind}-{number}")
         self.results.append(result)
         if self._others and result.outcome in ("refused", "unread"):
             time.sleep(result.retry_after_s or 0.0)
             other = self._others[number % len(self._others)]
-            result.later.append(send_request(other, kind, f"{kind}-{number}-again"))
+            result.later.append(self._send(other, kind, f"{kind}-{number}-again"))
 
 
 def lost_requests(
