berylnotchd: bound requests of a stopping router by the time that it has left

Callers' requests that came late in the grace of a planned stop were passed on and cut at its end without an answer, orders among them. Cause: Router.drain had a policy of its own, which bounded no request, queue, claim or held answer by the end of the process.

The drain now has the fleet's schedule (plan_stop) over address-keep and stop-limit. A request whose answer may last longer, by the recent answers of its route, is refused at once with 503 stopping, not run, and Retry-After: 0 if another router takes callers: on arrival, in the queue, when its claim is agreed, and before a second attempt. Exchanges end by the schedule with 504 or an error event, targets get the shorter time, and answers held for their claim's outcome are released. A request that was read but not yet accepted by the loop counts as running.

--- a/berylnotch/daemon/router/router.py
+++ b/berylnotch/daemon/router/router.py
@@ -24,6 +24,7 @@
 from berylnotch.gateways.transfers import Upstreams
 from berylnotch.keys.freshness import Freshness
 from berylnotch.membership.crashes import CrashGuard
+from berylnotch.membership.departure import plan_stop
 from berylnotch.membership.targets import TargetHealth
 from berylnotch.placement.placer import Placer
 from berylnotch.quota.local import LocalQuota
@@ -138,22 +139,35 @@
     def drain(self) -> None:
         """Stop gracefully: leave the address list, then finish all running requests.
 
-        Returns when no request is running, or after the time limit ``stop_limit_s`` of
-        the settings.
+        Returns when no request is running, or shortly before the end of the address
+        answers' lifetime and ``stop_limit_s`` of the settings together.
         """
         self._heartbeat.set_leaving()
         # Without a configuration the router has no routes and no caller uses its
         # address, so there is no grace period.
         grace_period_s = self._view.fleet.address_keep_s if self._view.revision else 0.0
-        logger.info("event=router_leaving keep_s={}", grace_period_s)
+        stop = plan_stop(
+            time.monotonic(),
+            grace_period_s + self._settings.stop_limit_s,
+            grace_period_s,
+        )
+        logger.info(
+            "event=router_leaving keep_s={} stop_s={}",
+            grace_period_s,
+            stop.exit_by - stop.began_at,
+        )
+        self._loop.call_soon(lambda: self._request_path.plan_stop(stop))
         # Callers that received this address earlier may still connect.
-        self._stopping.wait(grace_period_s)
-        deadline = time.monotonic() + self._settings.stop_limit_s
+        self._stopping.wait(stop.accept_until - time.monotonic())
         # Requests that are being read are still accepted; new connections are refused.
         self._http.close()
-        while self._request_path.running and time.monotonic() < deadline:
+        while self._request_path.running and time.monotonic() < stop.close_by:
             self._stopping.wait(_DRAIN_POLL_S)
-        logger.info("event=router_drained running={}", self._request_path.running)
+        logger.info(
+            "event=router_drained running={} left_s={:.3f}",
+            self._request_path.running,
+            stop.exit_by - time.monotonic(),
+        )
 
     def close(self) -> None:
         """Stop immediately; a graceful stop calls `drain` first."""
--- a/berylnotch/membership/addresses.py
+++ b/berylnotch/membership/addresses.py
@@ -68,6 +68,11 @@
     )
 
 
+def has_other_live_vms(view: View, name: str) -> bool:
+    """Return whether VMs other than the named one take callers."""
+    return any(vm != name and _is_live(view, vm) for vm in view.fleet.vms)
+
+
 def _count_vms(
     fleet: Fleet, organisation: str, vm_count: int, settings: MembershipSettings
 ) -> int:
--- a/berylnotch/server/claims.py
+++ b/berylnotch/server/claims.py
@@ -58,6 +58,7 @@
 
     def __init__(self, context: Context) -> None:
         self._context = context
+        self._held_answers: dict[Job, Callable[[], None]] = {}
 
     def open(
         self,
@@ -80,7 +81,7 @@
             attempt=attempt,
         )
         requested_at = time.monotonic()
-        timeout_s = min(OPEN_TIMEOUT_S, job.deadline - requested_at)
+        timeout_s = min(OPEN_TIMEOUT_S, self._context.end_by(job) - requested_at)
 
         def on_result(result: Result | None) -> None:
             # While this router's process is suspended, the leader may consider the
@@ -108,14 +109,12 @@
 
         ``on_closed`` is called after `_ANSWER_HOLD_LIMIT_S` at the latest.
         """
-        called = False
 
         def notify_once() -> None:
-            nonlocal called
-            if not called:
-                called = True
+            if self._held_answers.pop(job, None) is not None:
                 on_closed()
 
+        self._held_answers[job] = notify_once
         state = _claim_state(finish)
         logger.info(
             "event=claim_closed request={} organisation={} state={}",
@@ -126,6 +125,11 @@
         self._propose_close(job, job.claim_attempt, state, notify_once)
         self._context.loop.call_later(_ANSWER_HOLD_LIMIT_S, notify_once)
 
+    def release_held_answers(self) -> None:
+        """Send the answers whose outcomes are not recorded yet, before a stop ends."""
+        for notify in tuple(self._held_answers.values()):
+            notify()
+
     def close_unfinished(self, job: Job, state: ClaimState) -> None:
         """Close a claim whose request did not run or ended with an internal error."""
         attempt, job.claim_attempt = job.claim_attempt, ""
--- a/berylnotch/server/context.py
+++ b/berylnotch/server/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import OrderedDict
 from typing import TYPE_CHECKING
@@ -9,6 +10,7 @@
 from attrs import define, evolve, field
 
 from berylnotch.control.protocol import WhyReply
+from berylnotch.entry.answer_times import AnswerTimes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,6 +21,7 @@
     from berylnotch.gateways.transfers import Upstreams
     from berylnotch.keys.freshness import Freshness
     from berylnotch.membership.crashes import CrashGuard
+    from berylnotch.membership.departure import StopSchedule
     from berylnotch.membership.targets import TargetHealth
     from berylnotch.placement.placer import Placer
     from berylnotch.quota.local import LocalQuota
@@ -60,7 +63,8 @@
 
     ``view`` and ``freshness`` are also read by the threads that check requests.
     ``send_heartbeat_soon`` reports new demand for tokens ahead of the regular
-    heartbeat.
+    heartbeat. ``stop`` is the schedule of the router's planned stop, in seconds of the
+    monotonic clock; None until the stop begins.
     """
 
     loop: Loop
@@ -79,6 +83,17 @@
     send_heartbeat_soon: Callable[[], None]
     decisions: Decisions = field(factory=Decisions)
     jobs: set[Job] = field(factory=set)
+    answer_times: AnswerTimes = field(factory=AnswerTimes)
+    stop: StopSchedule | None = None
+
+    @property
+    def answer_by(self) -> float:
+        """Monotonic time by which this router's answers must end, in seconds."""
+        return self.stop.answer_by if self.stop is not None else math.inf
+
+    def end_by(self, job: Job) -> float:
+        """Return the monotonic time by which the answer to a request must end."""
+        return min(job.deadline, self.answer_by)
 
     def reported_losses(self, fingerprint: bytes) -> frozenset[str]:
         """Return the targets that routers reported as lost while running a request."""
--- a/berylnotch/server/engine.py
+++ b/berylnotch/server/engine.py
@@ -20,6 +20,7 @@
 from berylnotch.server.needs import TokenDemand
 from berylnotch.server.queueing import AdmissionQueues
 from berylnotch.server.runner import Runner
+from berylnotch.server.stopping import has_time_for, stopping_refusal
 from berylnotch.streams.exchange import Exchange
 from berylnotch.streams.inputs import ExchangeRequest, PauseReason
 from berylnotch.streams.reference import (
@@ -33,6 +34,7 @@
 if TYPE_CHECKING:
     import socket
 
+    from berylnotch.membership.departure import StopSchedule
     from berylnotch.server.context import Context
     from berylnotch.server.job import Job
 
@@ -76,11 +78,13 @@
         )
         self._was_view_fresh = False
         self._closing_jobs: set[Job] = set()
+        self._submitted_jobs: set[Job] = set()
 
     @property
     def running(self) -> int:
         """Number of requests that have not ended or whose last bytes are not sent."""
-        return len(self._context.jobs) + len(self._closing_jobs)
+        jobs = (self._submitted_jobs, self._context.jobs, self._closing_jobs)
+        return sum(len(group) for group in jobs)
 
     def start(self) -> None:
         """Start the periodic checks of the view's freshness, deadlines and queues."""
@@ -88,8 +92,19 @@
 
     def submit(self, job: Job, sock: socket.socket) -> None:
         """Accept a job and its caller's socket; any thread may call this."""
+        self._submitted_jobs.add(job)
         self._context.loop.call_soon(lambda: self._accept(job, sock))
 
+    def plan_stop(self, stop: StopSchedule) -> None:
+        """Bound all requests, present and future, by the times of a planned stop."""
+        self._context.stop = stop
+        for job in tuple(self._context.jobs):
+            self._runner.on_stop_planned(job)
+        self._admission.refuse_late()
+        self._context.loop.call_later(
+            stop.answer_by - time.monotonic(), self._end_all_answers
+        )
+
     def on_grant(self) -> None:
         """Retry the streams and queued requests that wait for tokens."""
         self._delivery.retry()
@@ -111,6 +126,7 @@
         )
         job.caller.start()
         self._context.jobs.add(job)
+        self._submitted_jobs.discard(job)
         try:
             self._admit(job)
         except Exception:
@@ -131,6 +147,8 @@
             refusal = self._check_key(job, now)
             if refusal is not None:
                 return refusal
+        if not has_time_for(self._context, job):
+            return stopping_refusal(self._context)
         guard, reported_losses = (
             self._context.crash_guard,
             self._context.reported_losses,
@@ -163,6 +181,9 @@
             if refusal is not None:
                 self._refuse(job, refusal)
                 return
+        if not has_time_for(self._context, job):
+            self._refuse(job, stopping_refusal(self._context))
+            return
         # Idempotency keys of callers without an organisation could collide.
         can_claim = job.request.idempotency_key and job.organisation is not None
         if job.idempotent or not can_claim:
@@ -177,9 +198,11 @@
 
     def _start_claimed(self, job: Job) -> None:
         refusal = self._check_key(job, time.monotonic()) if job.key_hash else None
+        if refusal is None and not has_time_for(self._context, job):
+            refusal = stopping_refusal(self._context)
         if refusal is not None:
-            # The key was withdrawn, or the view became stale, before the claim was
-            # committed.
+            # The key was withdrawn, the view became stale, or the time of a stopping
+            # router ran out, before the claim was committed.
             self._claim_client.close_unfinished(job, ClaimState.NOT_RUN)
             self._refuse(job, refusal)
             return
@@ -280,8 +303,18 @@
             job for job in self._closing_jobs if not job.caller.is_closed
         }
         self._admission.refuse_expired()
+        if self._context.stop is not None:
+            self._admission.refuse_late()
         self._admission.dispatch_all()
 
+    def _end_all_answers(self) -> None:
+        """End the requests that are still open when a stopping router's time is up."""
+        self._claim_client.release_held_answers()
+        for job in tuple(self._context.jobs):
+            if job.exchange is None:
+                self._admission.cancel(job)
+                self._refuse(job, stopping_refusal(self._context))
+
     def _check_view_freshness(self) -> None:
         is_fresh = self._context.freshness.is_fresh(time.monotonic())
         if is_fresh == self._was_view_fresh:
--- a/berylnotch/server/errors.py
+++ b/berylnotch/server/errors.py
@@ -21,6 +21,8 @@
         Whether a target ran the request.
     retry_after_s : float, default=0.0
         Seconds until a retry is useful; 0 if a retry would be refused as well.
+    is_served_elsewhere : bool, default=False
+        Whether another router serves a retry at once.
     """
 
     def __init__(
@@ -30,6 +32,7 @@
         message: str,
         run_status: RunStatus = RunStatus.NOT_RUN,
         retry_after_s: float = 0.0,
+        is_served_elsewhere: bool = False,
     ) -> None:
         super().__init__(message)
         self.status = status
@@ -37,3 +40,4 @@
         self.message = message
         self.run_status = run_status
         self.retry_after_s = retry_after_s
+        self.is_served_elsewhere = is_served_elsewhere
--- a/berylnotch/server/queueing.py
+++ b/berylnotch/server/queueing.py
@@ -10,6 +10,7 @@
 from berylnotch.admission.ticket import Fit, RefusalReason, Ticket
 from berylnotch.admission.ticket import Refusal as QueueRefusal
 from berylnotch.server.errors import Refusal
+from berylnotch.server.stopping import has_time_for, stopping_refusal
 
 if TYPE_CHECKING:
     from berylnotch.server.attempts import TargetSelector
@@ -128,6 +129,13 @@
                 self._remove(job)
                 self._refuse(job, self._expiry_refusal(job))
 
+    def refuse_late(self) -> None:
+        """Refuse the waiting requests that a stopping router has no time for."""
+        for job in tuple(self._jobs.values()):
+            if not has_time_for(self._context, job):
+                self.cancel(job)
+                self._refuse(job, stopping_refusal(self._context))
+
     def _retry_after_ms(self, job: Job, now: float) -> int:
         """Return the ms until a retry; 0 if the organisation is within its rate."""
         name = job.organisation_name
@@ -151,7 +159,7 @@
             organisation=job.organisation_name,
             share=share,
             cost=float(max(job.cost_tokens, _MIN_COST_TOKENS)),
-            deadline=job.deadline,
+            deadline=self._context.end_by(job),
             enqueued=now,
             priority=self._context.quota.priority(job.organisation_name),
         )
--- a/berylnotch/server/responses.py
+++ b/berylnotch/server/responses.py
@@ -39,7 +39,9 @@
     headers["Content-Type"] = "application/json"
     headers[REQUEST_ID_HEADER] = request_id
     headers[RUN_HEADER] = refusal.run_status.value
-    if refusal.retry_after_s > 0:
+    if refusal.is_served_elsewhere:
+        headers["Retry-After"] = "0"
+    elif refusal.retry_after_s > 0:
         headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after_s)))
     else:
         # Without this header, the OpenAI client decides by the status alone whether it
--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -17,6 +17,11 @@
 from berylnotch.server.errors import Refusal
 from berylnotch.server.job import Attempt
 from berylnotch.server.judging import AttemptAccounting
+from berylnotch.server.stopping import (
+    has_time_for,
+    record_answer,
+    stopping_refusal,
+)
 from berylnotch.streams.actions import (
     Action,
     AttemptFailed,
@@ -90,9 +95,16 @@
     def start(self, job: Job) -> None:
         """Start the exchange of a job."""
         now = time.monotonic()
+        job.exchange.stop_at(self._context.answer_by)
         self.perform(job, job.exchange.start(now))
         self._schedule_tick(job)
 
+    def on_stop_planned(self, job: Job) -> None:
+        """Bound the exchange of a job by the time that the router has."""
+        if job.exchange is not None:
+            job.exchange.stop_at(self._context.answer_by)
+            self._schedule_tick(job)
+
     def pause(self, job: Job, reason: PauseReason) -> None:
         """Pause the exchange of a job."""
         if job.exchange is not None:
@@ -182,11 +194,15 @@
         if not self._accounting.can_attempt(job, action):
             message = f"too many requests to {job.service.name} fail at present"
             return job.exchange.on_no_target(now, action.number, message, 1.0)
+        # A stream that has begun goes on at another target for as long as it can.
+        if not action.resume_after and not has_time_for(self._context, job):
+            message = "the router is stopping"
+            return job.exchange.on_no_target(now, action.number, message)
         choice = self._selector.choose(job, action)
         if choice is None:
             message = f"no target of {job.service.name} can take the request"
             return job.exchange.on_no_target(now, action.number, message, 1.0)
-        timeout_s = max(job.deadline - now, 0.001)
+        timeout_s = max(self._context.end_by(job) - now, 0.001)
         try:
             request = self._selector.build_request(
                 job, choice.target, action, timeout_s
@@ -260,6 +276,8 @@
         self._accounting.on_exchange_finished(job, action, now)
         if action.reason is not FinishReason.COMPLETE:
             self._delivery.drop_uncharged(job)
+        elif action.run_status is RunStatus.RAN:
+            record_answer(self._context, job, now)
         if job.claim_attempt:
             self._claim_client.close(job, action, lambda: self._send_held(job, action))
         else:
@@ -281,7 +299,9 @@
         if not (has_ending and job.lost_targets):
             self._send_ending(job, action)
             return
-        deadline = min(job.deadline, time.monotonic() + LOSS_CONFIRMATION_S)
+        deadline = min(
+            self._context.end_by(job), time.monotonic() + LOSS_CONFIRMATION_S
+        )
 
         def on_done(is_confirmed: bool) -> None:
             if not is_confirmed:
@@ -299,7 +319,7 @@
 
     def _send_ending(self, job: Job, action: Finish) -> None:
         if action.status and action.reason is not FinishReason.CALLER_GONE:
-            refusal = _refusal(job, action)
+            refusal = self._make_refusal(job, action)
             job.caller.write(
                 responses.refusal_response(refusal, job.request.request_id)
             )
@@ -354,19 +374,27 @@
     def _tick(self, job: Job) -> None:
         if job.has_ended:
             return
+        if time.monotonic() >= self._context.answer_by:
+            # Bytes that wait for tokens would hold the event that reports the stop.
+            self._delivery.drop_uncharged(job)
         self.perform(job, job.exchange.tick(time.monotonic()))
         self._schedule_tick(job)
 
-
-def _refusal(job: Job, action: Finish) -> Refusal:
-    if job.is_poison:
-        return Refusal(
-            422,
-            _POISON_CODE,
-            "targets were lost while they ran this request; it is not run again",
-            action.run_status,
+    def _make_refusal(self, job: Job, action: Finish) -> Refusal:
+        if job.is_poison:
+            return Refusal(
+                422,
+                _POISON_CODE,
+                "targets were lost while they ran this request; it is not run again",
+                action.run_status,
+            )
+        is_stop = action.reason is FinishReason.STOPPING or (
+            action.reason is FinishReason.NO_TARGET
+            and not has_time_for(self._context, job)
         )
-    code = action.reason.value.replace("-", "_")
-    retry_after_s = action.retry_after_s
-    message = action.message or action.reason.value
-    return Refusal(action.status, code, message, action.run_status, retry_after_s)
+        if is_stop:
+            return stopping_refusal(self._context, action.run_status)
+        code = action.reason.value.replace("-", "_")
+        retry_after_s = action.retry_after_s
+        message = action.message or action.reason.value
+        return Refusal(action.status, code, message, action.run_status, retry_after_s)
--- a/berylnotch/streams/actions.py
+++ b/berylnotch/streams/actions.py
@@ -41,6 +41,7 @@
     KEY_WITHDRAWN = "key-withdrawn"
     WEIGHTS_CHANGED = "weights-changed"
     CALLER_GONE = "caller-gone"
+    STOPPING = "stopping"
 
 
 @frozen
--- a/berylnotch/streams/exchange.py
+++ b/berylnotch/streams/exchange.py
@@ -79,6 +79,7 @@
         self._next_start_time = 0.0
         self._is_head_sent = False
         self._is_finished = False
+        self._stop_at = math.inf
         self._has_run = request.resume_after > 0
         self._retry_after_s = 0.0
         self._last_activity_time = 0.0
@@ -116,7 +117,12 @@
 
     def next_tick(self) -> float:
         """Return the time in seconds at which ``tick`` has to be called next."""
-        return min(self._request.deadline, self._next_timer_time())
+        end_at = min(self._request.deadline, self._stop_at)
+        return min(end_at, self._next_timer_time())
+
+    def stop_at(self, time: float) -> None:
+        """Set the time in seconds at which the router stops and the exchange ends."""
+        self._stop_at = time
 
     def start(self, now: float) -> tuple[Action, ...]:
         """Start the first attempt."""
@@ -240,6 +246,8 @@
             return _NO_ACTIONS
         if now >= self._request.deadline:
             return self._cancel(FinishReason.DEADLINE, "deadline passed")
+        if now >= self._stop_at:
+            return self._cancel(FinishReason.STOPPING, "the router is stopping")
         if now < self._next_timer_time():
             return _NO_ACTIONS
         if self._is_start_pending:
--- a/berylnotch/streams/outcomes.py
+++ b/berylnotch/streams/outcomes.py
@@ -14,6 +14,7 @@
     FinishReason.KEY_WITHDRAWN: 401,
     FinishReason.WEIGHTS_CHANGED: 409,
     FinishReason.CALLER_GONE: 499,
+    FinishReason.STOPPING: 504,
 }
 #: Error statuses after which a retry at another target may succeed.
 RETRY_STATUSES = frozenset((429, 500, 502, 503, 504))
--- a/tests/test_streams/test_exchange.py
+++ b/tests/test_streams/test_exchange.py
@@ -339,3 +339,23 @@
     assert find_actions(actions, SendHead) == []
     assert b"overloaded" not in single_action(actions, SendBytes).data
     assert single_action(actions, Finish).reason is FinishReason.DEADLINE
+
+
+def test_stream_that_outlasts_the_stop_of_its_router_ends_with_an_error_event(running):
+    running.stop_at(5.0)
+    assert running.next_tick() == 5.0
+    assert running.tick(4.9) == ()
+    actions = running.tick(5.0)
+    assert single_action(actions, CancelAttempt).number == 1
+    assert b'"code": "stopping"' in single_action(actions, SendBytes).data
+    finish = single_action(actions, Finish)
+    assert (finish.reason, finish.run_status) == (FinishReason.STOPPING, RunStatus.RAN)
+
+
+def test_request_that_outlasts_the_stop_of_its_router_is_not_called_not_run():
+    exchange = make_exchange(stream=False, idempotent=False)
+    exchange.start(0)
+    exchange.attempt_started(0, 1, "E1")
+    exchange.stop_at(5.0)
+    finish = single_action(exchange.tick(5.0), Finish)
+    assert (finish.status, finish.run_status) == (504, RunStatus.UNKNOWN)
