berylnotchd: answer requests in the accept queue when the server for callers closes

When a stopping router closed its server for callers, the connections in the accept queue were reset, also if their requests had arrived, and a caller could not know whether an order ran. Kept connections were closed at any moment, and the close waited 5 s for requests that did not arrive, beyond a short stop-limit.

Cause: the server library closes its listener with what waits in it, its idle connections with what they received, and has a fixed time for readers. Now the listener is emptied immediately before it is closed, connections with data are served, each answer while draining closes its connection, and reading ends by the schedule of the stop. The check for a stop is made each 0.1 s in place of 0.5 s.

Not ruled out: a connection that is established in the moment between the last accept and the close is still reset.

--- a/berylnotch/daemon/router/router.py
+++ b/berylnotch/daemon/router/router.py
@@ -52,7 +52,11 @@
     from berylnotch.util.address import Address
 
 _SYNC_TICK_S = 0.1
+#: Interval in seconds between checks whether a stopping router has no requests.
 _DRAIN_POLL_S = 0.1
+#: Longest time in seconds for which a stopping router that accepts no more connections
+#: waits for the rest of requests.
+_READ_LIMIT_S = 5.0
 
 
 class Router:
@@ -157,10 +161,12 @@
             stop.exit_by - stop.began_at,
         )
         self._loop.call_soon(lambda: self._request_path.plan_stop(stop))
+        self._http.start_draining()
         # Callers that received this address earlier may still connect.
         self._stopping.wait(stop.accept_until - time.monotonic())
         # Requests that are being read are still accepted; new connections are refused.
-        self._http.close()
+        read_limit_s = min(_READ_LIMIT_S, stop.answer_by - time.monotonic())
+        self._http.close(read_limit_s)
         while self._request_path.running and time.monotonic() < stop.close_by:
             self._stopping.wait(_DRAIN_POLL_S)
         logger.info(
@@ -171,7 +177,7 @@
 
     def close(self) -> None:
         """Stop immediately; a graceful stop calls `drain` first."""
-        self._metrics_http.close()
+        self._metrics_http.close(0.0)
         for server_future in self._server_futures:
             server_future.result()
         self._executor.shutdown()
--- a/berylnotch/server/handover.py
+++ b/berylnotch/server/handover.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from cheroot import wsgi
+from cheroot.connections import ConnectionManager
 from cheroot.server import HTTPConnection
 
 from berylnotch.util.address import Address
@@ -24,6 +25,10 @@
 _WORKER_THREADS = 16
 #: Longest time, in seconds, that the server waits for the next bytes of a request.
 _READ_TIMEOUT_S = 10
+#: Shortest time, in seconds, that a closing server waits for bytes of a request.
+_MIN_READ_TIMEOUT_S = 0.05
+#: Seconds between two checks whether the server is to stop.
+_STOP_CHECK_INTERVAL_S = 0.1
 #: Connections that may wait to be accepted.
 _BACKLOG = 1024
 _MAX_HEADER_BYTES = 64 * 1024
@@ -39,9 +44,46 @@
             super()._close_kernel_socket()
 
 
+class _ConnectionManager(ConnectionManager):
+    """Accepts connections; at a stop it hands over those that callers have opened."""
+
+    def stop(self) -> None:
+        """Stop to accept, and pass on all connections that are open or have data."""
+        super().stop()
+        listener = self.server.socket
+        for _, connection in tuple(self._selector.select(0.0)):
+            if connection is not self.server:
+                self._selector.unregister(connection.socket.fileno())
+                self.server.process_conn(connection)
+        # The kernel resets the connections in the accept queue of a listener that is
+        # closed, so the queue is emptied immediately before.
+        listener.settimeout(0.0)
+        while (connection := self._from_server_socket(listener)) is not None:
+            self.server.process_conn(connection)
+        listener.close()
+        self.server.socket = None
+
+
+class _Server(wsgi.Server):
+    """Server that ends kept connections by an answer while it is draining."""
+
+    is_draining = False
+    expiration_interval = _STOP_CHECK_INTERVAL_S
+
+    def prepare(self) -> None:
+        super().prepare()
+        self._connections.close()
+        self._connections = _ConnectionManager(self)
+
+
 class _Gateway(wsgi.Gateway_10):
     """WSGI gateway that provides the detach function."""
 
+    def respond(self) -> None:
+        if self.req.server.is_draining:
+            self.req.close_connection = True
+        super().respond()
+
     def get_environ(self) -> dict[str, Any]:
         environ = super().get_environ()
         environ[DETACH_KEY] = self._detach
@@ -74,7 +116,7 @@
     """
 
     def __init__(self, address: Address, app: WsgiApp, max_body_bytes: int) -> None:
-        self._server = wsgi.Server(
+        self._server = _Server(
             address.pair,
             app,
             numthreads=_WORKER_THREADS,
@@ -101,6 +143,21 @@
         """Serve requests until `close` is called."""
         self._server.serve()
 
-    def close(self) -> None:
-        """Stop accepting connections, and finish the requests that are being read."""
+    def start_draining(self) -> None:
+        """Close each kept connection with the next answer on it."""
+        self._server.is_draining = True
+
+    def close(self, read_limit_s: float) -> None:
+        """Stop accepting connections, and finish the requests that are being read.
+
+        Parameters
+        ----------
+        read_limit_s : float
+            Time in seconds after which requests that are still incomplete are given
+            up.
+        """
+        self.start_draining()
+        read_limit_s = max(_MIN_READ_TIMEOUT_S, read_limit_s)
+        self._server.timeout = min(_READ_TIMEOUT_S, read_limit_s)
+        self._server.shutdown_timeout = read_limit_s
         self._server.stop()
