berylnotchd: refuse requests whose body breaks off

A body that broke off within its Content-Length was taken for a whole one by the request path, which passes it on. A planned stop does this by itself, when it stops to read a body that arrives slowly. A chunked body that broke off got 500 without a run mark.

Cause: the server library sets wsgi.input_terminated to False for bodies with a length, and werkzeug takes the key itself as a promise, so it reads to the end of the stream without comparing lengths. The key is removed unless it is true; broken chunks are refused as unreadable (400, not run).

--- a/berylnotch/server/handover.py
+++ b/berylnotch/server/handover.py
@@ -86,6 +86,10 @@
 
     def get_environ(self) -> dict[str, Any]:
         environ = super().get_environ()
+        # Werkzeug takes any value of this key, even False, as a promise that the end of
+        # the stream is the end of the body. A body that breaks off would look whole.
+        if not environ["wsgi.input_terminated"]:
+            del environ["wsgi.input_terminated"]
         environ[DETACH_KEY] = self._detach
         return environ
 
--- a/berylnotch/server/intake.py
+++ b/berylnotch/server/intake.py
@@ -88,8 +88,10 @@
     """
     try:
         body = request.get_data(cache=False)
-    except HTTPException as error:
-        raise Refusal(error.code or 400, "unreadable", str(error)) from error
+    except (HTTPException, ValueError) as error:
+        # The server's stream raises ValueError if a chunk is malformed or missing.
+        status = getattr(error, "code", None) or 400
+        raise Refusal(status, "unreadable", str(error)) from error
     idempotency_key = request.headers.get("Idempotency-Key", "").strip()
     if len(idempotency_key) > MAX_IDEMPOTENCY_KEY_LENGTH:
         raise Refusal(
--- a/tests/test_server/test_handover.py
+++ b/tests/test_server/test_handover.py
@@ -21,6 +21,7 @@
 
 GET = b"GET / HTTP/1.1\r\nHost: router\r\n\r\n"
 POST_HEAD = b"POST / HTTP/1.1\r\nHost: router\r\nContent-Length: 4\r\n\r\n"
+CHUNKED_HEAD = b"POST / HTTP/1.1\r\nHost: router\r\nTransfer-Encoding: chunked\r\n\r\n"
 #: Seconds for which the server reads requests after it was told to close.
 READ_LIMIT_S = 0.5
 
@@ -101,6 +102,22 @@
     started_at = time.monotonic()
     serving.close(READ_LIMIT_S)
     assert time.monotonic() - started_at < 2 * READ_LIMIT_S + 0.5
+    assert read_answer(sock)[0] == 400
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        POST_HEAD + b"bo",
+        CHUNKED_HEAD + b"4\r\nbo",
+        CHUNKED_HEAD + b"4\r\nbody\r\n",
+        CHUNKED_HEAD + b"4\r\nbody",
+    ],
+)
+def test_body_that_breaks_off_is_not_taken_for_a_whole_one(serving, data):
+    sock = connect(serving, data)
+    sock.shutdown(socket.SHUT_WR)
+    assert read_answer(sock)[:2] == (400, b"unreadable")
 
 
 def test_new_connections_are_refused_once_the_server_has_closed(serving):
