--- a/berylnotch/entry/time_limit.py
+++ b/berylnotch/entry/time_limit.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 
 from berylnotch.entry.context import EntryContext
@@ -66,7 +65,7 @@
 
     def allows(self, choice: Choice) -> bool:
         """Whether the answer of a target will end before this router stops."""
-        if math.isinf(self._context.answer_by):
+        if not self.is_set_by_stop:
             return True
         longest_s = longest_answer_s(self._context, self._routed, choice)
         return longest_s <= self._context.answer_by - boot_time()
--- a/tests/fleet/stops.py
+++ b/tests/fleet/stops.py
@@ -9,6 +9,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Sequence
+from typing import Any
 
 from attrs import define, field
 
@@ -50,6 +51,9 @@
         ``served`` (a whole success), ``refused`` (a whole 429 or 503), ``failed`` (a
         whole answer of another kind), ``cut`` (the connection ended after the request
         was sent) or ``unread`` (it could not be sent).
+    run : str
+        What the answer says of the request: ``ran``, ``not-run`` or ``unknown``;
+        empty if it says nothing.
     later : list of CallResult
         Results of the requests that the caller sent to other routers afterwards.
     """
@@ -65,6 +69,7 @@
     is_kept_connection: bool = False
     closes: bool = True
     deadline_s: float = DEADLINE_MS / 1000
+    run: str = ""
     later: list[CallResult] = field(factory=list)
     body: bytes = field(default=b"", repr=False)
 
@@ -252,12 +257,12 @@
 
     def __init__(
         self,
-        stopping: Sequence[FleetProcess],
-        others: Sequence[FleetProcess],
+        stopping: Sequence[Any],
+        others: Sequence[Any],
         kinds: Sequence[str] = ("chat", "book", "read"),
         rate_per_s: float = 20.0,
         prefix: str = "",
-        send: Callable[[FleetProcess, str, str], CallResult] = send_request,
+        send: Callable[[Any, str, str], CallResult] = send_request,
     ) -> None:
         self._stopping, self._others = stopping, others
         self._kinds, self._rate_per_s = kinds, rate_per_s
