--- a/tests/fleet/stops.py
+++ b/tests/fleet/stops.py
@@ -282,6 +282,8 @@
         self._pacer.join()
         for thread in self._threads:
             thread.join()
+        # A thread that ended by an exception would hide the result of its request.
+        assert len(self.results) == len(self._threads)
 
     def _send_all(self) -> None:
         number, next_at = 0, time.monotonic()
--- a/tests/test_daemon/test_planned_stops_daemon.py
+++ b/tests/test_daemon/test_planned_stops_daemon.py
@@ -67,7 +67,7 @@
 
 def stop_under_load(fleet, stopping, others, rate_per_s=10.0):
     """Stop routers while callers send to them."""
-    callers = LateCallers(stopping, others, KINDS, rate_per_s, send_late)
+    callers = LateCallers(stopping, others, KINDS, rate_per_s, send=send_late)
     callers.start()
     try:
         # The routers have served whole answers of each kind by then.
