tests: a stop of the leader refuses requests that wait for tokens (known red)

A request that needs more tokens than its router holds, sent within 10 ms of the SIGTERM of the leader: 503 no-grant in 3 of 4, although the next leader leads 10 ms later.

--- a/tests/test_daemon/test_planned_work.py
+++ b/tests/test_daemon/test_planned_work.py
@@ -225,3 +225,17 @@
         callers.close()
     failed = [result for result in callers.results if result.outcome != "served"]
     assert not failed, describe(failed, started_at)
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.01])
+def test_a_request_that_waits_for_tokens_gets_them_from_the_next_leader(fleet, delay_s):
+    leader = wait_until(fleet.leader, "a leader")
+    # More tokens than a router holds, and fewer than a new leader grants at once.
+    prompt = {
+        "Berylnotch_Token_Count": "30000,20",
+        "Berylnotch_Prefix_Hash": "aa01:22000,bb02:8000",
+    }
+    leader.signal(signal.SIGTERM)
+    time.sleep(delay_s)
+    answer = fleet.ask(fleet.routers[0], "/chat/x", "waits", **prompt)
+    assert answer is not None and answer.status == 200
