Ask the next leader at once for the tokens that requests wait for

Callers saw 503 no-grant 0.45 s after a stop of the leader: a router that had just asked the old leader, which dropped the question, asked again only after the reply time-out of 0.5 s, longer than a request waits. Ruled out: the change itself, since the next leader answers 5 to 50 ms after the first one's end.

A router abandons the open questions (tokens of organisations and of limited targets) when it finds a leader, and asks anew.

--- a/berylnotch/daemon/fleet/follower.py
+++ b/berylnotch/daemon/fleet/follower.py
@@ -52,6 +52,8 @@
         Log of the process.
     settings : LinkSettings
         Time-outs of the link.
+    on_found : callable, optional
+        Called when the controller at the link has answered as leader.
     """
 
     def __init__(
@@ -62,10 +64,12 @@
         on_message: Callable[[object], None],
         log: EventLog,
         settings: LinkSettings,
+        on_found: Callable[[], None] = lambda: None,
     ) -> None:
         self._loop = loop
         self._seeds = seeds
         self._on_open = on_open
+        self._on_found = on_found
         self._on_message = on_message
         self._log = log
         self._settings = settings
@@ -148,6 +152,7 @@
             if not self._has_leader:
                 self._has_leader = True
                 self._log.info("leader_found", at=link.peer)
+                self._on_found()
             self._on_message(message)
             return
         self._known_addresses = message.members
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -150,6 +150,7 @@
             self._on_leader_message,
             log,
             LinkSettings(),
+            self._on_leader_found,
         )
         self._reports = LeaderReports(
             self._context,
@@ -376,6 +377,14 @@
 
     # Messages from the leader.
 
+    def _on_leader_found(self) -> None:
+        # The previous leader may have stopped before it answered the last requests for
+        # tokens.
+        self._context.gate.quota.restart()
+        self._context.target_limits.restart()
+        self._check_quota()
+        self._check_target_limits()
+
     def _on_leader_message(self, message: object) -> None:
         if isinstance(message, ConfigurationUpdate):
             self._apply_configuration(message)
--- a/berylnotch/entry/target_limits.py
+++ b/berylnotch/entry/target_limits.py
@@ -140,6 +140,10 @@
         """Include all announcements in the next report, which a new leader gets."""
         self._refreshed_at = -math.inf
 
+    def restart(self) -> None:
+        """Ask the quota owner again, because the asked one is gone."""
+        self._quota.restart()
+
     def notices(self, now: float) -> tuple[LimitNotice, ...]:
         """Return the announcements for the next report to the leader.
 
--- a/berylnotch/quota/local.py
+++ b/berylnotch/quota/local.py
@@ -125,6 +125,15 @@
         self._is_exchange_open = False
         self._opened_at = self._previous_opened_at
 
+    def restart(self) -> None:
+        """Abandon the exchange with an owner that is gone, and ask the next one soon.
+
+        Otherwise waiting work would be delayed until the reply time-out.
+        """
+        if self._is_exchange_open:
+            self._is_exchange_open = False
+            self._is_ask_urgent = True
+
     def want(self, organisation: str, tokens: int, first: int | None = None) -> None:
         """Set the number of tokens that the waiting work needs; 0 if no work waits.
 
--- a/tests/test_entry/test_target_limits.py
+++ b/tests/test_entry/test_target_limits.py
@@ -270,3 +270,11 @@
     assert unpack(pack(reply), ROUTER_MESSAGES) == reply
     entries = update(limited_entry(math.inf), limited_entry(None))
     assert unpack(pack(entries), ROUTER_MESSAGES) == entries
+
+
+def test_next_owner_is_asked_at_once_for_what_the_last_one_did_not_answer(limits):
+    limits.request_tokens(NOW, "llm")
+    assert limits.asks(NOW, "r", "1") is not None
+    assert limits.asks(NOW + 0.1, "r", "1") is None
+    limits.restart()
+    assert limits.asks(NOW + 0.1, "r", "1") is not None
