--- a/berylnotch/cmd/fleetd.py
+++ b/berylnotch/cmd/fleetd.py
@@ -14,6 +14,7 @@
     SeedSource,
     read_fleet_settings,
 )
+from berylnotch.util.clock import boot_time
 from berylnotch.util.lines import (
     FLUSH_INTERVAL_S,
     EventLog,
@@ -87,7 +88,7 @@
 
 def _start_router(
     settings: FleetSettings, seeds: SeedSource, loop: Loop, log: EventLog
-) -> Callable[[], None]:
+) -> Callable[[float], None]:
     from berylnotch.daemon.fleet.router import FleetRouter
 
     router = FleetRouter(settings, seeds, loop, log)
@@ -97,25 +98,25 @@
         router.close()
         loop.call_later(_CLOSE_DELAY_S, loop.close)
 
-    return lambda: router.drain(on_drained)
+    return lambda signal_at: router.drain(on_drained, signal_at)
 
 
 def _start_controller(
     settings: FleetSettings, seeds: SeedSource, loop: Loop, log: EventLog
-) -> Callable[[], None]:
+) -> Callable[[float], None]:
     from berylnotch.daemon.fleet.controller import FleetController
 
     controller = FleetController(settings, seeds, loop, log)
     controller.start()
 
-    def stop() -> None:
+    def stop(_signal_at: float) -> None:
         controller.close()
         loop.call_later(2 * _CLOSE_DELAY_S, loop.close)
 
     return stop
 
 
-def _stop_on_signal(loop: Loop, stop: Callable[[], None], log: EventLog) -> None:
+def _stop_on_signal(loop: Loop, stop: Callable[[float], None], log: EventLog) -> None:
     is_stopping = False
 
     def on_signal(number: int, _frame: object) -> None:
@@ -123,7 +124,9 @@
         if not is_stopping:
             is_stopping = True
             log.info("stop_asked", signal=signal.Signals(number).name)
-            loop.call_soon(stop)
+            # A suspended process gets its signals as late as it runs its timers.
+            signal_at = boot_time() - loop.late_s
+            loop.call_soon(lambda: stop(signal_at))
 
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -202,17 +202,19 @@
         )
         self._log.info("started", callers=self._settings.listen)
 
-    def drain(self, done: Callable[[], None]) -> None:
+    def drain(self, done: Callable[[], None], signal_at: float) -> None:
         """Accept requests until no caller caches this address, then stop.
 
         Parameters
         ----------
         done : callable
             Called when the router has drained, or shortly before the stop deadline.
+        signal_at : float
+            Boot time in seconds at which the router was asked to stop.
         """
         self._is_leaving = True
         stop = self._context.stop = plan_stop(
-            boot_time(),
+            signal_at,
             self._settings.bounds.stop_s,
             self._address_ttl_s * MAX_TTL_FACTOR + REPORT_S,
         )
--- a/berylnotch/util/loop.py
+++ b/berylnotch/util/loop.py
@@ -81,6 +81,13 @@
         """Whether the current thread is the loop's thread."""
         return threading.get_ident() == self._thread_id
 
+    @property
+    def late_s(self) -> float:
+        """Seconds by which the earliest timer is overdue, 0 if it is not."""
+        if not self._timers:
+            return 0.0
+        return max(0.0, time.monotonic() - self._timers[0][0])
+
     def start(self) -> None:
         """Run the loop in a new thread until `close`."""
         self._executor = ThreadPoolExecutor(1, thread_name_prefix=self._name)
--- a/tests/test_daemon/test_late_requests.py
+++ b/tests/test_daemon/test_late_requests.py
@@ -1,6 +1,6 @@
 """Requests that come late in a planned stop, in the ways in which callers send them.
 
-Six routers stop together with the leader while callers of six kinds use one each, so
+Seven routers stop together with the leader, each used by callers of another kind, so
 that all tests share one stop. Each caller's result is counted, and the stand-ins record
 which requests targets ran.
 """
@@ -52,6 +52,9 @@
 #: Seconds from an answer to the next request of the caller that is alone at its router.
 LONE_PAUSE_S = 0.03
 
+#: Seconds after SIGTERM for which one router is frozen.
+FROZEN_S = 1.5
+
 #: Timeout of all routes in milliseconds, longer than a stop: it excuses no request.
 TIMEOUT_MS = 12_000
 
@@ -123,13 +126,13 @@
 
 @pytest.fixture(scope="module")
 def stop(tmp_path_factory):
-    """The results of one planned stop of six of eight routers and the leader."""
+    """The results of one planned stop of seven of nine routers and the leader."""
     platform = PlatformStandIn()
     platform.start()
     fleet = FleetOfProcesses(tmp_path_factory.mktemp("late"), platform)
     add_targets(platform)
     try:
-        fleet.start(controllers=3, routers=8)
+        fleet.start(controllers=3, routers=9)
         assert fleet.put(late_configuration()).status == 200
         fleet.wait_ready()
         yield stop_under_load(fleet, platform)
@@ -142,7 +145,7 @@
     """Stop routers and the leader while callers send, and return the results."""
     stop = Stop(platform)
     leader = wait_until(fleet.leader, "a leader")
-    stopping, others = fleet.routers[:6], fleet.routers[6:]
+    stopping, others = fleet.routers[:7], fleet.routers[7:]
     is_ending, is_stopping = threading.Event(), threading.Event()
     groups = {
         "kept": kept_callers,
@@ -150,7 +153,8 @@
         "short": short_callers,
         "quiet": callers_of_silent_targets,
         "tokens": callers_without_tokens,
-        "lone": lone_caller,
+        "lone": partial(lone_caller, "lone-"),
+        "frozen": partial(lone_caller, "frozen-"),
     }
     groups = {
         name: partial(group, router, others, is_stopping, is_ending)
@@ -163,18 +167,22 @@
     for thread in threads:
         thread.start()
     time.sleep(1.0)
+    frozen = stopping[-1]
+    frozen.signal(signal.SIGSTOP)
     stop.signal_at = time.monotonic()
     for process in (*stopping, leader):
         process.signal(signal.SIGTERM)
     is_stopping.set()
     silence_targets(platform)
     exiting = (*stopping, leader)
-    killers = [threading.Timer(2 * STOP_S, process.kill) for process in exiting]
-    for killer in killers:
-        killer.start()
+    timers = [threading.Timer(FROZEN_S, frozen.signal, (signal.SIGCONT,))]
+    timers.append(threading.Timer(STOP_S, frozen.kill))
+    timers += [threading.Timer(2 * STOP_S, process.kill) for process in exiting]
+    for timer in timers:
+        timer.start()
     in_threads([partial(await_exit, process, stop) for process in exiting])
-    for killer in killers:
-        killer.cancel()
+    for timer in timers:
+        timer.cancel()
     is_ending.set()
     for thread in threads:
         thread.join()
@@ -220,10 +228,10 @@
     return sum(in_threads(calls), [])
 
 
-def lone_caller(router, _others, _is_stopping, is_ending) -> list[CallResult]:
+def lone_caller(prefix, router, _others, _is_stopping, is_ending) -> list[CallResult]:
     # Its answers take longer than the quiet period after which a router may exit.
     return call_on_kept_connections(
-        router, ("medium-book",), "lone-", is_ending, LONE_PAUSE_S
+        router, ("medium-book", "medium-read"), prefix, is_ending, LONE_PAUSE_S
     )
 
 
@@ -303,7 +311,7 @@
     return [result for result in results if result.kind == kind]
 
 
-@pytest.mark.parametrize("group", ["kept", "short", "tokens", "lone"])
+@pytest.mark.parametrize("group", ["kept", "short", "tokens", "lone", "frozen"])
 def test_late_requests_get_whole_answers_that_are_no_failures(stop, group):
     results = stop.results[group]
     check_whole(stop, results)
