Resume a late stream only after its usual pauses, and not at a silent engine

A begun stream now waits for the route's longest allowed gap at least, and goes only to engines that were not left silent. The soak's streams have ten events, so that their longest pause (0.2 s) stays below that gap (0.25 s); they had four, with pauses up to 0.5 s.

--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -209,8 +209,9 @@
     def _has_time_for(self, choice: Choice) -> bool:
         # A stream that has begun needs time only for its rest, which has no estimate,
         # and is cut without another run.
-        has_begun = self._reply.last_event is not None
-        return has_begun or self._time_limit.allows(choice)
+        if self._reply.last_event is not None:
+            return not choice.target.was_left_silent
+        return self._time_limit.allows(choice)
 
     def _give_up_stopping(self, detail: str) -> None:
         """End a request for which the stopping router has too little time."""
--- a/berylnotch/entry/failover.py
+++ b/berylnotch/entry/failover.py
@@ -74,6 +74,8 @@
     """
     heard_at = pending.last_event_at or pending.sent_at
     wait_s = STOPPING_WAIT_FRACTION * max(0.0, answer_by - heard_at)
+    if pending.last_event_at:
+        wait_s = max(wait_s, route.max_gap_s)
     return min(_overdue_at(settings, route, pending), heard_at + wait_s)
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -42,6 +42,10 @@
 #: Deadline that callers without a kept connection state, in milliseconds.
 DEADLINE_MS = 1500
 
+#: Events of a stream. They keep the pauses of the longest streams below the route's
+#: longest allowed gap.
+N_EVENTS = 10
+
 #: Kinds of requests on kept connections, in turn, and number of routers with them.
 KEPT_KINDS, MAX_KEPT_ROUTERS = ("read", "chat", "book"), 8
 
@@ -158,7 +162,7 @@
 
     def _add_target(self, name: str, service: str, version: int | None) -> None:
         target = self._platform.add(name, service, version)
-        target.events = 4
+        target.events = N_EVENTS
         target.event_pause_s = 0.02
         loop = self._platform.loop
         proxy = FaultProxy(loop, target.server.address)
