--- a/soak/planned.py
+++ b/soak/planned.py
@@ -15,8 +15,9 @@
 #: Longest pause between two planned stops, in seconds; stops are longer and overlap.
 MAX_STOP_PAUSE_S = 4.0
 
-#: Numbers of routers that are stopped together; the draws are uniform.
-ROUTERS_PER_STOP = (1, 1, 2)
+#: Numbers of routers that are stopped together; the draws are uniform. Larger fleets
+#: stop this many for each ``STOP_GROUP_SIZE`` routers.
+ROUTERS_PER_STOP, STOP_GROUP_SIZE = (1, 1, 2), 10
 
 #: Fractions of the stops with a controller, and with a SIGHUP of all processes.
 CONTROLLER_FRACTION, HANGUP_FRACTION = 0.3, 0.4
@@ -69,8 +70,10 @@
     def run(self) -> None:
         """Stop processes until the end of the run, and wait until all have exited."""
         while not self._is_ending.wait(self._rng.uniform(0.0, MAX_STOP_PAUSE_S)):
-            count = min(self._rng.choice(ROUTERS_PER_STOP), len(self._fleet.routers))
-            processes = self._rng.sample(self._fleet.routers, count)
+            routers = self._fleet.routers
+            groups = max(1, len(routers) // STOP_GROUP_SIZE)
+            count = min(groups * self._rng.choice(ROUTERS_PER_STOP), len(routers))
+            processes = self._rng.sample(routers, count)
             if self._rng.random() < CONTROLLER_FRACTION:
                 processes.append(self._rng.choice(self._fleet.controllers))
             for process in processes:
