--- a/tests/fleet/processes.py
+++ b/tests/fleet/processes.py
@@ -272,7 +272,7 @@
             answer = self._call(controller, method, path, body)
             if answer is not None and answer.status == 307:
                 host, port = answer.headers["Location"].split("/")[2].split(":")
-                answer = _request(host, int(port), method, path, {}, body, 3.0)
+                answer = send_call(host, int(port), method, path, {}, body, 3.0)
             if answer is not None and answer.status < 500 and answer.status != 307:
                 return answer
         return None
@@ -280,7 +280,7 @@
     def _call(self, controller, method, path, body) -> Answer | None:
         if controller.process.poll() is not None:
             return None
-        return _request(controller.ip, controller.port, method, path, {}, body, 2.0)
+        return send_call(controller.ip, controller.port, method, path, {}, body, 2.0)
 
     def put(self, values: dict | bytes) -> Answer:
         """Put a configuration, and retry until a controller answers."""
@@ -318,7 +318,7 @@
             headers["Berylnotch-Token-Count"] = "3000,20"
             headers["Berylnotch-Prefix-Hash"] = "aa01:2000,bb02:1000"
         headers.update({name.replace("_", "-"): v for name, v in options.items()})
-        return _request(router.ip, router.port, method, path, headers, body, 8.0)
+        return send_call(router.ip, router.port, method, path, headers, body, 8.0)
 
     def ask_raw(self, router: FleetProcess, path: str, request_id: str) -> bytes:
         """Send a model request, and return all bytes until the connection is closed."""
@@ -353,7 +353,9 @@
             )
 
     def _is_ready(self, router: FleetProcess) -> bool:
-        answer = _request(router.ip, self.base_port + 2, "GET", "/readyz", {}, b"", 1.0)
+        answer = send_call(
+            router.ip, self.base_port + 2, "GET", "/readyz", {}, b"", 1.0
+        )
         return answer is not None and answer.status == 200
 
     def _serves(self, router: FleetProcess) -> bool:
@@ -362,7 +364,7 @@
 
     def metrics(self, process: FleetProcess) -> str:
         """Return the metrics of a process."""
-        answer = _request(
+        answer = send_call(
             process.ip, self.base_port + 11, "GET", "/metrics", {}, b"", 2.0
         )
         return answer.body.decode()
@@ -382,7 +384,8 @@
         return None
 
 
-def _request(host, port, method, path, headers, body, timeout_s) -> Answer | None:
+def send_call(host, port, method, path, headers, body, timeout_s) -> Answer | None:
+    """Send one HTTP request; return its answer, None if the connection failed."""
     connection = http.client.HTTPConnection(host, port, timeout=timeout_s)
     try:
         connection.request(method, path, body=body or None, headers=headers)
