Open a log folder again after a write that failed

Cause: the log was written through a file object with a buffer. The bytes of a failed write stayed in it, and closing the file wrote them again and raised. The lock of the folder was kept, changes that waited got no answer, and neither the fleet's controller opened the folder again nor did berylnotchd's end.

The log and all files beside it are now written without a buffer; closing after an error does not raise; a temporary file that could not be written is removed at once.

Ruled out: half a record in front of later ones (it is cut off when the folder is opened, before and after), a limit on retries (there is none), votes by a replica that cannot write (it drops its messages).

--- a/berylnotch/consensus/folder.py
+++ b/berylnotch/consensus/folder.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import fcntl
+import io
 import os
 import secrets
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import IO
 
@@ -31,18 +34,54 @@
         os.close(descriptor)
 
 
+def open_for_append(path: Path) -> io.FileIO:
+    """Open an existing file at its end, without a buffer.
+
+    A buffer would keep the bytes of a failed write, and closing the file would write
+    them again.
+    """
+    file = open(path, "r+b", buffering=0)
+    file.seek(0, os.SEEK_END)
+    return file
+
+
+def write_durably(file: io.FileIO, *parts: bytes) -> None:
+    """Write to an unbuffered file with one fsync.
+
+    If this fails, it is unknown which of the bytes are durable, and another fsync of
+    the same file does not tell: the kernel may have dropped them.
+    """
+    for part in parts:
+        remaining = memoryview(part)
+        while remaining:
+            remaining = remaining[file.write(remaining) :]
+    os.fsync(file.fileno())
+
+
 def replace_file_atomically(path: Path, *parts: bytes) -> None:
     """Replace a file so that a crash leaves either the old or the new content."""
-    temporary_path = path.with_name(path.name + TEMPORARY_SUFFIX)
-    with open(temporary_path, "wb") as file:
-        for part in parts:
-            file.write(part)
-        file.flush()
-        os.fsync(file.fileno())
-    os.rename(temporary_path, path)
+    with _temporary_file(path) as file:
+        write_durably(file, *parts)
+        os.rename(file.name, path)
     sync_folder(path.parent)
 
 
+@contextmanager
+def _temporary_file(path: Path) -> Iterator[io.FileIO]:
+    """Open a new file beside ``path``; it is removed after an error.
+
+    On a full disk, the part of it that was written would take up room.
+    """
+    temporary_path = path.with_name(path.name + TEMPORARY_SUFFIX)
+    file = open(temporary_path, "wb", buffering=0)
+    try:
+        with file:
+            yield file
+    except OSError:
+        temporary_path.unlink(missing_ok=True)
+        raise
+
+
 def lock_folder(folder: Path) -> IO[bytes]:
     """Lock a folder for this process; closing the returned file unlocks it.
 
@@ -73,13 +112,10 @@
     """
     identity = identity or f"{name}/{secrets.token_hex(8)}"
     path = folder / IDENTITY_FILE
-    temporary_path = path.with_name(path.name + TEMPORARY_SUFFIX)
-    with open(temporary_path, "w", encoding="utf-8") as file:
+    with _temporary_file(path) as file:
         inodes = f"{folder.stat().st_ino} {os.fstat(file.fileno()).st_ino}"
-        file.write(f"{identity}\n{inodes}\n")
-        file.flush()
-        os.fsync(file.fileno())
-    os.rename(temporary_path, path)
+        write_durably(file, f"{identity}\n{inodes}\n".encode())
+        os.rename(file.name, path)
     sync_folder(folder)
     sync_folder(folder.parent)
     return identity
--- a/berylnotch/consensus/storage.py
+++ b/berylnotch/consensus/storage.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import io
 import os
 import threading
+from contextlib import suppress
 from pathlib import Path
 from typing import IO, TYPE_CHECKING, TypeVar
 
@@ -66,7 +68,7 @@
         self._checks_copy = checks_copy
         self._keep_entries = keep_entries
         self._lock_file: IO[bytes] | None = None
-        self._file: IO[bytes] | None = None
+        self._file: io.FileIO | None = None
         self._mutex = threading.Lock()
         #: Held while the snapshot file is replaced.
         self._snapshot_mutex = threading.Lock()
@@ -139,10 +141,15 @@
             self._run_unless_failed(self._remove_compacted_segments, snapshot)
 
     def close(self) -> None:
-        """Close the open files and unlock the folder."""
+        """Close the open files and unlock the folder; errors are ignored.
+
+        Everything that was saved is durable, and a file is closed also if its last
+        close reports an error.
+        """
         for file in (self._file, self._lock_file):
             if file is not None:
-                file.close()
+                with suppress(OSError):
+                    file.close()
         self._file = None
         self._lock_file = None
 
@@ -206,10 +213,10 @@
             self._open_for_append(path, segment.size, len(data))
 
     def _open_for_append(self, path: Path, valid_size: int, file_size: int) -> None:
-        self._file = open(path, "r+b")
-        self._file.seek(valid_size)
+        self._file = data_folder.open_for_append(path)
         if valid_size < file_size:
-            self._file.truncate()
+            self._file.truncate(valid_size)
+            self._file.seek(valid_size)
             os.fsync(self._file.fileno())
 
     def _record_index(self, number: int, index: int) -> None:
@@ -231,9 +238,7 @@
         if ready.hard_state is not None:
             packed_records.append(records.pack_hard_state(ready.hard_state))
         packed_records.extend(records.pack_entry(entry) for entry in ready.entries)
-        self._file.write(b"".join(packed_records))
-        self._file.flush()
-        os.fsync(self._file.fileno())
+        data_folder.write_durably(self._file, b"".join(packed_records))
         if ready.entries:
             self._record_index(
                 max(self._highest_index_by_segment), ready.entries[-1].index
@@ -259,8 +264,7 @@
         )
         if self._file is not None:
             self._file.close()
-        self._file = open(path, "r+b")
-        self._file.seek(0, os.SEEK_END)
+        self._file = data_folder.open_for_append(path)
         self._highest_index_by_segment[number] = 0
 
     def _remove_compacted_segments(self, snapshot: Snapshot) -> None:
