Write the newest log segment anew when a folder is opened

What a failed fsync should have written can still be read, but the kernel need not write it at a later fsync. A replica that came back after such an error took it for durable and acknowledged it; after a loss of power its folder was refused as damaged, or lacked those entries. The same for a process killed between write and fsync. And a replica without room started, since nothing was written at the start: it asked for votes, failed at its first save, and so on each 0.5 s; a controller of berylnotchd started and ended in turn.

Opening a folder now writes the newest segment (8 MiB and one save at most) as a new file with fsync, rename and fsync of the folder. Without room for it the folder is not opened.

--- a/berylnotch/consensus/storage.py
+++ b/berylnotch/consensus/storage.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import io
-import os
 import threading
 from contextlib import suppress
 from pathlib import Path
@@ -84,7 +83,11 @@
         return self._folder
 
     def start(self) -> Recovered:
-        """Lock the folder and read its contents.
+        """Lock the folder, read its contents and make them durable.
+
+        The newest segment is written anew, because a process that was killed, or whose
+        fsync failed, may have left bytes in it that can be read but are not durable.
+        A folder on a disk without room for this cannot be opened.
 
         Raises
         ------
@@ -93,7 +96,7 @@
         CopiedFolderError
             If the folder was copied or restored.
         StorageError
-            If the folder cannot be read or is in use by another process.
+            If the folder cannot be read or written, or is in use by another process.
         """
         try:
             return self._start()
@@ -210,14 +213,8 @@
                 _append_recovered(path, record.offset, entries, entry)
                 self._record_index(number, entry.index)
         if is_last:
-            self._open_for_append(path, segment.size, len(data))
-
-    def _open_for_append(self, path: Path, valid_size: int, file_size: int) -> None:
-        self._file = data_folder.open_for_append(path)
-        if valid_size < file_size:
-            self._file.truncate(valid_size)
-            self._file.seek(valid_size)
-            os.fsync(self._file.fileno())
+            data_folder.replace_file_atomically(path, data[: segment.size])
+            self._file = data_folder.open_for_append(path)
 
     def _record_index(self, number: int, index: int) -> None:
         self._highest_index_by_segment[number] = max(
