--- a/berylnotch/consensus/storage.py
+++ b/berylnotch/consensus/storage.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-import os
+import io
 import threading
+from contextlib import suppress
 from pathlib import Path
 from typing import IO, TYPE_CHECKING, TypeVar
 
@@ -66,7 +67,7 @@
         self._checks_copy = checks_copy
         self._keep_entries = keep_entries
         self._lock_file: IO[bytes] | None = None
-        self._file: IO[bytes] | None = None
+        self._file: io.FileIO | None = None
         self._mutex = threading.Lock()
         #: Held while the snapshot file is replaced.
         self._snapshot_mutex = threading.Lock()
@@ -82,7 +83,11 @@
         return self._folder
 
     def start(self) -> Recovered:
-        """Lock the folder and read its contents.
+        """Lock the folder, read its contents and make them durable.
+
+        The newest segment is written anew, because a process that was killed, or whose
+        fsync failed, may have left bytes in it that can be read but are not durable.
+        A folder on a disk without room for this cannot be opened.
 
         Raises
         ------
@@ -91,7 +96,7 @@
         CopiedFolderError
             If the folder was copied or restored.
         StorageError
-            If the folder cannot be read or is in use by another process.
+            If the folder cannot be read or written, or is in use by another process.
         """
         try:
             return self._start()
@@ -139,10 +144,15 @@
             self._run_unless_failed(self._remove_compacted_segments, snapshot)
 
     def close(self) -> None:
-        """Close the open files and unlock the folder."""
+        """Close the open files and unlock the folder; errors are ignored.
+
+        Everything that was saved is durable, and a file is closed also if its last
+        close reports an error.
+        """
         for file in (self._file, self._lock_file):
             if file is not None:
-                file.close()
+                with suppress(OSError):
+                    file.close()
         self._file = None
         self._lock_file = None
 
@@ -203,14 +213,8 @@
                 _append_recovered(path, record.offset, entries, entry)
                 self._record_index(number, entry.index)
         if is_last:
-            self._open_for_append(path, segment.size, len(data))
-
-    def _open_for_append(self, path: Path, valid_size: int, file_size: int) -> None:
-        self._file = open(path, "r+b")
-        self._file.seek(valid_size)
-        if valid_size < file_size:
-            self._file.truncate()
-            os.fsync(self._file.fileno())
+            data_folder.replace_file_atomically(path, data[: segment.size])
+            self._file = data_folder.open_for_append(path)
 
     def _record_index(self, number: int, index: int) -> None:
         self._highest_index_by_segment[number] = max(
@@ -231,9 +235,7 @@
         if ready.hard_state is not None:
             packed_records.append(records.pack_hard_state(ready.hard_state))
         packed_records.extend(records.pack_entry(entry) for entry in ready.entries)
-        self._file.write(b"".join(packed_records))
-        self._file.flush()
-        os.fsync(self._file.fileno())
+        data_folder.write_durably(self._file, b"".join(packed_records))
         if ready.entries:
             self._record_index(
                 max(self._highest_index_by_segment), ready.entries[-1].index
@@ -259,8 +261,7 @@
         )
         if self._file is not None:
             self._file.close()
-        self._file = open(path, "r+b")
-        self._file.seek(0, os.SEEK_END)
+        self._file = data_folder.open_for_append(path)
         self._highest_index_by_segment[number] = 0
 
     def _remove_compacted_segments(self, snapshot: Snapshot) -> None:
