net: end a connection after a request that asks for it

Callers that sent 'Connection: close' and read to the end of the connection waited for the idle time (15 s), since the server kept the connection open. Cause: httptools forgets the header once its callback for the end of the message has returned; should_keep_alive() was asked afterwards and said True. HTTP/1.0 was not affected, since its version is kept.

Change: ask in the callback. The new test failed for GET and POST before (2 of 3 cases), and passes now.

--- a/berylnotch/net/reading.py
+++ b/berylnotch/net/reading.py
@@ -102,6 +102,7 @@
         self._body = bytearray()
         self._is_head_read = False
         self._is_complete = False
+        self._keeps_alive = True
         self._started_at = 0.0
         self._head_bytes = 0
         self._head_tail = b""
@@ -113,7 +114,7 @@
             headers=self._headers,
             body=bytes(self._body),
             received_at=self._started_at,
-            keep_alive=self._parser.should_keep_alive(),
+            keep_alive=self._keeps_alive,
             read_at=now,
         )
         self.reset()
@@ -168,6 +169,8 @@
     def on_message_complete(self) -> None:
         """Mark the request as complete."""
         self._is_complete = True
+        # The parser forgets the Connection header after this callback.
+        self._keeps_alive = self._parser.should_keep_alive()
 
     def _parse(self, data: bytes) -> None:
         # The parser gets the head and the body in separate calls and no byte beyond the
--- a/tests/test_net/test_server.py
+++ b/tests/test_net/test_server.py
@@ -153,6 +153,25 @@
     assert b"200 OK" in data and b"Connection: close" in data
 
 
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        GET.replace(b"Host: h\r\n", b"Host: h\r\nConnection: close\r\n"),
+        POST.replace(b"Host: h\r\n", b"Host: h\r\nConnection: close\r\n"),
+        GET.replace(b"HTTP/1.1", b"HTTP/1.0"),
+    ],
+)
+def test_connection_ends_after_a_request_that_asks_for_it(server, request_bytes):
+    # A caller that reads to the end of the connection would wait for the idle time.
+    with server.connect() as sock:
+        sock.sendall(request_bytes)
+        sock.settimeout(0.5)
+        data = b""
+        while piece := sock.recv(4096):
+            data += piece
+    assert b"200 OK" in data and b"Connection: close" in data
+
+
 def test_a_body_below_the_minimum_rate_is_refused(server):
     head = b"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n"
     data = server.exchange(head, *[b"x"] * 16, pause_s=0.1)
