net: finish a server by delivering its last answers

What callers saw at the end of a router's planned stop: answers cut short, and resets of requests that were sent milliseconds before the exit.

What a slow reader had not taken from our buffer was lost; a close with unread input also resets the connection and discards delivered bytes. - Connections in the kernel's accept queue are reset when the listener closes. - The linger time began with the answer, not with its last sent byte, so an answer with 'Connection: close' was cut for any caller that took over 1 s to read it, at all times. A caller that half-closed lost the rest of its answer. - Bodies still arriving were dropped with their connection.

Change: HttpServer.finish(close_by, done) accepts all that wait, closes the listener, reads what has arrived on every connection, delivers all output, shuts down writing, discards input until the caller closes, and then closes. Connections without a request get 1 s for one in transit, half-read requests get until close_by. What is open at close_by is aborted, and requests without a whole answer are reported.

Ruled out: shutting down a listener in place of accepting, which resets its queue as well.

--- a/berylnotch/net/server.py
+++ b/berylnotch/net/server.py
@@ -28,9 +28,10 @@
 #: served.
 _MAX_PIPELINED_BYTES = 64 * 1024
 
-#: Time in seconds for which input is read and discarded before a connection is closed.
-#: An immediate close with unread input would reset the connection, and the caller could
-#: lose the response.
+#: Shortest time in seconds for which input is read and discarded after the last sent
+#: byte, unless the caller closes before. An immediate close with unread input would
+#: reset the connection, and the caller could lose the response. A server that finishes
+#: also gives connections without a request this time for one that is in transit.
 _LINGER_S = 1.0
 
 #: Minimum rate, in bytes per second, at which a caller has to send a request and read a
@@ -65,6 +66,7 @@
         self._output = bytearray()
         self._is_closed = False
         self._is_lingering = False
+        self._has_caller_ended = False
         self._close_after_stream = False
         self._is_reading = True
         self._events = 0
@@ -74,6 +76,10 @@
         #: Bytes that were unsent when the last response ended; they extend the time
         #: limit for reading the response.
         self._backlog_bytes = 0
+        #: Bytes of the current response; the caller may not have read them after they
+        #: were sent.
+        self._response_bytes = 0
+        self._responded_request: HttpRequest | None = None
         #: Called once if the caller disconnects while its request is served.
         self.on_disconnected: Callable[[], None] | None = None
         #: Called when all buffered output has been sent.
@@ -92,7 +98,12 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or served and all output is sent."""
-        return self.request is None and not self._reader.started_at and not self._output
+        return self.state == "idle"
+
+    @property
+    def unanswered_request(self) -> HttpRequest | None:
+        """Request that was read and whose response is not sent in full, or None."""
+        return self.request or self._responded_request
 
     def start(self) -> None:
         """Register the socket with the loop."""
@@ -104,46 +115,46 @@
         """Send a complete response to the current request."""
         if self._is_closed:
             return
-        close = close or self._must_close
+        close = close or self._closes_after_response()
         is_head = self.request is not None and self.request.method == "HEAD"
         if status != 204 and status >= 200:
             headers.add("Content-Length", str(len(body)))
         if close:
             headers.add("Connection", "close")
-        self._output += encode_head(status, headers)
+        self._add_output(encode_head(status, headers))
         if not is_head:
-            self._output += body
+            self._add_output(body)
         self._finish(close)
 
     def start_stream(self, status: int, headers: Headers) -> None:
         """Send the head of a response whose body follows in chunks."""
         if self._is_closed:
             return
-        self._close_after_stream = self._must_close
+        self._close_after_stream = self._closes_after_response()
         headers.add("Transfer-Encoding", "chunked")
         if self._close_after_stream:
             headers.add("Connection", "close")
-        self._output += encode_head(status, headers)
+        self._add_output(encode_head(status, headers))
         self._flush()
 
     def send_chunk(self, data: bytes) -> None:
         """Send a chunk of a streamed body."""
         if self._is_closed or not data:
             return
-        self._output += b"%x\r\n" % len(data)
-        self._output += data
-        self._output += b"\r\n"
+        self._add_output(b"%x\r\n" % len(data))
+        self._add_output(data)
+        self._add_output(b"\r\n")
         self._flush()
 
     def end_stream(self) -> None:
         """Send the last chunk of a streamed body."""
         if self._is_closed:
             return
-        self._output += b"0\r\n\r\n"
+        self._add_output(b"0\r\n\r\n")
         self._finish(self._close_after_stream)
 
     def abort(self) -> None:
-        """Close the connection; a response in progress stays incomplete."""
+        """Close the connection at once; unsent and unread output may be lost."""
         self.on_disconnected = None
         self._close()
 
@@ -158,7 +169,10 @@
 
     def check_limits(self, now: float) -> None:
         """Refuse a request that arrives too slowly; close an idle connection."""
-        if self._is_closed or self.request is not None or self._is_lingering:
+        if self._is_closed or self.request is not None:
+            return
+        if self._is_lingering and not self._output:
+            # `_shut_down_writing` has scheduled the close.
             return
         limits = self._server.limits()
         if self._reader.started_at and not self._reader.is_head_read:
@@ -181,6 +195,12 @@
         if self.is_idle and not self._is_lingering:
             self._close()
 
+    def on_server_finishing(self) -> None:
+        """Serve what has arrived, and close if no request follows it."""
+        if self._is_reading and not self._is_closed:
+            self._receive()
+        self._close_unless_used()
+
     # Reading.
 
     def _on_ready(self, events: int) -> None:
@@ -197,7 +217,7 @@
         except OSError:
             data = b""
         if not data:
-            self._close()
+            self._on_caller_end()
         elif self._is_lingering:
             return
         elif self.request is not None:
@@ -208,6 +228,17 @@
         else:
             self._feed(data)
 
+    def _on_caller_end(self) -> None:
+        if self.request is not None or not self._output:
+            self._close()
+            return
+        # The caller may read the rest of its response although it sends nothing more.
+        self._has_caller_ended = True
+        self._is_lingering = True
+        self._is_reading = False
+        self._reader.pipelined.clear()
+        self._watch()
+
     def _feed(self, data: bytes) -> None:
         now = boot_time()
         self._last_active_at = now
@@ -219,26 +250,32 @@
             return
         if request is not None:
             self.request = request
+            self._response_bytes = len(self._output)
             self._server.handler(self, request)
         elif self._reader.expects_continue and not was_head_read:
-            self._output += b"HTTP/1.1 100 Continue\r\n\r\n"
+            self._add_output(b"HTTP/1.1 100 Continue\r\n\r\n")
             self._flush()
 
     def _refuse(self, status: int, reason: str) -> None:
         self._server.on_refused(status, reason)
         self._reader.reset()
         headers = Headers((("Content-Length", "0"), ("Connection", "close")))
-        self._output += encode_head(status, headers)
+        self._add_output(encode_head(status, headers))
         self._finish(close=True)
 
     # Writing.
 
-    @property
-    def _must_close(self) -> bool:
+    def _closes_after_response(self) -> bool:
+        """Return whether the current response is the last one on the connection."""
         request = self.request
         return self._server.is_draining or request is None or not request.keep_alive
 
+    def _add_output(self, data: bytes) -> None:
+        self._output += data
+        self._response_bytes += len(data)
+
     def _finish(self, close: bool) -> None:
+        self._responded_request = self.request
         self.request = None
         self.on_disconnected = None
         self.on_drained = None
@@ -248,7 +285,6 @@
         if close:
             self._is_lingering = True
             self._reader.pipelined.clear()
-            self._loop.call_later(_LINGER_S, self._close)
         self._flush()
         if not close and not self._is_closed and self._reader.pipelined:
             self._loop.call_soon(self._feed_pipelined)
@@ -271,17 +307,42 @@
             self._close()
             return
         if not self._output:
-            if self._is_lingering:
-                self._shut_down_writing()
-            elif self.on_drained is not None:
-                self.on_drained()
+            self._on_output_sent()
         self._watch()
 
+    def _on_output_sent(self) -> None:
+        self._responded_request = None
+        if self._is_lingering:
+            self._shut_down_writing()
+        elif self.on_drained is not None:
+            self.on_drained()
+        if self.request is None:
+            self._last_active_at = boot_time()
+            if self._server.is_finishing:
+                self._close_unless_used()
+
     def _shut_down_writing(self) -> None:
+        if self._has_caller_ended:
+            self._close()
+            return
         try:
             self._sock.shutdown(socket.SHUT_WR)
         except OSError:
             self._close()
+            return
+        # The kernel may hold a large response for a slow caller after it was sent.
+        linger_s = _LINGER_S + self._response_bytes / _MIN_BYTES_PER_S
+        self._loop.call_later(min(linger_s, self._server.limits().idle_s), self._close)
+
+    def _close_unless_used(self) -> None:
+        """Close an idle connection once a request in transit would have arrived."""
+        if self._is_closed or self._is_lingering or not self.is_idle:
+            return
+        left_s = self._last_active_at + _LINGER_S - boot_time()
+        if left_s > 0:
+            self._loop.call_later(left_s, self.on_server_finishing)
+        else:
+            self._close()
 
     def _watch(self) -> None:
         if self._is_closed:
@@ -343,11 +404,13 @@
         self.limits = limits
         self.on_refused = on_refused
         self.on_unanswered = on_unanswered
-        #: Whether each connection is closed after its current response.
+        #: Whether each connection is closed after the responses to the requests that
+        #: have arrived on it.
         self.is_draining = False
         #: Time at which the newest connection was accepted, in seconds since boot.
         self.accepted_at = 0.0
         self._connections: set[ServerConnection] = set()
+        self._on_finished: Callable[[], None] | None = None
         self._acceptor = Acceptor(loop, address, self._accept)
 
     @property
@@ -369,12 +432,42 @@
         self._acceptor.start()
         self.loop.call_every(_LIMIT_CHECK_INTERVAL_S, self._check_all_limits)
 
+    @property
+    def is_finishing(self) -> bool:
+        """Whether the server delivers its last responses."""
+        return self._on_finished is not None
+
+    def finish(self, close_by: float, done: Callable[[], None]) -> None:
+        """Stop accepting connections, and close the open ones once they are served.
+
+        Connections that wait to be accepted are served as well. A connection is closed
+        once its caller has closed it after the last response, or has sent nothing more
+        for some time.
+
+        Parameters
+        ----------
+        close_by : float
+            Time, in seconds since boot, at which the connections that are still open
+            are aborted.
+        done : callable
+            Called once all connections are closed.
+        """
+        self.is_draining = True
+        self._on_finished = done
+        self._acceptor.accept_waiting()
+        self._acceptor.close()
+        for connection in tuple(self._connections):
+            connection.on_server_finishing()
+        self.loop.call_later(max(0.0, close_by - boot_time()), self.close)
+        self._check_finished()
+
     def close(self) -> None:
         """Stop accepting connections and abort the open ones."""
         self._acceptor.close()
         for connection in tuple(self._connections):
-            if connection.request is not None:
-                self.on_unanswered(connection.request)
+            request = connection.unanswered_request
+            if request is not None:
+                self.on_unanswered(request)
             connection.abort()
 
     def close_idle(self) -> None:
@@ -385,6 +478,12 @@
     def remove(self, connection: ServerConnection) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
+        self._check_finished()
+
+    def _check_finished(self) -> None:
+        if self._on_finished is not None and not self._connections:
+            done, self._on_finished = self._on_finished, None
+            self.loop.call_soon(done)
 
     def _accept(self, sock: socket.socket) -> None:
         if len(self._connections) >= _MAX_CONNECTIONS:
--- a/berylnotch/net/sockets.py
+++ b/berylnotch/net/sockets.py
@@ -102,6 +102,19 @@
         self._is_open = True
         self._loop.watch(self._sock, selectors.EVENT_READ, self._accept)
 
+    def accept_waiting(self) -> None:
+        """Accept all connections that wait, since closing the socket resets them."""
+        while self._is_open:
+            try:
+                sock, _ = self._sock.accept()
+            except (InterruptedError, ConnectionAbortedError):
+                continue
+            except OSError:
+                # No connection waits, or no file descriptor is free for it.
+                return
+            sock.setblocking(False)
+            self._on_accept(sock)
+
     def close(self) -> None:
         """Stop listening."""
         if self._is_open:
