net: answer all pipelined requests while draining

Callers that pipelined requests to a draining router got one answer, with 'Connection: close'; the requests behind it, read already, were dropped without an answer. Cause: each answer of a draining server ended its connection.

Change: an answer ends the connection only if no more input is buffered, and the kernel's buffer is read before that is decided. A half-read request behind it is read to its end. Empty lines don't count as input.

Evidence: of test_finish.py, the tests of four pipelined requests (1 answer), of a half-read one and of one in the kernel's buffer failed before and pass now.

--- a/berylnotch/net/reading.py
+++ b/berylnotch/net/reading.py
@@ -65,6 +65,11 @@
         """Number of body bytes of the current request received so far."""
         return len(self._body)
 
+    @property
+    def has_pipelined(self) -> bool:
+        """Whether bytes of another request are buffered; empty lines do not count."""
+        return bool(self.pipelined.strip(b"\r\n"))
+
     @property
     def expects_continue(self) -> bool:
         """Whether the caller expects ``100 Continue`` before it sends the body."""
--- a/berylnotch/net/server.py
+++ b/berylnotch/net/server.py
@@ -165,7 +165,8 @@
             return "serving"
         if self._output:
             return "sending"
-        return "reading" if self._reader.started_at else "idle"
+        is_reading = self._reader.started_at or self._reader.has_pipelined
+        return "reading" if is_reading else "idle"
 
     def check_limits(self, now: float) -> None:
         """Refuse a request that arrives too slowly; close an idle connection."""
@@ -239,6 +240,19 @@
         self._reader.pipelined.clear()
         self._watch()
 
+    def _read_ahead(self) -> None:
+        """Buffer the input that has arrived while a request is served."""
+        pipelined = self._reader.pipelined
+        try:
+            while len(pipelined) <= _MAX_PIPELINED_BYTES:
+                data = self._sock.recv(_READ_BYTES)
+                if not data:
+                    return
+                pipelined += data
+        except OSError:
+            # No input is left, or the next receive or send fails as well.
+            return
+
     def _feed(self, data: bytes) -> None:
         now = boot_time()
         self._last_active_at = now
@@ -266,9 +280,17 @@
     # Writing.
 
     def _closes_after_response(self) -> bool:
-        """Return whether the current response is the last one on the connection."""
-        request = self.request
-        return self._server.is_draining or request is None or not request.keep_alive
+        """Return whether the current response is the last one on the connection.
+
+        While the server drains, it is the last one unless the caller has sent more: the
+        caller may not repeat a request that was read and got no response.
+        """
+        if self.request is None or not self.request.keep_alive:
+            return True
+        if not self._server.is_draining:
+            return False
+        self._read_ahead()
+        return not self._reader.has_pipelined
 
     def _add_output(self, data: bytes) -> None:
         self._output += data
--- a/tests/test_net/test_finish.py
+++ b/tests/test_net/test_finish.py
@@ -283,3 +283,65 @@
         assert harness.wait_finished() < CLOSE_S - 1.0
         assert read_to_end(sock) == b""
     harness.close()
+
+
+# Pipelined requests.
+
+
+def test_pipelined_requests_are_all_answered_while_draining():
+    harness = make(echo)
+    harness.server.is_draining = True
+    with harness.connect() as sock:
+        sock.sendall(GET + POST + GET + POST)
+        answers = split_answers(read_to_end(sock))
+    assert [body for _, body in answers] == [b"GET /a ", b"POST /p abcdef"] * 2
+    closes = [b"Connection: close" in head for head, _ in answers]
+    assert closes == [False, False, False, True]
+    harness.close()
+
+
+def test_half_read_pipelined_request_is_answered_while_draining():
+    harness = make(echo)
+    harness.server.is_draining = True
+    with harness.connect() as sock:
+        sock.sendall(GET + POST[:-3])
+        time.sleep(0.2)
+        harness.finish()
+        time.sleep(0.2)
+        sock.sendall(POST[-3:])
+        answers = split_answers(read_to_end(sock))
+    assert [body for _, body in answers] == [b"GET /a ", b"POST /p abcdef"]
+    assert harness.wait_finished() < CLOSE_S - 0.5
+    harness.close()
+
+
+def test_request_in_the_kernel_counts_as_pipelined_while_draining():
+    # The second request arrives while the loop is busy with the answer to the first.
+    pending = []
+    harness = make(lambda _h, connection, request: pending.append(connection))
+    harness.server.is_draining = True
+    with harness.connect() as sock:
+        sock.sendall(GET)
+        harness.wait_for_requests(1)
+
+        def send_and_respond():
+            sock.sendall(POST)
+            pending[0].respond(200, Headers(), b"first")
+
+        harness.run(send_and_respond)
+        harness.wait_for_requests(2)
+        harness.run(lambda: pending[1].respond(200, Headers(), b"second"))
+        answers = split_answers(read_to_end(sock))
+    assert [body for _, body in answers] == [b"first", b"second"]
+    assert [b"Connection: close" in head for head, _ in answers] == [False, True]
+    harness.close()
+
+
+def test_empty_line_after_a_request_is_no_pipelined_request():
+    harness = make(echo)
+    harness.server.is_draining = True
+    with harness.connect() as sock:
+        sock.sendall(POST + b"\r\n")
+        ((head, _),) = split_answers(read_to_end(sock))
+        assert b"Connection: close" in head
+    harness.close()
