net: keep the order of bytes behind a buffered request

A pipelined request whose rest became readable before its buffered beginning was parsed was refused with 400 or read wrongly: _receive parsed the rest first. It happened if both came in one round of the loop.

Change: bytes are appended to the buffer while it is not empty. The new test failed before (the request was never read) and passes now.

--- a/berylnotch/net/server.py
+++ b/berylnotch/net/server.py
@@ -221,7 +221,8 @@
             self._on_caller_end()
         elif self._is_lingering:
             return
-        elif self.request is not None:
+        elif self.request is not None or self._reader.pipelined:
+            # Buffered bytes that `_feed_pipelined` has not parsed yet come first.
             self._reader.pipelined += data
             if len(self._reader.pipelined) > _MAX_PIPELINED_BYTES:
                 self._is_reading = False
--- a/tests/test_net/test_finish.py
+++ b/tests/test_net/test_finish.py
@@ -345,3 +345,24 @@
         ((head, _),) = split_answers(read_to_end(sock))
         assert b"Connection: close" in head
     harness.close()
+
+
+def test_bytes_that_follow_a_buffered_request_keep_their_order():
+    # The rest of a pipelined request becomes readable before its buffered beginning is
+    # parsed.
+    pending = []
+    harness = make(lambda _h, connection, request: pending.append(connection))
+    with harness.connect() as sock:
+        sock.sendall(GET + POST[:20])
+        harness.wait_for_requests(1)
+        time.sleep(0.1)
+
+        def respond_and_send():
+            pending[0].respond(200, Headers(), b"first")
+            sock.sendall(POST[20:])
+
+        harness.run(respond_and_send)
+        harness.wait_for_requests(2)
+        assert harness.refused == []
+        assert harness.requests[1].body == b"abcdef"
+    harness.close()
