net: deliver what was sent of a stream that is broken off

Events that were sent to a caller were lost when its stream was broken off: abort() closed the socket with unsent output, and with a reset if the caller's input was unread (a pipelined request is enough).

Change: ServerConnection.break_off flushes what was sent, shuts down writing without the last chunk, so that the stream is incomplete for the caller, discards input until the caller closes, and closes. Reply.break_off uses it; abort() keeps its meaning for all others. The fake callers of test_reply.py and test_failures.py have break_off in place of abort, and check the same.

--- a/berylnotch/entry/reply.py
+++ b/berylnotch/entry/reply.py
@@ -82,8 +82,8 @@
         self._connection.end_stream()
 
     def break_off(self) -> None:
-        """Abort a stream, so that the caller sees that it is incomplete."""
-        self._connection.abort()
+        """End a stream early, so that the caller sees that it is incomplete."""
+        self._connection.break_off()
 
     def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
         """Send a whole answer."""
--- a/berylnotch/net/server.py
+++ b/berylnotch/net/server.py
@@ -153,6 +153,15 @@
         self._add_output(b"0\r\n\r\n")
         self._finish(self._close_after_stream)
 
+    def break_off(self) -> None:
+        """End a response in progress without its last chunk.
+
+        All that was sent so far is delivered, and then the connection ends, so that the
+        caller sees that the response is incomplete.
+        """
+        if not self._is_closed:
+            self._finish(close=True)
+
     def abort(self) -> None:
         """Close the connection at once; unsent and unread output may be lost."""
         self.on_disconnected = None
--- a/tests/test_entry/test_failures.py
+++ b/tests/test_entry/test_failures.py
@@ -89,7 +89,7 @@
     def end_stream(self):
         self._finish("whole")
 
-    def abort(self):
+    def break_off(self):
         self._finish("broken off")
 
     def _finish(self, end):
--- a/tests/test_entry/test_reply.py
+++ b/tests/test_entry/test_reply.py
@@ -21,8 +21,8 @@
     def end_stream(self):
         self.received.append("end")
 
-    def abort(self):
-        self.received.append("aborted")
+    def break_off(self):
+        self.received.append("broken off")
 
     def respond(self, status, headers, body=b""):
         self.received.append((status, body))
@@ -66,7 +66,7 @@
     assert reply.first_event_s == 0.25
 
 
-def test_aborted_stream_has_no_end(reply, caller):
+def test_broken_off_stream_has_no_end(reply, caller):
     reply.begin_stream(200, Headers())
     reply.break_off()
-    assert caller.received == [("head", 200), "aborted"]
+    assert caller.received == [("head", 200), "broken off"]
--- a/tests/test_net/test_finish.py
+++ b/tests/test_net/test_finish.py
@@ -366,3 +366,47 @@
         assert harness.refused == []
         assert harness.requests[1].body == b"abcdef"
     harness.close()
+
+
+# Streams that are broken off.
+
+
+def test_broken_off_stream_delivers_what_was_sent():
+    # Input that the server has not read makes a close reset the connection.
+    def send_part(harness, connection, _request):
+        connection.start_stream(200, Headers())
+        for _ in range(200):
+            connection.send_chunk(b"y" * 100_000)
+        harness.loop.call_later(0.05, connection.break_off)
+
+    harness = make(send_part)
+    with harness.connect() as sock:
+        sock.sendall(GET)
+        harness.wait_for_requests(1)
+        sock.sendall(b"GET /next HTTP/1.1\r\n")
+        time.sleep(0.4)
+        data = read_to_end(sock)
+        assert data.count(b"y") == 200 * 100_000
+        assert not data.endswith(b"0\r\n\r\n")
+    harness.finish()
+    assert harness.wait_finished() < 0.5
+    harness.close()
+
+
+def test_broken_off_stream_does_not_report_a_disconnect():
+    disconnects = []
+
+    def break_off(_harness, connection, _request):
+        connection.on_disconnected = lambda: disconnects.append(1)
+        connection.start_stream(200, Headers())
+        connection.send_chunk(b"part")
+        connection.break_off()
+
+    harness = make(break_off)
+    with harness.connect() as sock:
+        sock.sendall(GET)
+        assert read_to_end(sock).endswith(b"part\r\n")
+    harness.finish()
+    harness.wait_finished()
+    assert disconnects == []
+    harness.close()
