--- a/berylnotch/net/sockets.py
+++ b/berylnotch/net/sockets.py
@@ -5,6 +5,7 @@
 import selectors
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 
 from berylnotch.util.address import Address
 from berylnotch.util.loop import Loop
@@ -107,18 +108,26 @@
         if self._is_open:
             self._is_open = False
             self._loop.watch(self._sock, 0, self._accept)
-            # The kernel resets connections that are not accepted by then.
-            self._accept_waiting(BACKLOG)
+            # The kernel resets connections that are not accepted by then, also those for
+            # which no file descriptor is free.
+            with suppress(OSError):
+                while self._accept_one():
+                    continue
         self._sock.close()
 
     def _accept(self, _events: int) -> None:
-        self._accept_waiting(_MAX_ACCEPTS_PER_EVENT)
-
-    def _accept_waiting(self, max_count: int) -> None:
-        for _ in range(max_count):
-            try:
-                sock, _ = self._sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+        for _ in range(_MAX_ACCEPTS_PER_EVENT):
+            if not self._accept_one():
                 return
-            sock.setblocking(False)
-            self._on_accept(sock)
+
+    def _accept_one(self) -> bool:
+        """Accept a connection; return whether others may wait."""
+        try:
+            sock, _ = self._sock.accept()
+        except (InterruptedError, ConnectionAbortedError):
+            return True
+        except BlockingIOError:
+            return False
+        sock.setblocking(False)
+        self._on_accept(sock)
+        return True
