Check again late in a stop whether another target can take an overdue request

An overdue request was checked once: if the other target had no room at that moment, the request stayed at the silent one to its end. Stopping routers now check every 0.1 s; others are unchanged. The test failed before.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -49,6 +49,10 @@
 #: the interval of the timeout check while a migration is in progress.
 MIGRATION_RETRY_S = 0.8
 
+#: Interval in seconds at which a stopping router checks again whether another target
+#: can take an overdue request.
+RETRY_CHECK_S = 0.1
+
 #: Number of engines that are asked to take over a run before the router waits for
 #: ``MIGRATION_RETRY_S``: if two engines have no room, the others are full as well.
 MAX_MIGRATION_TARGETS = 2
@@ -189,6 +193,9 @@
             self._report_end(
                 AttemptEnd.BROKEN, f"no data from the target for {waited_s:.2f} s"
             )
+        elif self._context.stop is not None:
+            # Another target may get room before the router stops and cuts the answer.
+            self._context.loop.call_later(RETRY_CHECK_S, self._check_overdue)
 
     # Events of the client connection.
 
--- a/tests/test_entry/test_planned_stop.py
+++ b/tests/test_entry/test_planned_stop.py
@@ -11,7 +11,9 @@
 from berylnotch.entry.failover import PendingAnswer, failover_at
 from berylnotch.entry.model import Choice
 from berylnotch.entry.results import AttemptEnd, AttemptResult
+from berylnotch.group.messages import TargetEntry
 from berylnotch.membership.departure import plan_stop
+from berylnotch.membership.listing import ListedTarget, ModelVersion
 from berylnotch.net.messages import Headers
 from berylnotch.routing.model import Organisation
 from berylnotch.util.clock import boot_time
@@ -34,6 +36,13 @@
     return stop
 
 
+def add_target(context, name):
+    models = (ModelVersion("model-1", 1),)
+    listed = [context.targets.get("e").listed]
+    listed.append(ListedTarget(name, "llm", "127.0.0.1:8", "north", 8, models=models))
+    context.targets.update([TargetEntry(target) for target in listed])
+
+
 def check_refusal(context, connection, reason):
     status, headers, _ = connection.answers[0]
     event, fields = context.log.events[-1]
@@ -144,6 +153,24 @@
     assert due_at == 101.0 + route.max_gap_s
 
 
+def test_overdue_request_is_moved_once_another_target_has_room(context, stop_with):
+    exchange, _, _ = make_exchange(context)
+    add_target(context, "f")
+    exchange._tried_targets.add("f")
+    exchange.on_stream_begin(200, Headers())
+    exchange.on_event(b"id: 1\ndata: piece 1\n\n", 1)
+    stop_with(ANSWER_S)
+    attempt = exchange._attempt
+    attempt._sent_at = attempt._last_event_at = boot_time() - 10 * ANSWER_S
+    delayed = []
+    context.loop.call_later = lambda delay_s, call: delayed.append(call)
+    attempt._check_overdue()
+    assert len(delayed) == 1 and not attempt._has_ended
+    exchange._tried_targets.remove("f")
+    delayed.pop()()
+    assert attempt._has_ended and context.targets.get("f").in_flight == 1
+
+
 def test_begun_stream_is_not_resumed_at_a_target_that_was_left_silent(
     context, stop_with
 ):
