soak: keep the bytes of a proxied connection in order, or close it

When a delay ended, later bytes overtook the delayed ones, and when a silence ended, a connection went on without the bytes in its middle. No TCP connection does either. A second SIGTERM joins the tests of late requests.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -227,7 +227,8 @@
             ]
             if body != b"".join(expected_events) or count == 0:
                 self.violations.append(
-                    f"{request_id}: stream has missing, repeated or reordered events"
+                    f"{request_id}: stream has missing, repeated or reordered events: "
+                    f"{body[:400]!r}"
                 )
         elif body != b"answer to " + request_id.encode():
             self.violations.append(f"{request_id}: got {body[:60]!r}")
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -4,6 +4,7 @@
 
 import selectors
 import socket
+from collections import Counter
 
 from berylnotch.net.sockets import Acceptor
 from berylnotch.util.address import Address
@@ -43,6 +44,10 @@
         self._loop = loop
         self._target = target
         self._pairs: set[tuple[socket.socket, socket.socket]] = set()
+        #: Sockets to which bytes of their connection were not forwarded.
+        self._lossy: set[socket.socket] = set()
+        #: Number of delayed chunks of data by the socket that they go to.
+        self._delayed: Counter[socket.socket] = Counter()
         self._acceptor = Acceptor(loop, listen, self._accept)
 
     @property
@@ -102,9 +107,14 @@
         if not data:
             self._close_pair(pair)
         elif self._is_dropping(is_from_target):
-            return
-        elif self.mode == "delay":
-            self._loop.call_later(DELAY_S, lambda: self._send_to_sink(pair, sink, data))
+            self._lossy.add(sink)
+        elif sink in self._lossy:
+            # No connection goes on without the bytes in its middle.
+            self._close_pair(pair)
+        elif self.mode == "delay" or self._delayed[sink]:
+            # Bytes stay in order when the mode changes.
+            self._delayed[sink] += 1
+            self._loop.call_later(DELAY_S, lambda: self._send_late(pair, sink, data))
         else:
             self._send_to_sink(pair, sink, data)
 
@@ -113,6 +123,10 @@
             "one_way" if is_from_target else "deaf"
         )
 
+    def _send_late(self, pair, sink, data) -> None:
+        self._delayed[sink] -= 1
+        self._send_to_sink(pair, sink, data)
+
     def _send_to_sink(self, pair, sink, data) -> None:
         if pair not in self._pairs:
             return
@@ -127,5 +141,6 @@
     def _close_pair(self, pair) -> None:
         self._pairs.discard(pair)
         for sock in pair:
+            self._lossy.discard(sock)
             self._loop.watch(sock, 0, lambda _events: None)
             sock.close()
--- a/tests/test_daemon/test_late_requests.py
+++ b/tests/test_daemon/test_late_requests.py
@@ -52,8 +52,9 @@
 #: Seconds from an answer to the next request of the caller that is alone at its router.
 LONE_PAUSE_S = 0.03
 
-#: Seconds after SIGTERM for which one router is frozen.
-FROZEN_S = 1.5
+#: Seconds after SIGTERM for which one router is frozen, and to the second signal of
+#: another.
+FROZEN_S, SECOND_SIGNAL_S = 1.5, 1.0
 
 #: Timeout of all routes in milliseconds, longer than a stop: it excuses no request.
 TIMEOUT_MS = 12_000
@@ -177,6 +178,9 @@
     exiting = (*stopping, leader)
     timers = [threading.Timer(FROZEN_S, frozen.signal, (signal.SIGCONT,))]
     timers.append(threading.Timer(STOP_S, frozen.kill))
+    # A second signal must not end the first router sooner.
+    again = (signal.SIGTERM,)
+    timers.append(threading.Timer(SECOND_SIGNAL_S, stopping[0].signal, again))
     timers += [threading.Timer(2 * STOP_S, process.kill) for process in exiting]
     for timer in timers:
         timer.start()
