--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -211,7 +211,8 @@
         # and is cut without another run.
         if self._reply.last_event is not None:
             return not choice.target.was_left_silent
-        return self._time_limit.allows(choice)
+        is_repeat = self._attempt is not None or self._progress.runs > 0
+        return self._time_limit.allows(choice, is_repeat)
 
     def _give_up_stopping(self, detail: str) -> None:
         """End a request for which the stopping router has too little time."""
--- a/berylnotch/entry/time_limit.py
+++ b/berylnotch/entry/time_limit.py
@@ -63,9 +63,9 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def allows(self, choice: Choice) -> bool:
+    def allows(self, choice: Choice, is_repeat: bool = False) -> bool:
         """Whether the answer of a target will end before this router stops."""
         if not self.is_set_by_stop:
             return True
-        longest_s = longest_answer_s(self._context, self._routed, choice)
+        longest_s = longest_answer_s(self._context, self._routed, choice, is_repeat)
         return longest_s <= self._context.answer_by - boot_time()
--- a/tests/test_entry/test_planned_stop.py
+++ b/tests/test_entry/test_planned_stop.py
@@ -122,6 +122,16 @@
     assert not exchange.can_retry_elsewhere()
 
 
+def test_silent_request_is_moved_while_the_usual_time_of_an_answer_is_left(
+    context, stop_with
+):
+    exchange, _, _ = make_exchange(context)
+    exchange._tried_targets.clear()
+    stop_with(1.5 * ANSWER_S)
+    assert not exchange._time_limit.allows(Choice(context.targets.get("e"), 0.0))
+    assert exchange.can_retry_elsewhere()
+
+
 def test_silent_stream_that_has_begun_is_resumed_in_the_time_that_is_left(
     context, stop_with
 ):
