tests: stops of routers that start or are suspended (known red)

A router that is suspended when SIGTERM is sent counts its time from the moment at which it runs again, and runs past its kill. Stops 0.1, 0.6 and 3 s after a router's start, before any configuration, answer each request with 503, those of the startup buffer too; one that gets its first configuration during the stop answers each, too.

--- a/tests/test_daemon/test_planned_work.py
+++ b/tests/test_daemon/test_planned_work.py
@@ -14,7 +14,7 @@
 
 from tests.fleet.callers import CallerThreads
 from tests.fleet.operators import call_controller, put_version
-from tests.fleet.processes import configuration, wait_until
+from tests.fleet.processes import FleetOfProcesses, configuration, wait_until
 from tests.fleet.stops import STOP_S, UNREAD_S, LateCallers, describe, send_request
 
 #: Time that each target takes for an answer, in seconds; routers do not take it for
@@ -239,3 +239,84 @@
     time.sleep(delay_s)
     answer = fleet.ask(fleet.routers[0], "/chat/x", "waits", **prompt)
     assert answer is not None and answer.status == 200
+
+
+def check_whole_answers(results, began_at):
+    """Check that no request lost its connection after it was read."""
+    lost = [r for r in results if r.outcome == "cut"]
+    assert not lost, describe(lost, began_at)
+
+
+@pytest.mark.parametrize("stop_after_s", [0.1, 0.6, 3.0])
+def test_a_stop_before_the_first_configuration_answers_each_request(
+    tmp_path, platform, stop_after_s
+):
+    processes = FleetOfProcesses(tmp_path, platform)
+    try:
+        processes.start(controllers=3, routers=2)
+        router = processes.routers[0]
+        wait_until(
+            lambda: any(f.get("event") == "started" for f in router.lines()),
+            "the router's start",
+        )
+        callers = LateCallers([router], [], KINDS, rate_per_s=40)
+        callers.start()
+        began_at = time.monotonic()
+        time.sleep(stop_after_s)
+        router.signal(signal.SIGTERM)
+        try:
+            assert router.process.wait(timeout=STOP_S) == 0
+        finally:
+            callers.close()
+    finally:
+        processes.close()
+    check_whole_answers(callers.results, began_at)
+    statuses = {r.status for r in callers.results if r.outcome != "unread"}
+    assert statuses == {503}
+
+
+def test_a_configuration_that_comes_during_a_stop_fails_no_request(tmp_path, platform):
+    for name, service, version in (("llm-1", "llm", 1), ("desk-1", "desk", None)):
+        platform.add(name, service, version)
+    processes = FleetOfProcesses(tmp_path, platform)
+    try:
+        processes.start(controllers=3, routers=2)
+        router = processes.routers[0]
+        wait_until(
+            lambda: any(f.get("event") == "leader_found" for f in router.lines()),
+            "the router's leader",
+        )
+        callers = LateCallers([router], [], KINDS, rate_per_s=40)
+        callers.start()
+        began_at = time.monotonic()
+        router.signal(signal.SIGTERM)
+        assert processes.put(configuration(3)).status == 200
+        try:
+            assert router.process.wait(timeout=STOP_S) == 0
+        finally:
+            callers.close()
+    finally:
+        processes.close()
+    check_whole_answers(callers.results, began_at)
+    statuses = {r.status for r in callers.results if r.outcome != "unread"}
+    assert statuses <= {200, 503}
+
+
+@pytest.mark.parametrize("freeze_s", [0.5, 2.5])
+def test_a_router_that_was_suspended_at_its_stop_exits_in_time(fleet, freeze_s):
+    router, *others = fleet.routers
+    callers = LateCallers([router], others, KINDS, rate_per_s=20)
+    callers.start()
+    began_at = time.monotonic()
+    try:
+        time.sleep(0.5)
+        router.signal(signal.SIGSTOP)
+        time.sleep(0.2)
+        router.signal(signal.SIGTERM)
+        killed_at = time.monotonic() + STOP_S
+        time.sleep(freeze_s)
+        router.signal(signal.SIGCONT)
+        assert router.process.wait(timeout=killed_at - time.monotonic()) == 0
+    finally:
+        callers.close()
+    check_whole_answers(callers.results, began_at)
