Count a stop from before a suspension of the router

Cause: the signal is delivered when a suspended process runs again, while the platform kills it a fixed time after sending it. With 0.7 and 2.7 s of suspension the router was to run that much past its kill, with its callers' requests.

--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -35,6 +35,7 @@
 )
 from berylnotch.membership.answers import answer_addresses
 from berylnotch.membership.departure import StopSchedule, plan_stop
+from berylnotch.membership.suspension import SuspensionWatch
 from berylnotch.net.messages import Headers, HttpRequest
 from berylnotch.net.reading import HttpLimits
 from berylnotch.net.server import HttpServer, ServerConnection
@@ -133,6 +134,7 @@
             ask_quota=self._quota_checks.schedule,
         )
         self._started_at = boot_time()
+        self._suspension_watch = SuspensionWatch(self._started_at)
         self._startup_buffer = StartupBuffer(
             loop, self._started_at + EXPECTED_STARTUP_S, self._admit_request
         )
@@ -201,6 +203,9 @@
         self._metrics_server.start()
         self._leader_link.start()
         self._reports.start()
+        self._loop.call_every(
+            QUOTA_CHECK_INTERVAL_S, lambda: self._suspension_watch.tick(boot_time())
+        )
         self._loop.call_every(QUOTA_CHECK_INTERVAL_S, self._check_quota)
         self._loop.call_every(QUOTA_CHECK_INTERVAL_S, self._check_target_limits)
         self._loop.call_every(
@@ -219,7 +224,7 @@
         self._is_leaving = True
         stop_s = self._newest_bounds().stop_s
         stop = self._context.stop = plan_stop(
-            boot_time(),
+            self._suspension_watch.earliest_sent_at(boot_time()),
             stop_s,
             self._address_ttl_s * MAX_TTL_FACTOR + REPORT_S,
         )
@@ -229,6 +234,7 @@
             "draining",
             requests=len(self._exchanges),
             stop_s=stop_s,
+            suspended_s=boot_time() - stop.began_at,
         )
         self._caller_server.is_draining = True
         for exchange in tuple(self._exchanges):
