fleetd: begin a stop at the signal, also during the start

A SIGTERM between the start of the servers and the installation of the handler killed the process (-15) with the connections in its accept queue.

Causes: the selector resumes its wait after a handler of its own thread (PEP 475), and call_soon wakes the loop only from other threads. The handler was installed after the servers had started; listeners exist from their construction on.

Change: Loop.call_from_signal wakes the loop. The handlers are installed before the role starts; a signal during the start is kept until the loop runs. The schedule counts from the time of the signal (FleetRouter.drain(done, began_at)).

--- a/berylnotch/cmd/fleetd.py
+++ b/berylnotch/cmd/fleetd.py
@@ -14,6 +14,7 @@
     SeedSource,
     read_fleet_settings,
 )
+from berylnotch.util.clock import boot_time
 from berylnotch.util.lines import (
     FLUSH_INTERVAL_S,
     EventLog,
@@ -30,6 +31,46 @@
 #: Seconds between the end of serving and the exit, for sending the last messages.
 _CLOSE_DELAY_S = 0.15
 
+#: Starts a stop; called with the boot time of the signal.
+Stop = Callable[[float], None]
+
+
+class StopSignals:
+    """Stops a process at its first SIGTERM or SIGINT; further signals are ignored.
+
+    The handlers are installed before the servers listen. A signal during the start is
+    kept until the loop runs, since the default action would end the process with
+    connections that wait to be accepted.
+
+    Parameters
+    ----------
+    loop : Loop
+        Loop in which the stop runs.
+    log : EventLog
+        Log of the process.
+    """
+
+    def __init__(self, loop: Loop, log: EventLog) -> None:
+        self._loop = loop
+        self._log = log
+        self._began_at: float | None = None
+        #: Starts the stop; it has to be set before the loop runs.
+        self.stop: Stop = lambda began_at: None
+
+    def install(self) -> None:
+        """Install the handlers; to be called in the main thread."""
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+
+    def _on_signal(self, number: int, _frame: object) -> None:
+        if self._began_at is None:
+            self._began_at = boot_time()
+            self._log.info("stop_asked", signal=signal.Signals(number).name)
+            self._loop.call_from_signal(self._begin_stop)
+
+    def _begin_stop(self) -> None:
+        self.stop(self._began_at)
+
 
 def get_parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
@@ -53,17 +94,18 @@
         return EXIT_BAD_INPUT
     log = open_event_log(f"{args.role}/{settings.name}")
     loop = Loop(args.role, on_error=make_loop_error_handler(log))
+    stop_signals = StopSignals(loop, log)
+    stop_signals.install()
+    _log_reload_signals(log)
     try:
         start_role = _start_router if args.role == "router" else _start_controller
-        stop = start_role(
+        stop_signals.stop = start_role(
             settings, _make_seed_source(args.settings, settings, log), loop, log
         )
     except (BerylnotchError, OSError) as error:
         log.error("start_failed", reason=str(error))
         log.flush()
         return EXIT_FAILURE
-    _stop_on_signal(loop, stop, log)
-    _log_reload_signals(log)
     loop.call_every(FLUSH_INTERVAL_S, log.flush)
     loop.run()
     log.info("stopped")
@@ -87,7 +129,7 @@
 
 def _start_router(
     settings: FleetSettings, seeds: SeedSource, loop: Loop, log: EventLog
-) -> Callable[[], None]:
+) -> Stop:
     from berylnotch.daemon.fleet.router import FleetRouter
 
     router = FleetRouter(settings, seeds, loop, log)
@@ -97,38 +139,24 @@
         router.close()
         loop.call_later(_CLOSE_DELAY_S, loop.close)
 
-    return lambda: router.drain(on_drained)
+    return lambda began_at: router.drain(on_drained, began_at)
 
 
 def _start_controller(
     settings: FleetSettings, seeds: SeedSource, loop: Loop, log: EventLog
-) -> Callable[[], None]:
+) -> Stop:
     from berylnotch.daemon.fleet.controller import FleetController
 
     controller = FleetController(settings, seeds, loop, log)
     controller.start()
 
-    def stop() -> None:
+    def stop(_began_at: float) -> None:
         controller.close()
         loop.call_later(2 * _CLOSE_DELAY_S, loop.close)
 
     return stop
 
 
-def _stop_on_signal(loop: Loop, stop: Callable[[], None], log: EventLog) -> None:
-    is_stopping = False
-
-    def on_signal(number: int, _frame: object) -> None:
-        nonlocal is_stopping
-        if not is_stopping:
-            is_stopping = True
-            log.info("stop_asked", signal=signal.Signals(number).name)
-            loop.call_soon(stop)
-
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
-
-
 def _log_reload_signals(log: EventLog) -> None:
     # SIGHUP needs no other action, since `SeedSource` reads the file on each use.
     signal.signal(signal.SIGHUP, lambda _number, _frame: log.info("reload_asked"))
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -202,17 +202,19 @@
         )
         self._log.info("started", callers=self._settings.listen)
 
-    def drain(self, done: Callable[[], None]) -> None:
+    def drain(self, done: Callable[[], None], began_at: float | None = None) -> None:
         """Accept requests until no caller caches this address, then stop.
 
         Parameters
         ----------
         done : callable
             Called when the router has drained, or shortly before the stop deadline.
+        began_at : float, optional
+            Boot time of the signal, from which the deadline counts; by default, now.
         """
         self._is_leaving = True
         stop = self._context.stop = plan_stop(
-            boot_time(),
+            boot_time() if began_at is None else began_at,
             self._settings.bounds.stop_s,
             self._address_ttl_s * MAX_TTL_FACTOR + REPORT_S,
         )
--- a/berylnotch/util/loop.py
+++ b/berylnotch/util/loop.py
@@ -111,6 +111,16 @@
         if not self.in_thread:
             self._wake()
 
+    def call_from_signal(self, call: Callable[[], None]) -> None:
+        """Queue ``call`` from a signal handler, and wake the loop.
+
+        A handler runs in the main thread, which may be the loop's thread. The selector
+        resumes its wait after a handler, so without a wake-up the call would run only
+        after the longest wait.
+        """
+        self._calls.append(call)
+        self._wake()
+
     def call_later(self, delay_s: float, call: Callable[[], None]) -> Timer:
         """Run ``call`` after ``delay_s`` seconds; safe to call from any thread."""
         timer = Timer(time.monotonic() + delay_s, call)
--- /dev/null
+++ b/tests/test_cmd/test_fleetd.py
@@ -0,0 +1,126 @@
+"""Signals of a router process: during its start, one after another, at its end."""
+
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from berylnotch.cmd import fleetd
+from berylnotch.util.clock import boot_time
+
+SETTINGS = """[process]
+name = entry-1
+ip = {ip}
+failure-domain = north
+listen = {ip}:{port}
+ready = {ip}:{ready}
+directory =
+internal-ports = {internal},{internal}
+seeds = {ip}:1
+founds-group = true
+data =
+target-list = {ip}:1
+target-list-period-s = 0.1
+
+[bounds]
+address-ttl-s = 0.05
+stop-s = 6
+order-lease-ms = 300
+retry-ratio = 0.2
+retry-window-s = 10
+retry-slack = 50
+quota-window-s = 8
+quota-overshoot = 0.1
+quota-slack = 100000
+"""
+
+GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+@pytest.fixture
+def settings(tmp_path):
+    """Return the path of settings of a router without controllers, and its address."""
+    ip, port = f"127.{os.getpid() % 200 + 20}.9.1", 21000 + os.getpid() % 20000
+    path = tmp_path / "router.ini"
+    path.write_text(
+        SETTINGS.format(ip=ip, port=port, ready=port + 1, internal=port + 2)
+    )
+    return path, (ip, port)
+
+
+@pytest.fixture
+def router(settings):
+    """Start a router process; return it once it listens, with its address."""
+    path, address = settings
+    command = [sys.executable, "-m", "berylnotch.cmd.fleetd", "router"]
+    process = subprocess.Popen(
+        [*command, "--settings", str(path)], stdout=subprocess.PIPE
+    )
+    yield process, connect(address)
+    process.kill()
+    process.wait()
+
+
+def connect(address):
+    deadline = time.monotonic() + 20
+    while True:
+        try:
+            return socket.create_connection(address, timeout=8)
+        except ConnectionRefusedError:
+            assert time.monotonic() < deadline
+            time.sleep(0.002)
+
+
+def read_to_end(sock):
+    data = b""
+    while piece := sock.recv(65536):
+        data += piece
+    return data
+
+
+@pytest.fixture
+def default_signals():
+    """Restore the handlers of the signals that `main` handles."""
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    previous = {number: signal.getsignal(number) for number in numbers}
+    yield
+    for number, handler in previous.items():
+        signal.signal(number, handler)
+
+
+def test_signal_while_the_servers_start_stops_the_process_properly(
+    settings, default_signals, monkeypatch
+):
+    # Servers listen before the loop runs; the default action of the signal would end
+    # the process with connections that wait to be accepted.
+    unhandled, stops = [], []
+    signal.signal(signal.SIGTERM, lambda number, _frame: unhandled.append(number))
+
+    def start_router(_settings, _seeds, loop, _log):
+        os.kill(os.getpid(), signal.SIGTERM)
+        signalled_at = boot_time()
+        loop.call_later(2.0, loop.close)
+
+        def stop(began_at):
+            stops.append(signalled_at - began_at)
+            loop.close()
+
+        return stop
+
+    monkeypatch.setattr(fleetd, "_start_router", start_router)
+    assert fleetd.main(["router", "--settings", str(settings[0])]) == 0
+    assert not unhandled and len(stops) == 1 and 0 <= stops[0] < 0.1
+
+
+def test_request_is_answered_if_the_signal_comes_as_the_router_starts(router):
+    process, sock = router
+    with sock:
+        sock.sendall(GET)
+        process.send_signal(signal.SIGTERM)
+        assert re.match(rb"HTTP/1.1 503 ", read_to_end(sock))
+    assert process.wait(timeout=7) == 0
