router: deliver all answers at the end of a planned stop, then exit at once

Callers got answers cut short, or resets, at the end of a planned stop: 0.1 s after the last exchange the sockets were closed, with what was unsent or unread, and the process waited another 0.15 s in which it sent nothing.

Change: the end of a drain is HttpServer.finish of the server for callers, until the schedule's close_by, then of the servers for readiness and addresses (0.1 s at most). After that the link to the leader and the loop are closed at once; the link's close sends nothing that needs a delay.

--- a/berylnotch/cmd/fleetd.py
+++ b/berylnotch/cmd/fleetd.py
@@ -29,8 +29,9 @@
 EXIT_FAILURE = 1
 EXIT_BAD_INPUT = 2
 
-#: Seconds between the end of serving and the exit, for sending the last messages.
-_CLOSE_DELAY_S = 0.15
+#: Seconds between the end of a controller's work and its exit, for sending the last
+#: messages.
+_CLOSE_DELAY_S = 0.3
 
 #: Starts a stop; called with the boot time of the signal.
 Stop = Callable[[float], None]
@@ -146,7 +147,7 @@
 
     def on_drained() -> None:
         router.close()
-        loop.call_later(_CLOSE_DELAY_S, loop.close)
+        loop.close()
 
     return lambda began_at: router.drain(on_drained, began_at)
 
@@ -161,7 +162,7 @@
 
     def stop(_began_at: float) -> None:
         controller.close()
-        loop.call_later(2 * _CLOSE_DELAY_S, loop.close)
+        loop.call_later(_CLOSE_DELAY_S, loop.close)
 
     return stop
 
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -73,8 +73,9 @@
 #: that were in transit arrive within this period.
 QUIET_PERIOD_S = 0.25
 
-#: Seconds allowed for the last responses to be written to their sockets.
-RESPONSE_FLUSH_S = 0.1
+#: Seconds that open connections for readiness and addresses get at the end of a stop.
+#: Their requests are answered at once, so only responses in transit need time.
+STATUS_FLUSH_S = 0.1
 
 #: Interval in seconds between two checks whether a stopping router has drained.
 DRAIN_CHECK_INTERVAL_S = 0.05
@@ -208,7 +209,7 @@
         Parameters
         ----------
         done : callable
-            Called when the router has drained, or shortly before the stop deadline.
+            Called when all answers are delivered, or shortly before the stop deadline.
         began_at : float, optional
             Boot time of the signal, from which the deadline counts; by default, now.
         """
@@ -246,10 +247,30 @@
             )
             for exchange in tuple(self._exchanges):
                 exchange.stop()
-            self._loop.call_later(RESPONSE_FLUSH_S, done)
+            self._caller_server.finish(
+                stop.close_by, lambda: self._finish_status(stop, done)
+            )
 
         check_drained()
 
+    def _finish_status(self, stop: StopSchedule, done: Callable[[], None]) -> None:
+        """Deliver the last answers about readiness and addresses."""
+        close_by = min(stop.close_by, boot_time() + STATUS_FLUSH_S)
+        unfinished = set(self._status_servers)
+
+        def finish(server: HttpServer) -> None:
+            def on_finished() -> None:
+                unfinished.discard(server)
+                if not unfinished:
+                    done()
+
+            server.finish(close_by, on_finished)
+
+        for server in self._status_servers:
+            finish(server)
+        if not self._status_servers:
+            done()
+
     def _has_drained(self, now: float, stop: StopSchedule) -> bool:
         """Whether no caller uses this router any more."""
         server = self._caller_server
