--- a/berylnotch/util/loop.py
+++ b/berylnotch/util/loop.py
@@ -81,13 +81,6 @@
         """Whether the current thread is the loop's thread."""
         return threading.get_ident() == self._thread_id
 
-    @property
-    def late_s(self) -> float:
-        """Seconds by which the earliest timer is overdue, 0 if it is not."""
-        if not self._timers:
-            return 0.0
-        return max(0.0, time.monotonic() - self._timers[0][0])
-
     def start(self) -> None:
         """Run the loop in a new thread until `close`."""
         self._executor = ThreadPoolExecutor(1, thread_name_prefix=self._name)
@@ -118,6 +111,16 @@
         if not self.in_thread:
             self._wake()
 
+    def call_from_signal(self, call: Callable[[], None]) -> None:
+        """Queue ``call`` from a signal handler, and wake the loop.
+
+        A handler runs in the main thread, which may be the loop's thread. The selector
+        resumes its wait after a handler, so without a wake-up the call would run only
+        after the longest wait.
+        """
+        self._calls.append(call)
+        self._wake()
+
     def call_later(self, delay_s: float, call: Callable[[], None]) -> Timer:
         """Run ``call`` after ``delay_s`` seconds; safe to call from any thread."""
         timer = Timer(time.monotonic() + delay_s, call)
