berylnotchd: end answers that wait for tokens with an answer, not a cut

Answers whose tokens did not come before a stopping router exited, or within 60 s, were cut: a whole answer after its head, a stream before its end, with no word of why. Seen in a stop of the router and the leader in the same moment with an organisation at its rate (chat-new sent before the signal, cut with 200 and no body after 7.8 s).

Cause: the head of a whole answer was written before its tokens were charged, so that nothing but a close was left; streams that had ended at the target had no timer. After 60 s the request was closed but never ended, so it counted as running for ever and a later stop waited for its whole stop-limit. Now the head is written with the first bytes, a whole answer without tokens becomes 504 (ran), a stream ends with an error event, and the request ends. New log line answer_unpaid.

Ruled out: the exchange's end at the stop; that had ended before.

--- a/berylnotch/server/delivery.py
+++ b/berylnotch/server/delivery.py
@@ -6,12 +6,20 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from loguru import logger
 from werkzeug.datastructures import Headers
 
 from berylnotch.gateways.engine import completion_tokens
 from berylnotch.server import responses
+from berylnotch.server.errors import Refusal
 from berylnotch.server.job import UnchargedBytes
-from berylnotch.streams.actions import RunStatus, SendBytes, SendHead
+from berylnotch.streams.actions import (
+    FinishReason,
+    RunStatus,
+    SendBytes,
+    SendHead,
+)
+from berylnotch.streams.outcomes import REFUSAL_STATUSES, encode_error_event
 from berylnotch.util.metrics import Label
 
 if TYPE_CHECKING:
@@ -55,7 +63,11 @@
         self._gap_timers: dict[str, Callable[[float], None]] = {}
 
     def send_head(self, job: Job, action: SendHead) -> None:
-        """Write the head of a target's answer."""
+        """Write the head of a target's answer; that of a whole one comes with its body.
+
+        While no byte is written, an answer whose tokens do not come can still be
+        replaced by a refusal.
+        """
         headers = Headers([(h.name, h.value) for h in action.headers])
         headers[responses.REQUEST_ID_HEADER] = job.request.request_id
         headers[responses.RUN_HEADER] = action.run_status.value
@@ -65,8 +77,9 @@
             headers["Cache-Control"] = "no-cache"
         else:
             headers["Content-Length"] = str(action.content_length)
-        self._observe_first_byte(job)
-        job.caller.write(responses.response_head(action.status, headers))
+        job.held_head = responses.response_head(action.status, headers)
+        if job.chunked:
+            self._write_head(job)
 
     def send(self, job: Job, action: SendBytes) -> None:
         """Write bytes once their tokens are charged."""
@@ -81,11 +94,17 @@
         if not job.uncharged:
             self._end_answer(job, on_done)
             return
-        job.pending_finish = lambda: self._end_answer(job, on_done)
+        job.pending_finish = on_done
         self._context.loop.call_later(
-            _CHARGE_TIMEOUT_S, lambda: self._abort_uncharged(job)
+            _CHARGE_TIMEOUT_S,
+            lambda: self._abort_uncharged(job, FinishReason.DEADLINE),
         )
 
+    def end_uncharged(self) -> None:
+        """End the answers that wait for tokens when a stopping router's time is up."""
+        for job in tuple(self._waiting_jobs.values()):
+            self._abort_uncharged(job, FinishReason.STOPPING)
+
     def drop_uncharged(self, job: Job) -> None:
         """Discard held bytes that will not be delivered."""
         job.uncharged.clear()
@@ -127,7 +146,7 @@
             self._write(job, job.uncharged.pop(0).action)
         self._remove_demand(job)
         if job.pending_finish is not None:
-            job.pending_finish()
+            self._end_answer(job, job.pending_finish)
         else:
             self._resume(job)
 
@@ -139,23 +158,48 @@
         if action.events:
             self._observe_event_gap(job)
         data = responses.encode_chunk(action.data) if job.chunked else action.data
+        self._write_head(job)
         job.caller.write(data)
 
+    def _write_head(self, job: Job) -> None:
+        if job.held_head:
+            self._observe_first_byte(job)
+            job.caller.write(job.held_head)
+            job.held_head = b""
+
     def _end_answer(self, job: Job, on_done: Callable[[], None]) -> None:
         job.pending_finish = None
+        self._write_head(job)
         if job.chunked:
             job.caller.write(responses.LAST_CHUNK)
         job.caller.finish()
         on_done()
 
-    def _abort_uncharged(self, job: Job) -> None:
-        finish = job.pending_finish
-        if finish is None:
+    def _abort_uncharged(self, job: Job, reason: FinishReason) -> None:
+        """End a finished answer whose tokens did not come."""
+        on_done, job.pending_finish = job.pending_finish, None
+        if on_done is None:
             return
-        job.pending_finish = None
         self.drop_uncharged(job)
-        # Without the last chunk the caller detects that the answer is truncated.
-        job.caller.close()
+        request_id = job.request.request_id
+        logger.warning(
+            "event=answer_unpaid request={} organisation={} reason={}",
+            request_id,
+            job.organisation_name,
+            reason.value,
+        )
+        message = "the organisation's tokens for the answer did not come in time"
+        if job.chunked:
+            event = encode_error_event(reason, message)
+            job.caller.write(responses.encode_chunk(event))
+            self._end_answer(job, on_done)
+            return
+        # The body of a whole answer is charged at once, so none of it is sent.
+        status = REFUSAL_STATUSES[reason]
+        refusal = Refusal(status, reason.value, message, RunStatus.RAN)
+        job.caller.write(responses.refusal_response(refusal, request_id))
+        job.caller.finish()
+        on_done()
 
     def _observe_first_byte(self, job: Job) -> None:
         job.first_byte_at = time.monotonic()
--- a/berylnotch/server/engine.py
+++ b/berylnotch/server/engine.py
@@ -310,6 +310,7 @@
     def _end_all_answers(self) -> None:
         """End the requests that are still open when a stopping router's time is up."""
         self._claim_client.release_held_answers()
+        self._delivery.end_uncharged()
         for job in tuple(self._context.jobs):
             if job.exchange is None:
                 self._admission.cancel(job)
--- a/berylnotch/server/job.py
+++ b/berylnotch/server/job.py
@@ -79,9 +79,11 @@
         Identifier of the claim under which the request runs; empty without a claim.
     held_actions : list of Action
         Answer to a claimed request, held until the outcome is recorded.
+    held_head : bytes
+        Head of a whole answer, sent with its first bytes; empty once it is sent.
     pending_finish : callable or None
-        Ends an answer whose last bytes wait for tokens; None while no answer waits
-        to be ended.
+        Called at the end of an answer whose last bytes wait for tokens; None while no
+        answer waits to be ended.
     is_poison : bool
         Whether the request is refused because targets were lost while running it.
     lost_targets : set of str
@@ -114,6 +116,7 @@
     last_event_at: float = 0.0
     claim_attempt: str = ""
     held_actions: list[Action] = field(factory=list)
+    held_head: bytes = b""
     pending_finish: Callable[[], None] | None = None
     has_ended: bool = False
     is_poison: bool = False
--- a/tests/test_daemon/late_requests.py
+++ b/tests/test_daemon/late_requests.py
@@ -154,3 +154,5 @@
         result.outcome = "failed"
     elif asked != "stream" or body.endswith(b"data: [DONE]\n\n"):
         result.outcome = "served"
+    elif body.rpartition(b"data: ")[2].startswith(b'{"error"'):
+        result.outcome = "failed"
