Let a leader that cannot write hand over at once

It now drops its replica, ends the leader's services and refuses the changes that wait, and only then asks the voter with the newest log to stand for election, as at a planned stop. The term of a leader is always saved, and its messages that rest on unsaved state are dropped. The opening of the log folder and the record of disk failures move to log_folder.py. The state is set back before commands are read again: they were applied to the state that had them, and the order in which refused causes are dropped could differ between replicas.

disk_failed is logged once for each reason instead of each 0.5 s; gives_way and disk_recovered are new, as is the metric berylnotch_disk_failed.

--- a/berylnotch/cmd/why_request.py
+++ b/berylnotch/cmd/why_request.py
@@ -43,6 +43,8 @@
         "cause_refused",
         "cause_allowed",
         "disk_failed",
+        "disk_recovered",
+        "gives_way",
         "started",
         "stop_asked",
         "draining",
--- a/berylnotch/consensus/replica.py
+++ b/berylnotch/consensus/replica.py
@@ -8,7 +8,7 @@
 from berylnotch.consensus.errors import MembershipError, NotLeaderError
 from berylnotch.consensus.members import voter_ids
 from berylnotch.consensus.roles import RoleTransitions
-from berylnotch.consensus.state import Ready, Recovered, Snapshot
+from berylnotch.consensus.state import Outgoing, Ready, Recovered, Snapshot
 from berylnotch.errors import ConsensusError
 
 if TYPE_CHECKING:
@@ -217,6 +217,24 @@
         self._require_leader(now)
         return self._roles.transfer_leadership(now)
 
+    def resign(self, now: float) -> Outgoing | None:
+        """Step down as leader when nothing can be saved any more.
+
+        Messages that rest on unsaved state are dropped, and the replica must not be
+        used afterwards. The term of a leader is always saved.
+
+        Returns
+        -------
+        Outgoing or None
+            Request to the voter with the highest match index to stand for election;
+            None if this replica does not lead or is the only voter.
+        """
+        if self._leader is None:
+            return None
+        self._core.take_outbox()
+        self._roles.transfer_leadership(now)
+        return next(iter(self._core.take_outbox()), None)
+
     def ready(self) -> Ready:
         """Return the pending work; `advance` must be called once it is done.
 
--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -70,7 +70,14 @@
             loop, CONTROLLER_MESSAGES, self._receive, log, self._link_settings
         )
         self._host = ReplicaHost(
-            settings, seeds, loop, self._peers.send, self._state, log, self._on_applied
+            settings,
+            seeds,
+            loop,
+            self._peers.send,
+            self._state,
+            log,
+            self._on_applied,
+            lambda: self._stop_leading("disk failed"),
         )
         self._acceptor = Acceptor(loop, settings.links_listen, self._accept)
         self.metrics = Metrics()
@@ -204,6 +211,7 @@
     def _update_gauges(self) -> None:
         metrics = self.metrics
         metrics.gauge("berylnotch_leader", float(self._leader is not None))
+        metrics.gauge("berylnotch_disk_failed", float(self._host.has_disk_failed))
         metrics.gauge("berylnotch_term", float(self._host.term))
         metrics.gauge("berylnotch_group_members", float(self._host.voter_count))
         metrics.gauge("berylnotch_configuration_version", float(self._state.version))
--- a/berylnotch/daemon/fleet/replica_host.py
+++ b/berylnotch/daemon/fleet/replica_host.py
@@ -4,16 +4,20 @@
 
 import random
 from collections.abc import Callable
-from pathlib import Path
 
 from attrs import frozen
 
-from berylnotch.consensus.bootstrap import bootstrap, first_ready
 from berylnotch.consensus.errors import NotLeaderError, OverloadedError
-from berylnotch.consensus.messages import Entry, EntryKind, Member, Members
+from berylnotch.consensus.messages import Entry, EntryKind
 from berylnotch.consensus.replica import Replica
 from berylnotch.consensus.settings import ConsensusSettings
+from berylnotch.consensus.state import Recovered
 from berylnotch.consensus.storage import LogStorage
+from berylnotch.daemon.fleet.log_folder import (
+    DiskFailures,
+    is_founder,
+    open_log_folder,
+)
 from berylnotch.daemon.fleet.membership_manager import MembershipManager
 from berylnotch.errors import ConsensusError, StorageError
 from berylnotch.group.messages import JoinRequest, Redirect
@@ -32,9 +36,6 @@
 #: Delay before the log folder is opened again after a disk failure, in seconds.
 REOPEN_DELAY_S = 0.5
 
-#: Suffix of the replica id of a controller that bootstraps the group.
-FOUNDER_SUFFIX = "first"
-
 #: Called with True if a command was committed in the term in which it was proposed,
 #: with False otherwise.
 CommitCallback = Callable[[bool], None]
@@ -81,6 +82,9 @@
     on_applied : callable
         Called after commands were applied, a snapshot was restored, or the log folder
         was opened.
+    on_disk_failed : callable
+        Called when the disk failed and this controller has no replica any more, before
+        another controller is asked to lead.
     """
 
     def __init__(
@@ -92,6 +96,7 @@
         state: FleetState,
         log: EventLog,
         on_applied: Callable[[], None],
+        on_disk_failed: Callable[[], None],
     ) -> None:
         self._settings = settings
         self._membership_manager = MembershipManager(settings, seeds, send, log)
@@ -100,8 +105,10 @@
         self._state = state
         self._log = log
         self._on_applied = on_applied
+        self._on_disk_failed = on_disk_failed
         self._storage: LogStorage | None = None
         self._replica: Replica | None = None
+        self._disk_failures = DiskFailures(log, REOPEN_DELAY_S)
         self._is_processing_scheduled = False
         self._is_closed = False
         self._proposals: dict[int, _Proposal] = {}
@@ -132,6 +139,11 @@
         """Number of members of the group."""
         return len(self._replica.members.members) if self._replica else 0
 
+    @property
+    def has_disk_failed(self) -> bool:
+        """Whether there is no replica, because the log folder cannot be used."""
+        return self._disk_failures.is_failing
+
     def is_active(self) -> bool:
         """Whether this replica holds the leader lease at the current time."""
         return self._replica is not None and self._replica.has_lease(boot_time())
@@ -203,51 +215,49 @@
     # Storage.
 
     def _open(self) -> None:
-        folder = self._settings.data / "log"
-        founders = self._settings.seed_links
-        is_founder = self._settings.founds_group and self.address in founders
-        identity = f"{self.address}/{FOUNDER_SUFFIX}" if is_founder else ""
-        storage = LogStorage(
-            folder,
-            self.address,
-            CONSENSUS.keep_entries,
-            first_identity=identity,
-            checks_copy=False,
-        )
         try:
-            Path(folder).parent.mkdir(parents=True, exist_ok=True)
-            recovered = storage.start()
-            if is_founder and recovered.identity == identity and not recovered.entries:
-                if recovered.snapshot is None:
-                    recovered = bootstrap(recovered, _initial_members(founders))
-                    storage.save(first_ready(recovered))
-        except (StorageError, OSError) as error:
-            storage.close()
-            self._log.error("disk_failed", reason=str(error))
-            self._loop.call_later(REOPEN_DELAY_S, self._reopen)
+            self._storage, recovered = open_log_folder(
+                self._settings, CONSENSUS.keep_entries
+            )
+        except StorageError as error:
+            self._retry_later(error)
             return
-        self._storage = storage
-        if recovered.snapshot is not None and recovered.snapshot.data:
-            self._state.restore(recovered.snapshot.data)
+        self._restore_state(recovered)
         self._replica = Replica(CONSENSUS, recovered, random.Random(), boot_time())
+        self._disk_failures.on_opened()
         self._log.info(
             "replica_started",
             replica=recovered.identity,
             term=recovered.hard_state.term,
             entries=len(recovered.entries),
-            founds=is_founder,
+            founds=is_founder(self._settings),
         )
         self._on_applied()
 
+    def _restore_state(self, recovered: Recovered) -> None:
+        # The entries after the snapshot are applied again, to the state before them.
+        snapshot = recovered.snapshot
+        has_data = snapshot is not None and bool(snapshot.data)
+        self._state.restore(snapshot.data if has_data else FleetState().snapshot())
+
     def _reopen(self) -> None:
         if not self._is_closed:
             self._open()
 
     def _on_disk_failure(self, error: StorageError) -> None:
-        self._log.error("disk_failed", reason=str(error))
-        self._replica = None
+        """Drop the replica, so that it neither leads, votes nor acknowledges."""
+        replica, self._replica = self._replica, None
         self._storage.close()
+        self._retry_later(error)
         self._fail_proposals()
+        self._on_disk_failed()
+        request = replica.resign(boot_time())
+        if request is not None:
+            self._log.warning("gives_way", to=request.replica, term=replica.term)
+            self._send(request.address, request.message)
+
+    def _retry_later(self, error: StorageError) -> None:
+        self._disk_failures.on_error(error)
         self._loop.call_later(REOPEN_DELAY_S, self._reopen)
 
     # Processing of the replica's output.
@@ -333,12 +343,3 @@
             self._membership_manager.ask_to_join(self._replica)
         elif self._membership_manager.change_members(self._replica):
             self._schedule_processing()
-
-
-def _initial_members(addresses: tuple[str, ...]) -> Members:
-    return Members(
-        tuple(
-            Member(address, f"{address}/{FOUNDER_SUFFIX}", address)
-            for address in sorted(addresses)
-        )
-    )
--- a/tests/test_consensus/faults.py
+++ b/tests/test_consensus/faults.py
@@ -37,6 +37,7 @@
         self.is_up = True
         self.is_paused = False
         self.torn_save_fraction = None
+        self.is_disk_full = False
         self.node = Node(MemoryDisk(recovered), self.local_time(now), SETTINGS)
 
     @property
@@ -127,6 +128,8 @@
         while not (ready := vm.replica.ready()).is_empty:
             if vm.torn_save_fraction is not None and ready.must_save:
                 self.crash_in_save(vm, ready)
+                if vm.is_disk_full:
+                    self.resign(vm, rng)
                 return
             self.check_hard_state(vm, ready)
             vm.node.disk.save(ready)
@@ -172,6 +175,12 @@
             vm.node.disk.save(part)
         self.crash(vm)
 
+    def resign(self, vm, rng):
+        """Hand over the leadership, if this VM has it, although nothing is saved."""
+        request = vm.replica.resign(vm.local_time(self.now))
+        if request is not None:
+            self.send(vm, request, rng)
+
     def crash(self, vm):
         vm.is_up = False
         vm.is_paused = False
@@ -273,6 +282,7 @@
         self.isolated, self.cut_links, self.loss_rate = set(), set(), 0.0
         for vm in self.vms.values():
             vm.is_paused, vm.torn_save_fraction = False, None
+            vm.is_disk_full = False
             if not vm.is_up:
                 vm.restart(self.now)
 
--- a/tests/test_consensus/test_election.py
+++ b/tests/test_consensus/test_election.py
@@ -269,3 +269,27 @@
 def test_settings_check_the_order_of_timeouts():
     with pytest.raises(ConfigurationError, match="lease_s < election_min_s"):
         ConsensusSettings(lease_s=1.0)
+
+
+def test_leader_that_cannot_save_hands_over_and_sends_none_of_its_unsaved_entries(
+    group,
+):
+    """Messages of the failed save would claim that the entry is on its disk."""
+    leader = group.elect()
+    group[leader].propose(group.now, b"unsaved")
+    unsaved = group[leader].ready()
+    assert unsaved.must_save
+    request = group[leader].resign(group.now)
+    assert not group[leader].has_lease(group.now)
+    group.isolated.add(leader)
+    group[request.replica].step(group.now, request.message)
+    group.deliver()
+    assert group.leaders == [request.replica]
+    assert group.nodes[request.replica].applied == []
+
+
+def test_follower_that_cannot_save_asks_nobody_to_lead(group):
+    leader = group.elect()
+    follower = next(i for i in group.nodes if i != leader)
+    assert group[follower].resign(group.now) is None
+    assert group[leader].has_lease(group.now)
--- a/tests/test_consensus/test_properties.py
+++ b/tests/test_consensus/test_properties.py
@@ -102,6 +102,24 @@
         self.vm(vm_number).torn_save_fraction = kept_fraction
         self.group.run(0.5, seed)
 
+    @rule(
+        vm_number=vm_numbers,
+        is_leader=st.booleans(),
+        kept_fraction=st.floats(0, 1),
+        seconds=st.sampled_from([0.1, 1.0, 3.0]),
+        seed=st.integers(0, 1000),
+    )
+    def fill_disk(self, vm_number, is_leader, kept_fraction, seconds, seed):
+        vm = self.vm(vm_number)
+        if is_leader:
+            leaders = [vm for vm in self.group.vms.values() if vm.replica.is_leader]
+            vm = next(iter(leaders), vm)
+        vm.torn_save_fraction, vm.is_disk_full = kept_fraction, True
+        self.group.run(seconds, seed)
+        vm.torn_save_fraction, vm.is_disk_full = None, False
+        if not vm.is_up:
+            vm.restart(self.group.now)
+
     @rule(vm_number=vm_numbers)
     def wipe(self, vm_number):
         self.group.wipe(self.vm(vm_number))
--- a/tests/test_daemon/test_full_disks.py
+++ b/tests/test_daemon/test_full_disks.py
@@ -80,7 +80,11 @@
 
 
 def check_changes(changes, since):
-    """Check that each change sent from a time on is acknowledged within the bound."""
+    """Check that each change sent from a time on is acknowledged within the bound.
+
+    ``pytest -rP`` shows the results of each second.
+    """
+    print(describe(changes, since))
     late = [c for c in changes if c.sent_at >= since and c.wait_s > ACKNOWLEDGED_S]
     assert not late, f"{len(late)} changes are late\n{describe(changes, since)}"
 
