--- a/tests/test_cmd/test_fleetd.py
+++ b/tests/test_cmd/test_fleetd.py
@@ -6,7 +6,9 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
+from collections import Counter
 
 import pytest
 
@@ -29,7 +31,7 @@
 
 [bounds]
 address-ttl-s = 0.05
-stop-s = 6
+stop-s = 3
 order-lease-ms = 300
 retry-ratio = 0.2
 retry-window-s = 10
@@ -123,7 +125,7 @@
         sock.sendall(GET)
         process.send_signal(signal.SIGTERM)
         assert re.match(rb"HTTP/1.1 503 ", read_to_end(sock))
-    assert process.wait(timeout=7) == 0
+    assert process.wait(timeout=4) == 0
 
 
 def test_further_signals_do_not_change_the_end_of_the_process(router):
@@ -138,3 +140,41 @@
     assert process.returncode == 0
     assert lines.count(b"event=stop_asked") == 1
     assert lines.count(b"event=stopped") == 1
+
+
+def send_until_refused(address, outcomes):
+    """Send requests on new connections until the port is closed; count the results."""
+    while True:
+        try:
+            sock = socket.create_connection(address, timeout=4)
+        except OSError:
+            return
+        with sock:
+            try:
+                sock.sendall(GET)
+                outcome = "whole" if b"\r\n\r\n" in read_to_end(sock) else "cut"
+            except OSError as error:
+                outcome = type(error).__name__
+        outcomes[outcome] += 1
+
+
+def test_requests_that_come_as_the_router_exits_are_not_reset(router):
+    # Requests come at all times of the exit, so some wait to be accepted when the
+    # listener closes.
+    process, sock = router
+    address = sock.getpeername()
+    sock.close()
+    process.send_signal(signal.SIGTERM)
+    outcomes = Counter()
+    threads = [
+        threading.Thread(
+            target=send_until_refused, args=(address, outcomes), daemon=True
+        )
+        for _ in range(8)
+    ]
+    for thread in threads:
+        thread.start()
+    assert process.wait(timeout=4) == 0
+    for thread in threads:
+        thread.join(timeout=5)
+    assert outcomes["whole"] > 100 and set(outcomes) == {"whole"}, outcomes
