Keep log lines while the disk of the log is full

A log on a full disk lost all lines of that time, uncounted: the event log emptied its buffer at any error of a write, taking it for a closed pipe.

Lines now stay in the bounded buffer at ENOSPC, EDQUOT and EFBIG, like those for a slow reader, and are written in order once there is room; what does not fit is counted.

--- a/berylnotch/util/lines.py
+++ b/berylnotch/util/lines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import sys
 import time
@@ -23,12 +24,16 @@
 SAMPLE_INTERVAL = 20
 
 
+#: Errors of a write to a file whose disk is full for now.
+_NO_ROOM = frozenset((errno.ENOSPC, errno.EDQUOT, errno.EFBIG))
+
+
 class EventLog:
     """Writes one line for each event to a file descriptor.
 
-    A line holds the time, the level, the process, the event and its fields. Lines
-    that do not fit into the buffer are dropped and counted, and the count is logged
-    once the buffer has room again.
+    A line holds the time, the level, the process, the event and its fields. Lines stay
+    in the buffer while the reader is slow or the disk is full. Lines that do not fit
+    into it are dropped and counted, and the count is logged once it has room again.
 
     Parameters
     ----------
@@ -85,7 +90,9 @@
                 del self._buffer[:written_bytes]
         except BlockingIOError:
             return
-        except OSError:
+        except OSError as error:
+            if error.errno in _NO_ROOM:
+                return
             # The reader is gone, for instance a closed pipe; the process continues
             # without its log.
             self._buffer.clear()
--- a/tests/test_daemon/test_full_disks.py
+++ b/tests/test_daemon/test_full_disks.py
@@ -120,7 +120,7 @@
 def test_disks_that_are_full_one_after_another_stop_no_change(
     start_fleet, controllers, is_leader_first
 ):
-    fleet = start_fleet(controllers)
+    fleet, filled = start_fleet(controllers), []
     operators = Operators(fleet.controllers)
     started_at = time.monotonic()
     operators.start()
@@ -132,11 +132,15 @@
                 chosen = find_leader(fleet)
             left_bytes = next_write_halfway(chosen) if position % 2 else 0
             fill_for_a_while(chosen, left_bytes=left_bytes)
+            filled.append(chosen)
             time.sleep(BETWEEN_S)
         time.sleep(AFTER_S)
     finally:
         operators.close()
     check_changes(operators.changes, started_at)
+    for controller in filled:
+        events = {line.get("event") for line in controller.lines()}
+        assert {"disk_failed", "disk_recovered"} <= events
     check_nothing_is_lost(fleet, operators)
 
 
--- a/tests/test_util/test_lines.py
+++ b/tests/test_util/test_lines.py
@@ -4,9 +4,12 @@
 grow without limit.
 """
 
+import errno
 import os
 import time
 
+import pytest
+
 from berylnotch.util.lines import (
     MAX_BUFFER_BYTES,
     MAX_LINES_PER_S,
@@ -92,3 +95,33 @@
     log.flush()
     log.info("again")
     log.flush()
+
+
+@pytest.mark.parametrize("code", [errno.ENOSPC, errno.EDQUOT, errno.EFBIG])
+def test_lines_are_kept_while_the_disk_of_the_log_is_full(monkeypatch, tmp_path, code):
+    """Otherwise no line would tell that the disk was full."""
+    path = tmp_path / "log"
+    log = EventLog("controller/c-1", os.open(path, os.O_WRONLY | os.O_CREAT))
+    write, room_bytes = os.write, 30
+
+    def write_to_full_disk(descriptor, data):
+        nonlocal room_bytes
+        if not room_bytes:
+            raise OSError(code, os.strerror(code))
+        written_bytes = write(descriptor, data[:room_bytes])
+        room_bytes -= written_bytes
+        return written_bytes
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", write_to_full_disk)
+        for number in range(10_000):
+            log.error("disk_failed", attempt=number, reason="x" * 50)
+            log.flush()
+    assert len(log._buffer) <= MAX_BUFFER_BYTES + 1000
+    dropped_lines = log.dropped
+    log.flush()
+    log.flush()
+    lines = path.read_text().splitlines()
+    assert all(line.startswith("time=") for line in lines)
+    assert len(lines) == 10_000 - dropped_lines + 1
+    assert f"lines={dropped_lines}" in lines[-1]
