--- a/berylnotch/daemon/fleet/replica_host.py
+++ b/berylnotch/daemon/fleet/replica_host.py
@@ -109,6 +109,7 @@
         self._storage: LogStorage | None = None
         self._replica: Replica | None = None
         self._disk_failures = DiskFailures(log, REOPEN_DELAY_S)
+        self._failed_term = 0
         self._is_processing_scheduled = False
         self._is_closed = False
         self._proposals: dict[int, _Proposal] = {}
@@ -121,8 +122,8 @@
 
     @property
     def term(self) -> int:
-        """Newest term seen, 0 without a replica."""
-        return self._replica.term if self._replica is not None else 0
+        """Newest term seen, also while the disk fails; 0 before a first replica."""
+        return self._replica.term if self._replica is not None else self._failed_term
 
     @property
     def leader_address(self) -> str:
@@ -247,6 +248,7 @@
     def _on_disk_failure(self, error: StorageError) -> None:
         """Drop the replica, so that it neither leads, votes nor acknowledges."""
         replica, self._replica = self._replica, None
+        self._failed_term = replica.term
         self._storage.close()
         self._retry_later(error)
         self._fail_proposals()
--- a/tests/test_daemon/test_fleet_replica_host.py
+++ b/tests/test_daemon/test_fleet_replica_host.py
@@ -330,6 +330,7 @@
     assert events.count("disk_failed") == 1
     assert events.count("gives_way") == 1
     (fields,) = [f for _, event, f in leader.log.lines if event == "disk_recovered"]
+    assert leader.host.term > 0
     assert 2.5 < fields["failed_s"] < 4.0 and fields["attempts"] > 3
 
 
