berylnotchd: wait for the caller's close after an answer, so that no reset discards it

An answer that was still on its way to a slow reader was lost if the caller sent bytes after its request, for example a pipelined one: the caller met a reset connection.

Cause: the router closed its socket as soon as the kernel had the answer. The kernel resets a connection that is closed with unread bytes, or that gets bytes after the close, and drops what it has not sent. The router now ends its side, reads on until the caller closes, for 2 s at most, and closes then. A stop does not wait for it: the kernel sends the rest after the exit.

Not covered: bytes that the caller sends after the exit of the process.

--- a/berylnotch/server/caller.py
+++ b/berylnotch/server/caller.py
@@ -23,6 +23,11 @@
 _FLUSH_TIMEOUT_S = 30.0
 
 
+#: Seconds after the last byte of an answer for which the connection waits for the
+#: caller to close it.
+_LINGER_S = 2.0
+
+
 class CallerConnection:
     """Socket of one caller; every method runs in the loop's thread.
 
@@ -53,6 +58,7 @@
         self._buffer = bytearray()
         self._full = False
         self._finishing = False
+        self._lingering = False
         self._closed = False
 
     @property
@@ -65,6 +71,14 @@
         """Whether the connection has ended."""
         return self._closed
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether the answer has ended and the kernel has all of its bytes.
+
+        The kernel goes on to send them also after the end of the process.
+        """
+        return self._closed or self._lingering
+
     @property
     def buffered_bytes(self) -> int:
         """Number of bytes passed to `write` that are not sent yet."""
@@ -125,10 +139,27 @@
             self._on_connection_lost()
             return
         if self._finishing and not self._buffer:
-            self.close()
+            self._linger()
             return
         self._update_watch()
 
+    def _linger(self) -> None:
+        """Read what the caller still sends until it closes.
+
+        A socket that is closed with unread bytes is reset, and the reset discards the
+        part of the answer that has not reached the caller.
+        """
+        if self._lingering:
+            return
+        self._lingering = True
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()
+            return
+        self._loop.watch(self._sock, selectors.EVENT_READ, self._on_ready)
+        self._loop.call_later(_LINGER_S, self.close)
+
     def _update_watch(self) -> None:
         events = selectors.EVENT_READ
         if self._buffer:
--- a/berylnotch/server/engine.py
+++ b/berylnotch/server/engine.py
@@ -291,7 +291,7 @@
             return
         job.has_ended = True
         self._context.jobs.discard(job)
-        if not job.caller.is_closed:
+        if not job.caller.is_sent:
             self._closing_jobs.add(job)
         # Dispatch to the freed slot after the current call returns, because the call
         # may come from an admission queue that is being processed.
@@ -300,7 +300,7 @@
     def _tick(self) -> None:
         self._check_view_freshness()
         self._closing_jobs = {
-            job for job in self._closing_jobs if not job.caller.is_closed
+            job for job in self._closing_jobs if not job.caller.is_sent
         }
         self._admission.refuse_expired()
         if self._context.stop is not None:
