--- a/tests/test_daemon/test_planned_stops_daemon.py
+++ b/tests/test_daemon/test_planned_stops_daemon.py
@@ -150,3 +150,25 @@
     stop = stop_under_load(fleet, [stopping], others, [fleet.leader()])
     check_answers(stop, small_fleet)
     assert stop.took_s <= KEEP_S + 1
+
+
+@pytest.mark.parametrize("age_s", [0.0, 0.3, 0.8])
+def test_stop_in_the_first_second_of_a_start_cuts_no_request(
+    fleet, start_slow_fleet, age_s
+):
+    small_fleet = start_slow_fleet(6)
+    starting, *others = late_routers(small_fleet, fleet.give_key("importer-desk"))
+    assert fleet.children[starting.name].stop() == 0
+    callers = LateCallers([starting], others, KINDS, 20.0, send_late)
+    callers.start()
+    try:
+        child = fleet.restart(starting.name)
+        time.sleep(age_s)
+        signal_at = time.monotonic()
+        child.signal(signal.SIGTERM)
+        assert child.wait() == 0
+        stop = Stop(callers.results, signal_at, time.monotonic() - signal_at)
+        time.sleep(0.5)
+    finally:
+        callers.close()
+    check_results(stop, small_fleet)
