berylnotchd: refuse requests with 503 until the router has a configuration

A router that had just started, and did not have its configuration yet, answered callers who kept its address with 404 unknown_path and X-Should-Retry: false, so they did not come back although the path is served some ms later. Found by reading, while looking at stops in the first second of a start.

After: 503 no_configuration, not run, with Retry-After. A path without a route is still 404 once there is a configuration.

--- a/berylnotch/server/app.py
+++ b/berylnotch/server/app.py
@@ -136,6 +136,13 @@
     ) -> Job | Response:
         arrived_at = time.monotonic()
         route = self._context.view.fleet.route(request.path)
+        if route is None and not self._context.view.revision:
+            raise Refusal(
+                503,
+                "no_configuration",
+                "the router has no configuration yet",
+                retry_after_s=responses.SHORT_RETRY_S,
+            )
         if route is None:
             raise Refusal(404, "unknown_path", f"no route for {request.path}")
         key = intake.read_key(request)
--- a/tests/test_daemon/test_keys_and_stops.py
+++ b/tests/test_daemon/test_keys_and_stops.py
@@ -189,6 +189,16 @@
         resume_controllers(fleet)
 
 
+def test_router_without_a_configuration_does_not_call_a_path_unknown(fleet):
+    # A caller does not repeat a 404, although the router serves the path soon after.
+    fleet.start_controllers(("c1",), ("kolkata-a",))
+    router = fleet.start_router("entry-1", "kolkata-a")
+    answer = CallerClient(router.address).send("GET", "/stock")
+    assert (answer.status, answer.run) == (503, "not-run")
+    assert answer.json()["error"]["code"] == "no_configuration"
+    assert int(answer.headers["retry-after"]) >= 1
+
+
 def test_disconnected_caller_cancels_the_targets_work(small_fleet, callers):
     response = callers[0].open("POST", PATH, chat_body())
     response.read1(100)
