--- a/tests/test_daemon/test_planned_work.py
+++ b/tests/test_daemon/test_planned_work.py
@@ -12,9 +12,14 @@
 
 import pytest
 
+from berylnotch.daemon.fleet.replica_host import CONSENSUS
 from tests.fleet.callers import CallerThreads
 from tests.fleet.operators import call_controller, put_version
-from tests.fleet.processes import FleetOfProcesses, configuration, wait_until
+from tests.fleet.processes import (
+    FleetOfProcesses,
+    configuration,
+    wait_until,
+)
 from tests.fleet.stops import STOP_S, UNREAD_S, LateCallers, describe, send_request
 
 #: Time that each target takes for an answer, in seconds; routers do not take it for
@@ -320,3 +325,43 @@
     finally:
         callers.close()
     check_whole_answers(callers.results, began_at)
+
+
+def voter_count(leader):
+    changes = [f for f in leader.lines() if f.get("event") == "members_changed"]
+    return changes[-1]["after"].count(":voter") if changes else 0
+
+
+def test_leadership_passes_over_controllers_that_stop_as_well(tmp_path, platform):
+    for name, service, version in (("llm-1", "llm", 1), ("desk-1", "desk", None)):
+        platform.add(name, service, version)
+    processes = FleetOfProcesses(tmp_path, platform)
+    try:
+        processes.start(controllers=5, routers=2)
+        processes.make_ready()
+        leader = wait_until(processes.leader, "a leader")
+        wait_until(lambda: voter_count(leader) == 5, "a group of five voters")
+        others = [c for c in processes.controllers if c is not leader]
+        callers = LateCallers(processes.routers, [], KINDS, rate_per_s=40)
+        callers.start()
+        began_at = time.monotonic()
+        try:
+            # The successor is the controller with the highest address.
+            for controller in (others[-1], leader):
+                controller.signal(signal.SIGTERM)
+            stopped_at = time.monotonic()
+            next_leader = wait_until(
+                lambda: processes.leader() not in (None, leader, others[-1]),
+                "the next leader",
+            )
+            took_s = time.monotonic() - stopped_at
+            assert next_leader
+            time.sleep(1.0)
+        finally:
+            callers.close()
+    finally:
+        processes.close()
+    failed = [result for result in callers.results if result.outcome != "served"]
+    assert not failed, describe(failed, began_at)
+    # An election without a hand-over takes 0.7 s or more.
+    assert took_s < CONSENSUS.election_min_s
