--- a/berylnotch/net/sockets.py
+++ b/berylnotch/net/sockets.py
@@ -108,7 +108,7 @@
         if self._is_open:
             self._is_open = False
             self._loop.watch(self._sock, 0, self._accept)
-            # The kernel resets connections that are not accepted by then, also those for
+            # The kernel resets connections that are not accepted by then, and those for
             # which no file descriptor is free.
             with suppress(OSError):
                 while self._accept_one():
