--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -247,7 +247,8 @@
         def check_drained() -> None:
             now = boot_time()
             if now < end_by and not self._has_drained(now, stop):
-                self._loop.call_later(DRAIN_CHECK_INTERVAL_S, check_drained)
+                delay_s = min(DRAIN_CHECK_INTERVAL_S, end_by - now)
+                self._loop.call_later(delay_s, check_drained)
                 return
             counts = self._caller_server.connection_counts()
             self._log.info(
--- a/tests/test_daemon/test_planned_stops_daemon.py
+++ b/tests/test_daemon/test_planned_stops_daemon.py
@@ -159,7 +159,7 @@
     small_fleet = start_slow_fleet(6)
     starting, *others = late_routers(small_fleet, fleet.give_key("importer-desk"))
     assert fleet.children[starting.name].stop() == 0
-    callers = LateCallers([starting], others, KINDS, 20.0, send_late)
+    callers = LateCallers([starting], others, KINDS, 20.0, send=send_late)
     callers.start()
     try:
         child = fleet.restart(starting.name)
