--- a/berylnotch/entry/answer_times.py
+++ b/berylnotch/entry/answer_times.py
@@ -46,7 +46,9 @@
         durations = self._durations.setdefault(route, deque(maxlen=MAX_SAMPLES))
         durations.append(duration_s / max(1, output_tokens))
 
-    def longest_s(self, route: str, output_tokens: int) -> float | None:
+    def longest_s(
+        self, route: str, output_tokens: int, factor: float = LONGEST_FACTOR
+    ) -> float | None:
         """Return the longest duration to expect, None if the route has no answers yet.
 
         Parameters
@@ -55,8 +57,10 @@
             Name of the route.
         output_tokens : int
             Tokens that the request may generate, 0 if not stated.
+        factor : float, default=LONGEST_FACTOR
+            Multiple of the longest recent answer to expect.
         """
         durations = self._durations.get(route)
         if not durations:
             return None
-        return LONGEST_FACTOR * max(durations) * max(1, output_tokens) + MARGIN_S
+        return factor * max(durations) * max(1, output_tokens) + MARGIN_S
--- a/berylnotch/entry/stopping.py
+++ b/berylnotch/entry/stopping.py
@@ -32,9 +32,11 @@
     """
     route = routed.route
     first_event_s = choice.delay_ms / 1000 if routed.is_stream else 0.0
-    rest_s = context.answer_times.longest_s(route.name, routed.caller.output_tokens)
-    if is_repeat and rest_s is not None:
-        rest_s /= LONGEST_FACTOR
+    rest_s = context.answer_times.longest_s(
+        route.name,
+        routed.caller.output_tokens,
+        factor=1.0 if is_repeat else LONGEST_FACTOR,
+    )
     if rest_s is None:
         rest_s = context.settings.slow_factor * route.target_latency_s
     longest_s = first_event_s + (rest_s or route.timeout_s)
