net: read what arrived before a time limit ends a connection

A process that was suspended, or waited for a processor, checked the time limits of its connections before it read their input: it closed idle ones with a whole request unread, without a line, and sent 408 for heads that had arrived. The check reads first. The new test failed before.

--- a/berylnotch/net/server.py
+++ b/berylnotch/net/server.py
@@ -186,21 +186,34 @@
         if self._is_lingering and not self._output:
             # `_shut_down_writing` has scheduled the close.
             return
+        if not self._exceeded_limit(now):
+            return
+        if self._is_reading:
+            # This process may have been suspended while the input arrived.
+            self._receive()
+            if self._is_closed or self.request is not None:
+                return
+        problem = self._exceeded_limit(now)
+        if self._reader.started_at and problem:
+            self._refuse(408, problem)
+        elif problem:
+            self._close()
+
+    def _exceeded_limit(self, now: float) -> str:
+        """Return which time limit the caller has exceeded, empty if none."""
         limits = self._limits()
+        idle_s = now - self._last_active_at
+        read_s = now - self._reader.started_at
         if self._reader.started_at and not self._reader.is_head_read:
-            if now - self._reader.started_at > limits.header_s:
-                self._refuse(408, "headers not received in time")
-        elif self._reader.started_at:
+            return "headers not received in time" if read_s > limits.header_s else ""
+        if self._reader.started_at:
             max_transfer_s = self._reader.received_body_bytes / _MIN_BYTES_PER_S
-            is_slow = now - self._reader.started_at > limits.idle_s + max_transfer_s
-            if is_slow or now - self._last_active_at > limits.idle_s:
-                self._refuse(408, "body took too long")
-        elif self._output:
-            max_idle_s = limits.idle_s + self._backlog_bytes / _MIN_BYTES_PER_S
-            if now - self._last_active_at > max_idle_s:
-                self._close()
-        elif now - self._last_active_at > limits.idle_s:
-            self._close()
+            is_slow = read_s > limits.idle_s + max_transfer_s
+            return "body took too long" if is_slow or idle_s > limits.idle_s else ""
+        max_idle_s = limits.idle_s
+        if self._output:
+            max_idle_s += self._backlog_bytes / _MIN_BYTES_PER_S
+        return "idle for too long" if idle_s > max_idle_s else ""
 
     def close_if_idle(self) -> None:
         """Close unless a request is being read or served."""
--- a/tests/test_net/test_changed_limits.py
+++ b/tests/test_net/test_changed_limits.py
@@ -65,3 +65,22 @@
         server.limits = NARROW
         sock.sendall(POST_HEAD)
         assert read_all(sock, 0.4).startswith(b"HTTP/1.1 413 ")
+
+
+def test_a_request_that_arrives_while_the_process_is_suspended_is_answered():
+    def block(_harness, connection, request):
+        if request.path == "/block":
+            time.sleep(1.2)
+        echo(_harness, connection, request)
+
+    harness = Harness(block, HttpLimits(idle_s=0.8))
+    try:
+        with harness.connect() as idle, harness.connect() as other:
+            idle.sendall(GET)
+            assert b" 200 " in read_all(idle, 0.2)
+            other.sendall(GET.replace(b"/a", b"/block"))
+            time.sleep(0.3)
+            idle.sendall(GET)
+            assert b" 200 " in read_all(idle, 1.5)
+    finally:
+        harness.close()
