berylnotchd: hold no answer to a claim after the time for answers

Held answers are released once, when a stopping router's time for answers ends. A claim that closed just after that was held until the leader answered, 3 s at most, and cut. Found by reading; no test.

--- a/berylnotch/server/claims.py
+++ b/berylnotch/server/claims.py
@@ -123,7 +123,10 @@
             state.value,
         )
         self._propose_close(job, job.claim_attempt, state, notify_once)
-        self._context.loop.call_later(_ANSWER_HOLD_LIMIT_S, notify_once)
+        # A stopping router releases the held answers once, at the end of its answers.
+        has_time = time.monotonic() < self._context.answer_by
+        hold_s = _ANSWER_HOLD_LIMIT_S if has_time else 0.0
+        self._context.loop.call_later(hold_s, notify_once)
 
     def release_held_answers(self) -> None:
         """Send the answers whose outcomes are not recorded yet, before a stop ends."""
