router: schedule the end of a stop before anything that may fail

An exception at the begin of a stop would have kept the process running until it is killed, since later signals are ignored. Found by reading; no trigger known.

--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -231,6 +231,19 @@
             stop_s,
             self._address_ttl_s * MAX_TTL_FACTOR + REPORT_S,
         )
+        end_by = stop.answer_by + self._context.settings.deadline_grace_s
+
+        def check_drained() -> None:
+            now = boot_time()
+            if now < end_by and not self._has_drained(now, stop):
+                delay_s = min(DRAIN_CHECK_INTERVAL_S, end_by - now)
+                self._loop.call_later(delay_s, check_drained)
+                return
+            self._end_stop(stop, done)
+
+        # An error in what follows must not keep the process from ending.
+        self._loop.call_soon(check_drained)
+        self._caller_server.is_draining = True
         self._startup_buffer.release_all()
         self._reports.send()
         self._log.info(
@@ -239,33 +252,25 @@
             stop_s=stop_s,
             suspended_s=boot_time() - stop.began_at,
         )
-        self._caller_server.is_draining = True
         for exchange in tuple(self._exchanges):
             exchange.on_stop_planned()
-        end_by = stop.answer_by + self._context.settings.deadline_grace_s
-
-        def check_drained() -> None:
-            now = boot_time()
-            if now < end_by and not self._has_drained(now, stop):
-                delay_s = min(DRAIN_CHECK_INTERVAL_S, end_by - now)
-                self._loop.call_later(delay_s, check_drained)
-                return
-            counts = self._caller_server.connection_counts()
-            self._log.info(
-                "drained",
-                requests=len(self._exchanges),
-                left_s=stop.exit_by - now,
-                idle=counts["idle"],
-                reading=counts["reading"],
-                sending=counts["sending"],
-            )
-            for exchange in tuple(self._exchanges):
-                exchange.stop()
-            self._caller_server.finish(
-                stop.close_by, lambda: self._finish_status(stop, done)
-            )
 
-        check_drained()
+    def _end_stop(self, stop: StopSchedule, done: Callable[[], None]) -> None:
+        """End the remaining requests, and deliver the last answers."""
+        counts = self._caller_server.connection_counts()
+        self._log.info(
+            "drained",
+            requests=len(self._exchanges),
+            left_s=stop.exit_by - boot_time(),
+            idle=counts["idle"],
+            reading=counts["reading"],
+            sending=counts["sending"],
+        )
+        for exchange in tuple(self._exchanges):
+            exchange.stop()
+        self._caller_server.finish(
+            stop.close_by, lambda: self._finish_status(stop, done)
+        )
 
     def _finish_status(self, stop: StopSchedule, done: Callable[[], None]) -> None:
         """Deliver the last answers about readiness and addresses."""
