entry: judge silence only in a stop, and refuse late requests before they are charged

The five new tests failed before. Requests under way when a stop begins get the shorter failover time at once (no test).

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -130,7 +130,7 @@
             target.limit.take(self._sent_at)
         target.ejection.on_sent(self._sent_at, self._attempt_id)
         self._connection.send(request, self)
-        self._check_overdue()
+        self.check_overdue()
 
     def pause(self) -> None:
         """Stop reading the response while the caller is congested (backpressure)."""
@@ -152,9 +152,8 @@
         """
         if self._has_ended:
             return
-        if is_overdue:
-            self._target.left_silent_at = boot_time()
         if is_overdue and self._head is None:
+            self._record_silence(boot_time())
             self._target.ejection.on_failure(boot_time(), self._attempt_id)
             self._target.note_outcome(has_failed=True)
         else:
@@ -165,12 +164,12 @@
         self._release_target()
         self._connection.close()
 
-    def _check_overdue(self) -> None:
+    def check_overdue(self) -> None:
         """End the attempt of a repeatable request if its response is overdue."""
         if self._has_ended or not self._routed.route.is_retryable:
             return
         if self._migration is not None:
-            self._context.loop.call_later(MIGRATION_RETRY_S, self._check_overdue)
+            self._context.loop.call_later(MIGRATION_RETRY_S, self.check_overdue)
             return
         route, now = self._routed.route, boot_time()
         pending = PendingAnswer(
@@ -186,16 +185,22 @@
         )
         if now < due_at or not route.target_latency_s:
             delay_s = max(0.05, due_at - now)
-            self._context.loop.call_later(delay_s, self._check_overdue)
+            self._context.loop.call_later(delay_s, self.check_overdue)
         elif self._owner.can_retry_elsewhere():
             waited_s = now - (self._last_event_at or self._sent_at)
+            self._record_silence(now)
             self.cancel(is_overdue=True)
             self._report_end(
                 AttemptEnd.BROKEN, f"no data from the target for {waited_s:.2f} s"
             )
         elif self._context.stop is not None:
             # Another target may get room before the router stops and cuts the answer.
-            self._context.loop.call_later(RETRY_CHECK_S, self._check_overdue)
+            self._context.loop.call_later(RETRY_CHECK_S, self.check_overdue)
+
+    def _record_silence(self, now: float) -> None:
+        """Record that the target is left, unless it answers other requests."""
+        if self._target.heard_at <= max(self._sent_at, self._last_event_at):
+            self._target.left_silent_at = now
 
     # Events of the client connection.
 
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -111,6 +111,9 @@
     def start(self) -> None:
         """Charge the request to its organisation's rate limit, and then send it."""
         self._time_limit.start()
+        # Nothing is refunded, so a request that is refused must not be charged.
+        if self._context.stop is not None and self._refuse_if_too_late():
+            return
         organisation = self._routed.organisation
         if not is_limited(organisation):
             self._on_charge(Charge.CHARGED, 0.0)
@@ -123,8 +126,11 @@
 
     def on_stop_planned(self) -> None:
         """Shorten the time limit of the request to the time that the router has."""
-        if not self._has_ended:
-            self._time_limit.start()
+        if self._has_ended:
+            return
+        self._time_limit.start()
+        if self._attempt is not None:
+            self._attempt.check_overdue()
 
     def stop(self) -> None:
         """Answer the request at once, because the process is stopping."""
@@ -183,7 +189,7 @@
                 self._give_up(Reason.DEADLINE, detail)
             return
         inputs = make_choice_inputs(
-            self._context, self._routed, self._service, self._tried_targets
+            self._context, self._routed, self._service, self._excluded_targets()
         )
         choice = choose(self._context.targets.of(self._service.name), inputs)
         if self._context.target_limits.request_tokens(inputs.now, self._service.name):
@@ -206,7 +212,33 @@
         self._tried_targets.add(choice.target.target_id)
         self._send_to(inputs, choice)
 
+    def _excluded_targets(self) -> set[str]:
+        """Return the identities of the targets that must not be chosen.
+
+        A stopping router has no time to try targets that it left for their silence, if
+        there are others.
+        """
+        if self._context.stop is None:
+            return self._tried_targets
+        targets = self._context.targets.of(self._service.name)
+        silent = {target.target_id for target in targets if target.was_left_silent}
+        excluded = self._tried_targets | silent
+        has_other = any(target.target_id not in excluded for target in targets)
+        return excluded if has_other else self._tried_targets
+
+    def _refuse_if_too_late(self) -> bool:
+        """Refuse a request that was not sent yet if its answer may be cut."""
+        choice = self._choose_other_target()
+        if choice is None or self._has_time_for(choice):
+            return False
+        longest_s = longest_answer_s(self._context, self._routed, choice)
+        self._give_up_stopping(f"the answer may take {longest_s:.2f} s")
+        return True
+
     def _has_time_for(self, choice: Choice) -> bool:
+        """Whether the answer of a target will end before this router stops."""
+        if self._context.stop is None:
+            return True
         # A stream that has begun needs time only for its rest, which has no estimate,
         # and is cut without another run.
         if self._reply.last_event is not None:
@@ -374,7 +406,8 @@
         may_repeat = route.is_retryable and self._progress.runs < route.max_attempts
         if is_failure and may_repeat:
             choice = self._choose_other_target()
-            if self._remaining_s > MIN_SEND_TIME_S and choice is not None:
+            has_time = choice is not None and self._has_time_for(choice)
+            if self._remaining_s > MIN_SEND_TIME_S and has_time:
                 if self._context.budget(self._service.name).spend(boot_time()):
                     self._record_retry(result, f"status {status}")
                     self._choose_and_send()
@@ -399,7 +432,7 @@
 
     def _choose_other_target(self) -> Choice | None:
         inputs = make_choice_inputs(
-            self._context, self._routed, self._service, self._tried_targets
+            self._context, self._routed, self._service, self._excluded_targets()
         )
         return choose(self._context.targets.of(self._service.name), inputs)
 
--- a/tests/test_entry/test_planned_stop.py
+++ b/tests/test_entry/test_planned_stop.py
@@ -4,6 +4,8 @@
 sent again with more time than the router has.
 """
 
+from types import SimpleNamespace
+
 import pytest
 from attrs import evolve
 
@@ -174,7 +176,7 @@
     attempt._sent_at = attempt._last_event_at = boot_time() - 10 * ANSWER_S
     delayed = []
     context.loop.call_later = lambda delay_s, call: delayed.append(call)
-    attempt._check_overdue()
+    attempt.check_overdue()
     assert len(delayed) == 1 and not attempt._has_ended
     exchange._tried_targets.remove("f")
     delayed.pop()()
@@ -194,6 +196,54 @@
     assert not exchange.can_retry_elsewhere()
 
 
+def test_router_that_serves_resumes_a_stream_at_a_target_that_was_left_silent(context):
+    exchange, _, _ = make_exchange(context)
+    exchange._tried_targets.clear()
+    exchange.on_stream_begin(200, Headers())
+    exchange.on_event(b"id: 1\ndata: piece 1\n\n", 1)
+    context.targets.get("e").left_silent_at = boot_time()
+    assert exchange.can_retry_elsewhere()
+
+
+def test_target_of_a_stream_that_its_caller_left_does_not_count_as_silent(context):
+    exchange, connection, _ = make_exchange(context, received_at=boot_time() - 4)
+    attempt, target = exchange._attempt, context.targets.get("e")
+    attempt._head = object()
+    attempt._last_event_at = target.heard_at = boot_time()
+    connection.on_disconnected()
+    assert not target.was_left_silent
+
+
+def test_late_request_goes_to_another_target_than_one_left_silent(context, stop_with):
+    context.targets.get("e").left_silent_at = boot_time()
+    add_target(context, "f")
+    stop_with(5 * ANSWER_S)
+    make_exchange(context)
+    assert context.targets.get("f").in_flight == 1
+
+
+def test_request_refused_for_lack_of_time_is_not_charged(context, stop_with):
+    alpha = Organisation("alpha", ("k",), 0, 50_000, 100_000, True, 200)
+    charged = []
+    context.gate = SimpleNamespace(charge=lambda *charge: charged.append(charge))
+    stop_with(ANSWER_S)
+    _, connection, _ = make_exchange(context, organisation=alpha)
+    assert check_refusal(context, connection, "stopping") == 0.0
+    assert charged == []
+
+
+def test_failure_of_a_target_is_passed_on_without_time_for_another(context, stop_with):
+    exchange, connection, _ = make_exchange(context)
+    add_target(context, "f")
+    stop_with(0.5 * ANSWER_S)
+    target = context.targets.get("e")
+    exchange.on_attempt_end(
+        AttemptResult(target, AttemptEnd.ANSWERED, "", 500, Headers(), b"failed")
+    )
+    status, _, body = connection.answers[0]
+    assert (status, body) == (500, b"failed")
+
+
 def test_planned_stop_shortens_the_time_of_running_requests(context, stop_with):
     exchange, connection, _ = make_exchange(context)
     assert exchange._remaining_s > 3.0
