--- /dev/null
+++ b/tests/test_entry/test_late_targets.py
@@ -0,0 +1,91 @@
+"""Targets that a router takes for failed, without a network.
+
+The tests guard against requests that are refused while targets would serve them, and
+against requests that are sent to targets which show no sign of life.
+"""
+
+import pytest
+
+from berylnotch.group.messages import TargetEntry
+from berylnotch.membership.listing import ListedTarget
+from berylnotch.net.client import Failure
+from berylnotch.util.clock import boot_time
+from tests.test_entry.support import make_exchange
+
+
+@pytest.fixture
+def desks(context):
+    """Return a function that lists plain targets and returns them."""
+
+    def list_desks(count):
+        names = [f"desk-{number}" for number in range(count)]
+        context.targets.update(
+            [
+                TargetEntry(ListedTarget(name, "desk", "127.0.0.1:9", "north", 8))
+                for name in names
+            ]
+        )
+        return [context.targets.get(name) for name in names]
+
+    return list_desks
+
+
+def send_to(context, target, path="/read/x"):
+    """Send a request to a target while all others are unusable."""
+    others = [other for other in context.targets.all() if other is not target]
+    for other in others:
+        other.is_leaving = True
+    exchange, _, _ = make_exchange(context, target=path)
+    for other in others:
+        other.is_leaving = False
+    return exchange
+
+
+def eject_for_late_answers(context, target):
+    for exchange in [send_to(context, target) for _ in range(2)]:
+        exchange._attempt.cancel(is_overdue=True)
+    assert target.ejection.is_blocked(boot_time())
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/book/x"])
+def test_late_answers_of_all_targets_refuse_no_request(context, desks, path):
+    targets = desks(2)
+    for target in targets:
+        eject_for_late_answers(context, target)
+        target.heard_at = boot_time()
+    _, connection, _ = make_exchange(context, target=path)
+    assert connection.answers == []
+    assert sum(target.in_flight for target in targets) == 1
+
+
+def test_late_target_gets_no_request_while_another_is_usable(context, desks):
+    late, other = desks(2)
+    eject_for_late_answers(context, late)
+    late.heard_at = boot_time()
+    for _ in range(5):
+        make_exchange(context, target="/read/x")
+    assert (late.in_flight, other.in_flight) == (0, 5)
+
+
+def test_overdue_request_stays_where_it_is_if_all_others_are_late(context, desks):
+    late, other = desks(2)
+    eject_for_late_answers(context, late)
+    late.heard_at = boot_time()
+    exchange = send_to(context, other)
+    assert not exchange.can_retry_elsewhere()
+
+
+def test_request_is_refused_while_all_targets_are_silent(context, desks):
+    (target,) = desks(1)
+    eject_for_late_answers(context, target)
+    _, connection, _ = make_exchange(context, target="/read/x")
+    assert connection.answers[0][0] == 503 and target.in_flight == 0
+
+
+def test_request_is_refused_while_all_targets_break_their_connections(context, desks):
+    (target,) = desks(1)
+    for exchange in [send_to(context, target) for _ in range(2)]:
+        exchange._attempt.on_failure(Failure.BROKEN, "reset by the peer")
+    target.heard_at = boot_time()
+    _, connection, _ = make_exchange(context, target="/read/x")
+    assert connection.answers[0][0] == 503 and target.in_flight == 0
