entry: log when a target is ejected and readmitted

A router that ejects a target had no line for it, so a refusal for lack of a usable target could not be traced to its cause.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -154,8 +154,7 @@
             return
         if is_overdue and self._head is None:
             self._record_silence(boot_time())
-            self._target.ejection.on_failure(boot_time(), self._attempt_id)
-            self._target.note_outcome(has_failed=True)
+            self._record_failure(boot_time())
         else:
             self._target.ejection.on_abandoned(self._attempt_id)
         self._count_result("overdue" if is_overdue else "cancelled")
@@ -202,6 +201,36 @@
         if self._target.heard_at <= max(self._sent_at, self._last_event_at):
             self._target.left_silent_at = now
 
+    def _record_failure(self, now: float) -> None:
+        """Count a failure of the target, and log it if the target is ejected for it."""
+        target, ejection = self._target, self._target.ejection
+        previous_ejection_at = ejection.ejected_at
+        ejection.on_failure(now, self._attempt_id)
+        target.note_outcome(has_failed=True)
+        if ejection.ejected_at != previous_ejection_at:
+            self._context.log.warning(
+                "target_ejected",
+                target=target.target_id,
+                id=self._routed.caller.request_id,
+                failures=ejection.failures,
+                duration_s=ejection.duration_s,
+                heard_age_s=now - target.heard_at if target.heard_at else None,
+                load=target.load,
+            )
+
+    def _record_success(self) -> None:
+        """Count a success of the target, and log it if that ends its ejection."""
+        ejection = self._target.ejection
+        was_ejected = ejection.is_ejected
+        ejection.on_success(self._attempt_id, self._sent_at)
+        if was_ejected and not ejection.is_ejected:
+            self._context.log.info(
+                "target_readmitted",
+                target=self._target.target_id,
+                id=self._routed.caller.request_id,
+                after_s=boot_time() - ejection.ejected_at,
+            )
+
     # Events of the client connection.
 
     def on_head(self, head: ResponseHead) -> bool:
@@ -308,7 +337,7 @@
             )
             return
         if status < 500:
-            target.ejection.on_success(self._attempt_id, self._sent_at)
+            self._record_success()
         else:
             target.ejection.on_abandoned(self._attempt_id)
         target.note_outcome(status >= 500, boot_time() - self._sent_at)
@@ -333,8 +362,7 @@
             return
         self._release_target()
         target, now = self._target, boot_time()
-        target.ejection.on_failure(now, self._attempt_id)
-        target.note_outcome(has_failed=True)
+        self._record_failure(now)
         if failure is Failure.NOT_SENT:
             # No process listens at the target's address any more, and the target's
             # prefix cache is lost.
@@ -382,7 +410,7 @@
     ) -> None:
         migration, self._migration = self._migration, None
         if stopped_run is not None:
-            self._target.ejection.on_success(self._attempt_id, self._sent_at)
+            self._record_success()
             self._release_target()
             self._connection.close()
             self._report_end(AttemptEnd.MOVED, "", stopped_run=stopped_run)
@@ -409,7 +437,7 @@
         self._report_end(AttemptEnd.NOT_RUN, f"refused with {status}")
 
     def _on_stream_complete(self) -> None:
-        self._target.ejection.on_success(self._attempt_id, self._sent_at)
+        self._record_success()
         self._target.note_outcome(has_failed=False)
         self._owner.on_stream_begin(200, forwarded_headers(self._head))
         if self._splitter.tail:
--- a/tests/test_entry/test_late_targets.py
+++ b/tests/test_entry/test_late_targets.py
@@ -89,3 +89,16 @@
     target.heard_at = boot_time()
     _, connection, _ = make_exchange(context, target="/read/x")
     assert connection.answers[0][0] == 503 and target.in_flight == 0
+
+
+def test_ejection_and_its_end_are_logged(context, desks):
+    (target,) = desks(1)
+    eject_for_late_answers(context, target)
+    target.ejection.probe_allowed_at = boot_time()
+    probe = send_to(context, target)
+    probe._attempt._record_success()
+    events = [e for e in context.log.events if e[1].get("target") == target.target_id]
+    names = [name for name, _ in events if name != "sent"]
+    assert names == ["target_ejected", "target_readmitted"]
+    (fields,) = [f for name, f in events if name == "target_ejected"]
+    assert fields["failures"] == 2 and fields["heard_age_s"] is None
