entry: send requests to slow targets if no other target can serve them

Cause: repeats for lack of an answer count as failures of the target, two in a row eject it, and the probe of an ejected target is as slow. Targets that are slow all together are ejected all together, although they answer.

Ruled out: targets that left the list, suspects of the leader, refusals and back-off of targets: no line of these.

Change: a target that was ejected for late answers only and goes on answering serves what no other target can serve. An overdue request stays where it is instead of going to such a target.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -154,7 +154,7 @@
             return
         if is_overdue and self._head is None:
             self._record_silence(boot_time())
-            self._record_failure(boot_time())
+            self._record_failure(boot_time(), is_late=True)
         else:
             self._target.ejection.on_abandoned(self._attempt_id)
         self._count_result("overdue" if is_overdue else "cancelled")
@@ -201,11 +201,11 @@
         if self._target.heard_at <= max(self._sent_at, self._last_event_at):
             self._target.left_silent_at = now
 
-    def _record_failure(self, now: float) -> None:
+    def _record_failure(self, now: float, is_late: bool) -> None:
         """Count a failure of the target, and log it if the target is ejected for it."""
         target, ejection = self._target, self._target.ejection
         previous_ejection_at = ejection.ejected_at
-        ejection.on_failure(now, self._attempt_id)
+        ejection.on_failure(now, self._attempt_id, is_late)
         target.note_outcome(has_failed=True)
         if ejection.ejected_at != previous_ejection_at:
             self._context.log.warning(
@@ -213,6 +213,7 @@
                 target=target.target_id,
                 id=self._routed.caller.request_id,
                 failures=ejection.failures,
+                is_late_only=ejection.is_for_late_answers,
                 duration_s=ejection.duration_s,
                 heard_age_s=now - target.heard_at if target.heard_at else None,
                 load=target.load,
@@ -336,6 +337,7 @@
                 f"status {status} without the header for requests that did not run",
             )
             return
+        target.heard_at = boot_time()
         if status < 500:
             self._record_success()
         else:
@@ -362,7 +364,7 @@
             return
         self._release_target()
         target, now = self._target, boot_time()
-        self._record_failure(now)
+        self._record_failure(now, is_late=False)
         if failure is Failure.NOT_SENT:
             # No process listens at the target's address any more, and the target's
             # prefix cache is lost.
--- a/berylnotch/entry/candidates.py
+++ b/berylnotch/entry/candidates.py
@@ -132,6 +132,13 @@
 def usable_targets(targets: Collection[Target], inputs: ChoiceInputs) -> list[Target]:
     """Return the targets that can serve a request, fallbacks if there are no others."""
     usable = [t for t in targets if _can_serve(t, inputs)]
+    if not usable:
+        # If all targets are slow at once, a late answer is better than a refusal.
+        return [
+            t
+            for t in targets
+            if t.is_usable_if_slow(inputs.now) and is_suitable(t, inputs)
+        ]
     return [t for t in usable if not _is_fallback(t, inputs)] or usable
 
 
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -327,7 +327,10 @@
         if not (has_attempts and has_budget and has_time):
             return False
         choice = self._choose_other_target()
-        return choice is not None and self._has_time_for(choice)
+        if choice is None or choice.target.ejection.is_blocked(boot_time()):
+            # The answer of an ejected target would be late as well.
+            return False
+        return self._has_time_for(choice)
 
     def choose_destination(self, full_engines: Collection[str]) -> Target | None:
         """Return the engine to which the run should migrate, None if the run stays."""
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -177,11 +177,20 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether the target may get a new request."""
+        return self._accepts_requests(now) and not self.ejection.is_blocked(now)
+
+    def is_usable_if_slow(self, now: float) -> bool:
+        """Return whether the target may get a request that no other target can serve.
+
+        Its answers are late, but it goes on sending answers.
+        """
+        is_slow = self.ejection.is_for_late_answers and not self.was_left_silent
+        return is_slow and self._accepts_requests(now)
+
+    def _accepts_requests(self, now: float) -> bool:
         if self.is_leaving or self.is_loading or now < self.refused_until:
             return False
-        if self.limit is not None and not self.limit.has_room(now):
-            return False
-        return not self.ejection.is_blocked(now)
+        return self.limit is None or self.limit.has_room(now)
 
 
 class TargetTable:
--- a/berylnotch/membership/ejection.py
+++ b/berylnotch/membership/ejection.py
@@ -32,6 +32,8 @@
         Length of the latest ejection in seconds, 0 if the target is not ejected.
     probe_number : int
         Number of the request that probes the target, 0 if none does.
+    has_broken : bool
+        Whether one of the consecutive failures was not only a late answer.
     """
 
     settings: MembershipSettings
@@ -40,12 +42,18 @@
     probe_allowed_at: float = 0.0
     duration_s: float = 0.0
     probe_number: int = 0
+    has_broken: bool = False
 
     @property
     def is_ejected(self) -> bool:
         """Whether the target was ejected and no probe has succeeded since."""
         return self.duration_s > 0.0
 
+    @property
+    def is_for_late_answers(self) -> bool:
+        """Whether the target is ejected only because its answers were late."""
+        return self.is_ejected and not self.has_broken
+
     def is_blocked(self, now: float) -> bool:
         """Tell whether the target must not get a request now."""
         return self.is_ejected and (
@@ -66,9 +74,22 @@
             return
         self.clear()
 
-    def on_failure(self, now: float, request_number: int) -> None:
-        """Count a failure; eject the target at the limit or after a failed probe."""
+    def on_failure(
+        self, now: float, request_number: int, is_late: bool = False
+    ) -> None:
+        """Count a failure; eject the target at the limit or after a failed probe.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        request_number : int
+            Number of the failed request.
+        is_late : bool, default=False
+            Whether the answer was late, and did not fail in another way.
+        """
         self.failures += 1
+        self.has_broken |= not is_late
         is_probe = self.probe_number == request_number
         if is_probe:
             self.probe_number = 0
@@ -92,3 +113,4 @@
         self.failures = 0
         self.duration_s = 0.0
         self.probe_number = 0
+        self.has_broken = False
--- a/tests/test_entry/test_late_targets.py
+++ b/tests/test_entry/test_late_targets.py
@@ -8,7 +8,8 @@
 
 from berylnotch.group.messages import TargetEntry
 from berylnotch.membership.listing import ListedTarget
-from berylnotch.net.client import Failure
+from berylnotch.net.client import Failure, ResponseHead
+from berylnotch.net.messages import Headers
 from berylnotch.util.clock import boot_time
 from tests.test_entry.support import make_exchange
 
@@ -58,6 +59,19 @@
     assert sum(target.in_flight for target in targets) == 1
 
 
+def test_answers_without_a_body_show_that_a_target_is_alive(context, desks):
+    (target,) = desks(1)
+    answered = send_to(context, target)._attempt
+    eject_for_late_answers(context, target)
+    head = Headers(
+        (("Berylnotch-Request-Id", "id-1"), ("Berylnotch-Server-Stamp", "s"))
+    )
+    answered.on_head(ResponseHead(200, head, is_delimited=True))
+    answered.on_complete()
+    _, connection, _ = make_exchange(context, target="/read/x")
+    assert connection.answers == []
+
+
 def test_late_target_gets_no_request_while_another_is_usable(context, desks):
     late, other = desks(2)
     eject_for_late_answers(context, late)
