tests: reserve the addresses of a fleet while it runs

Cause: the subnet of a fleet followed from the process id and the address of an object in memory, modulo 200. Two fleets at a time, of one process (the soak's pairs) or of two, could get the same subnet and overlapping ports. Base ports reached 40,000, into the range from which the system takes the ports of outgoing connections (32,768 to 60,999), so that a restarted process could find its port in use.

Evidence: by reading; no failure was traced to it. It has to be excluded before several worker processes run the tests.

Change: a fleet binds a socket in its subnet until it is closed; a search that meets a bound subnet goes on with the next. Base ports stay below 32,700.

Ruled out: fixed numbers for each worker, as other test runs and soaks use the machine at the same time. LocalFleet still takes ports from the system on 127.0.0.1 and listens on them again after a restart; another process could take such a port in between.

--- a/tests/fleet/processes.py
+++ b/tests/fleet/processes.py
@@ -23,6 +23,16 @@
 
 KEY = "key-of-alpha"
 
+#: Second octets of the subnets 127.N.0.0/16 that fleets use.
+_SUBNETS = range(20, 220)
+
+#: Port of the socket that reserves a subnet. No fleet listens on it.
+_RESERVATION_PORT = 19999
+
+#: Range of the base ports of fleets. The system gives ports from 32768 on to outgoing
+#: connections, which would keep a restarted process from listening again.
+_BASE_PORTS = range(20000, 32700)
+
 _SETTINGS_TEMPLATE = """[process]
 name = {name}
 ip = {ip}
@@ -186,6 +196,31 @@
     return fields
 
 
+def _reserve_subnet(first: int) -> tuple[int, socket.socket]:
+    """Reserve a subnet for one of the fleets that run on the machine at a time.
+
+    Parameters
+    ----------
+    first : int
+        Position at which the search starts, taken modulo the number of subnets.
+
+    Returns
+    -------
+    tuple of int and socket
+        Second octet of the subnet, and the socket that reserves it until it is closed.
+    """
+    for offset in range(len(_SUBNETS)):
+        subnet = _SUBNETS[(first + offset) % len(_SUBNETS)]
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"127.{subnet}.255.254", _RESERVATION_PORT))
+        except OSError:
+            reservation.close()
+        else:
+            return subnet, reservation
+    raise OSError(f"all {len(_SUBNETS)} subnets of fleets are in use")
+
+
 class Answer:
     """HTTP answer to a caller or an operator."""
 
@@ -205,12 +240,11 @@
     base_port: int = 0
     #: Whether links to each controller pass through a proxy.
     has_link_proxies: bool = False
+    _reservation: socket.socket | None = field(default=None, init=False)
 
     def start(self, controllers: int = 3, routers: int = 2) -> None:
-        # Addresses and ports depend on the process id, so that concurrent test runs do
-        # not share any.
-        subnet = (os.getpid() * 7 + id(self)) % 200 + 20
-        self.base_port = 20000 + (os.getpid() * 31) % 20000
+        subnet, self._reservation = _reserve_subnet(os.getpid() * 7 + id(self))
+        self.base_port = _BASE_PORTS[os.getpid() * 31 % len(_BASE_PORTS)]
         ips = [f"127.{subnet}.0.{number + 1}" for number in range(250)]
         for number in range(controllers):
             self.controllers.append(
@@ -265,6 +299,8 @@
         for process in (*self.controllers, *self.routers):
             if process.process is not None and process.process.poll() is None:
                 process.kill()
+        if self._reservation is not None:
+            self._reservation.close()
 
     def operator(self, method: str, path: str, body: bytes = b"") -> Answer | None:
         """Make an operator's call to any controller, and follow a redirect."""
