--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,12 +6,43 @@
 
 import pytest
 from hypothesis import settings
+from xdist.scheduler import LoadScopeScheduling
 
 settings.register_profile("ci", derandomize=True, deadline=None)
 settings.load_profile("ci")
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
+#: Modules that judge answers by the time left in a stop. They run one after another in
+#: one worker process: their callers and processes would delay those of each other.
+TIMED_MODULES = frozenset(
+    f"tests/test_daemon/{name}.py"
+    for name in (
+        "test_keys_and_stops",
+        "test_late_requests",
+        "test_planned_stops",
+        "test_planned_stops_daemon",
+        "test_planned_work",
+    )
+)
+
+#: Modules whose tests take long together and share no fixture.
+LONG_MODULES = frozenset(
+    f"tests/{name}.py"
+    for name in (
+        "test_daemon/test_controllers",
+        "test_daemon/test_crashing_parts",
+        "test_daemon/test_fleet",
+        "test_daemon/test_fleet_logs",
+        "test_daemon/test_fleet_moves",
+        "test_daemon/test_full_disks",
+        "test_daemon/test_losses",
+        "test_daemon/test_orders",
+        "test_daemon/test_target_limits",
+        "test_soak",
+    )
+)
+
 
 def read_known_failures():
     """Return the known failures: the details of each entry by node id.
@@ -34,6 +65,23 @@
             )
 
 
+class _ModuleScheduling(LoadScopeScheduling):
+    """Gives a worker process the timed modules, another module, or a long test."""
+
+    def _split_scope(self, nodeid):
+        module = nodeid.partition("::")[0]
+        if module in TIMED_MODULES:
+            return "timed modules"
+        return nodeid if module in LONG_MODULES else module
+
+
+def pytest_xdist_make_scheduler(config, log):
+    """Return the scheduler of the tests for ``--dist loadscope``."""
+    if config.getvalue("dist") == "loadscope":
+        return _ModuleScheduling(config, log)
+    return None
+
+
 def pytest_terminal_summary(terminalreporter):
     """Print the outcome of each known failure."""
     known_failures = read_known_failures()
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,91 @@
+"""Known failures are printed once each, also if several processes run the tests.
+
+Reports then come from other processes than the one that prints them.
+"""
+
+import re
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+CONFTEST = Path(__file__).parent / "conftest.py"
+
+TESTS = """
+import os
+
+import pytest
+
+
+@pytest.fixture(scope="module")
+def shared():
+    return os.getpid()
+
+
+def test_listed_alone():
+    assert False
+
+
+@pytest.mark.parametrize("part", range(20))
+def test_shared(shared, part):
+    print("shared in", shared)
+    assert part != 3
+
+
+def test_passes():
+    pass
+"""
+
+LIST = """# Known failures
+tests/test_some.py::test_listed_alone | command | seen alone | 1
+tests/test_some.py::test_shared[3] | command | seen shared | 2
+tests/test_some.py::test_passes | command | seen once | 3
+"""
+
+
+@pytest.fixture
+def run_tests(tmp_path):
+    """Run the tests above with the settings of this folder; return the output."""
+
+    def run(*options, listed=LIST):
+        folder = tmp_path / "tests"
+        folder.mkdir()
+        shutil.copy(CONFTEST, folder)
+        (folder / "test_some.py").write_text(TESTS)
+        (tmp_path / "KNOWN-RED.txt").write_text(listed)
+        (tmp_path / "pytest.ini").write_text("[pytest]\n")
+        command = [sys.executable, "-m", "pytest", "-rP", *options, "tests"]
+        return subprocess.run(command, cwd=tmp_path, capture_output=True, text=True)
+
+    return run
+
+
+OPTIONS = [["-n", "0"], ["-n", "3", "--dist", "loadscope", "--no-loadscope-reorder"]]
+
+
+@pytest.mark.parametrize("options", OPTIONS, ids=["one process", "three processes"])
+def test_known_failures_are_printed_once_and_do_not_fail_the_run(run_tests, options):
+    done = run_tests(*options)
+    printed = re.findall("^known red .*$", done.stdout, re.MULTILINE)
+    assert sorted(printed) == [
+        "known red xfailed: tests/test_some.py::test_listed_alone: "
+        "command | seen alone | 1",
+        "known red xfailed: tests/test_some.py::test_shared[3]: "
+        "command | seen shared | 2",
+        "known red xpassed: tests/test_some.py::test_passes: command | seen once | 3",
+    ]
+    assert done.returncode == 0
+
+
+@pytest.mark.parametrize("options", OPTIONS, ids=["one process", "three processes"])
+def test_a_failure_that_is_not_listed_fails_the_run(run_tests, options):
+    done = run_tests(*options, listed="".join(LIST.splitlines(keepends=True)[:2]))
+    assert "1 failed, 20 passed, 1 xfailed" in done.stdout
+    assert done.returncode == 1
+
+
+def test_tests_that_share_a_fixture_run_in_one_process(run_tests):
+    done = run_tests(*OPTIONS[1])
+    assert len(set(re.findall(r"shared in (\d+)", done.stdout))) == 1
