loop: handle input that came during a suspension before late timers

Callers saw: after a router was suspended for 1.5 s, requests whose answers had come meanwhile were sent again, and sound targets were ejected; the router gave up its leader as silent as well, and then refused requests for lack of tokens.

Cause: a suspension interrupts the wait for sockets, which then returns without events once its time is over, so the timers that were due ran before any input was read. The same holds for input that comes while a long call runs. All time limits of the loop were affected: overdue answers, links, elections, deadlines.

Ruled out: late targets (their answers took 0.3 s), the leader (other routers kept it).

Change: before timers run, the loop looks for input again if its newest look is over 0.05 s old or was cut short, at most twice.

--- a/berylnotch/util/loop.py
+++ b/berylnotch/util/loop.py
@@ -19,6 +19,15 @@
 #: until the events of hundreds of streams are handled.
 _MAX_EVENTS_BETWEEN_CALLS = 8
 
+#: Age in seconds of the newest look for input from which the loop looks again before
+#: it runs timers: more than handling the input usually takes, and less than any time
+#: limit.
+_MAX_INPUT_AGE_S = 0.05
+
+#: Maximum number of further looks for input before the timers run, so that a loop with
+#: more input than it can handle still runs timers.
+_MAX_FURTHER_LOOKS = 2
+
 
 class Timer:
     """A call scheduled for a time; `cancel` turns it into a no-op."""
@@ -156,13 +165,29 @@
             self._selector.modify(sock, events, call)
 
     def _run_once(self) -> None:
-        ready = self._selector.select(self._wait_s())
+        looked_at = self._handle_input(self._wait_s())
+        for _ in range(_MAX_FURTHER_LOOKS):
+            now = time.monotonic()
+            is_timer_due = bool(self._timers) and self._timers[0][0] <= now
+            if not is_timer_due or now - looked_at < _MAX_INPUT_AGE_S:
+                break
+            # The process was suspended or busy. What arrived meanwhile comes first,
+            # since a timer may act on the lack of it.
+            looked_at = self._handle_input(0.0)
+        self._run_timers()
+        self._run_calls()
+
+    def _handle_input(self, wait_s: float) -> float:
+        """Wait for socket events and handle them; return the time up to which."""
+        began_at = time.monotonic()
+        ready = self._selector.select(wait_s)
+        # A suspension ends the wait without looking for events again.
+        looked_at = min(time.monotonic(), began_at + wait_s)
         for position, (key, events) in enumerate(ready, start=1):
             self._call_safely(lambda key=key, events=events: key.data(events))
             if position % _MAX_EVENTS_BETWEEN_CALLS == 0:
                 self._run_calls()
-        self._run_timers()
-        self._run_calls()
+        return looked_at
 
     def _run_calls(self) -> None:
         for _ in range(len(self._calls)):
