fleet: return to the leader at once after a suspension of the router

Callers saw: after each suspension of a router for over 0.9 s, requests were refused for lack of tokens (no-grant) for 0.9 to 2.5 s each time.

Cause: the leader closes the link of a router that is silent for 0.9 s. The router took the end of the link for the loss of its leader, tried it after all other controllers for 3 s, and ignored the redirects of these to it.

Ruled out: a change of leader.

Change: if this process has not run for a while just before, it opens the link to the same leader again. A leader that is gone as well is found as before after one failed attempt.

--- a/berylnotch/daemon/fleet/follower.py
+++ b/berylnotch/daemon/fleet/follower.py
@@ -54,6 +54,8 @@
         Time-outs of the link.
     on_found : callable, optional
         Called when the controller at the link has answered as leader.
+    was_suspended : callable, optional
+        Returns whether this process may have lost contact because it did not run.
     """
 
     def __init__(
@@ -65,11 +67,13 @@
         log: EventLog,
         settings: LinkSettings,
         on_found: Callable[[], None] = lambda: None,
+        was_suspended: Callable[[], bool] = lambda: False,
     ) -> None:
         self._loop = loop
         self._seeds = seeds
         self._on_open = on_open
         self._on_found = on_found
+        self._was_suspended = was_suspended
         self._on_message = on_message
         self._log = log
         self._settings = settings
@@ -168,7 +172,11 @@
         if link is not self._link:
             return
         self._link = None
-        if reason != NOT_LEADER:
+        is_own_fault = self._has_leader and reason != STOPPING and self._was_suspended()
+        if is_own_fault:
+            # The leader has closed the link of a silent router, and still leads.
+            self._redirect_address = link.peer
+        elif reason != NOT_LEADER:
             self._back_off(link.peer, reason)
         if self._has_leader:
             self._log.warning("leader_lost", at=link.peer, reason=reason)
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -154,6 +154,7 @@
             log,
             LinkSettings(),
             self._on_leader_found,
+            lambda: self._suspension_watch.was_suspended(boot_time()),
         )
         self._reports = LeaderReports(
             self._context,
--- a/berylnotch/membership/suspension.py
+++ b/berylnotch/membership/suspension.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 #: Time in seconds without a tick from which the process counts as suspended: several
 #: ticks, more than a busy event loop delays one.
 MIN_GAP_S = 0.3
@@ -14,6 +16,10 @@
 #: It covers the delivery of the signal and the calls that run first.
 DELIVERY_S = 0.1
 
+#: Seconds after a gap in which the end of a connection may be due to the gap: the peer
+#: closed the silent connection, and this process notices when it sends again.
+AFTERMATH_S = 1.0
+
 
 class SuspensionWatch:
     """Times at which this process was seen to run.
@@ -26,7 +32,7 @@
 
     def __init__(self, now: float) -> None:
         self._ticked_at = now
-        self._gap_began_at = self._gap_ended_at = -DELIVERY_S
+        self._gap_began_at = self._gap_ended_at = -math.inf
 
     def tick(self, now: float) -> None:
         """Note that the process runs; call this several times in `MIN_GAP_S`."""
@@ -40,3 +46,8 @@
         if now - self._gap_ended_at < DELIVERY_S:
             return self._gap_began_at
         return now
+
+    def was_suspended(self, now: float) -> bool:
+        """Whether a peer may have lost contact because this process did not run."""
+        self.tick(now)
+        return now - self._gap_ended_at < AFTERMATH_S
--- a/tests/test_daemon/test_fleet_follower.py
+++ b/tests/test_daemon/test_fleet_follower.py
@@ -69,7 +69,7 @@
     return links
 
 
-def start(loop):
+def start(loop, **callbacks):
     link = follower.LeaderLink(
         loop,
         lambda: ADDRESSES,
@@ -77,6 +77,7 @@
         lambda message: None,
         Log(),
         LinkSettings(),
+        **callbacks,
     )
     link.start()
     return link
@@ -106,3 +107,28 @@
     other.receive(Redirect(leader.peer, ADDRESSES))
     loop.run_due_calls()
     assert opened[-1].peer != leader.peer
+
+
+def test_a_router_that_was_suspended_goes_back_to_its_leader_at_once(opened):
+    # The leader closes the link of a router that is silent, and leads on. A router that
+    # took it for lost had no tokens for requests for 3 s.
+    loop = Loop()
+    start(loop, was_suspended=lambda: True)
+    leader = opened[-1]
+    leader.receive(LoadColumns(1, b"", b""))
+    leader.close("closed by the peer")
+    assert [delay_s for delay_s, _ in loop.delayed][-1] == 0.0
+    loop.run_due_calls()
+    assert opened[-1].peer == leader.peer
+
+
+def test_a_router_that_was_suspended_does_not_wait_for_a_leader_that_is_gone(opened):
+    loop = Loop()
+    start(loop, was_suspended=lambda: True)
+    leader = opened[-1]
+    leader.receive(LoadColumns(1, b"", b""))
+    leader.close("closed by the peer")
+    loop.run_due_calls()
+    opened[-1].close("connect failed: refused")
+    loop.run_due_calls()
+    assert opened[-1].peer != leader.peer
--- a/tests/test_membership/test_suspension.py
+++ b/tests/test_membership/test_suspension.py
@@ -1,10 +1,15 @@
-"""Time from which a stop counts after the process was suspended.
+"""What a process concludes from a time in which it did not run.
 
-The test guards against a process that takes its whole time to stop from the end of a
-suspension, and is killed under its callers' requests.
+The first test guards against a process that takes its whole time to stop from the end
+of a suspension, and is killed under its callers' requests; the other one against a
+process that takes its own silence for the silence of others.
 """
 
-from berylnotch.membership.suspension import DELIVERY_S, SuspensionWatch
+from berylnotch.membership.suspension import (
+    AFTERMATH_S,
+    DELIVERY_S,
+    SuspensionWatch,
+)
 
 
 def test_a_signal_during_a_suspension_counts_from_its_begin():
@@ -17,3 +22,16 @@
     watch.tick(12.05)
     later = 12.05 + DELIVERY_S
     assert watch.earliest_sent_at(later) == later
+
+
+def test_lost_contact_is_put_down_to_a_suspension_just_before():
+    watch = SuspensionWatch(10.0)
+    watch.tick(10.05)
+    assert not watch.was_suspended(10.1)
+    # Input is handled before the timer that notes the time.
+    assert watch.was_suspended(12.0)
+    watch.tick(12.05)
+    ended_at = 12.0 + AFTERMATH_S
+    for number in range(1, 20):
+        watch.tick(12.05 + number * AFTERMATH_S / 20)
+    assert not watch.was_suspended(ended_at)
