fleetd: start one stop however many signals come

Operators saw: a router that got SIGTERM many times logged stop_asked twice, so its stop was begun twice (1 of 60 runs of test_further_signals_... at a load of 20 to 25, and once in a run of the unit tests at a load of 30).

Cause: a signal can interrupt the handler of the one before, between the look at whether a stop has begun and the note that it has. Change: the first signal takes a lock, which is one step.

The new test interrupts the handler there: two stops before, one after.

--- a/berylnotch/cmd/fleetd.py
+++ b/berylnotch/cmd/fleetd.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import threading
 from collections.abc import Callable, Sequence
 
 from berylnotch import __version__
@@ -55,7 +56,9 @@
     def __init__(self, loop: Loop, log: EventLog) -> None:
         self._loop = loop
         self._log = log
-        self._signal_at: float | None = None
+        self._signal_at = 0.0
+        #: Held from the first signal on.
+        self._is_stopping = threading.Lock()
         #: Starts the stop; it has to be set before the loop runs.
         self.stop: Stop = lambda signal_at: None
 
@@ -65,10 +68,12 @@
         signal.signal(signal.SIGINT, self._on_signal)
 
     def _on_signal(self, number: int, _frame: object) -> None:
-        if self._signal_at is None:
-            self._signal_at = boot_time()
-            self._log.info("stop_asked", signal=signal.Signals(number).name)
-            self._loop.call_from_signal(self._begin_stop)
+        # Another signal may interrupt this handler between any two steps of it.
+        if not self._is_stopping.acquire(blocking=False):
+            return
+        self._signal_at = boot_time()
+        self._log.info("stop_asked", signal=signal.Signals(number).name)
+        self._loop.call_from_signal(self._begin_stop)
 
     def _begin_stop(self) -> None:
         self.stop(self._signal_at)
--- a/tests/test_cmd/test_fleetd.py
+++ b/tests/test_cmd/test_fleetd.py
@@ -14,6 +14,8 @@
 
 from berylnotch.cmd import fleetd
 from berylnotch.util.clock import boot_time
+from berylnotch.util.loop import Loop
+from tests.test_entry.support import Log
 
 SETTINGS = """[process]
 name = entry-1
@@ -142,6 +144,25 @@
     assert lines.count(b"event=stopped") == 1
 
 
+def test_a_signal_that_interrupts_the_handler_of_the_first_starts_no_second_stop(
+    monkeypatch,
+):
+    loop, stops = Loop("test"), []
+    signals = fleetd.StopSignals(loop, Log())
+    signals.stop = stops.append
+
+    def interrupted_boot_time():
+        monkeypatch.setattr(fleetd, "boot_time", lambda: 1.0)
+        signals._on_signal(signal.SIGTERM, None)
+        return 1.0
+
+    monkeypatch.setattr(fleetd, "boot_time", interrupted_boot_time)
+    signals._on_signal(signal.SIGTERM, None)
+    loop.call_soon(loop.close)
+    loop.run()
+    assert stops == [1.0]
+
+
 def send_until_refused(address, outcomes):
     """Send requests on new connections until the port is closed; count the results."""
     while True:
