router: end the wait of a ready answer for the verification of its key

Callers saw: a request was accepted some ms before the router could not verify keys any more. Its target answered at once, but the answer was held until the deadline 30 s later and the caller was told 504 (deadline).

Cause: while keys cannot be verified, the end of a whole answer is held, and attempts do not start. Nothing but the request's deadline bounded that.

Change: a ready answer, and an attempt that is due, wait for one freshness lease. Then the answer is delivered if the view was confirmed within the last three leases, so that a withdrawn key gets no answer after 6 s by default (lease under which the request was accepted, time until the answer is ready, wait). Streams still pause until their deadline.

Ruled out: delivery at once, since a router that was suspended would answer under a key that was withdrawn meanwhile.

Evidence: test_ready_answer_is_not_held_while_keys_cannot_be_verified has such an answer in each run.

--- a/berylnotch/keys/freshness.py
+++ b/berylnotch/keys/freshness.py
@@ -4,6 +4,11 @@
 
 import math
 
+#: Time after a confirmation during which a ready answer to an accepted request may
+#: still be delivered, in freshness leases: the lease under which the request was
+#: accepted, the time until its answer is ready, and the wait for a confirmation.
+LATE_ANSWER_LEASES = 3
+
 
 class Freshness:
     """Lease during which a copy of the control state may be used.
@@ -45,6 +50,16 @@
             return False
         return now - self._confirmed_at < self._lease_s
 
+    def can_deliver_late(self, now: float) -> bool:
+        """Tell whether the answer to a request that was accepted may be delivered.
+
+        It may also be delivered after the lease has ended, but not later than
+        `LATE_ANSWER_LEASES` leases after the last confirmation.
+        """
+        if self._confirmed_at is None:
+            return False
+        return now - self._confirmed_at < LATE_ANSWER_LEASES * self._lease_s
+
     def age_ms(self, now: float) -> int:
         """Return the copy's age in ms, rounded up, or -1 if it was never confirmed."""
         if self._confirmed_at is None:
--- a/berylnotch/server/engine.py
+++ b/berylnotch/server/engine.py
@@ -215,7 +215,12 @@
         self._start(job)
 
     def _start(self, job: Job) -> None:
-        settings = self._context.settings.exchange
+        # An answer waits for a confirmation of the view as long as a view may be used
+        # without one.
+        settings = evolve(
+            self._context.settings.exchange,
+            key_wait_s=self._context.settings.freshness_lease_s,
+        )
         if job.is_stream:
             settings = evolve(settings, first_event_timeout_s=job.route.timeout_s)
         job.exchange = Exchange(settings, self._make_exchange_request(job))
@@ -231,6 +236,7 @@
             echo_required=is_language,
             resume_after=job.resume_after,
             weights=job.resume_weights,
+            can_deliver_late=self._context.freshness.can_deliver_late,
         )
         if not is_language:
             return request
--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -136,6 +136,9 @@
             # end other requests.
             logger.exception("event=request_failed request={}", job.request.request_id)
             self.abort(job)
+        if job.exchange.is_paused:
+            # The time at which the wait for the key ends depends on the inputs.
+            self._schedule_tick(job)
 
     def abort(self, job: Job) -> None:
         """End a job after an internal error; its outcome is not known."""
@@ -400,4 +403,16 @@
         code = action.reason.value.replace("-", "_")
         retry_after_s = action.retry_after_s
         message = action.message or action.reason.value
+        if action.reason is FinishReason.KEYS_UNVERIFIED:
+            return _unverified_refusal(job, action)
         return Refusal(action.status, code, message, action.run_status, retry_after_s)
+
+
+def _unverified_refusal(job: Job, action: Finish) -> Refusal:
+    code = action.reason.value.replace("-", "_")
+    if action.run_status is RunStatus.NOT_RUN:
+        return Refusal(503, code, action.message, retry_after_s=responses.SHORT_RETRY_S)
+    retry_after_s = responses.SHORT_RETRY_S if job.idempotent else 0.0
+    return Refusal(
+        action.status, code, action.message, action.run_status, retry_after_s
+    )
--- a/berylnotch/streams/actions.py
+++ b/berylnotch/streams/actions.py
@@ -39,6 +39,7 @@
     TARGET_FAILED = "target-failed"
     DEADLINE = "deadline"
     KEY_WITHDRAWN = "key-withdrawn"
+    KEYS_UNVERIFIED = "keys-unverified"
     WEIGHTS_CHANGED = "weights-changed"
     CALLER_GONE = "caller-gone"
     STOPPING = "stopping"
--- a/berylnotch/streams/exchange.py
+++ b/berylnotch/streams/exchange.py
@@ -77,6 +77,7 @@
         self._pause_reasons: set[PauseReason] = set()
         self._is_start_pending = False
         self._next_start_time = 0.0
+        self._key_wait_ends_at = math.inf
         self._is_head_sent = False
         self._is_finished = False
         self._stop_at = math.inf
@@ -117,7 +118,7 @@
 
     def next_tick(self) -> float:
         """Return the time in seconds at which ``tick`` has to be called next."""
-        end_at = min(self._request.deadline, self._stop_at)
+        end_at = min(self._request.deadline, self._stop_at, self._key_wait_ends_at)
         return min(end_at, self._next_timer_time())
 
     def stop_at(self, time: float) -> None:
@@ -203,6 +204,7 @@
             return _NO_ACTIONS
         if self._pause_reasons:
             attempt.held_end = end
+            self._await_key(now)
             return _NO_ACTIONS
         return self._on_transfer_end(now, attempt, end)
 
@@ -220,6 +222,8 @@
             return _NO_ACTIONS
         was_paused = bool(self._pause_reasons)
         self._pause_reasons.add(reason)
+        if self._is_start_pending:
+            self._await_key(now)
         attempt = self._attempt
         if was_paused or attempt is None or not self._request.stream:
             return _NO_ACTIONS
@@ -230,6 +234,8 @@
         if self._is_finished or reason not in self._pause_reasons:
             return _NO_ACTIONS
         self._pause_reasons.discard(reason)
+        if reason is PauseReason.KEY:
+            self._key_wait_ends_at = math.inf
         if self._pause_reasons:
             return _NO_ACTIONS
         self._last_activity_time = now
@@ -248,12 +254,39 @@
             return self._cancel(FinishReason.DEADLINE, "deadline passed")
         if now >= self._stop_at:
             return self._cancel(FinishReason.STOPPING, "the router is stopping")
+        if now >= self._key_wait_ends_at:
+            return self._end_key_wait(now)
         if now < self._next_timer_time():
             return _NO_ACTIONS
         if self._is_start_pending:
             return self._start_attempt(now)
         return self._fail_attempt(now, FailureCause.TIMEOUT)
 
+    def _await_key(self, now: float) -> None:
+        """Bound the time for which a ready answer or a due attempt waits for the key.
+
+        A stream waits until its deadline: its caller has a part of the answer, and
+        gets the rest once the key can be verified.
+        """
+        if PauseReason.KEY not in self._pause_reasons or self._request.stream:
+            return
+        if math.isinf(self._key_wait_ends_at):
+            self._key_wait_ends_at = now + self._settings.key_wait_s
+
+    def _end_key_wait(self, now: float) -> tuple[Action, ...]:
+        self._key_wait_ends_at = math.inf
+        attempt = self._attempt
+        is_answer = attempt is not None and isinstance(
+            attempt.response, BufferedResponse
+        )
+        if is_answer and attempt.held_end.complete:
+            if self._request.can_deliver_late(now):
+                return self._on_transfer_end(now, attempt, attempt.held_end)
+            if attempt.head.status not in RUN_UNKNOWN_STATUSES:
+                self._has_run = True
+        message = "the key could not be verified in time"
+        return self._cancel(FinishReason.KEYS_UNVERIFIED, message)
+
     def _current_attempt(self, number: int) -> Attempt | None:
         attempt = self._attempt
         return attempt if attempt is not None and attempt.number == number else None
@@ -276,6 +309,7 @@
             bool(self._pause_reasons) or now < self._next_start_time
         )
         if self._is_start_pending:
+            self._await_key(now)
             return (
                 _NO_ACTIONS
                 if self._pause_reasons
--- a/berylnotch/streams/inputs.py
+++ b/berylnotch/streams/inputs.py
@@ -38,6 +38,9 @@
         Timeout for the first event of a stream.
     idle_timeout_s : float
         Timeout between two events of a stream.
+    key_wait_s : float
+        Longest time that a whole answer that is ready, or the next attempt of a
+        request without a stream, waits until the caller's key can be verified.
     max_answer_bytes : int
         Largest body of a buffered response.
     max_held_bytes : int
@@ -53,6 +56,7 @@
     resume_patience_s: float = 10.0
     first_event_timeout_s: float = 60.0
     idle_timeout_s: float = 15.0
+    key_wait_s: float = 2.0
     max_answer_bytes: int = 8 * 1024 * 1024
     max_held_bytes: int = 512 * 1024
     max_event_bytes: int = 1024 * 1024
@@ -62,6 +66,10 @@
     return True
 
 
+def _allow_late_delivery(_now: float) -> bool:
+    return True
+
+
 def _empty_base(_weights: str) -> str:
     return ""
 
@@ -92,6 +100,9 @@
     is_whole : callable
         Takes the body of a response with status 200 and returns whether it is
         complete.
+    can_deliver_late : callable
+        Takes the time in seconds and returns whether a whole answer may be delivered
+        although the caller's key could not be verified since it was ready.
     """
 
     request_id: str
@@ -103,6 +114,9 @@
     weights: str = ""
     sign_base: Callable[[str], str] = field(default=_empty_base, repr=False)
     is_whole: Callable[[bytes], bool] = field(default=_accept_any_body, repr=False)
+    can_deliver_late: Callable[[float], bool] = field(
+        default=_allow_late_delivery, repr=False
+    )
 
 
 @frozen
--- a/berylnotch/streams/outcomes.py
+++ b/berylnotch/streams/outcomes.py
@@ -12,6 +12,7 @@
     FinishReason.TARGET_FAILED: 502,
     FinishReason.DEADLINE: 504,
     FinishReason.KEY_WITHDRAWN: 401,
+    FinishReason.KEYS_UNVERIFIED: 504,
     FinishReason.WEIGHTS_CHANGED: 409,
     FinishReason.CALLER_GONE: 499,
     FinishReason.STOPPING: 504,
--- a/tests/test_daemon/test_keys_and_stops.py
+++ b/tests/test_daemon/test_keys_and_stops.py
@@ -9,11 +9,14 @@
 import json
 import signal
 import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
 from berylnotch.standins.caller import CallerClient, chat
 from berylnotch.standins.fleet import wait_for
+from tests.test_daemon.support import inject_faults, received_requests
 
 PATH = "/v1/chat/completions"
 
@@ -112,6 +115,33 @@
     assert stream.is_complete and stream.event_count == 252
 
 
+def test_ready_answer_is_not_held_while_keys_cannot_be_verified(
+    fleet, small_fleet, callers
+):
+    # The answer is ready after the freshness lease, and long before the deadline.
+    inject_faults(small_fleet.plain[0][1], late_ms=3000)
+    with ThreadPoolExecutor() as executor:
+        pending = executor.submit(callers[0].send, "GET", "/stock")
+        wait_for(
+            lambda: received_requests(small_fleet.plain[0][1]), "the target runs it"
+        )
+        suspend_controllers(fleet)
+        started_at = time.monotonic()
+        try:
+            answer = pending.result()
+        finally:
+            resume_controllers(fleet)
+    # The answer comes 3 s after the request, and waits for a lease of 2 s.
+    assert time.monotonic() - started_at < 15.0
+    # On a busy machine the answer may be too late to be delivered.
+    assert answer.status == 200 or _end_without_key(answer)
+
+
+def _end_without_key(answer):
+    code = answer.json()["error"]["code"]
+    return (answer.status, answer.run, code) == (504, "ran", "keys_unverified")
+
+
 def _refusal(caller):
     answer = caller.send("GET", "/stock")
     return answer if answer.status == 503 else None
--- a/tests/test_keys/test_keys.py
+++ b/tests/test_keys/test_keys.py
@@ -47,6 +47,14 @@
     assert not freshness.is_fresh(11.5)
 
 
+def test_answers_are_delivered_late_for_seconds_only():
+    freshness = Freshness(lease_s=2.0)
+    assert not freshness.can_deliver_late(10.0)
+    freshness.observe(10.0, 500)
+    assert freshness.can_deliver_late(15.4)
+    assert not freshness.can_deliver_late(15.5)
+
+
 @given(
     st.lists(
         st.tuples(st.floats(0, 50), st.floats(0, 5), st.floats(0, 5)), max_size=10
--- a/tests/test_streams/test_exchange.py
+++ b/tests/test_streams/test_exchange.py
@@ -327,6 +327,76 @@
     assert single_action(actions, SendBytes).data == b"{}"
 
 
+def hold_response_for_key(can_deliver_late, **kwargs):
+    """Return an exchange whose whole answer was ready at 0 s, under a paused key."""
+    exchange = make_exchange(
+        ExchangeSettings(key_wait_s=2.0),
+        stream=False,
+        can_deliver_late=lambda now: can_deliver_late,
+    )
+    exchange.start(0)
+    exchange.pause(0, PauseReason.KEY)
+    receive_buffered_response(exchange, 1, **kwargs)
+    return exchange
+
+
+def test_ready_answer_does_not_wait_for_the_key_until_its_deadline():
+    exchange = hold_response_for_key(can_deliver_late=True)
+    assert exchange.tick(1.9) == ()
+    assert exchange.next_tick() == 2.0
+    actions = exchange.tick(2.0)
+    assert single_action(actions, SendBytes).data == b"{}"
+    assert single_action(actions, Finish).reason is FinishReason.COMPLETE
+
+
+@pytest.mark.parametrize(
+    ("status", "mark"), [(200, RunStatus.RAN), (429, RunStatus.UNKNOWN)]
+)
+def test_ready_answer_ends_if_its_key_may_have_been_withdrawn_long_ago(status, mark):
+    exchange = hold_response_for_key(can_deliver_late=False, status=status)
+    actions = exchange.tick(2.0)
+    assert not find_actions(actions, SendBytes)
+    finish = single_action(actions, Finish)
+    assert finish.reason is FinishReason.KEYS_UNVERIFIED
+    assert (finish.run_status, finish.status) == (mark, 504)
+
+
+def test_wait_for_the_key_is_not_bounded_by_an_earlier_wait():
+    exchange = make_exchange(ExchangeSettings(key_wait_s=2.0), stream=False)
+    exchange.pause(0, PauseReason.KEY)
+    exchange.start(0)
+    exchange.resume(1, PauseReason.KEY)
+    exchange.pause(1.5, PauseReason.KEY)
+    assert exchange.tick(2.0) == ()
+    receive_buffered_response(exchange, 1)
+    assert exchange.resume(2, PauseReason.KEY)
+
+
+@pytest.mark.parametrize("is_pause_first", [True, False])
+def test_due_attempt_does_not_wait_for_the_key_until_its_deadline(is_pause_first):
+    exchange = make_exchange(ExchangeSettings(key_wait_s=2.0), stream=False)
+    if is_pause_first:
+        exchange.pause(0, PauseReason.KEY)
+        exchange.start(0)
+    else:
+        exchange.start(0)
+        for number in (1, 2):
+            exchange.attempt_started(0, number, f"E{number}")
+            exchange.on_transfer_end(0, number, UpstreamEnd(False, sent=False))
+        exchange.pause(0, PauseReason.KEY)
+    assert exchange.next_tick() == 2.0
+    finish = single_action(exchange.tick(2.0), Finish)
+    assert finish.reason is FinishReason.KEYS_UNVERIFIED
+    assert finish.run_status is RunStatus.NOT_RUN
+
+
+def test_paused_stream_continues_after_a_long_wait_for_the_key(running):
+    running.pause(1, PauseReason.KEY)
+    running.on_transfer_end(1, 1, UpstreamEnd(False))
+    assert running.tick(60) == ()
+    assert single_action(running.resume(60, PauseReason.KEY), StartAttempt)
+
+
 @pytest.mark.parametrize("status", [200, 204, 400, 404, 429, 500, 503])
 def test_answer_of_the_next_target_is_no_part_of_a_stream_that_has_begun(
     running, status
