router: end finished answers that wait for tokens with their key

Callers saw: an answer that was finished at the target, and waited for the organisation's tokens, was held for 60 s after its key was withdrawn, then told 504 (deadline). If the caller was gone, the request counted as running for 60 s, which also a planned stop waits for.

Cause: both events dropped the bytes that waited, then told the exchange, which was over and returned no action; only the timer of 60 s was left. A stop that ends such answers looks only at those that still have bytes.

Change: such an answer ends at once: 401 key_withdrawn as run, an error event for a stream, or a close if the caller is gone.

Found by reading, not seen on processes.

--- a/berylnotch/server/delivery.py
+++ b/berylnotch/server/delivery.py
@@ -110,6 +110,10 @@
         for job in tuple(self._waiting_jobs.values()):
             self._abort_uncharged(job, FinishReason.STOPPING)
 
+    def end_finished(self, job: Job, reason: FinishReason) -> None:
+        """End an answer whose exchange is over and whose bytes wait for tokens."""
+        self._abort_uncharged(job, reason)
+
     def drop_uncharged(self, job: Job) -> None:
         """Discard held bytes that will not be delivered."""
         job.uncharged.clear()
@@ -197,11 +201,14 @@
         on_done()
 
     def _abort_uncharged(self, job: Job, reason: FinishReason) -> None:
-        """End a finished answer whose tokens did not come."""
+        """End a finished answer whose last bytes are not delivered."""
         on_done, job.pending_finish = job.pending_finish, None
         if on_done is None:
             return
         self.drop_uncharged(job)
+        if reason is FinishReason.CALLER_GONE:
+            on_done()
+            return
         request_id = job.request.request_id
         logger.warning(
             "event=answer_unpaid request={} organisation={} reason={}",
@@ -210,6 +217,8 @@
             reason.value,
         )
         message = "the organisation's tokens for the answer did not come in time"
+        if reason is FinishReason.KEY_WITHDRAWN:
+            message = "key was withdrawn"
         if job.chunked:
             event = encode_error_event(reason, message)
             job.caller.write(responses.encode_chunk(event))
@@ -217,7 +226,8 @@
             return
         # The body of a whole answer is charged at once, so none of it is sent.
         status = REFUSAL_STATUSES[reason]
-        refusal = Refusal(status, reason.value, message, RunStatus.RAN)
+        code = reason.value.replace("-", "_")
+        refusal = Refusal(status, code, message, RunStatus.RAN)
         job.caller.write(responses.refusal_response(refusal, request_id))
         job.caller.finish()
         on_done()
--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -117,11 +117,13 @@
 
     def on_key_withdrawn(self, job: Job) -> None:
         """End a job whose key was withdrawn."""
+        self._delivery.end_finished(job, FinishReason.KEY_WITHDRAWN)
         self._delivery.drop_uncharged(job)
         self.perform(job, job.exchange.on_key_withdrawn(time.monotonic()))
 
     def on_caller_disconnected(self, job: Job) -> None:
         """End a job whose caller disconnected."""
+        self._delivery.end_finished(job, FinishReason.CALLER_GONE)
         self._delivery.drop_uncharged(job)
         self.perform(job, job.exchange.on_caller_disconnected(time.monotonic()))
 
--- a/tests/test_server/test_delivery.py
+++ b/tests/test_server/test_delivery.py
@@ -12,7 +12,7 @@
 import pytest
 
 from berylnotch.server.delivery import Delivery
-from berylnotch.streams.actions import RunStatus, SendBytes, SendHead
+from berylnotch.streams.actions import FinishReason, RunStatus, SendBytes, SendHead
 from berylnotch.util.metrics import Metrics
 
 BODY = b'{"usage": {"completion_tokens": 5}}'
@@ -180,3 +180,28 @@
     job.key_hash, view_state["is_fresh"] = b"", False
     delivery.send(job, SendBytes(b"event-1", 1))
     assert job.caller.sent.endswith(b"event-1\r\n")
+
+
+@pytest.mark.parametrize("is_stream", [True, False])
+def test_finished_answer_without_tokens_ends_with_its_key(delivery, timers, is_stream):
+    job, ends = deliver(delivery, is_stream)
+    delivery.end_finished(job, FinishReason.KEY_WITHDRAWN)
+    code = b'"code": "key-withdrawn"' if is_stream else b'"code": "key_withdrawn"'
+    assert code in job.caller.sent and BODY not in job.caller.sent
+    assert job.caller.is_finished and ends == [job]
+    timers[0]()
+    assert ends == [job]
+
+
+def test_finished_answer_without_tokens_ends_with_its_caller(delivery):
+    job, ends = deliver(delivery, is_stream=True)
+    sent = job.caller.sent
+    delivery.end_finished(job, FinishReason.CALLER_GONE)
+    assert (job.caller.sent, ends) == (sent, [job])
+
+
+def test_unfinished_answer_is_not_ended_as_a_finished_one(delivery):
+    job = begin_stream(delivery)
+    delivery.send(job, SendBytes(b"event-1", 1))
+    delivery.end_finished(job, FinishReason.KEY_WITHDRAWN)
+    assert not job.caller.is_finished and job.uncharged
--- /dev/null
+++ b/tests/test_server/test_runner.py
@@ -0,0 +1,161 @@
+"""Answers whose exchange is over end with their key or their caller.
+
+An answer that waited for tokens was not reached any more by the withdrawal of its key:
+it was held for 60 s.
+"""
+
+from __future__ import annotations
+
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from berylnotch.entry.answer_times import AnswerTimes
+from berylnotch.server.delivery import Delivery
+from berylnotch.server.runner import Runner
+from berylnotch.streams.actions import (
+    Finish,
+    FinishReason,
+    RunStatus,
+    SendBytes,
+    SendHead,
+)
+from berylnotch.util.metrics import Metrics
+
+BODY = b'{"usage": {"completion_tokens": 5}}'
+
+
+class FakeCaller:
+    def __init__(self) -> None:
+        self.sent = b""
+        self.is_finished = False
+
+    def write(self, data: bytes) -> None:
+        self.sent += data
+
+    def finish(self) -> None:
+        self.is_finished = True
+
+    def close(self) -> None:
+        self.is_finished = True
+
+
+class FinishedExchange:
+    """Exchange that is over: it returns no actions."""
+
+    is_finished = True
+    is_paused = False
+
+    def on_key_withdrawn(self, now):
+        return ()
+
+    def on_caller_disconnected(self, now):
+        return ()
+
+
+@pytest.fixture
+def state():
+    """State of the view, the tokens, the timers and the ended jobs, by name."""
+    return SimpleNamespace(
+        is_fresh=True, is_recent=True, has_key=True, tokens=100, timers=[], ends=[]
+    )
+
+
+@pytest.fixture
+def runner(state):
+    context = SimpleNamespace(
+        freshness=SimpleNamespace(
+            is_fresh=lambda now: state.is_fresh,
+            can_deliver_late=lambda now: state.is_recent,
+        ),
+        view=SimpleNamespace(
+            find_key=lambda key_hash: "key" if state.has_key else None, revision=1
+        ),
+        quota=SimpleNamespace(
+            balance=lambda now, name: state.tokens, charge=lambda now, name, n: True
+        ),
+        loop=SimpleNamespace(
+            call_later=lambda delay_s, call: state.timers.append(call)
+        ),
+        settings=SimpleNamespace(freshness_lease_s=0.0),
+        crash_guard=SimpleNamespace(
+            on_request_ended=lambda *_: None, on_request_completed=lambda *_: None
+        ),
+        health=SimpleNamespace(record_end=lambda *_: None),
+        decisions=SimpleNamespace(record_outcome=lambda *_: None),
+        answer_times=AnswerTimes(),
+        answer_by=time.monotonic() + 100.0,
+        metrics=Metrics(),
+    )
+    claims = SimpleNamespace(close=lambda job, action, on_closed: on_closed())
+    demand = SimpleNamespace(update=lambda *_: None, remove=lambda *_: None)
+    runner = Runner(context, None, claims, state.ends.append, lambda: None)
+    runner.set_delivery(
+        Delivery(context, demand, lambda job: None, lambda job: None),
+    )
+    return runner
+
+
+def make_job(claim_attempt=""):
+    return SimpleNamespace(
+        request=SimpleNamespace(request_id="r1"),
+        key_hash=b"h",
+        organisation=SimpleNamespace(name="label-clerks"),
+        organisation_name="label-clerks",
+        service=SimpleNamespace(name="sake-llm"),
+        route=SimpleNamespace(prefix="/v1"),
+        language=SimpleNamespace(stream=False, max_tokens=5),
+        is_stream=False,
+        idempotent=not claim_attempt,
+        caller=FakeCaller(),
+        exchange=FinishedExchange(),
+        attempt=SimpleNamespace(
+            target="sake-1", dispatch=SimpleNamespace(sent_at=time.monotonic())
+        ),
+        fingerprint=b"f",
+        timer=None,
+        arrived_at=0.0,
+        chunked=False,
+        held_head=b"",
+        held_actions=[],
+        claim_attempt=claim_attempt,
+        uncharged=[],
+        charged_tokens=0,
+        last_event_at=0.0,
+        first_byte_at=0.0,
+        pending_finish=None,
+        lost_targets=set(),
+        is_poison=False,
+        has_ended=False,
+    )
+
+
+def complete(runner, job):
+    runner.perform(
+        job,
+        (
+            SendHead(200, (), RunStatus.RAN, len(BODY)),
+            SendBytes(BODY, 0),
+            Finish(RunStatus.RAN, FinishReason.COMPLETE),
+        ),
+    )
+
+
+def test_answer_that_waits_for_tokens_ends_when_its_key_is_withdrawn(runner, state):
+    state.tokens = 0
+    job = make_job()
+    complete(runner, job)
+    assert state.ends == []
+    runner.on_key_withdrawn(job)
+    assert job.caller.sent.startswith(b"HTTP/1.1 401 ")
+    assert b"X-Berylnotch-Run: ran" in job.caller.sent
+    assert state.ends == [job]
+
+
+def test_answer_that_waits_for_tokens_ends_when_its_caller_is_gone(runner, state):
+    state.tokens = 0
+    job = make_job()
+    complete(runner, job)
+    runner.on_caller_disconnected(job)
+    assert state.ends == [job]
