router: check the key before a recorded answer is sent

Callers saw: the answer to a request with an Idempotency-Key is held until its outcome is recorded, for 3 s at most. If the key was withdrawn in that time the answer was sent all the same. A router that was suspended meanwhile sent it when it resumed, before it had confirmed its view, however long the suspension was.

Cause: the exchange of such a request is over, so neither the withdrawal nor the pause reached its answer.

Change: after the outcome is recorded, the answer waits for the verification of the key, for one freshness lease or until a stopping router ends its answers. It then ends as key_withdrawn (401) or keys_unverified (504), both as run, or is sent under the same bound as other ready answers. The outcome stays recorded, so a caller with a valid key of the organisation gets the answer by its Idempotency-Key.

Evidence: 4 tests of the runner failed before.

--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
+from attrs import evolve
 from loguru import logger
 
 from berylnotch.control.commands import ClaimState
@@ -37,6 +38,7 @@
     WaitUntil,
 )
 from berylnotch.streams.inputs import PauseReason, UpstreamEnd
+from berylnotch.streams.outcomes import REFUSAL_STATUSES
 from berylnotch.util.metrics import Label
 
 if TYPE_CHECKING:
@@ -52,7 +54,14 @@
 #: milliseconds; without a leader, the caller must not wait until the next election.
 LOSS_CONFIRMATION_S = 1.0
 
+#: Interval in seconds between checks whether a key can be verified.
+_KEY_CHECK_S = 0.05
+
 _POISON_CODE = "request_crashes_targets"
+_KEY_MESSAGES = {
+    FinishReason.KEY_WITHDRAWN: "key was withdrawn",
+    FinishReason.KEYS_UNVERIFIED: "the key could not be verified in time",
+}
 
 
 class Runner:
@@ -290,12 +299,59 @@
             self._confirm_losses(job, action)
 
     def _send_held(self, job: Job, action: Finish) -> None:
+        """Send the answer to a claimed request once its key is verified.
+
+        After a suspension of the process, the time for which the answer was held may
+        be over before the view is confirmed.
+        """
+        lease_s = self._context.settings.freshness_lease_s
+        self._await_key(
+            job,
+            time.monotonic() + lease_s,
+            lambda: self._send_recorded(job, action),
+        )
+
+    def _await_key(
+        self, job: Job, wait_until: float, on_done: Callable[[], None]
+    ) -> None:
+        now = time.monotonic()
+        is_over = now >= min(wait_until, self._context.answer_by)
+        if is_over or not job.key_hash or self._context.freshness.is_fresh(now):
+            on_done()
+            return
+        self._context.loop.call_later(
+            _KEY_CHECK_S, lambda: self._await_key(job, wait_until, on_done)
+        )
+
+    def _send_recorded(self, job: Job, action: Finish) -> None:
         held_actions, job.held_actions = job.held_actions, []
         job.claim_attempt = ""
+        reason = self._find_key_failure(job)
+        if held_actions and reason is not None:
+            self._send_ending(
+                job,
+                evolve(
+                    action,
+                    reason=reason,
+                    message=_KEY_MESSAGES[reason],
+                    status=REFUSAL_STATUSES[reason],
+                ),
+            )
+            return
         for held_action in held_actions:
             self._send(job, held_action)
         self._confirm_losses(job, action)
 
+    def _find_key_failure(self, job: Job) -> FinishReason | None:
+        """Return why an answer may not be delivered under its key; None if it may."""
+        if not job.key_hash:
+            return None
+        if self._context.view.find_key(job.key_hash) is None:
+            return FinishReason.KEY_WITHDRAWN
+        if not self._context.freshness.can_deliver_late(time.monotonic()):
+            return FinishReason.KEYS_UNVERIFIED
+        return None
+
     def _confirm_losses(self, job: Job, action: Finish) -> None:
         """End a failed request once other routers know of the targets that it lost."""
         has_ending = action.reason not in (
--- a/tests/test_server/test_runner.py
+++ b/tests/test_server/test_runner.py
@@ -1,7 +1,8 @@
 """Answers whose exchange is over end with their key or their caller.
 
 An answer that waited for tokens was not reached any more by the withdrawal of its key:
-it was held for 60 s.
+it was held for 60 s. An answer that waited for the record of its outcome was sent all
+the same, also by a router that was suspended meanwhile.
 """
 
 from __future__ import annotations
@@ -58,13 +59,19 @@
 def state():
     """State of the view, the tokens, the timers and the ended jobs, by name."""
     return SimpleNamespace(
-        is_fresh=True, is_recent=True, has_key=True, tokens=100, timers=[], ends=[]
+        lease_s=60.0,
+        is_fresh=True,
+        is_recent=True,
+        has_key=True,
+        tokens=100,
+        timers=[],
+        ends=[],
     )
 
 
 @pytest.fixture
 def runner(state):
-    context = SimpleNamespace(
+    context = state.context = SimpleNamespace(
         freshness=SimpleNamespace(
             is_fresh=lambda now: state.is_fresh,
             can_deliver_late=lambda now: state.is_recent,
@@ -78,7 +85,7 @@
         loop=SimpleNamespace(
             call_later=lambda delay_s, call: state.timers.append(call)
         ),
-        settings=SimpleNamespace(freshness_lease_s=0.0),
+        settings=SimpleNamespace(freshness_lease_s=state.lease_s),
         crash_guard=SimpleNamespace(
             on_request_ended=lambda *_: None, on_request_completed=lambda *_: None
         ),
@@ -159,3 +166,38 @@
     complete(runner, job)
     runner.on_caller_disconnected(job)
     assert state.ends == [job]
+
+
+def test_recorded_answer_is_not_sent_under_a_withdrawn_key(runner, state):
+    state.has_key = False
+    job = make_job("claim-1")
+    complete(runner, job)
+    assert job.caller.sent.startswith(b"HTTP/1.1 401 ")
+    assert b"X-Berylnotch-Run: ran" in job.caller.sent
+    assert BODY not in job.caller.sent and state.ends == [job]
+
+
+@pytest.mark.parametrize(("has_key", "status"), [(True, b"200"), (False, b"401")])
+def test_recorded_answer_waits_for_its_key_after_a_suspension(
+    runner, state, has_key, status
+):
+    state.is_fresh = False
+    job = make_job("claim-1")
+    complete(runner, job)
+    assert (job.caller.sent, state.ends) == (b"", [])
+    state.is_fresh, state.has_key = True, has_key
+    state.timers.pop()()
+    assert job.caller.sent.startswith(b"HTTP/1.1 " + status)
+    assert state.ends == [job]
+
+
+@pytest.mark.parametrize(("is_recent", "status"), [(True, b"200"), (False, b"504")])
+def test_recorded_answer_does_not_wait_for_its_key_when_the_router_stops(
+    runner, state, is_recent, status
+):
+    state.is_fresh, state.is_recent = False, is_recent
+    state.context.answer_by = time.monotonic()
+    job = make_job("claim-1")
+    complete(runner, job)
+    assert job.caller.sent.startswith(b"HTTP/1.1 " + status)
+    assert b"X-Berylnotch-Run: ran" in job.caller.sent and state.ends == [job]
