consensus: hand over only to a voter that was sent all entries and answers

Cause, from the stored logs of the three failed runs: the successor was elected (term 3) and handed over in the same moment (term 4), to the voter with the highest address. It was still probing that voter, so it had sent the entry of its own term to some of the others but not to it, and a leader that has stepped down sends nothing more. Voters with that entry refused their votes (no vote in term 4 in their logs), so all waited for an election timeout (term 5). Ruled out: lost messages and slow disks (term 4 is on every disk within 50 ms), and voters that stop (they do vote).

Change: a leader hands over to a voter that was sent all entries, in order, and answered within the lease; as long as there is none it goes on leading, and the stop asks again every 10 ms. A leader whose disk fails, or that was removed, cannot wait and asks the best voter as before. Same class: in an idle group a voter that stopped shortly before holds all entries too and was chosen by its address; the one that answered the newest heartbeat round is chosen now. The three new unit tests failed before. `hands_over` in the log names the successor; no line did.

- One controller had not started when two were stopped, so no majority was left: the test waits for all five now.
- The group of five had formed, but a leader elected meanwhile wrote the line the test waited for: it looks at all logs.

--- a/berylnotch/cmd/why_request.py
+++ b/berylnotch/cmd/why_request.py
@@ -45,6 +45,7 @@
         "disk_failed",
         "disk_recovered",
         "gives_way",
+        "hands_over",
         "started",
         "stop_asked",
         "draining",
--- a/berylnotch/consensus/leading.py
+++ b/berylnotch/consensus/leading.py
@@ -107,16 +107,38 @@
         self._sync_progress()
         return index
 
-    def select_successor(self, previous_leader: str) -> str:
-        """Return the other voter with the highest match index, or empty if none.
+    def can_take_over(self, now: float, replica: str) -> bool:
+        """Whether a voter is sure to hold all entries when it is asked to stand.
 
+        A voter that lacks an entry of another voter may lose the election, and the
+        group then has no leader until an election timeout. Entries may be in transit,
+        because messages to one replica arrive in order. A voter that has not answered
+        for `lease_s` cannot take over.
+        """
+        progress = self._progress[replica]
+        if progress.snapshot is not None or progress.is_probing:
+            return False
+        if now - progress.acked_round_sent_at >= self._core.settings.lease_s:
+            return False
+        return progress.next_index > self._core.log.last_index
+
+    def select_successor(self, now: float, previous_leader: str) -> str:
+        """Return the other voter that is most likely to be elected, or empty if none.
+
+        Voters that can take over come first, then those with the highest match index.
         The replica that transferred leadership to this one is the last choice, because
         it is about to stop.
         """
         candidates = voter_ids(self._core.members) & self._progress.keys()
         return max(
             candidates,
-            key=lambda r: (r != previous_leader, self._progress[r].match_index, r),
+            key=lambda r: (
+                r != previous_leader,
+                self.can_take_over(now, r),
+                self._progress[r].match_index,
+                self._progress[r].acked_round_sent_at,
+                r,
+            ),
             default="",
         )
 
--- a/berylnotch/consensus/replica.py
+++ b/berylnotch/consensus/replica.py
@@ -204,16 +204,22 @@
         lag = self._core.commit_index - progress.match_index
         return lag <= self._core.settings.max_append_entries
 
-    def transfer(self, now: float) -> bool:
-        """Transfer leadership to the voter with the highest match index.
+    def transfer(self, now: float) -> str:
+        """Transfer leadership to a voter that answers and was sent all entries.
 
         This replica steps down at once, so its lease ends before the other replica
-        stands for election.
+        stands for election. A leader that was just elected has to wait for the first
+        answers of the voters: call this method again until it succeeds.
 
         Returns
         -------
-        bool
-            Whether there was another voter.
+        str
+            The voter; empty if there is none yet, and this replica still leads.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica is not the leader.
         """
         self._require_leader(now)
         return self._roles.transfer_leadership(now)
@@ -227,13 +233,13 @@
         Returns
         -------
         Outgoing or None
-            Request to the voter with the highest match index to stand for election;
-            None if this replica does not lead or is the only voter.
+            Request to the voter that is most likely to be elected to stand for
+            election; None if this replica does not lead or is the only voter.
         """
         if self._leader is None:
             return None
         self._core.take_outbox()
-        self._roles.transfer_leadership(now)
+        self._roles.resign(now)
         return next(iter(self._core.take_outbox()), None)
 
     def ready(self) -> Ready:
--- a/berylnotch/consensus/roles.py
+++ b/berylnotch/consensus/roles.py
@@ -83,20 +83,30 @@
         self._election.on_vote_saved()
         self._advance_election(self._core.now)
 
-    def transfer_leadership(self, now: float) -> bool:
-        """Step down and ask the voter with the highest match index to take over.
+    def transfer_leadership(self, now: float) -> str:
+        """Step down and ask a voter that can take over to stand for election.
 
         Returns
         -------
-        bool
-            Whether there was another voter; if not, this replica remains leader.
+        str
+            The voter; empty if none can take over yet, and this replica still leads.
         """
-        core = self._core
-        successor = self._leader.select_successor(self._previous_leader)
+        successor = self._leader.select_successor(now, self._previous_leader)
+        if not successor or not self._leader.can_take_over(now, successor):
+            return ""
+        self._ask_to_stand(now, successor)
+        return successor
+
+    def resign(self, now: float) -> None:
+        """Step down, and ask the voter that is most likely to win to stand."""
+        successor = self._leader.select_successor(now, self._previous_leader)
         if successor:
-            core.send(successor, TimeoutNow(core.term, core.identity))
-            self._become_follower(now, core.term, "")
-        return bool(successor)
+            self._ask_to_stand(now, successor)
+
+    def _ask_to_stand(self, now: float, successor: str) -> None:
+        core = self._core
+        core.send(successor, TimeoutNow(core.term, core.identity))
+        self._become_follower(now, core.term, "")
 
     def step_down_if_removed(self) -> None:
         """Step down as leader once the removal of this replica is committed."""
@@ -106,7 +116,7 @@
         if core.is_voter:
             return
         leader.broadcast_commit_index()
-        self.transfer_leadership(core.now)
+        self.resign(core.now)
         self._become_follower(core.now, core.term, "")
 
     def _become_follower(self, now: float, term: int, leader: str) -> None:
--- a/berylnotch/daemon/fleet/replica_host.py
+++ b/berylnotch/daemon/fleet/replica_host.py
@@ -176,16 +176,22 @@
     def hand_over(self) -> None:
         """Transfer leadership, if held, and only follow and vote from then on.
 
-        Commands that were proposed here may still be committed by the next leader.
+        Commands that were proposed here may still be committed by the next leader. To
+        be called repeatedly during a stop: no voter may be able to take over yet, and
+        this replica may be elected again.
         """
         self._is_leaving = True
         replica = self._replica
-        if replica is not None and replica.is_leader:
-            try:
-                replica.transfer(boot_time())
-                self._process_ready()
-            except ConsensusError as error:
-                self._log.info("transfer_failed", reason=str(error))
+        if replica is None or not replica.is_leader:
+            return
+        try:
+            successor = replica.transfer(boot_time())
+        except ConsensusError as error:
+            self._log.info("transfer_failed", reason=str(error))
+            return
+        if successor:
+            self._log.info("hands_over", to=successor, term=replica.term)
+        self._process_ready()
 
     def close(self) -> None:
         """Report the outcome of pending commands as unknown, close the log folder."""
--- a/tests/test_consensus/test_election.py
+++ b/tests/test_consensus/test_election.py
@@ -202,6 +202,64 @@
     assert new != leader
 
 
+def deliver_messages(group, is_delivered):
+    """Deliver the messages for which the function returns true; keep the others."""
+    group.collect_messages()
+    while items := [item for item in group.undelivered if is_delivered(*item)]:
+        group.undelivered.remove(items[0])
+        group.deliver_message(items[0])
+        group.collect_messages()
+
+
+def test_successor_that_stops_too_hands_over_to_a_voter_with_all_entries():
+    """Voters with the new leader's entry refuse their votes to one that lacks it.
+
+    The group then has no leader until an election timeout.
+    """
+    group = Group(*(f"{name}/1" for name in "abcde"))
+    leader = group.elect()
+    group[leader].transfer(group.now)
+    deliver_messages(group, lambda *_: not any(group[i].is_leader for i in group.nodes))
+    (successor,) = [i for i in group.nodes if group[i].is_leader]
+    slow = max(group.nodes.keys() - {leader, successor})
+    last_index = group[successor].last_index
+
+    def is_early(sender, outgoing):
+        message = outgoing.message
+        is_late = sender == slow or getattr(message, "match", 0) == last_index
+        return not isinstance(message, AppendReply) or not is_late
+
+    deliver_messages(group, is_early)
+    reply = next(item for item in group.undelivered if item[0] == slow)
+    group.undelivered.remove(reply)
+    group.deliver_message(reply)
+    group[successor].transfer(group.now)
+    group.deliver()
+    (new,) = [i for i in group.nodes if group[i].is_leader]
+    assert new not in (leader, successor)
+
+
+def test_leader_that_no_voter_has_answered_yet_goes_on_leading(group):
+    leader = group.elect()
+    group[leader].transfer(group.now)
+    deliver_messages(group, lambda *_: not any(group[i].is_leader for i in IDS))
+    (successor,) = [i for i in IDS if group[i].is_leader]
+    assert group[successor].transfer(group.now) == ""
+    assert group[successor].is_leader
+
+
+def test_leader_does_not_hand_over_to_a_voter_that_has_fallen_silent(group):
+    """In an idle group, a voter that stopped shortly before holds all entries too."""
+    leader = group.elect()
+    silent = max(other_ids(leader))
+    group.isolated.add(silent)
+    group.advance(0.3)
+    group[leader].transfer(group.now)
+    group.deliver()
+    (new,) = [i for i in IDS if group[i].is_leader]
+    assert new not in (leader, silent)
+
+
 def test_wiped_replica_does_not_vote_under_its_old_id(group):
     """A wiped replica has lost its earlier vote and could vote twice in a term."""
     leader = group.elect()
--- a/tests/test_daemon/test_planned_work.py
+++ b/tests/test_daemon/test_planned_work.py
@@ -9,6 +9,7 @@
 import time
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
+from datetime import datetime
 
 import pytest
 
@@ -263,10 +264,7 @@
     try:
         processes.start(controllers=3, routers=2)
         router = processes.routers[0]
-        wait_until(
-            lambda: any(f.get("event") == "started" for f in router.lines()),
-            "the router's start",
-        )
+        wait_until(lambda: has_started(router), "the router's start")
         callers = LateCallers([router], [], KINDS, rate_per_s=40)
         callers.start()
         began_at = time.monotonic()
@@ -332,11 +330,32 @@
     check_whole_answers(callers.results, began_at, platform)
 
 
-def voter_count(leader):
-    changes = [f for f in leader.lines() if f.get("event") == "members_changed"]
+def has_started(process):
+    return any(f.get("event") == "started" for f in process.lines())
+
+
+def voter_count(controller):
+    """Return the number of voters after the last change that a controller led."""
+    changes = [f for f in controller.lines() if f.get("event") == "members_changed"]
     return changes[-1]["after"].count(":voter") if changes else 0
 
 
+def has_five_voters(processes):
+    is_whole = all(has_started(controller) for controller in processes.controllers)
+    return is_whole and any(voter_count(c) == 5 for c in processes.controllers)
+
+
+def find_leader(processes, candidates):
+    leader = processes.leader()
+    return leader if leader in candidates else None
+
+
+def leading_since(controller):
+    """Return the wall clock time at which a controller began to lead, in seconds."""
+    lines = [f for f in controller.lines() if f.get("event") == "leading"]
+    return datetime.fromisoformat(lines[-1]["time"]).timestamp()
+
+
 def test_leadership_passes_over_controllers_that_stop_as_well(tmp_path, platform):
     for name, service, version in (("llm-1", "llm", 1), ("desk-1", "desk", None)):
         platform.add(name, service, version)
@@ -344,23 +363,22 @@
     try:
         processes.start(controllers=5, routers=2)
         processes.make_ready()
+        # A controller that has not started leaves no majority after two stops.
+        wait_until(lambda: has_five_voters(processes), "a group of five voters")
         leader = wait_until(processes.leader, "a leader")
-        wait_until(lambda: voter_count(leader) == 5, "a group of five voters")
         others = [c for c in processes.controllers if c is not leader]
         callers = LateCallers(processes.routers, [], KINDS, rate_per_s=40)
         callers.start()
         began_at = time.monotonic()
         try:
+            stopped_at = time.time()
             # The successor is the controller with the highest address.
             for controller in (others[-1], leader):
                 controller.signal(signal.SIGTERM)
-            stopped_at = time.monotonic()
             next_leader = wait_until(
-                lambda: processes.leader() not in (None, leader, others[-1]),
-                "the next leader",
+                lambda: find_leader(processes, others[:-1]), "the next leader"
             )
-            took_s = time.monotonic() - stopped_at
-            assert next_leader
+            took_s = leading_since(next_leader) - stopped_at
             time.sleep(1.0)
         finally:
             callers.close()
