tests: requests that come in the moment of a suspension; the lost read-11 is traced

Cause: the router was suspended between the accept and the read of the request.

The new test opens connections while the router is suspended, eight times for 0.7 s.

--- a/tests/test_daemon/test_planned_work.py
+++ b/tests/test_daemon/test_planned_work.py
@@ -6,6 +6,8 @@
 
 import json
 import signal
+import socket
+import threading
 import time
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
@@ -21,7 +23,14 @@
     configuration,
     wait_until,
 )
-from tests.fleet.stops import STOP_S, UNREAD_S, LateCallers, describe, send_request
+from tests.fleet.stops import (
+    CALLER_TIMEOUT_S,
+    STOP_S,
+    UNREAD_S,
+    LateCallers,
+    describe,
+    send_request,
+)
 
 #: Time that each target takes for an answer, in seconds; routers do not take it for
 #: a slow one yet.
@@ -31,6 +40,10 @@
 KINDS = ("chat", "book", "read", "read")
 
 
+#: Limits on the time for which callers send a request or keep a connection idle.
+NARROW_LIMITS = {"headerTimeoutMs": 300, "idleTimeoutMs": 500}
+
+
 @pytest.fixture
 def fleet(wide_fleet, platform):
     """Three controllers and three routers, and targets of two sets of services."""
@@ -51,7 +64,7 @@
     values = configuration(version)
     for entry in (*values["routes"], *values["services"]):
         entry["service" if "service" in entry else "name"] += "-b"
-    values["limits"] = {"headerTimeoutMs": 300, "idleTimeoutMs": 500}
+    values["limits"] = NARROW_LIMITS
     return values
 
 
@@ -330,6 +343,42 @@
     check_whole_answers(callers.results, began_at, platform)
 
 
+def send_while_suspending(router, count):
+    """Send requests, each on a new connection, and suspend the router meanwhile."""
+    head = b"GET /none HTTP/1.1\r\nHost: app.example\r\n\r\n"
+    sockets = []
+    timer = threading.Timer(0.004, router.signal, (signal.SIGSTOP,))
+    timer.start()
+    for _ in range(count):
+        sock = socket.create_connection((router.ip, router.port), CALLER_TIMEOUT_S)
+        sock.sendall(head)
+        sockets.append(sock)
+    timer.join()
+    return sockets
+
+
+def is_answered(sock):
+    with sock:
+        try:
+            return sock.recv(1024).startswith(b"HTTP/1.1 404")
+        except OSError:
+            return False
+
+
+def test_requests_in_the_moment_of_a_suspension_are_answered(fleet):
+    """The router may be suspended between the accept and the read of a request.
+
+    It then finds the connection idle for longer than the limit at the thaw.
+    """
+    router, unanswered = fleet.routers[0], 0
+    for _ in range(8):
+        sockets = send_while_suspending(router, 40)
+        time.sleep(NARROW_LIMITS["idleTimeoutMs"] / 1000 + 0.2)
+        router.signal(signal.SIGCONT)
+        unanswered += sum(not is_answered(sock) for sock in sockets)
+    assert unanswered == 0
+
+
 def has_started(process):
     return any(f.get("event") == "started" for f in process.lines())
 
