util: write the log's file in a thread, since a busy disk blocks

O_NONBLOCK has no effect on regular files, so EventLog.flush, which runs in the event loop ten times a second, waited for as long as the disk held a write, although docs/OPERATIONS.md says that the process never waits for its log.

Change: a regular file is written by a thread, one write at a time; lines wait in the bounded buffer. An exiting process waits for its last lines for 0.1 s at most. Pipes are written as before. A kernel that holds the write keeps the process until the write returns, also after its kill.

Tests: a write that blocks blocked flush for as long (6.0 s in the test, failed before); the last lines are still written before an exit. The test of full disks waits for the thread; it asserts the same.

--- a/berylnotch/cmd/fleetd.py
+++ b/berylnotch/cmd/fleetd.py
@@ -106,12 +106,12 @@
         )
     except (BerylnotchError, OSError) as error:
         log.error("start_failed", reason=str(error))
-        log.flush()
+        log.close()
         return EXIT_FAILURE
     loop.call_every(FLUSH_INTERVAL_S, log.flush)
     loop.run()
     log.info("stopped")
-    log.flush()
+    log.close()
     return EXIT_OK
 
 
--- a/berylnotch/util/lines.py
+++ b/berylnotch/util/lines.py
@@ -4,9 +4,11 @@
 
 import errno
 import os
+import stat
 import sys
 import time
 from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor, wait
 from datetime import UTC, datetime
 
 #: Bytes that may be buffered for a slow reader of the log; further lines are dropped.
@@ -15,6 +17,10 @@
 #: Seconds for which lines are buffered before they are written.
 FLUSH_INTERVAL_S = 0.1
 
+#: Seconds for which a process that exits waits until its last lines are written. It is
+#: half of the time between the close of a stopping router's connections and its kill.
+CLOSE_TIMEOUT_S = 0.1
+
 #: Maximum number of INFO lines with the same event name that are written per second
 #: without sampling. Of further lines in that second, one in `SAMPLE_INTERVAL` is
 #: written. Warnings and errors are never sampled.
@@ -32,8 +38,12 @@
     """Writes one line for each event to a file descriptor.
 
     A line holds the time, the level, the process, the event and its fields. Lines stay
-    in the buffer while the reader is slow or the disk is full. Lines that do not fit
-    into it are dropped and counted, and the count is logged once it has room again.
+    in the buffer while the reader or the disk is slow or the disk is full. Lines that
+    do not fit into it are dropped and counted, and the count is logged once it has room
+    again.
+
+    Writes to a file block while its disk is busy, also in non-blocking mode, so a
+    thread does them.
 
     Parameters
     ----------
@@ -59,6 +69,10 @@
         self._sampled_out_lines = 0
         self._counted_second = 0
         self._counts_by_event: dict[str, int] = {}
+        is_file = stat.S_ISREG(os.fstat(descriptor).st_mode)
+        self._executor = ThreadPoolExecutor(1, "log") if is_file else None
+        #: Write to the file that was begun, and whose result was not applied yet.
+        self._pending_write: Future[int] | None = None
         os.set_blocking(descriptor, False)
 
     @property
@@ -82,20 +96,51 @@
         self._append_line("ERROR", event, fields)
 
     def flush(self) -> None:
-        """Write as much of the buffer as the descriptor accepts without blocking."""
+        """Write as much of the buffer as the descriptor accepts without blocking.
+
+        The buffer is written to a file by a thread. Until it has written, further calls
+        do nothing.
+        """
+        if self._pending_write is not None:
+            if not self._pending_write.done():
+                return
+            self._apply_write(self._pending_write.result)
+            self._pending_write = None
         self._report_losses()
+        if self._executor is None:
+            while self._buffer and self._apply_write(self._write):
+                pass
+        elif self._buffer:
+            data = bytes(self._buffer)
+            self._pending_write = self._executor.submit(
+                os.write, self._descriptor, data
+            )
+
+    def close(self, timeout_s: float = CLOSE_TIMEOUT_S) -> None:
+        """Write the buffer, and wait for a file's disk no longer than a time."""
+        # The first write may have begun before the newest lines.
+        for _ in range(2):
+            self.flush()
+            if self._pending_write is not None:
+                wait([self._pending_write], timeout_s / 2)
+
+    def _write(self) -> int:
+        return os.write(self._descriptor, self._buffer[:65536])
+
+    def _apply_write(self, write: Callable[[], int]) -> bool:
+        """Remove what a write wrote from the buffer; return whether more may follow."""
         try:
-            while self._buffer:
-                written_bytes = os.write(self._descriptor, self._buffer[:65536])
-                del self._buffer[:written_bytes]
+            written_bytes = write()
         except BlockingIOError:
-            return
+            return False
         except OSError as error:
-            if error.errno in _NO_ROOM:
-                return
-            # The reader is gone, for instance a closed pipe; the process continues
-            # without its log.
-            self._buffer.clear()
+            if error.errno not in _NO_ROOM:
+                # The reader is gone, for instance a closed pipe; the process continues
+                # without its log.
+                self._buffer.clear()
+            return False
+        del self._buffer[:written_bytes]
+        return True
 
     def _is_sampled_out(self, event: str) -> bool:
         second = int(self._wall_time())
--- a/tests/test_util/test_lines.py
+++ b/tests/test_util/test_lines.py
@@ -1,11 +1,12 @@
 """Format, sampling and memory bound of the event log.
 
-A slow or missing reader of the log must neither block the process nor let the buffer
-grow without limit.
+A slow or missing reader of the log, or a slow disk, must neither block the process nor
+let the buffer grow without limit.
 """
 
 import errno
 import os
+import threading
 import time
 
 import pytest
@@ -40,6 +41,47 @@
         text += piece
 
 
+def write_all(log):
+    """Flush until the thread that writes to a file has written all lines."""
+    deadline = time.monotonic() + 10
+    while log._buffer or log.dropped:
+        assert time.monotonic() < deadline, "the log is not written"
+        log.flush()
+        time.sleep(0.001)
+
+
+#: Seconds for which the first write to a slow disk blocks at most.
+SLOW_WRITE_S = 6.0
+
+
+class SlowDisk:
+    """Writes to files that block until the disk is released."""
+
+    def __init__(self, monkeypatch):
+        self._write = os.write
+        self._is_released = threading.Event()
+        monkeypatch.setattr(os, "write", self._write_late)
+
+    def release(self):
+        self._is_released.set()
+
+    def _write_late(self, descriptor, data):
+        self._is_released.wait(timeout=SLOW_WRITE_S)
+        self.release()
+        return self._write(descriptor, data)
+
+
+@pytest.fixture
+def slow_disk(monkeypatch):
+    disk = SlowDisk(monkeypatch)
+    yield disk
+    disk.release()
+
+
+def open_log_file(path):
+    return EventLog("router/r-1", os.open(path, os.O_WRONLY | os.O_CREAT))
+
+
 def make_log(now=1000.0):
     reader, writer = os.pipe()
     return EventLog("router/r-1", writer, lambda: now), reader
@@ -119,9 +161,50 @@
             log.flush()
     assert len(log._buffer) <= MAX_BUFFER_BYTES + 1000
     dropped_lines = log.dropped
-    log.flush()
-    log.flush()
+    write_all(log)
     lines = path.read_text().splitlines()
     assert all(line.startswith("time=") for line in lines)
     assert len(lines) == 10_000 - dropped_lines + 1
     assert f"lines={dropped_lines}" in lines[-1]
+
+
+def test_a_slow_disk_does_not_block_the_process(slow_disk, tmp_path):
+    """Otherwise a router answers no caller while its log's disk is busy.
+
+    Writes to a file block in non-blocking mode too. Lines that come meanwhile follow.
+    """
+    log = open_log_file(tmp_path / "log")
+    started = time.monotonic()
+    for number in range(20_000):
+        log.warning("failed", id=number, reason="x" * 100)
+        if number % 100 == 0:
+            log.flush()
+    assert time.monotonic() - started < 5
+    assert len(log._buffer) <= MAX_BUFFER_BYTES + 1000
+    dropped_lines = log.dropped
+    slow_disk.release()
+    write_all(log)
+    lines = (tmp_path / "log").read_text().splitlines()
+    assert len(lines) == 20_000 - dropped_lines + 1
+    ids = [int(line.partition(" id=")[2].split()[0]) for line in lines[:-1]]
+    assert ids == sorted(set(ids))
+    assert f"lines={dropped_lines}" in lines[-1]
+
+
+def test_a_slow_disk_delays_the_exit_no_longer_than_the_time_out(slow_disk, tmp_path):
+    """Otherwise a router whose callers all have their answers exits after its kill."""
+    log = open_log_file(tmp_path / "log")
+    log.info("stopped")
+    started = time.monotonic()
+    log.close(timeout_s=0.2)
+    assert time.monotonic() - started < 2
+
+
+def test_the_last_lines_are_written_before_the_exit(tmp_path):
+    log = open_log_file(tmp_path / "log")
+    log.info("drained")
+    log.flush()
+    log.info("stopped")
+    log.close(timeout_s=20.0)
+    events = [line.split()[3] for line in (tmp_path / "log").read_text().splitlines()]
+    assert events == ["event=drained", "event=stopped"]
