entry: ask for tokens of limited targets for overdue requests in a stop

From half of the time left on, each router checked every 0.1 s whether llm-1 could resume its stream, and found no token. Only the choice of a target for a new send asks for tokens, and a stopping router refuses most new requests before that. So nobody asked: llm-1 got no request from 56.25 to 59.45, while the streams ended at 57.97, 59.23 and 59.45.

Ruled out: the limit itself (3 requests in these 4 s and none in the last 3.2 s, with 1/s and a burst of two); the leader (found at 55.04 by all routers, until 57.97 and later).

Change: the check of an overdue request in a stop asks for tokens too; the next check finds the token. A router that serves checks an overdue request once, as before, and asks nothing.

Test: the unit test failed before, since no token was asked for.

--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -192,8 +192,7 @@
             self._context, self._routed, self._service, self._excluded_targets()
         )
         choice = choose(self._context.targets.of(self._service.name), inputs)
-        if self._context.target_limits.request_tokens(inputs.now, self._service.name):
-            self._context.schedule_report()
+        self._request_tokens()
         if choice is None:
             self._wait_or_give_up(inputs)
             return
@@ -212,6 +211,12 @@
         self._tried_targets.add(choice.target.target_id)
         self._send_to(inputs, choice)
 
+    def _request_tokens(self) -> None:
+        """Ask for tokens of the service's limited targets that have no room."""
+        limits = self._context.target_limits
+        if limits.request_tokens(boot_time(), self._service.name):
+            self._context.schedule_report()
+
     def _excluded_targets(self) -> set[str]:
         """Return the identities of the targets that must not be chosen.
 
@@ -327,6 +332,9 @@
         if not (has_attempts and has_budget and has_time):
             return False
         choice = self._choose_other_target()
+        if choice is None and self._context.stop is not None:
+            # The request is checked again until the router stops.
+            self._request_tokens()
         if choice is None or choice.target.ejection.is_blocked(boot_time()):
             # The answer of an ejected target would be late as well.
             return False
--- a/tests/test_entry/test_planned_stop.py
+++ b/tests/test_entry/test_planned_stop.py
@@ -17,6 +17,7 @@
 from berylnotch.membership.departure import plan_stop
 from berylnotch.membership.listing import ListedTarget, ModelVersion
 from berylnotch.net.messages import Headers
+from berylnotch.quota.messages import Grant, GrantReply
 from berylnotch.routing.model import Organisation
 from berylnotch.util.clock import boot_time
 from tests.test_entry.support import make_exchange
@@ -183,6 +184,32 @@
     assert attempt._has_ended and context.targets.get("f").in_flight == 1
 
 
+def test_stalled_stream_asks_for_a_token_of_a_limited_target(context, stop_with):
+    """Otherwise a limited target stays unused while the router cuts its streams.
+
+    New requests ask for tokens, but a stopping router refuses most of them before.
+    """
+    exchange, _, _ = make_exchange(context)
+    add_target(context, "f")
+    limits = context.target_limits
+    limits.set_limit(boot_time(), context.targets.get("f"), 1.0)
+    exchange.on_stream_begin(200, Headers())
+    exchange.on_event(b"id: 1\ndata: piece 1\n\n", 1)
+    stop_with(ANSWER_S)
+    attempt = exchange._attempt
+    attempt._sent_at = attempt._last_event_at = boot_time() - 10 * ANSWER_S
+    delayed = []
+    context.loop.call_later = lambda delay_s, call: delayed.append(call)
+    attempt.check_overdue()
+    assert not attempt._has_ended
+    request = limits.asks(boot_time(), "r", "1")
+    assert [ask.organisation for ask in request.asks] == ["f"]
+    grant = Grant("f", 1, 1000, 0, 0)
+    limits.receive(boot_time(), GrantReply(1, request.sequence, (grant,)))
+    delayed.pop()()
+    assert attempt._has_ended and context.targets.get("f").in_flight == 1
+
+
 def test_begun_stream_is_not_resumed_at_a_target_that_was_left_silent(
     context, stop_with
 ):
