soak: count requests at a target when they come, and its notice from its first word

Cause, from what the stand-in recorded in the failed run: desk-2 was silent as its limit began (00.411) and until 04.149. The stand-in recorded the 11 requests that had come in these 3.7 s at 04.149, since it handled them then, and the check counted them with the five of the next 4 s. desk-2 first named its limit at 04.149 too, so no router could have known it before; from then on it got five in 4 s, with 1/s and a burst of two allowed to the owner, and 11 to all.

So the product kept the limit, and the measurement was wrong in two ways. The users' bound says "seconds after a target first names its limit"; the check counted them from the moment at which the target got it.

Change: a request counts when it has come, also at a silent target; the notice counts from the first answer that names the limit. The bound itself is unchanged, and each request counts as before: the check finds 12 requests in a window after the notice (tests/test_soak_limits.py; all three tests failed before, the first for lack of the recorded naming).

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -37,7 +37,7 @@
 
 @define(eq=False)
 class LimitPeriod:
-    """Time in which a target named a limit, in seconds of the monotonic clock."""
+    """Time in which a target had a limit, in seconds of the monotonic clock."""
 
     target: StandInTarget
     limit_per_s: float
@@ -174,14 +174,19 @@
     def record_limit(
         self, target: StandInTarget, began_at: float, ended_at: float
     ) -> None:
-        """Record that a target named a limit until now."""
+        """Record that a target had a limit until now."""
         period = LimitPeriod(target, target.limit_per_s, began_at, ended_at)
         self.limits.append(period)
 
     def check_limits(self) -> None:
-        """Check the requests of all routers together at targets with a limit."""
+        """Check the requests of all routers together at targets with a limit.
+
+        The limit must hold some time after the target first named it. A silent target
+        names none.
+        """
         for period in self.limits:
-            begin = period.began_at + NOTICE_S
+            named = [t for t in period.target.limit_named_at if t >= period.began_at]
+            begin = min(named, default=math.inf) + NOTICE_S
             arrivals = period.target.arrivals
             times = [t for t in arrivals if begin <= t < period.ended_at]
             most, allowed = (
--- a/soak/run.py
+++ b/soak/run.py
@@ -245,8 +245,8 @@
         rng = random.Random(self._report.seed + 2)
         while not self._is_stopping.wait(rng.uniform(0.0, 1.0)):
             target = rng.choice(list(self._platform.targets.values()))
-            target.limit_per_s = rng.choice((1.0, 2.0, 6.0))
             limited_at = time.monotonic()
+            target.limit_per_s = rng.choice((1.0, 2.0, 6.0))
             self._is_stopping.wait(rng.uniform(NOTICE_S + WINDOW_S, MAX_LIMIT_S))
             self._observations.record_limit(target, limited_at, time.monotonic())
             target.limit_per_s = None
--- a/tests/fleet/platform.py
+++ b/tests/fleet/platform.py
@@ -49,6 +49,8 @@
     arrivals: list[float] = field(factory=list)
     #: Limit in requests per second that all answers announce, None for no limit.
     limit_per_s: float | None = None
+    #: Times of the monotonic clock at which answers with a limit began, in seconds.
+    limit_named_at: list[float] = field(factory=list)
     orders: list[dict] = field(factory=list)
     #: Fault that is injected into answers to requests: ok (none), refuse, error, hang,
     #: reset, cut, no_stamp, foreign.
@@ -86,6 +88,7 @@
         """Return the headers that every answer to a request has."""
         headers = Headers((("Berylnotch-Request-Id", request_id),))
         if self.limit_per_s is not None:
+            self.limit_named_at.append(time.monotonic())
             headers.add("Server-Limit", str(self.limit_per_s))
         return headers
 
@@ -234,6 +237,8 @@
             body = {"bootEpoch": 1, "nextToken": 0, "lost": False, "events": []}
             connection.respond(200, Headers(), json.dumps(body).encode())
         else:
+            # A target counts requests as they come, also while it is silent.
+            target.arrivals.append(time.monotonic())
             self._run(target, connection, request)
 
     def _report(self, target: StandInTarget, connection: ServerConnection) -> None:
@@ -324,7 +329,6 @@
         headers = {name.lower(): value for name, value in request.headers}
         target.seen.append(headers)
         target.bodies.append(request.body)
-        target.arrivals.append(time.monotonic())
         request_id = headers.get("berylnotch-request-id", "")
         expected = headers.get("berylnotch-expect-version")
         if expected is not None and int(expected) != target.version:
