entry: a stopping router avoids a silent target only for as long again

Cause, from the log: the router had left llm-1 at 49.23, after 1.01 s of silence (its proxy had a fault until 48.05). A target counts as silent until it is heard, and a stopping router sends nothing to a silent target while there is another. So it could not be heard, and new requests and stalled streams avoided it until the exit.

Change: a target that was left counts as silent for as long again as its silence had lasted, 1 s at least, which is what docs/design/planned-stops.md says of targets that keep the router waiting. A target that is left again counts as silent for longer, since its silence goes on.

Test: failed before (with the former rule put in place of the new one).

--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -225,8 +225,8 @@
         """
         if self._context.stop is None:
             return self._tried_targets
-        targets = self._context.targets.of(self._service.name)
-        silent = {target.target_id for target in targets if target.was_left_silent}
+        targets, now = self._context.targets.of(self._service.name), boot_time()
+        silent = {t.target_id for t in targets if t.is_presumed_silent(now)}
         excluded = self._tried_targets | silent
         has_other = any(target.target_id not in excluded for target in targets)
         return excluded if has_other else self._tried_targets
@@ -247,7 +247,7 @@
         # A stream that has begun needs time only for its rest, which has no estimate,
         # and is cut without another run.
         if self._reply.last_event is not None:
-            return not choice.target.was_left_silent
+            return not choice.target.is_presumed_silent(boot_time())
         is_repeat = self._attempt is not None or self._progress.runs > 0
         return self._time_limit.allows(choice, is_repeat)
 
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -23,6 +23,11 @@
 #: last ten outcomes count.
 EWMA_WEIGHT = 0.12
 
+#: Shortest time in seconds for which a target that was left for its silence counts as
+#: silent: a router that does not stop leaves a target after about as long. A stopping
+#: router waits for less.
+MIN_PRESUMED_SILENCE_S = 1.0
+
 
 @define(eq=False)
 class Target:
@@ -150,9 +155,18 @@
         """Whether it sent nothing since this router gave up a request to it."""
         return self.left_silent_at > self.heard_at
 
+    def is_presumed_silent(self, now: float) -> bool:
+        """Whether it was left for its silence, and as much time has not passed again.
+
+        A stopping router sends such a target nothing, so no answer ends the silence.
+        """
+        silence_s = self.left_silent_at - max(self.heard_at, self.busy_since)
+        presumed_s = max(MIN_PRESUMED_SILENCE_S, silence_s)
+        return self.was_left_silent and now < self.left_silent_at + presumed_s
+
     def silent_s(self, now: float) -> float:
         """Return for how many seconds the target has kept this router waiting."""
-        is_waiting = self.in_flight or self.was_left_silent
+        is_waiting = self.in_flight or self.is_presumed_silent(now)
         return now - max(self.heard_at, self.busy_since) if is_waiting else 0.0
 
     def back_off(self, now: float, pause_s: float) -> None:
--- a/tests/test_entry/test_planned_stop.py
+++ b/tests/test_entry/test_planned_stop.py
@@ -13,6 +13,7 @@
 from berylnotch.entry.failover import PendingAnswer, failover_at
 from berylnotch.entry.model import Choice
 from berylnotch.entry.results import AttemptEnd, AttemptResult
+from berylnotch.entry.targets import MIN_PRESUMED_SILENCE_S
 from berylnotch.group.messages import TargetEntry
 from berylnotch.membership.departure import plan_stop
 from berylnotch.membership.listing import ListedTarget, ModelVersion
@@ -223,6 +224,28 @@
     assert not exchange.can_retry_elsewhere()
 
 
+def test_target_is_not_avoided_until_the_exit_for_an_earlier_silence(
+    context, stop_with
+):
+    """Otherwise streams are cut although a target answers that was silent once.
+
+    A stopping router sends nothing to a target that it left, and so never hears it.
+    """
+    silence_s = 3 * MIN_PRESUMED_SILENCE_S
+    exchange, _, _ = make_exchange(context)
+    add_target(context, "f")
+    target = context.targets.get("f")
+    exchange.on_stream_begin(200, Headers())
+    exchange.on_event(b"id: 1\ndata: piece 1\n\n", 1)
+    stop_with(ANSWER_S)
+    target.left_silent_at = boot_time() - 0.9 * silence_s
+    target.busy_since = target.left_silent_at - silence_s
+    assert not exchange.can_retry_elsewhere()
+    target.left_silent_at = boot_time() - 1.1 * silence_s
+    target.busy_since = target.left_silent_at - silence_s
+    assert exchange.can_retry_elsewhere() and target.silent_s(boot_time()) == 0.0
+
+
 def test_router_that_serves_resumes_a_stream_at_a_target_that_was_left_silent(context):
     exchange, _, _ = make_exchange(context)
     exchange._tried_targets.clear()
