net: pause after an error of accepting connections

Operators would see: a router or controller without free file descriptors uses a whole core and writes an ERROR line for each try, until a descriptor is free; the log of events has room for nothing else.

Cause: an error of accept leaves the connection in the queue, so the loop calls again at once.

Evidence: 674 and 1341 lines call_failed "Too many open files" in 2 s at a load of 30, 80 at another time. Ruled out: that the router does not come back; connections that waited were served once descriptors were free, also before.

Change: the listener is not watched for 0.1 s after an error.

--- a/berylnotch/net/sockets.py
+++ b/berylnotch/net/sockets.py
@@ -17,6 +17,10 @@
 #: delay other sockets.
 _MAX_ACCEPTS_PER_EVENT = 32
 
+#: Seconds without further attempts after an error of accepting, such as a lack of file
+#: descriptors. Without a pause the loop would try again all the time.
+_ACCEPT_RETRY_S = 0.1
+
 #: Idle time in seconds before the first TCP keep-alive probe, and interval in seconds
 #: between probes.
 _KEEPALIVE_INTERVAL_S = 1
@@ -101,7 +105,7 @@
     def start(self) -> None:
         """Start to accept connections."""
         self._is_open = True
-        self._loop.watch(self._sock, selectors.EVENT_READ, self._accept)
+        self._watch()
 
     def close(self) -> None:
         """Accept the connections that wait, and stop listening."""
@@ -115,10 +119,19 @@
                     continue
         self._sock.close()
 
+    def _watch(self) -> None:
+        if self._is_open:
+            self._loop.watch(self._sock, selectors.EVENT_READ, self._accept)
+
     def _accept(self, _events: int) -> None:
-        for _ in range(_MAX_ACCEPTS_PER_EVENT):
-            if not self._accept_one():
-                return
+        try:
+            for _ in range(_MAX_ACCEPTS_PER_EVENT):
+                if not self._accept_one():
+                    return
+        except OSError:
+            self._loop.watch(self._sock, 0, self._accept)
+            self._loop.call_later(_ACCEPT_RETRY_S, self._watch)
+            raise
 
     def _accept_one(self) -> bool:
         """Accept a connection; return whether others may wait."""
