tests: wait for all controllers before reading their metrics

Cause: two of three controllers form a group and accept a configuration. The third may not listen yet, so the search for the leader failed with "'NoneType' object has no attribute 'body'".

Evidence: once in a whole run with four workers at a load of 20 to 41, in test_a_process_killed_while_its_disk_is_full_comes_back_with_room: core-3 led at 07.896, and core-1 logged "started" at 08.243. The test's own part had not begun.

Change: the fixture waits for the event "started" of each controller, which a controller logs once its servers listen. Checks and bounds stay.

--- a/tests/test_daemon/test_full_disks.py
+++ b/tests/test_daemon/test_full_disks.py
@@ -41,6 +41,14 @@
 
     def start(controllers):
         fleet.start(controllers, routers=0)
+        # A group forms as soon as most controllers have started.
+        for controller in fleet.controllers:
+            wait_until(
+                lambda c=controller: any(
+                    f.get("event") == "started" for f in c.lines()
+                ),
+                f"{controller.name} to start",
+            )
         assert fleet.put(configuration(3)).status == 200
         wait_until(
             lambda: f"berylnotch_group_members {controllers}" in _leader_metrics(fleet),
