router: send stored answers under a verified key only

Callers saw: the answer that is stored for an Idempotency-Key was sent without a look at the key once its claim was answered, up to 4 s after the request was accepted, and by a router that was suspended meanwhile when it resumed.

Change: the key is checked as before the start of a claimed request. The refusal says "ran", as the earlier request with the Idempotency-Key has run.

Found by reading, not seen on processes.

--- a/berylnotch/server/claims.py
+++ b/berylnotch/server/claims.py
@@ -66,11 +66,13 @@
         on_claimed: Callable[[], None],
         on_refused: Callable[[Refusal], None],
         on_replayed: Callable[[], None],
+        check_key: Callable[[], Refusal | None],
     ) -> None:
         """Propose a claim for the job and call ``on_claimed`` if it is committed.
 
         Otherwise ``on_refused`` is called; if an earlier claim has a stored answer,
-        the answer is written to the caller and ``on_replayed`` is called.
+        and ``check_key`` returns no refusal, the answer is written to the caller and
+        ``on_replayed`` is called.
         """
         attempt = secrets.token_hex(8)
         command = OpenClaim(
@@ -97,8 +99,12 @@
                 job.claim_attempt = attempt
                 on_claimed()
             elif result.claim is not None and result.claim.state is ClaimState.DONE:
-                _send_replay(job, result.claim)
-                on_replayed()
+                refusal = check_key()
+                if refusal is None:
+                    _send_replay(job, result.claim)
+                    on_replayed()
+                else:
+                    on_refused(_refusal_of_replay(refusal))
             else:
                 on_refused(_claim_refusal(result))
 
@@ -187,6 +193,17 @@
     job.caller.finish()
 
 
+def _refusal_of_replay(refusal: Refusal) -> Refusal:
+    """Return the refusal of a request that an earlier one has run already."""
+    return Refusal(
+        refusal.status,
+        refusal.code,
+        refusal.message,
+        RunStatus.RAN,
+        refusal.retry_after_s,
+    )
+
+
 def _unavailable_refusal() -> Refusal:
     return Refusal(
         503,
--- a/berylnotch/server/engine.py
+++ b/berylnotch/server/engine.py
@@ -177,11 +177,10 @@
     def _start_or_claim(self, job: Job) -> None:
         # While the job was queued, its key may have been withdrawn or the view may have
         # become stale.
-        if job.key_hash:
-            refusal = self._check_key(job, time.monotonic())
-            if refusal is not None:
-                self._refuse(job, refusal)
-                return
+        refusal = self._check_key_now(job)
+        if refusal is not None:
+            self._refuse(job, refusal)
+            return
         if not has_time_for(self._context, job):
             self._refuse(job, stopping_refusal(self._context))
             return
@@ -195,10 +194,14 @@
             lambda: self._start_claimed(job),
             lambda refusal: self._refuse(job, refusal),
             lambda: self._on_job_ended(job),
+            lambda: self._check_key_now(job),
         )
 
+    def _check_key_now(self, job: Job) -> Refusal | None:
+        return self._check_key(job, time.monotonic()) if job.key_hash else None
+
     def _start_claimed(self, job: Job) -> None:
-        refusal = self._check_key(job, time.monotonic()) if job.key_hash else None
+        refusal = self._check_key_now(job)
         if refusal is None and not has_time_for(self._context, job):
             refusal = stopping_refusal(self._context)
         if refusal is not None:
