router: keep the error event of a stream whose events wait

Callers saw: a stream whose events waited for tokens, and whose deadline passed, ended without an error event and without the end marker.

Cause: the error event was queued behind the bytes that waited, and dropped with them as the exchange was over. Only the end of a stop was excepted.

Change: bytes that wait are dropped as soon as a timer has ended the exchange, before its error event.

Evidence: the test of the runner failed before. Found by reading.

--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -434,14 +434,16 @@
         )
 
     def _tick(self, job: Job) -> None:
-        if job.has_ended:
+        if job.has_ended or job.exchange.is_finished:
             return
         # A retry must not start on the view of before a suspension.
         self._check_freshness()
-        if time.monotonic() >= self._context.answer_by:
-            # Bytes that wait for tokens would hold the event that reports the stop.
+        actions = job.exchange.tick(time.monotonic())
+        if job.exchange.is_finished:
+            # Bytes that wait for tokens or the key would hold the event that reports
+            # the end.
             self._delivery.drop_uncharged(job)
-        self.perform(job, job.exchange.tick(time.monotonic()))
+        self.perform(job, actions)
         self._schedule_tick(job)
 
     def _make_refusal(self, job: Job, action: Finish) -> Refusal:
--- a/tests/test_server/test_runner.py
+++ b/tests/test_server/test_runner.py
@@ -66,6 +66,7 @@
         tokens=100,
         timers=[],
         ends=[],
+        calls=[],
     )
 
 
@@ -89,7 +90,9 @@
         crash_guard=SimpleNamespace(
             on_request_ended=lambda *_: None, on_request_completed=lambda *_: None
         ),
-        health=SimpleNamespace(record_end=lambda *_: None),
+        health=SimpleNamespace(
+            record_end=lambda *_: None, record_abandoned=lambda *_: None
+        ),
         decisions=SimpleNamespace(record_outcome=lambda *_: None),
         answer_times=AnswerTimes(),
         answer_by=time.monotonic() + 100.0,
@@ -97,7 +100,9 @@
     )
     claims = SimpleNamespace(close=lambda job, action, on_closed: on_closed())
     demand = SimpleNamespace(update=lambda *_: None, remove=lambda *_: None)
-    runner = Runner(context, None, claims, state.ends.append, lambda: None)
+    runner = Runner(
+        context, None, claims, state.ends.append, lambda: state.calls.append("check")
+    )
     runner.set_delivery(
         Delivery(context, demand, lambda job: None, lambda job: None),
     )
@@ -201,3 +206,57 @@
     complete(runner, job)
     assert job.caller.sent.startswith(b"HTTP/1.1 " + status)
     assert b"X-Berylnotch-Run: ran" in job.caller.sent and state.ends == [job]
+
+
+class TimedExchange:
+    """Stream that is ended by its timer; records its calls."""
+
+    is_paused = False
+
+    def __init__(self, calls, actions):
+        self.is_finished = False
+        self._calls = calls
+        self._actions = actions
+
+    def stop_at(self, end_time):
+        pass
+
+    def start(self, now):
+        return ()
+
+    def next_tick(self):
+        return 0.0
+
+    def tick(self, now):
+        self._calls.append("tick")
+        self.is_finished = bool(self._actions)
+        return self._actions
+
+
+class FakeTimer:
+    def cancel(self):
+        pass
+
+
+def test_timer_that_is_due_after_a_suspension_checks_the_view_first(runner, state):
+    job = make_job()
+    job.exchange = TimedExchange(state.calls, ())
+    runner.start(job)
+    job.timer = FakeTimer()
+    state.timers.pop()()
+    assert state.calls == ["check", "tick"]
+
+
+def test_stream_whose_events_wait_ends_with_the_event_that_tells_why(runner, state):
+    job = make_job()
+    job.chunked = True
+    error = SendBytes(b"error-event", 0)
+    finish = Finish(RunStatus.RAN, FinishReason.DEADLINE)
+    job.exchange = TimedExchange(state.calls, (error, finish))
+    state.tokens = 0
+    runner.start(job)
+    job.timer = FakeTimer()
+    runner.perform(job, (SendBytes(b"event-1", 1),))
+    state.timers.pop()()
+    assert b"error-event" in job.caller.sent and b"event-1" not in job.caller.sent
+    assert job.caller.is_finished and state.ends == [job]
