entry: count stopping routers when a target's limit is divided

Cause: the roster leaves a router out as soon as it says that it leaves, since callers are not directed to it any more. The share of a limit was divided by the same count, but callers use a stopping router until it exits.

Change: limits of targets are divided by the largest number of routers of the last `stop_s` seconds. The retry slack and kept connections are divided as before.

Test: after seven of eight routers left, a share is an eighth of half of the limit; before, it was all of the half.

--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -499,7 +499,7 @@
             self._log.warning(
                 "target_limits_uncoordinated",
                 targets=",".join(t.target_id for t in limits.limited_targets()),
-                routers=self._context.sharing_router_count,
+                routers=self._context.sending_router_count,
             )
         if limits.is_ask_due(now):
             self._reports.schedule()
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -87,7 +87,7 @@
     down_stores : frozenset of str
         Addresses of the stores that cannot be reached.
     router_count : int
-        Number of routers that accept requests.
+        Number of routers that accept requests; those that stop are not counted.
     is_roster_known : bool
         Whether a leader has sent the number of routers.
     loaded_targets : set of str
@@ -129,7 +129,7 @@
     loss_prober: LossProber = field(default=Factory(LossProber, takes_self=True))
     target_limits: TargetLimits = field(
         default=Factory(
-            lambda self: TargetLimits(lambda: self.sharing_router_count),
+            lambda self: TargetLimits(lambda: self.sending_router_count),
             takes_self=True,
         )
     )
@@ -146,6 +146,8 @@
     stop: StopSchedule | None = None
     has_other_routers: Callable[[], bool] = lambda: False
     own_note_keys: deque[tuple] = field(factory=lambda: deque(maxlen=MAX_OWN_NOTES))
+    #: Former numbers of routers, each with the boot time at which it changed.
+    _former_router_counts: deque[tuple[float, int]] = field(factory=deque)
     _budgets: dict[str, WindowBudget] = field(factory=dict)
     _estimators: dict[str, PrefillEstimator] = field(factory=dict)
 
@@ -170,6 +172,16 @@
             return self.router_count
         return max(self.router_count, ASSUMED_ROUTER_COUNT)
 
+    @property
+    def sending_router_count(self) -> int:
+        """Largest number of routers that may send requests to targets.
+
+        Routers that stop are not counted any more, but send requests until they exit.
+        """
+        since = boot_time() - self.fleet.bounds.stop_s
+        former = [count for at, count in self._former_router_counts if at >= since]
+        return max(self.sharing_router_count, *former, 1)
+
     def budget(self, service: str) -> WindowBudget:
         """Return this router's retry budget for a service."""
         budget = self._budgets.get(service)
@@ -224,6 +236,10 @@
 
     def resize_budgets(self, router_count: int) -> None:
         """Divide the fleet's retry slack among a number of routers."""
+        now = boot_time()
+        self._former_router_counts.append((now, self.router_count))
+        while self._former_router_counts[0][0] < now - self.fleet.bounds.stop_s:
+            self._former_router_counts.popleft()
         self.router_count = max(1, router_count)
         self.is_roster_known = True
         for budget in self._budgets.values():
--- a/tests/test_entry/test_target_limits.py
+++ b/tests/test_entry/test_target_limits.py
@@ -106,6 +106,31 @@
     assert target.usable_at(silent_at + 3) == pytest.approx(silent_at + 6.1)
 
 
+def test_routers_that_stop_keep_their_share_of_a_limit(context, monkeypatch):
+    """Otherwise each of several routers that stop together uses the whole share.
+
+    The roster leaves them out at once, but callers use them until they exit.
+    """
+    stop_s, now = context.fleet.bounds.stop_s, NOW
+    monkeypatch.setattr("berylnotch.entry.context.boot_time", lambda: now)
+    context.resize_budgets(4)
+    now += 100
+    context.resize_budgets(2)
+    context.resize_budgets(0)
+    now += 0.9 * stop_s
+    assert context.router_count == 1 and context.sending_router_count == 4
+    now += 0.2 * stop_s
+    assert context.sending_router_count == 1
+    limits, target = context.target_limits, make_target("t")
+    context.resize_budgets(8)
+    context.resize_budgets(1)
+    limits.set_limit(now, target, 2.0)
+    limits.request_tokens(now, "llm")
+    limits.asks(now, "r", "1")
+    limits.serve(now + OWNER_SILENCE_S + 0.01)
+    assert target.limit.share_interval_s == 8 / (0.5 * 2.0)
+
+
 def test_an_owner_that_answers_again_ends_the_use_of_shares(limits, target):
     limits.request_tokens(NOW, "llm")
     limits.asks(NOW, "r", "1")
