entry: do not blame targets for a lack of resources of the router

Callers would see: after a router had no file descriptors for some seconds, it ejected all targets of a service, and refused requests until a probe had succeeded.

Cause: a connection that the router could not open, since no descriptor, memory or port was left, counted as a failure of the target, like a connection that the target refused; the target's prompts were forgotten as well.

Ruled out: the targets, which answered all the time.

Change: such an attempt has a failure of its own, `no_socket`. The request goes to another target, where a kept connection may be free, and is refused as not run if there is none.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -364,7 +364,10 @@
             return
         self._release_target()
         target, now = self._target, boot_time()
-        self._record_failure(now, is_late=False)
+        if failure is Failure.NO_SOCKET:
+            target.ejection.on_abandoned(self._attempt_id)
+        else:
+            self._record_failure(now, is_late=False)
         if failure is Failure.NOT_SENT:
             # No process listens at the target's address any more, and the target's
             # prefix cache is lost.
@@ -380,10 +383,10 @@
             events=self._event_count,
             parts=",".join(self._routed.caller.part_ids[:MAX_LOGGED_PARTS]),
         )
-        if failure is Failure.NOT_SENT:
-            self._report_end(AttemptEnd.NOT_REACHED, reason)
-        else:
+        if failure is Failure.BROKEN:
             self._report_end(AttemptEnd.BROKEN, reason, is_lost=True)
+        else:
+            self._report_end(AttemptEnd.NOT_REACHED, reason)
 
     def _start_migration(self) -> None:
         """Migrate the run to another engine, so that this target is free sooner."""
--- a/berylnotch/net/client.py
+++ b/berylnotch/net/client.py
@@ -13,7 +13,7 @@
 from attrs import frozen
 
 from berylnotch.net.messages import Headers, HttpRequest
-from berylnotch.net.sockets import connect
+from berylnotch.net.sockets import connect, is_local_error
 from berylnotch.util.address import Address
 from berylnotch.util.clock import boot_time
 from berylnotch.util.loop import Loop, Timer
@@ -29,6 +29,8 @@
 class Failure(Enum):
     """Kind of failed exchange, by whether the target may have read the request."""
 
+    #: This process could not open a socket, which says nothing about the target.
+    NO_SOCKET = "no_socket"
     #: No byte left this process, so the target has not seen the request.
     NOT_SENT = "not_sent"
     #: The target may have read the request.
@@ -181,7 +183,8 @@
         try:
             self._sock = connect(self.address, self._peer_timeout_s)
         except OSError as error:
-            self._fail(f"connect failed: {error}")
+            failure = Failure.NO_SOCKET if is_local_error(error) else Failure.NOT_SENT
+            self._fail(f"connect failed: {error}", failure)
             return
         self._watch()
 
@@ -344,11 +347,12 @@
             if name.lower() == "timeout" and value.strip().isdecimal():
                 self.keep_alive_s = float(value)
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, failure: Failure | None = None) -> None:
         if self._is_closed:
             return
         sink, self._sink = self._sink, None
-        failure = Failure.BROKEN if self._has_sent else Failure.NOT_SENT
+        if failure is None:
+            failure = Failure.BROKEN if self._has_sent else Failure.NOT_SENT
         self._close()
         if sink is not None:
             sink.on_failure(failure, reason)
--- a/berylnotch/net/sockets.py
+++ b/berylnotch/net/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import selectors
 import socket
 from collections.abc import Callable
@@ -29,6 +30,17 @@
 _KEEPALIVE_PROBES = 2
 
 
+#: Errors of opening a connection for which this process, not its peer, is the cause.
+_LOCAL_ERRORS = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+)
+
+
+def is_local_error(error: OSError) -> bool:
+    """Whether this process had no resources left to open a connection."""
+    return error.errno in _LOCAL_ERRORS
+
+
 def detect_dead_peer(sock: socket.socket, timeout_s: float) -> None:
     """Make the kernel end the connection if the peer stops acknowledging data.
 
--- a/tests/test_daemon/test_descriptors.py
+++ b/tests/test_daemon/test_descriptors.py
@@ -1,7 +1,8 @@
 """A router without free file descriptors for some seconds.
 
-A router that tries again without a pause, and logs each try, uses a whole core and
-fills the disk of its log.
+A router that takes its own lack of descriptors for failures of its targets ejects all
+of them and goes on refusing requests; one that tries again without a pause, and logs
+each try, uses a whole core and fills the disk of its log.
 """
 
 import os
@@ -16,6 +17,13 @@
 #: Seconds without a free descriptor.
 EXHAUSTED_S = 2.0
 
+#: Number of descriptors that are left for callers and their targets; each request in
+#: progress needs two, and 20 are in progress.
+FREE_COUNT = 16
+
+#: Time that each target takes for an answer, in seconds.
+ANSWER_S = 0.5
+
 #: Seconds after which all requests are served again.
 RECOVERED_S = 0.3
 
@@ -23,11 +31,11 @@
 MAX_LINES_PER_S = 20
 
 
-def limit_leaving_one_free(pid):
-    """Return a limit below which one descriptor of a process is free."""
+def limit_leaving_free(pid, count):
+    """Return a limit below which some descriptors of a process are free."""
     used = {int(number) for number in os.listdir(f"/proc/{pid}/fd")}
     limit = len(used)
-    while limit - sum(number < limit for number in used) < 1:
+    while limit - sum(number < limit for number in used) < count:
         limit += 1
     return limit
 
@@ -37,17 +45,21 @@
     resource.prlimit(pid, resource.RLIMIT_NOFILE, (count, hard_limit))
 
 
-def test_a_router_without_descriptors_pauses_and_recovers(wide_fleet):
+def test_a_router_without_descriptors_recovers_and_judges_no_target(
+    wide_fleet, platform
+):
+    for target in platform.targets.values():
+        target.answer_s = ANSWER_S
     router, *_ = wide_fleet.routers
     pid = router.process.pid
     previous_limit, _ = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+    limit = limit_leaving_free(pid, FREE_COUNT)
     callers = LateCallers([router], [], ("book", "read"), RATE_PER_S)
     started_at = time.monotonic()
     callers.start()
     try:
         time.sleep(1.0)
-        # A caller is still accepted, and needs a connection to a target.
-        limit_descriptors(pid, limit_leaving_one_free(pid))
+        limit_descriptors(pid, limit)
         time.sleep(EXHAUSTED_S)
         limit_descriptors(pid, previous_limit)
         recovered_at = time.monotonic() + RECOVERED_S
@@ -55,6 +67,7 @@
     finally:
         callers.close()
     lines = router.lines()
+    assert not [line for line in lines if line.get("event") == "target_ejected"]
     errors = [line for line in lines if line.get("level") == "ERROR"]
     assert len(errors) <= MAX_LINES_PER_S * EXHAUSTED_S
     failed = [
--- a/tests/test_entry/test_late_targets.py
+++ b/tests/test_entry/test_late_targets.py
@@ -116,3 +116,14 @@
     assert names == ["target_ejected", "target_readmitted"]
     (fields,) = [f for name, f in events if name == "target_ejected"]
     assert fields["failures"] == 2 and fields["heard_age_s"] is None
+
+
+def test_targets_are_used_although_the_router_had_no_descriptors(context, desks):
+    # All attempts failed for as long as the router had no file descriptors, which says
+    # nothing about the targets.
+    (target,) = desks(1)
+    for exchange in [send_to(context, target) for _ in range(2)]:
+        exchange._attempt.on_failure(Failure.NO_SOCKET, "too many open files")
+    assert not target.ejection.is_ejected and not target.failure_rate
+    _, connection, _ = make_exchange(context, target="/read/x")
+    assert connection.answers == [] and target.in_flight == 1
--- a/tests/test_net/test_client.py
+++ b/tests/test_net/test_client.py
@@ -1,10 +1,12 @@
 """Responses of targets: complete, of other requests, without a length, truncated."""
 
+import errno
 import socket
 import threading
 
 import pytest
 
+from berylnotch.net import client
 from berylnotch.net.client import ClientConnection, Failure, ResponseSink
 from berylnotch.net.fetch import fetch
 from berylnotch.net.messages import Headers, HttpRequest
@@ -138,3 +140,15 @@
     assert done.wait(5)
     assert results[0][0] is None and "0.2 s" in results[0][1]
     server.close()
+
+
+def test_a_lack_of_descriptors_is_no_failure_of_the_target(loop, monkeypatch):
+    def connect_without_descriptors(address, peer_timeout_s):
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    monkeypatch.setattr(client, "connect", connect_without_descriptors)
+    sink = Sink()
+    connection = ClientConnection(loop, Address("127.0.0.1", 9), 1.0, 1.0)
+    connection.send(HttpRequest("GET", "/", Headers()), sink)
+    assert sink.done.wait(5)
+    assert sink.result is Failure.NO_SOCKET
