entry: send nothing to late targets that have fallen silent

Callers would see: orders and reads that wait until their deadline and end with 504, outcome unknown, instead of a refusal at once, if all targets of a service answer late and then stop to answer.

Cause: a target that was ejected for late answers counted as silent only once a request that was sent after its newest answer had been given up. With no other target this takes that request's whole deadline (5 s in the tests), and until then the target got every request of the service.

Evidence: the new unit tests, from reading; not seen with processes.

Change: such a target also has to have answered within the time for which a stream may stall (2 s), or within the longest recent answer of the route, while it has requests.

Before: test_request_is_refused_once_a_late_target_has_fallen_silent failed for orders and reads.

--- a/berylnotch/entry/candidates.py
+++ b/berylnotch/entry/candidates.py
@@ -137,7 +137,8 @@
         return [
             t
             for t in targets
-            if t.is_usable_if_slow(inputs.now) and is_suitable(t, inputs)
+            if t.is_usable_if_slow(inputs.now, inputs.max_silence_s)
+            and is_suitable(t, inputs)
         ]
     return [t for t in usable if not _is_fallback(t, inputs)] or usable
 
--- a/berylnotch/entry/choice_inputs.py
+++ b/berylnotch/entry/choice_inputs.py
@@ -83,6 +83,7 @@
             routed.priority, routed.is_urgent
         ),
         max_overshoot_ms=context.estimator(service.name).max_overshoot_ms,
+        max_silence_s=_max_silence_s(context, routed),
         sample=settings.sample_size if has_many_routers else 0,
         draw=random.randrange,
         cached_levels=cached_levels,
@@ -96,6 +97,17 @@
     )
 
 
+def _max_silence_s(context: EntryContext, routed: RoutedRequest) -> float:
+    """Return the time without an answer that is usual for the targets of a route."""
+    stall_s = context.settings.stall_s
+    if routed.is_stream:
+        return stall_s
+    longest_s = context.answer_times.longest_s(
+        routed.route.name, routed.caller.output_tokens, factor=1.0
+    )
+    return max(stall_s, longest_s or 0.0)
+
+
 def make_target_headers(
     context: EntryContext,
     routed: RoutedRequest,
--- a/berylnotch/entry/model.py
+++ b/berylnotch/entry/model.py
@@ -61,6 +61,9 @@
     stored_levels : callable
         Returns the number of levels that a store probably holds for the weights of a
         target.
+    max_silence_s : float
+        Time in seconds without any answer after which a target that was ejected for
+        late answers counts as failed.
     ring_walk : callable or None
         Returns the targets in their order on the consistent-hash ring, beginning at the
         position of a key. The order is the same at all routers. With None the hashes of
@@ -84,6 +87,7 @@
     max_overshoot_ms: float = 0.0
     failure_domain: str = ""
     excluded: Collection[str] = ()
+    max_silence_s: float = float("inf")
     sample: int = 0
     draw: Callable[[int], int] = lambda count: 0
     cached_levels: Callable[[Target], CachedLevels] = lambda target: NO_CACHED_LEVELS
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -179,12 +179,13 @@
         """Return whether the target may get a new request."""
         return self._accepts_requests(now) and not self.ejection.is_blocked(now)
 
-    def is_usable_if_slow(self, now: float) -> bool:
+    def is_usable_if_slow(self, now: float, max_silence_s: float) -> bool:
         """Return whether the target may get a request that no other target can serve.
 
         Its answers are late, but it goes on sending answers.
         """
-        is_slow = self.ejection.is_for_late_answers and not self.was_left_silent
+        is_silent = self.was_left_silent or self.silent_s(now) > max_silence_s
+        is_slow = self.ejection.is_for_late_answers and not is_silent
         return is_slow and self._accepts_requests(now)
 
     def _accepts_requests(self, now: float) -> bool:
--- a/tests/test_entry/test_late_targets.py
+++ b/tests/test_entry/test_late_targets.py
@@ -127,3 +127,36 @@
     assert not target.ejection.is_ejected and not target.failure_rate
     _, connection, _ = make_exchange(context, target="/read/x")
     assert connection.answers == [] and target.in_flight == 1
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/book/x"])
+def test_request_is_refused_once_a_late_target_has_fallen_silent(context, desks, path):
+    # The target answered other requests while those that ejected it were late, and then
+    # stopped to answer at all. What it gets would wait until its deadline.
+    (target,) = desks(1)
+    eject_for_late_answers(context, target)
+    send_to_late_target(context, target)
+    silent_s = context.settings.stall_s + 0.1
+    target.busy_since = target.heard_at = boot_time() - silent_s
+    target.left_silent_at = 0.0
+    _, connection, _ = make_exchange(context, target=path)
+    assert connection.answers[0][0] == 503 and target.in_flight == 1
+
+
+def test_late_target_is_not_silent_while_its_answers_take_as_long(context, desks):
+    (target,) = desks(1)
+    eject_for_late_answers(context, target)
+    send_to_late_target(context, target)
+    silent_s = context.settings.stall_s + 0.1
+    context.answer_times.record("read", silent_s + 1.0, 0)
+    target.busy_since = target.heard_at = boot_time() - silent_s
+    target.left_silent_at = 0.0
+    _, connection, _ = make_exchange(context, target="/read/x")
+    assert connection.answers == [] and target.in_flight == 2
+
+
+def send_to_late_target(context, target):
+    """Send a request that no other target can serve, and that gets no answer."""
+    target.heard_at = boot_time()
+    make_exchange(context, target="/read/x")
+    assert target.in_flight == 1
