transport: pause after an error of accepting links

A process of berylnotchd without free file descriptors used a whole core until one was free, without a line in its log. Callers would see slow answers.

Change: the listener is not watched for 0.1 s after an error, which is logged.

--- a/berylnotch/transport/peers.py
+++ b/berylnotch/transport/peers.py
@@ -20,6 +20,9 @@
 
 #: Connections that may wait to be accepted.
 _BACKLOG = 512
+#: Seconds without further attempts after an error of accepting, such as a lack of file
+#: descriptors. Without a pause the loop would try again all the time.
+_ACCEPT_RETRY_S = 0.1
 #: Back-off in seconds before the next attempt to connect to an address.
 _RECONNECT_DELAY_S = 0.25
 #: Time limit of the handshake in seconds.
@@ -48,6 +51,7 @@
         self._key_of = key_of
         self._handler = handler
         self._channels: set[Channel] = set()
+        self._is_closed = False
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.bind(address.pair)
@@ -62,15 +66,18 @@
 
     def start(self) -> None:
         """Start to accept connections."""
-        self._loop.call_soon(
-            lambda: self._loop.watch(self._sock, selectors.EVENT_READ, self._accept)
-        )
+        self._loop.call_soon(self._watch)
 
     def close(self) -> None:
         """Stop listening and close the accepted connections."""
         self._loop.call_soon(self._close)
 
+    def _watch(self) -> None:
+        if not self._is_closed:
+            self._loop.watch(self._sock, selectors.EVENT_READ, self._accept)
+
     def _close(self) -> None:
+        self._is_closed = True
         self._loop.watch(self._sock, 0, self._accept)
         self._sock.close()
         for channel in tuple(self._channels):
@@ -79,8 +86,12 @@
     def _accept(self, _events: int) -> None:
         try:
             sock, _ = self._sock.accept()
-        except OSError:
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
             return
+        except OSError:
+            self._loop.watch(self._sock, 0, self._accept)
+            self._loop.call_later(_ACCEPT_RETRY_S, self._watch)
+            raise
         _configure_socket(sock)
         session = Session("", self._key_of, accepting=True)
         channel = Channel(
--- a/tests/test_transport/test_peers.py
+++ b/tests/test_transport/test_peers.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
+import errno
 import socket
+import time
 
 import pytest
 
@@ -76,3 +78,42 @@
     client.start()
     assert client.call(ShowRequest()).text == "operator/asha"
     client.close()
+
+
+class SocketWithoutDescriptors:
+    """Listening socket whose process has no free file descriptor; counts attempts."""
+
+    def __init__(self, sock):
+        self._sock, self.attempts = sock, 0
+
+    def fileno(self):
+        return self._sock.fileno()
+
+    def accept(self):
+        self.attempts += 1
+        raise OSError(errno.EMFILE, "Too many open files")
+
+
+def test_listener_without_descriptors_does_not_try_all_the_time():
+    # Connections that cannot be accepted stay in the queue, so the socket stays ready.
+    errors = []
+    loop = Loop("test", on_error=errors.append)
+    loop.start()
+    listener = Listener(loop, Address("127.0.0.1", 0), lambda identity: b"", print)
+    sock, address = listener._sock, listener.address
+    listener._sock = exhausted = SocketWithoutDescriptors(sock)
+    try:
+        listener.start()
+        with socket.create_connection(address.pair, timeout=5):
+            time.sleep(0.5)
+            assert 1 <= exhausted.attempts <= 10
+            assert {error.errno for error in errors} == {errno.EMFILE}
+            listener._sock = sock
+            deadline = time.monotonic() + 5
+            while not listener._channels and time.monotonic() < deadline:
+                time.sleep(0.01)
+            assert listener._channels
+    finally:
+        listener._sock = sock
+        listener.close()
+        loop.close()
