fleetd: wait longer for the log line of a failed start

A failed start has no such bound, and the line is all that tells its reason; it waits up to 10 s now.

--- a/berylnotch/cmd/fleetd.py
+++ b/berylnotch/cmd/fleetd.py
@@ -33,6 +33,9 @@
 #: messages.
 _CLOSE_DELAY_S = 0.3
 
+#: Seconds for which a process that cannot start waits until the reason is in its log.
+_FAILURE_LOG_TIMEOUT_S = 10.0
+
 #: Starts a stop; called with the boot time of the signal.
 Stop = Callable[[float], None]
 
@@ -106,7 +109,7 @@
         )
     except (BerylnotchError, OSError) as error:
         log.error("start_failed", reason=str(error))
-        log.close()
+        log.close(_FAILURE_LOG_TIMEOUT_S)
         return EXIT_FAILURE
     loop.call_every(FLUSH_INTERVAL_S, log.flush)
     loop.run()
