net, berylnotchd: ignore connection attempts as a port closes, instead of resetting them

The caller of an order cannot know whether it ran.

Cause: the kernel completes a connection after the last accept and resets it at the close. A process that does not get a processor in between, as beside a load, makes that time longer.

Change: the port accepts all that wait, ignores further SYN segments (a packet filter on the listening socket), accepts what has come meanwhile, and closes. An ignored attempt is repeated by the caller's kernel after a second and then refused: it costs that caller a second, but it knows that nothing ran. The filter comes after the first round of accepts to keep that rare. Same class: the listener of berylnotchd's router closes in the same way. A kernel without such filters closes as before.

--- a/berylnotch/net/sockets.py
+++ b/berylnotch/net/sockets.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import ctypes
 import selectors
 import socket
+import struct
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -24,6 +26,19 @@
 #: Number of unanswered keep-alive probes after which the kernel ends a connection.
 _KEEPALIVE_PROBES = 2
 
+#: Socket option of Linux that attaches a packet filter (``asm-generic/socket.h``).
+_SO_ATTACH_FILTER = 26
+
+#: Packet filter that drops the segments with the flag SYN, which is in byte 13 of the
+#: TCP header, and passes all others. Each instruction has a code, two jump offsets and
+#: a value.
+_SYN_FILTER = (
+    (0x30, 0, 0, 13),  # load byte 13
+    (0x45, 0, 1, 0x02),  # continue if SYN is set, else skip one
+    (0x06, 0, 0, 0),  # drop
+    (0x06, 0, 0, 0xFFFFFFFF),  # pass
+)
+
 
 def detect_dead_peer(sock: socket.socket, timeout_s: float) -> None:
     """Make the kernel end the connection if the peer stops acknowledging data.
@@ -46,6 +61,23 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
 
 
+def ignore_new_connections(sock: socket.socket) -> None:
+    """Make the kernel ignore attempts to connect to a listening socket.
+
+    A caller's kernel tries again after about a second, and is refused if the port is
+    closed by then. Connections that are established already can still be accepted.
+
+    Raises
+    ------
+    OSError
+        If the kernel has no packet filters for sockets.
+    """
+    instructions = b"".join(struct.pack("=HBBI", *line) for line in _SYN_FILTER)
+    buffer = ctypes.create_string_buffer(instructions)
+    program = struct.pack("@HP", len(_SYN_FILTER), ctypes.addressof(buffer))
+    sock.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, program)
+
+
 def connect(address: Address, peer_timeout_s: float) -> socket.socket:
     """Return a non-blocking socket whose connection is being established.
 
@@ -109,12 +141,20 @@
             self._is_open = False
             self._loop.watch(self._sock, 0, self._accept)
             # The kernel resets connections that are not accepted by then, and those for
-            # which no file descriptor is free.
+            # which no file descriptor is free. None may be established between the last
+            # accept and the close. Those that wait are accepted first, so that few
+            # callers are ignored.
+            self._accept_all()
             with suppress(OSError):
-                while self._accept_one():
-                    continue
+                ignore_new_connections(self._sock)
+            self._accept_all()
         self._sock.close()
 
+    def _accept_all(self) -> None:
+        with suppress(OSError):
+            while self._accept_one():
+                continue
+
     def _accept(self, _events: int) -> None:
         for _ in range(_MAX_ACCEPTS_PER_EVENT):
             if not self._accept_one():
--- a/berylnotch/server/handover.py
+++ b/berylnotch/server/handover.py
@@ -5,12 +5,14 @@
 import os
 import socket
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from typing import Any
 
 from cheroot import wsgi
 from cheroot.connections import ConnectionManager
 from cheroot.server import HTTPConnection
 
+from berylnotch.net.sockets import ignore_new_connections
 from berylnotch.util.address import Address
 
 #: Key of the WSGI environment that holds the detach function.
@@ -56,13 +58,19 @@
                 self._selector.unregister(connection.socket.fileno())
                 self.server.process_conn(connection)
         # The kernel resets the connections in the accept queue of a listener that is
-        # closed, so the queue is emptied immediately before.
+        # closed, so the queue is emptied before, and nothing may enter it afterwards.
         listener.settimeout(0.0)
-        while (connection := self._from_server_socket(listener)) is not None:
-            self.server.process_conn(connection)
+        self._accept_all(listener)
+        with suppress(OSError):
+            ignore_new_connections(listener)
+        self._accept_all(listener)
         listener.close()
         self.server.socket = None
 
+    def _accept_all(self, listener: socket.socket) -> None:
+        while (connection := self._from_server_socket(listener)) is not None:
+            self.server.process_conn(connection)
+
 
 class _Server(wsgi.Server):
     """Server that ends kept connections by an answer while it is draining."""
