--- a/berylnotch/net/sockets.py
+++ b/berylnotch/net/sockets.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import ctypes
 import errno
 import selectors
 import socket
+import struct
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -20,7 +22,7 @@
 
 #: Seconds without further attempts after an error of accepting, such as a lack of file
 #: descriptors. Without a pause the loop would try again all the time.
-_ACCEPT_RETRY_S = 0.1
+ACCEPT_RETRY_S = 0.1
 
 #: Idle time in seconds before the first TCP keep-alive probe, and interval in seconds
 #: between probes.
@@ -29,6 +31,19 @@
 #: Number of unanswered keep-alive probes after which the kernel ends a connection.
 _KEEPALIVE_PROBES = 2
 
+#: Socket option of Linux that attaches a packet filter (``asm-generic/socket.h``).
+_SO_ATTACH_FILTER = 26
+
+#: Packet filter that drops the segments with the flag SYN, which is in byte 13 of the
+#: TCP header, and passes all others. Each instruction has a code, two jump offsets and
+#: a value.
+_SYN_FILTER = (
+    (0x30, 0, 0, 13),  # load byte 13
+    (0x45, 0, 1, 0x02),  # continue if SYN is set, else skip one
+    (0x06, 0, 0, 0),  # drop
+    (0x06, 0, 0, 0xFFFFFFFF),  # pass
+)
+
 
 #: Errors of opening a connection for which this process, not its peer, is the cause.
 _LOCAL_ERRORS = frozenset(
@@ -62,6 +77,23 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
 
 
+def ignore_new_connections(sock: socket.socket) -> None:
+    """Make the kernel ignore attempts to connect to a listening socket.
+
+    A caller's kernel tries again after about a second, and is refused if the port is
+    closed by then. Connections that are established already can still be accepted.
+
+    Raises
+    ------
+    OSError
+        If the kernel has no packet filters for sockets.
+    """
+    instructions = b"".join(struct.pack("=HBBI", *line) for line in _SYN_FILTER)
+    buffer = ctypes.create_string_buffer(instructions)
+    program = struct.pack("@HP", len(_SYN_FILTER), ctypes.addressof(buffer))
+    sock.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, program)
+
+
 def connect(address: Address, peer_timeout_s: float) -> socket.socket:
     """Return a non-blocking socket whose connection is being established.
 
@@ -125,16 +157,24 @@
             self._is_open = False
             self._loop.watch(self._sock, 0, self._accept)
             # The kernel resets connections that are not accepted by then, and those for
-            # which no file descriptor is free.
+            # which no file descriptor is free. None may be established between the last
+            # accept and the close. Those that wait are accepted first, so that few
+            # callers are ignored.
+            self._accept_all()
             with suppress(OSError):
-                while self._accept_one():
-                    continue
+                ignore_new_connections(self._sock)
+            self._accept_all()
         self._sock.close()
 
     def _watch(self) -> None:
         if self._is_open:
             self._loop.watch(self._sock, selectors.EVENT_READ, self._accept)
 
+    def _accept_all(self) -> None:
+        with suppress(OSError):
+            while self._accept_one():
+                continue
+
     def _accept(self, _events: int) -> None:
         try:
             for _ in range(_MAX_ACCEPTS_PER_EVENT):
@@ -142,7 +182,7 @@
                     return
         except OSError:
             self._loop.watch(self._sock, 0, self._accept)
-            self._loop.call_later(_ACCEPT_RETRY_S, self._watch)
+            self._loop.call_later(ACCEPT_RETRY_S, self._watch)
             raise
 
     def _accept_one(self) -> bool:
--- a/berylnotch/transport/peers.py
+++ b/berylnotch/transport/peers.py
@@ -12,6 +12,7 @@
 
 from loguru import logger
 
+from berylnotch.net.sockets import ACCEPT_RETRY_S
 from berylnotch.transport.channel import Channel, Handler
 from berylnotch.transport.errors import ConnectionLostError
 from berylnotch.transport.session import KeyLookup, Session
@@ -20,9 +21,6 @@
 
 #: Connections that may wait to be accepted.
 _BACKLOG = 512
-#: Seconds without further attempts after an error of accepting, such as a lack of file
-#: descriptors. Without a pause the loop would try again all the time.
-_ACCEPT_RETRY_S = 0.1
 #: Back-off in seconds before the next attempt to connect to an address.
 _RECONNECT_DELAY_S = 0.25
 #: Time limit of the handshake in seconds.
@@ -90,7 +88,7 @@
             return
         except OSError:
             self._loop.watch(self._sock, 0, self._accept)
-            self._loop.call_later(_ACCEPT_RETRY_S, self._watch)
+            self._loop.call_later(ACCEPT_RETRY_S, self._watch)
             raise
         _configure_socket(sock)
         session = Session("", self._key_of, accepting=True)
