--- a/berylnotch/membership/ejection.py
+++ b/berylnotch/membership/ejection.py
@@ -32,8 +32,8 @@
         Length of the latest ejection in seconds, 0 if the target is not ejected.
     probe_number : int
         Number of the request that probes the target, 0 if none does.
-    has_broken : bool
-        Whether one of the consecutive failures was not only a late answer.
+    has_other_failure : bool
+        Whether one of the consecutive failures was something else than a late answer.
     """
 
     settings: MembershipSettings
@@ -42,7 +42,7 @@
     probe_allowed_at: float = 0.0
     duration_s: float = 0.0
     probe_number: int = 0
-    has_broken: bool = False
+    has_other_failure: bool = False
 
     @property
     def is_ejected(self) -> bool:
@@ -52,7 +52,7 @@
     @property
     def is_for_late_answers(self) -> bool:
         """Whether the target is ejected only because its answers were late."""
-        return self.is_ejected and not self.has_broken
+        return self.is_ejected and not self.has_other_failure
 
     def is_blocked(self, now: float) -> bool:
         """Tell whether the target must not get a request now."""
@@ -89,7 +89,7 @@
             Whether the answer was late, and did not fail in another way.
         """
         self.failures += 1
-        self.has_broken |= not is_late
+        self.has_other_failure |= not is_late
         is_probe = self.probe_number == request_number
         if is_probe:
             self.probe_number = 0
@@ -113,4 +113,4 @@
         self.failures = 0
         self.duration_s = 0.0
         self.probe_number = 0
-        self.has_broken = False
+        self.has_other_failure = False
--- a/berylnotch/util/loop.py
+++ b/berylnotch/util/loop.py
@@ -178,7 +178,13 @@
         self._run_calls()
 
     def _handle_input(self, wait_s: float) -> float:
-        """Wait for socket events and handle them; return the time up to which."""
+        """Handle socket events; return the time at which the sockets were last checked.
+
+        Parameters
+        ----------
+        wait_s : float
+            Longest time in seconds to wait for events.
+        """
         began_at = time.monotonic()
         ready = self._selector.select(wait_s)
         # A suspension ends the wait without looking for events again.
