--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -36,6 +36,10 @@
 #: Number of prompt parts in a log line.
 MAX_LOGGED_PARTS = 16
 
+#: Seconds before the end of its time from which a target may end an attempt for lack of
+#: time: requests state whole milliseconds, and the clocks of two VMs differ.
+EXPIRY_TOLERANCE_S = 0.01
+
 #: Back-off, in seconds, after a target refuses a request because it is full and
 #: specifies no back-off.
 FULL_TARGET_BACKOFF_S = 0.15
@@ -379,6 +383,8 @@
             failure=failure.value,
             reason=reason,
             after_s=now - self._sent_at,
+            given_s=self._target_headers.deadline_s,
+            is_expired=self._has_expired(now),
             failures=target.ejection.failures,
             events=self._event_count,
             parts=",".join(self._routed.caller.part_ids[:MAX_LOGGED_PARTS]),
@@ -454,6 +460,11 @@
         self._connection.close()
         self._report_end(AttemptEnd.BROKEN, reason)
 
+    def _has_expired(self, now: float) -> bool:
+        """Whether the time that the request stated for the target is over."""
+        given_s = self._target_headers.deadline_s
+        return now - self._sent_at >= given_s - EXPIRY_TOLERANCE_S
+
     def _count_result(self, result: str) -> None:
         self._context.metrics.count(
             "berylnotch_attempts_total",
--- a/berylnotch/entry/records.py
+++ b/berylnotch/entry/records.py
@@ -79,9 +79,18 @@
     choice: Choice,
     target_headers: TargetHeaders,
     progress: Progress,
+    has_begun: bool,
 ) -> None:
-    """Log that a request is sent, with the inputs to the choice of its target."""
+    """Log that a request is sent, with the inputs to the choice of its target.
+
+    ``has_begun`` states that events of the stream were sent to the caller before.
+    """
     target = choice.target
+    kind = "first" if progress.sends <= 1 else "repeat"
+    if target_headers.run_origin:
+        kind = "takeover"
+    elif has_begun:
+        kind = "resume"
     if target.limit is not None:
         context.metrics.count(
             "berylnotch_limited_target_sends_total", Label("target", target.target_id)
@@ -92,6 +101,7 @@
         route=routed.route.name,
         target=target.target_id,
         send=progress.sends,
+        kind=kind,
         load=target.load,
         own_load=target.in_flight,
         limit_per_s=target.limit.per_s if target.limit else None,
