--- a/tests/fleet/platform.py
+++ b/tests/fleet/platform.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import json
+import math
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from attrs import define, field
 
@@ -22,6 +23,11 @@
 MODEL = "model-1"
 
 
+def _deadline_s(headers: Mapping[str, str]) -> float:
+    """Return the seconds after which a target stops its work on a request."""
+    return float(headers.get("berylnotch-deadline-ms", "inf")) / 1000
+
+
 @define(eq=False)
 class StandInTarget:
     """Target with its injected faults and a record of its requests."""
@@ -70,6 +76,8 @@
     copies: dict[str, tuple[str, int]] = field(factory=dict)
     #: Request ids of the runs that resumed here from a KV cache copy.
     resumed: list[str] = field(factory=list)
+    #: Request ids of the runs that ended at the time that their request stated.
+    expired: list[str] = field(factory=list)
     #: Address in the target list, if it differs from the server's.
     listed_address: str = ""
 
@@ -368,13 +376,46 @@
                 if not target.hold_while_silent(self.loop, respond):
                     connection.respond(200, answer, body)
 
-            self.loop.call_later(target.answer_s, respond)
+            def expire() -> None:
+                target.expired.append(request_id)
+                connection.respond(504, answer)
+
+            deadline_s = _deadline_s(headers)
+            if target.answer_s < deadline_s:
+                self.loop.call_later(target.answer_s, respond)
+            else:
+                self.loop.call_later(deadline_s, expire)
         else:
             after = int(headers.get("last-event-id", "0"))
             parts = headers.get("berylnotch-prefix-hash", "").split(",")[:-1]
             part_ids = tuple(part.partition(":")[0] for part in parts)
+            self._expire_later(target, connection, answer, _deadline_s(headers))
             self._prefill(target, connection, answer, after, part_ids)
 
+    def _expire_later(
+        self,
+        target: StandInTarget,
+        connection: ServerConnection,
+        answer: Headers,
+        deadline_s: float,
+    ) -> None:
+        """Stop the work on a request at the time that it states, as engines do."""
+        request_id = answer.get("Berylnotch-Request-Id")
+
+        def expire() -> None:
+            stream = target.streams.get(request_id)
+            if connection in target.waiting:
+                target.waiting.discard(connection)
+                answer.add("Berylnotch-Not-Executed", "1")
+                connection.respond(503, answer)
+            elif stream is not None and stream[0] is connection:
+                del target.streams[request_id]
+                target.expired.append(request_id)
+                connection.abort()
+
+        if deadline_s < math.inf:
+            self.loop.call_later(deadline_s, expire)
+
     def _prefill(
         self,
         target: StandInTarget,
--- a/tests/test_entry/support.py
+++ b/tests/test_entry/support.py
@@ -112,7 +112,7 @@
     warning = error = info
 
 
-def make_exchange(context, organisation=None, **changes):
+def make_exchange(context, organisation=None, deadline_ms=None, **changes):
     headers = Headers(
         (
             ("Host", "app.example"),
@@ -122,6 +122,8 @@
             ("Berylnotch-Prefix-Hash", "aa:2000,bb:1000"),
         )
     )
+    if deadline_ms is not None:
+        headers.add("Berylnotch-Deadline-Ms", str(deadline_ms))
     request = HttpRequest("POST", "/chat/x", headers, b"{}", boot_time())
     for name, value in changes.items():
         setattr(request, name, value)
--- a/tests/test_entry/test_planned_stop.py
+++ b/tests/test_entry/test_planned_stop.py
@@ -69,6 +69,40 @@
     assert exchange._attempt._target_headers.deadline_s <= 5 * ANSWER_S
 
 
+def make_late_request(context, **headers):
+    """Return the connection of a request read 4 s after the signal of an 8 s stop."""
+    context.answer_times.record("chat", 0.01, 20)
+    context.stop = plan_stop(boot_time() - 4.0, 8.0, 3.0)
+    return make_exchange(context, **headers)[1]
+
+
+def test_late_request_that_may_outlast_the_router_is_refused_at_once(context):
+    """No estimate holds for targets that get slower, break or fall silent."""
+    context.has_other_routers = lambda: True
+    connection = make_late_request(context, read_at=boot_time())
+    assert check_refusal(context, connection, "stopping") == 0.0
+
+
+def test_late_request_with_a_deadline_before_the_exit_is_sent(context):
+    connection = make_late_request(
+        context, read_at=boot_time(), deadline_ms=ANSWER_S * 1000
+    )
+    assert connection.answers == [] and context.targets.get("e").in_flight == 1
+
+
+def test_body_that_ends_late_makes_a_late_request(context):
+    context.has_other_routers = lambda: True
+    connection = make_late_request(
+        context, received_at=boot_time() - 2.0, read_at=boot_time()
+    )
+    check_refusal(context, connection, "stopping")
+
+
+def test_request_read_early_in_a_stop_is_taken_by_the_estimate(context):
+    connection = make_late_request(context, read_at=boot_time() - 1.5)
+    assert connection.answers == [] and context.targets.get("e").in_flight == 1
+
+
 def test_refused_caller_without_another_router_waits_for_the_restart(
     context, stop_with
 ):
