quota: divide the tokens held in advance among routers that stop as well

Cause: a router that stops leaves the roster at once, and each router then holds a share of the burst by the number of those that are left, also the ones that stop and still hold theirs: 9 x 0.225 of the burst, which the owner does not have. Ruled out: the rate (8,000 of 50,000 tokens/s), the change of leader (the others got tokens from the new one 20 ms later). Change: the share counts the routers of the last seconds, as limits of targets do. The new unit test failed before. Before the first roster a router still holds as much as the only one would, as a test asks.

--- a/berylnotch/daemon/fleet/updates.py
+++ b/berylnotch/daemon/fleet/updates.py
@@ -142,7 +142,7 @@
     organisations = context.routes.configuration.organisations or ()
     limits = effective_limits(organisations, context.fleet.bounds)
     quota = context.gate.quota
-    share = HELD_SHARE / context.router_count
+    share = HELD_SHARE / context.recent_router_count
     interval_s = max(
         FLEET_QUOTA.ask_interval_s, GRANT_REQUEST_PER_ROUTER_S * context.router_count
     )
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -173,14 +173,20 @@
         return max(self.router_count, ASSUMED_ROUTER_COUNT)
 
     @property
-    def sending_router_count(self) -> int:
-        """Largest number of routers that may send requests to targets.
+    def recent_router_count(self) -> int:
+        """Largest number of routers within the time that a stop takes.
 
-        Routers that stop are not counted any more, but send requests until they exit.
+        Routers that stop are not counted any more, but serve requests and hold tokens
+        until they exit.
         """
         since = boot_time() - self.fleet.bounds.stop_s
         former = [count for at, count in self._former_router_counts if at >= since]
-        return max(self.sharing_router_count, *former, 1)
+        return max(self.router_count, *former, 1)
+
+    @property
+    def sending_router_count(self) -> int:
+        """Largest number of routers that may send requests to targets."""
+        return max(self.sharing_router_count, self.recent_router_count)
 
     def budget(self, service: str) -> WindowBudget:
         """Return this router's retry budget for a service."""
--- a/tests/test_daemon/test_fleet_updates.py
+++ b/tests/test_daemon/test_fleet_updates.py
@@ -94,7 +94,7 @@
         self.interval_s = interval_s
 
 
-def _limited_quota(router_count, is_roster_known):
+def _limited_quota(router_count, is_roster_known, recent_router_count=0):
     """Return the quota of a router after it applied a configured limit."""
     organisation = Organisation("alpha", ("k",), 0, 55_000, 112_000, True, 200)
     configuration = SimpleNamespace(organisations=(organisation,))
@@ -105,6 +105,7 @@
             fleet=SimpleNamespace(bounds=FleetBounds()),
             gate=QuotaGate(quota, 0.45),
             router_count=router_count,
+            recent_router_count=max(router_count, recent_router_count),
             is_roster_known=is_roster_known,
         )
     )
@@ -119,6 +120,12 @@
     assert small_fleet // 50 - 1 <= large_fleet <= small_fleet // 50 + 1
 
 
+def test_routers_that_stop_leave_tokens_to_hold_for_the_others():
+    """Otherwise nine routers would hold as much as two may, twice the burst in all."""
+    held = _limited_quota(2, True, recent_router_count=9).held["alpha"]
+    assert held == _limited_quota(9, True).held["alpha"]
+
+
 def test_grant_requests_assume_a_large_fleet_before_the_first_roster():
     # After a power loss, hundreds of routers each know only of themselves.
     quota = _limited_quota(1, is_roster_known=False)
