quota: grant tokens for all waiting requests of a router, not only for the first

What callers saw: routers of an organisation within its rate refused requests with no-grant after 0.45 s, four a second served, as long as other routers held the rest of the burst (9 routers, two of which got all callers: 16 to 88 refused in 5 s; the same in the first second and a half of a fleet, before the first roster). Cause: a router asks once in 0.25 s while work waits. From the part of the burst that is reserved for waiting work, the owner granted the first request's tokens only, though the ask tells what all of them need. Evidence: the owner's level stayed at 37,501 of 37,500 reserved tokens, and each ask got 200 of the 1,920 queued. Change: the owner grants what all waiting requests of the router need, as far as routers that wait leave a fair part. The new test failed before: 1 of 10 requests had tokens after 50 ms, now all.

--- a/berylnotch/quota/owner.py
+++ b/berylnotch/quota/owner.py
@@ -190,7 +190,11 @@
         return Bucket(limit.rate, limit.burst, self._steady_from, initial_level)
 
     def _grant_size(self, account: _Account, router: str, ask: QuotaAsk) -> int:
-        """Return the tokens to grant: 0, or enough for the first waiting work."""
+        """Return the tokens to grant: 0, or enough for the first waiting work.
+
+        The rest of the router's waiting work gets tokens as well, as far as other
+        routers that wait leave some.
+        """
         waiting = account.waiting
         level = account.bucket.level
         available_tokens = int(level - waiting.needed_ahead_of(router, level))
@@ -201,10 +205,12 @@
             waiting.enqueue(self._now, router, ask.queued or ask.want, ask.waiting)
             return 0
         waiting.remove(router)
+        fair_part = available_tokens // (len(waiting) + 1)
+        tokens = max(ask.waiting, min(ask.queued, fair_part))
         reserved_tokens = account.bucket.burst * self._settings.reserved_part
-        unreserved = max(0, int(available_tokens - ask.waiting - reserved_tokens))
-        extra_tokens = min(ask.want - ask.waiting, unreserved // (len(waiting) + 1))
-        return ask.waiting + max(0, extra_tokens)
+        unreserved = max(0, int(available_tokens - tokens - reserved_tokens))
+        extra_tokens = min(ask.want - tokens, unreserved // (len(waiting) + 1))
+        return tokens + max(0, extra_tokens)
 
     def _retry_after_ms(self, account: _Account, router: str) -> int:
         """Return the retry-after time of a router's work in ms, 0 if work may wait."""
--- a/tests/test_quota/test_waiting_work.py
+++ b/tests/test_quota/test_waiting_work.py
@@ -5,7 +5,12 @@
 
 from berylnotch.entry.quota_gate import Charge, QuotaGate
 from berylnotch.quota import LocalQuota, QuotaOwner
-from berylnotch.quota.bounds import FLEET_QUOTA, TAKEOVER_FRACTION, EffectiveLimit
+from berylnotch.quota.bounds import (
+    FLEET_QUOTA,
+    RESERVED_FRACTION,
+    TAKEOVER_FRACTION,
+    EffectiveLimit,
+)
 from berylnotch.quota.waiting import WaitQueue
 
 #: Longest wait for tokens at a router, in seconds.
@@ -134,3 +139,20 @@
     assert router.outcomes == [Charge.OVER_LIMIT]
     later = 0.01 + FLEET_QUOTA.ask_interval_s
     assert router.exchange(owner, later) == ()
+
+
+def test_all_waiting_requests_get_tokens_while_others_hold_the_burst(owner):
+    """Otherwise a router serves one request for each of its asks, four a second."""
+    router, holders = Router("router"), [Router(name) for name in "abc"]
+    for holder in holders:
+        holder.gate.quota.keep("alpha", 20_000)
+    for step in range(12):
+        for holder in holders:
+            holder.charge(0.25 * step, 100)
+            holder.exchange(owner, 0.25 * step)
+    assert owner.level(2.75, "alpha") < 20_000 * RESERVED_FRACTION + 1
+    for _ in range(10):
+        router.charge(2.75, 200)
+    for step in range(10):
+        router.exchange(owner, 2.75 + 0.005 * step)
+    assert router.outcomes == 10 * [Charge.CHARGED]
