entry, membership: take late requests in a stop only if they end before the exit

Cause: a stopping router took late requests by an estimate (twice the longest of the route's last 64 answers), which is no bound once targets get slower, break or fall silent. Targets got the end of the stop as the request's deadline, stopped there as they must, and were logged and charged as lost. An engine that ends streams at their deadline was ejected without any stop as well. Ruled out: engines that failed in the same moments (no other request lost them). Change: requests whose last byte comes later than 2.8 s after the signal are taken only with a deadline before the end of answers; targets get the request's own deadline; a target that ends an attempt when its time is over is not charged, nor one whose work the stop ends; a silent request is repeated early only if the stop would end it.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from berylnotch.entry.announcements import apply_announcements
@@ -184,7 +185,7 @@
             self._target.heard_at,
         )
         due_at = failover_at(
-            self._context.settings, route, pending, self._context.answer_by
+            self._context.settings, route, pending, self._stop_answer_by
         )
         if now < due_at or not route.target_latency_s:
             delay_s = max(0.05, due_at - now)
@@ -200,6 +201,13 @@
             # Another target may get room before the router stops and cuts the answer.
             self._context.loop.call_later(RETRY_CHECK_S, self.check_overdue)
 
+    @property
+    def _stop_answer_by(self) -> float:
+        """Boot time at which the router's stop ends the request, else infinite."""
+        answer_by = self._context.answer_by
+        deadline = self._sent_at + self._target_headers.deadline_s
+        return answer_by if answer_by < deadline else math.inf
+
     def _record_silence(self, now: float) -> None:
         """Record that the target is left, unless it answers other requests."""
         if self._target.heard_at <= max(self._sent_at, self._last_event_at):
@@ -324,6 +332,9 @@
         problem = response_problem(self._head, answer, tail, self._may_have_stopped)
         if problem:
             self._connection.close()
+            if self._has_expired(boot_time()):
+                self._report_expiry(problem)
+                return
             is_lost = not self._head.is_delimited
             self._report_end(AttemptEnd.BROKEN, problem, is_lost=is_lost)
             return
@@ -341,12 +352,13 @@
                 f"status {status} without the header for requests that did not run",
             )
             return
-        target.heard_at = boot_time()
+        now = target.heard_at = boot_time()
         if status < 500:
             self._record_success()
         else:
             target.ejection.on_abandoned(self._attempt_id)
-        target.note_outcome(status >= 500, boot_time() - self._sent_at)
+        if status < 500 or not self._has_expired(now):
+            target.note_outcome(status >= 500, now - self._sent_at)
         self._count_result(f"status-{status // 100}xx")
         self._owner.on_attempt_end(
             AttemptResult(
@@ -368,6 +380,9 @@
             return
         self._release_target()
         target, now = self._target, boot_time()
+        if failure is Failure.BROKEN and self._has_expired(now):
+            self._report_expiry(reason)
+            return
         if failure is Failure.NO_SOCKET:
             target.ejection.on_abandoned(self._attempt_id)
         else:
@@ -384,7 +399,6 @@
             reason=reason,
             after_s=now - self._sent_at,
             given_s=self._target_headers.deadline_s,
-            is_expired=self._has_expired(now),
             failures=target.ejection.failures,
             events=self._event_count,
             parts=",".join(self._routed.caller.part_ids[:MAX_LOGGED_PARTS]),
@@ -465,6 +479,19 @@
         given_s = self._target_headers.deadline_s
         return now - self._sent_at >= given_s - EXPIRY_TOLERANCE_S
 
+    def _report_expiry(self, reason: str) -> None:
+        """Report a run that its target ended for lack of time, which is no failure."""
+        self._target.ejection.on_abandoned(self._attempt_id)
+        self._context.log.info(
+            "attempt_expired",
+            id=self._routed.caller.request_id,
+            target=self._target.target_id,
+            reason=reason,
+            given_s=self._target_headers.deadline_s,
+            events=self._event_count,
+        )
+        self._report_end(AttemptEnd.EXPIRED, reason)
+
     def _count_result(self, result: str) -> None:
         self._context.metrics.count(
             "berylnotch_attempts_total",
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -233,6 +233,9 @@
 
     def _refuse_if_too_late(self) -> bool:
         """Refuse a request that was not sent yet if its answer may be cut."""
+        if self._time_limit.is_too_late:
+            self._give_up_stopping("the answer may end after the router stops")
+            return True
         choice = self._choose_other_target()
         if choice is None or self._has_time_for(choice):
             return False
@@ -291,7 +294,7 @@
             self._service,
             inputs,
             choice,
-            self._remaining_s,
+            self._time_limit.own_remaining_s,
             self._reply.last_event,
             self._relocation.origin,
         )
@@ -404,6 +407,9 @@
             self._finish("served", 200, target)
         elif result.end is AttemptEnd.ANSWERED:
             self._on_answer(result)
+        elif result.end is AttemptEnd.EXPIRED:
+            detail = f"{target.target_id} stopped at the deadline: {result.reason}"
+            self._fail(504, Reason.DEADLINE, detail)
         else:
             self._retry(result, is_run=not is_not_run)
 
@@ -535,7 +541,8 @@
             retry_s = self._context.stopping_retry_s()
         has_sent = self._attempt is not None and self._attempt.has_sent
         if self._attempt is not None:
-            self._attempt.cancel(is_overdue=True)
+            # A target whose work the stop ends is not late.
+            self._attempt.cancel(is_overdue=not self._time_limit.is_set_by_stop)
         if has_sent or self._progress.runs or self._reply.has_head:
             self._fail(504, reason, detail)
         else:
--- a/berylnotch/entry/results.py
+++ b/berylnotch/entry/results.py
@@ -28,6 +28,8 @@
     NOT_RUN = "not run"
     #: The run was stopped and can resume at another engine from its KV cache.
     MOVED = "moved"
+    #: The target stopped its work when the time that it was given was over.
+    EXPIRED = "expired"
     #: The attempt failed, and the target may have run the request.
     BROKEN = "broken"
 
--- a/berylnotch/entry/time_limit.py
+++ b/berylnotch/entry/time_limit.py
@@ -50,6 +50,22 @@
         """Whether the router stops before the request's deadline."""
         return self._context.answer_by < self._deadline
 
+    @property
+    def own_remaining_s(self) -> float:
+        """Seconds until the request's own deadline, also if the router stops before."""
+        return self._deadline - boot_time()
+
+    @property
+    def is_too_late(self) -> bool:
+        """Whether the request came too late to be taken by an estimate of its answer.
+
+        The stop of the router must not be able to end such a request.
+        """
+        stop = self._context.stop
+        if stop is None or not self.is_set_by_stop:
+            return False
+        return self._routed.request.read_at > stop.estimate_until
+
     def start(self) -> None:
         """Start the timer, or set it anew after the router's stop was planned."""
         self.cancel()
--- a/berylnotch/membership/departure.py
+++ b/berylnotch/membership/departure.py
@@ -19,6 +19,13 @@
 #: the exit of the process.
 EXIT_RESERVE_S = 0.2
 
+#: Seconds of a stop in which requests are taken by an estimate of their answers'
+#: duration, and the largest fraction of the stop that they may take. An estimate fails
+#: for targets that get slower, break or fall silent; within this time a platform with
+#: the usual 8 s excuses answers that the end of the stop cuts.
+MAX_ESTIMATE_S = 2.8
+MAX_ESTIMATE_FRACTION = 0.35
+
 #: Largest fraction of a stop that each reserve takes if the time to stop is short.
 MAX_RESERVE_FRACTION = 0.25
 
@@ -34,6 +41,9 @@
     accept_until : float
         Time from which no caller has an address answer with this process, so that the
         process may exit as soon as it has no requests.
+    estimate_until : float
+        Time until which requests are taken by an estimate of their answers' duration.
+        Later ones are taken only if their own deadlines are not after ``answer_by``.
     answer_by : float
         Time by which all answers must have ended.
     close_by : float
@@ -44,6 +54,7 @@
 
     began_at: float
     accept_until: float
+    estimate_until: float
     answer_by: float
     close_by: float
     exit_by: float = math.inf
@@ -69,6 +80,7 @@
     return StopSchedule(
         began_at=began_at,
         accept_until=min(began_at + address_lifetime_s, answer_by),
+        estimate_until=began_at + min(MAX_ESTIMATE_S, MAX_ESTIMATE_FRACTION * stop_s),
         answer_by=answer_by,
         close_by=exit_by - min(EXIT_RESERVE_S, max_reserve_s),
         exit_by=exit_by,
