--- a/tests/test_entry/test_expired_attempts.py
+++ b/tests/test_entry/test_expired_attempts.py
@@ -78,3 +78,57 @@
     target = context.targets.get("e")
     assert target.ejection.failures == 0 and not target.was_left_silent
     assert probed == []
+
+
+def receive_head(attempt, status, is_delimited, **headers):
+    """Let an attempt receive the head of an answer, without a connection."""
+    attempt._connection = SimpleNamespace(
+        is_reusable=False, is_reused=False, close=lambda: None
+    )
+    names = [("Berylnotch-Request-Id", "id-1")]
+    names += [(name.replace("_", "-"), value) for name, value in headers.items()]
+    attempt.on_head(ResponseHead(status, Headers(names), is_delimited))
+
+
+def test_stream_that_its_target_closes_at_the_deadline_is_not_served_as_whole(context):
+    exchange, connection, _ = make_exchange(context)
+    ends = []
+    connection.break_off = lambda: ends.append("broken off")
+    connection.end_stream = lambda *_: ends.append("whole")
+    attempt = exchange._attempt
+    receive_head(
+        attempt,
+        200,
+        is_delimited=False,
+        Content_Type="text/event-stream",
+        Berylnotch_Server_Stamp="stamp",
+    )
+    attempt.on_body(b"id: 1\ndata: piece 1\n\n")
+    give_time(attempt, attempt._target_headers.deadline_s, left_s=0.0)
+    attempt.on_complete()
+    assert ends == ["broken off"]
+
+
+def test_refusal_at_the_deadline_pauses_no_target_and_costs_no_retry(context):
+    exchange, connection, _ = make_exchange(context, deadline_ms=200)
+    attempt, target = exchange._attempt, context.targets.get("e")
+    receive_head(attempt, 503, is_delimited=True, Berylnotch_Not_Executed="1")
+    exchange._time_limit._deadline = boot_time()
+    give_time(attempt, attempt._target_headers.deadline_s, left_s=0.0)
+    attempt.on_complete()
+    events = dict(context.log.events)
+    assert target.is_usable(boot_time()) and "sent_again" not in events
+    assert connection.answers[0][0] == 503
+    assert events["finished"]["reason"].startswith("deadline")
+
+
+@pytest.mark.parametrize(("deadline_ms", "failures"), [(100, 0), (500, 1)])
+def test_deadline_below_the_target_latency_charges_no_target(
+    context, deadline_ms, failures
+):
+    exchange, _, _ = make_exchange(context, deadline_ms=deadline_ms)
+    exchange._sent_at -= deadline_ms / 1000
+    exchange._end_without_response()
+    target = context.targets.get("e")
+    assert target.ejection.failures == failures
+    assert target.was_left_silent == bool(failures)
