entry: break off answers without a length that end at their deadline

What callers see: a stream without a length or chunks that its target closes at the deadline comes out as a whole answer, with its last events missing. Cause: the end of such an answer is the close of its connection, and a target closes it also when it stops its work at the time that it was given. Evidence: test_stream_that_its_target_closes_at_the_deadline_is_not_served_as_whole, without a network, failed before: the stream was ended, not broken off.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -330,9 +330,14 @@
         self._release_target()
         tail = self._splitter.tail if self._is_stream else None
         problem = response_problem(self._head, answer, tail, self._may_have_stopped)
+        has_expired = self._has_expired(boot_time())
+        if has_expired and status < 300 and not self._head.is_delimited:
+            # The target closes its connection at the end of an answer and also if it
+            # stops the work at the deadline.
+            problem = problem or "connection closed at the deadline"
         if problem:
             self._connection.close()
-            if self._has_expired(boot_time()):
+            if has_expired:
                 self._report_expiry(problem)
                 return
             is_lost = not self._head.is_delimited
@@ -357,7 +362,7 @@
             self._record_success()
         else:
             target.ejection.on_abandoned(self._attempt_id)
-        if status < 500 or not self._has_expired(now):
+        if status < 500 or not has_expired:
             target.note_outcome(status >= 500, now - self._sent_at)
         self._count_result(f"status-{status // 100}xx")
         self._owner.on_attempt_end(
