entry: charge neither target nor retry budget for a refusal at the deadline

What callers see: a target that refuses a request whose time was over in its queue (503, not run) gets no requests of this router for 0.15 s, and the retry budget is charged for a retry that the deadline does not allow. Cause: such a refusal was taken for that of a full target, and a retry was charged before the time left was checked.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -345,7 +345,7 @@
             return
         self._context.targets.keep(target, self._connection)
         if answer.is_not_run:
-            self._on_refusal(status)
+            self._on_refusal(status, has_expired)
             return
         if self._is_stream:
             self._on_stream_complete()
@@ -449,10 +449,19 @@
         if migration.on_stream_end is not None:
             migration.on_stream_end()
 
-    def _on_refusal(self, status: int) -> None:
-        """Back off from a target that refused the request without running it."""
+    def _on_refusal(self, status: int, has_expired: bool) -> None:
+        """Back off from a target that refused the request without running it.
+
+        A target also refuses a request whose time is over while it waits there. That
+        says nothing of other requests.
+        """
         target = self._target
         target.ejection.on_abandoned(self._attempt_id)
+        if has_expired:
+            self._report_end(
+                AttemptEnd.NOT_RUN, f"refused with {status} at the deadline"
+            )
+            return
         pause_s = (
             FULL_TARGET_BACKOFF_S if status in (503, 429) else MISDIRECTED_BACKOFF_S
         )
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -463,7 +463,10 @@
             if not may_repeat:
                 self._fail_run(reason, result)
                 return
-        if progress.sends >= self._context.settings.max_sends:
+        if self._remaining_s < MIN_SEND_TIME_S:
+            # The request ends without another send, so no retry is charged.
+            self._choose_and_send()
+        elif progress.sends >= self._context.settings.max_sends:
             self._give_up(Reason.ALL_REFUSED, f"{progress.sends} times: {reason}")
         elif result.end is AttemptEnd.NOT_REACHED:
             # The retry budget counts only requests that arrive at targets.
