entry: charge no target for a deadline below the route's target latency

What callers see: sound targets are ejected by callers with short deadlines; if two routers eject a target, all others avoid it. A target that ends its work at the deadline is heard of only after a round trip, which may be more than the 0.08 s that the router waits. No run on processes showed it. Change: such an answer is late only if the target has had the route's target latency. At a deadline of 0.5 s the target is charged as before.

--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -544,13 +544,22 @@
             retry_s = self._context.stopping_retry_s()
         has_sent = self._attempt is not None and self._attempt.has_sent
         if self._attempt is not None:
-            # A target whose work the stop ends is not late.
-            self._attempt.cancel(is_overdue=not self._time_limit.is_set_by_stop)
+            self._attempt.cancel(is_overdue=self._is_answer_late())
         if has_sent or self._progress.runs or self._reply.has_head:
             self._fail(504, reason, detail)
         else:
             self._refuse(503, reason, f"not sent: {detail}", retry_s)
 
+    def _is_answer_late(self) -> bool:
+        """Whether an answer that is missing at the end of the request's time is late.
+
+        The stop of the router and a deadline below the route's target latency end that
+        time early, which says nothing of the target.
+        """
+        waited_s = boot_time() - self._sent_at
+        is_awaited = waited_s >= self._routed.route.target_latency_s
+        return is_awaited and not self._time_limit.is_set_by_stop
+
     def _on_caller_disconnect(self) -> None:
         if self._has_ended:
             return
