quota: divide tokens again once routers that left the roster have exited

Found by reading. Cause: the tokens that a router holds in advance are divided by the routers of the last seconds, but only when a roster or a configuration comes. After the last roster of a stop or of a smaller fleet the larger number stays in force: 3 of 9 routers go on holding 0.05 of the burst each in place of 0.15. Evidence: test_tokens_are_divided_again_once_routers_that_left_have_exited fails without the later division. Change: a roster with fewer routers divides the tokens again after the time to stop.

--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -13,6 +13,7 @@
     apply_limits,
     apply_loads,
     apply_prompt_notes,
+    apply_roster,
     apply_targets,
 )
 from berylnotch.entry.context import EXPECTED_STARTUP_S, EntryContext
@@ -435,8 +436,7 @@
             for address in message.gone:
                 self._roster.pop(address, None)
             self._roster.update((entry.address, entry) for entry in message.routers)
-            self._context.resize_budgets(len(self._roster))
-            apply_limits(self._context)
+            apply_roster(self._context, len(self._roster))
         elif isinstance(message, LoadColumns):
             update = self._numbered_targets.loads(message)
             if update is not None:
--- a/berylnotch/daemon/fleet/updates.py
+++ b/berylnotch/daemon/fleet/updates.py
@@ -35,6 +35,10 @@
 #: routers may restart at the same time.
 INITIAL_GRANT_REQUEST_INTERVAL_S = 1.0
 
+#: Seconds after the time to stop at which the routers that left are not counted any
+#: more when tokens are divided.
+EXIT_MARGIN_S = 0.1
+
 
 def apply_targets(context: EntryContext, update: TargetsUpdate) -> None:
     """Apply targets, announced weight versions and the list of stores that are down."""
@@ -129,6 +133,20 @@
     return refused != known
 
 
+def apply_roster(context: EntryContext, router_count: int) -> None:
+    """Divide retries and tokens among a number of routers.
+
+    Routers that left the roster hold tokens until they exit. The tokens are divided
+    again afterwards.
+    """
+    context.resize_budgets(router_count)
+    apply_limits(context)
+    if context.recent_router_count > context.router_count:
+        context.loop.call_later(
+            context.fleet.bounds.stop_s + EXIT_MARGIN_S, lambda: apply_limits(context)
+        )
+
+
 def apply_limits(context: EntryContext) -> None:
     """Set how many tokens of each organisation's limit this router holds in advance.
 
--- a/tests/test_daemon/test_fleet_updates.py
+++ b/tests/test_daemon/test_fleet_updates.py
@@ -10,6 +10,7 @@
     apply_limits,
     apply_loads,
     apply_prompt_notes,
+    apply_roster,
 )
 from berylnotch.entry.quota_gate import QuotaGate
 from berylnotch.entry.settings import EntrySettings
@@ -126,6 +127,30 @@
     assert held == _limited_quota(9, True).held["alpha"]
 
 
+def test_tokens_are_divided_again_once_routers_that_left_have_exited():
+    """Otherwise the others hold too few until the next change of the roster."""
+    organisation = Organisation("alpha", ("k",), 0, 55_000, 112_000, True, 200)
+    quota, timers = QuotaRecorder(), []
+    context = SimpleNamespace(
+        routes=SimpleNamespace(
+            configuration=SimpleNamespace(organisations=(organisation,))
+        ),
+        fleet=SimpleNamespace(bounds=FleetBounds()),
+        gate=QuotaGate(quota, 0.45),
+        loop=SimpleNamespace(call_later=lambda *timer: timers.append(timer)),
+        resize_budgets=lambda router_count: None,
+        router_count=2,
+        recent_router_count=9,
+        is_roster_known=True,
+    )
+    apply_roster(context, 2)
+    ((delay_s, action),) = timers
+    assert delay_s > context.fleet.bounds.stop_s
+    context.recent_router_count = 2
+    action()
+    assert quota.held["alpha"] == _limited_quota(2, True).held["alpha"]
+
+
 def test_grant_requests_assume_a_large_fleet_before_the_first_roster():
     # After a power loss, hundreds of routers each know only of themselves.
     quota = _limited_quota(1, is_roster_known=False)
