Known red: a silent target ends streams early in a stop while others are full

Evidence: answers take 4 s from 2 s after SIGTERM on; from 3 s on one engine is silent for 3 s and the two others refuse all. The rule says that a silence is no reason to end an answer sooner.

--- a/tests/test_daemon/test_late_in_a_stop.py
+++ b/tests/test_daemon/test_late_in_a_stop.py
@@ -33,6 +33,10 @@
 #: Seconds after SIGTERM for which targets that fall silent stay so.
 SILENT_UNTIL_S = 9.0
 
+#: Seconds after SIGTERM at which one engine falls silent and all others are full, and
+#: for which that lasts; time-out of the routes in seconds.
+FULL_S, FULL_FOR_S, TIMEOUT_S = 2.0, 3.0, 5.0
+
 #: Time budget in milliseconds of requests that end before the router does, and seconds
 #: after SIGTERM until which they are served.
 SHORT_DEADLINE_MS, SERVED_UNTIL_S = 1500, 5.5
@@ -68,6 +72,19 @@
         target.silent_until = until
 
 
+def fall_silent_and_full(platform):
+    """Slow down, and soon let one engine be silent while the others refuse all."""
+    slow_down(platform)
+
+    def begin():
+        silent, *full = engines(platform)
+        silent.silent_until = time.monotonic() + FULL_FOR_S
+        for engine in full:
+            engine.fault = "refuse"
+
+    platform.loop.call_later(1.0, begin)
+
+
 def stop_while(fleet, platform, change, change_s=CHANGE_S, **options):
     """Stop a router under load, change the targets, and return results and signal."""
     for target in platform.targets.values():
@@ -104,6 +121,18 @@
     assert refused_ids and not refused_ids & run_ids(platform)
 
 
+def test_silence_of_a_target_while_others_are_full_ends_no_stream_early(
+    wide_fleet, platform
+):
+    """Its run is left for a target that refuses the rest of the stream."""
+    results, signal_at = stop_while(
+        wide_fleet, platform, fall_silent_and_full, FULL_S, kinds=("chat",)
+    )
+    lost = lost_requests(results, lambda _: signal_at, run_ids(platform))
+    early = [r for r in lost if r.took_s < TIMEOUT_S - 0.1]
+    assert not early, [(r.sent_at - signal_at, r.took_s) for r in early]
+
+
 def test_stop_charges_no_failure_to_engines_that_it_cuts(wide_fleet, platform):
     """Otherwise other routers avoid sound engines, and refuse sound requests."""
     change = partial(slow_down, answer_s=ENDLESS_S)
