entry: go on resuming a begun stream until the end of a stop

What callers saw: a stopping router leaves the run of a silent target, the other targets refuse the rest of the stream, and it is broken off, though its target would have gone on. Cause: a stream that no target takes was given up at once; with a run left for its silence that makes the silence the end of the answer. Change: in a stop the rest of a begun stream is tried again every 0.4 s, also at the targets that refused or were silent, if the retry budget allows it, until the end of answers. Outside a stop nothing changes. Ruled out: to stay with a silent target in a stop; a target that is lost then cuts streams that another one would have completed.

--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -49,6 +49,10 @@
 #: Remaining time, in seconds, below which a request is not sent any more.
 MIN_SEND_TIME_S = 0.02
 
+#: Interval in seconds at which a stopping router tries to resume a stream that no
+#: target takes.
+RESUME_INTERVAL_S = 0.4
+
 #: Remaining time, in seconds, below which a slow request stays at its target.
 MIN_RETRY_TIME_S = 0.15
 
@@ -256,6 +260,9 @@
 
     def _give_up_stopping(self, detail: str) -> None:
         """End a request for which the stopping router has too little time."""
+        if self._may_resume_later():
+            self._context.loop.call_later(RESUME_INTERVAL_S, self._resume_in_stop)
+            return
         if self._progress.runs or self._reply.has_head:
             self._fail(504, Reason.STOPPING, detail)
         else:
@@ -491,13 +498,41 @@
     ) -> None:
         """End a request that cannot be sent any more.
 
-        A request that no target ran is refused, and any other request fails.
+        A request that no target ran is refused, and any other request fails. A
+        stopping router goes on trying to resume a stream that has begun: the targets
+        may be full for a short time, and the caller cannot use an aborted stream.
         """
+        if self._may_resume_later():
+            self._context.loop.call_later(RESUME_INTERVAL_S, self._resume_in_stop)
+            return
         if self._progress.runs or self._reply.has_head:
             self._fail(502, reason, detail)
         else:
             self._refuse(503, reason, detail, wait_s or None)
 
+    def _may_resume_later(self) -> bool:
+        """Whether the rest of a stream may find a target before the router stops."""
+        route = self._routed.route
+        if self._context.stop is None or self._reply.last_event is None:
+            return False
+        has_attempts = route.is_retryable and self._progress.runs < route.max_attempts
+        return has_attempts and self._remaining_s >= MIN_SEND_TIME_S
+
+    def _resume_in_stop(self) -> None:
+        """Send the rest of a stream if a target and the budget have room by now."""
+        if self._has_ended:
+            return
+        # A target that was silent or full may serve again.
+        self._tried_targets.clear()
+        if self._may_resume_later():
+            choice = self._choose_other_target()
+            has_target = choice is not None and self._has_time_for(choice)
+            budget = self._context.budget(self._service.name)
+            if not has_target or not budget.spend(boot_time()):
+                self._context.loop.call_later(RESUME_INTERVAL_S, self._resume_in_stop)
+                return
+        self._choose_and_send()
+
     def _refuse(
         self, status: int, reason: Reason, detail: str, retry_s: float | None
     ) -> None:
--- a/tests/test_entry/test_planned_stop.py
+++ b/tests/test_entry/test_planned_stop.py
@@ -258,6 +258,30 @@
     assert not exchange.can_retry_elsewhere()
 
 
+def test_begun_stream_is_not_broken_off_in_a_stop_while_targets_are_full(
+    context, stop_with
+):
+    exchange, connection, ended = make_exchange(context)
+    connection.break_off = lambda: None
+    exchange.on_stream_begin(200, Headers())
+    exchange.on_event(b"id: 1\ndata: piece 1\n\n", 1)
+    stop_with(ANSWER_S)
+    target, delayed = context.targets.get("e"), []
+    context.loop.call_later = lambda delay_s, call: delayed.append(call)
+    target.back_off(boot_time(), 10.0)
+    exchange.on_attempt_end(AttemptResult(target, AttemptEnd.NOT_RUN, "full"))
+    delayed.pop()()
+    assert not ended and exchange._attempt is None
+    target.refused_until = 0.0
+    for _ in range(20):
+        context.budget("llm").earn(boot_time())
+    delayed.pop()()
+    assert exchange._attempt is not None
+    stop_with(0.0)
+    exchange.on_attempt_end(AttemptResult(target, AttemptEnd.NOT_RUN, "full"))
+    assert ended
+
+
 def test_target_is_not_avoided_until_the_exit_for_an_earlier_silence(
     context, stop_with
 ):
