cmd/daemon: a signal that interrupts the wait for it no longer hangs the process

What callers saw: a router or controller of berylnotchd that got SIGTERM neither stopped nor reacted to further signals; it was killed in the end, with all requests that it held. Once test_stop_in_the_first_second_of_a_start_cuts_no_request[0.0] waited 60 s for the exit.

Cause: the handler called Event.set() and the log. It runs in the main thread between any two of its steps; if these are inside Event.wait(), the thread holds the event's lock itself and the handler waits for it for ever.

Change: the interpreter's own handler writes the number of the signal to a socket (set_wakeup_fd), the main thread reads it and logs. A first version, a handler in Python that wrote to the socket, also hung: a signal that comes just before the read blocks has no handler run until the read returns.

Looked at elsewhere: these are all handlers of the repository. The stand-ins use a wake-up descriptor already. berylnotch-fleetd's handlers take no lock that blocks: StopSignals acquires without blocking, EventLog only appends to a buffer (its thread gets a copy), and Loop.call_from_signal appends to a deque and writes to a non-blocking socket; its select waits 0.2 s at most, so a signal just before it is handled up to 0.2 s late.

--- a/berylnotch/cmd/daemon.py
+++ b/berylnotch/cmd/daemon.py
@@ -5,6 +5,7 @@
 import argparse
 import gc
 import signal
+import socket
 import sys
 import threading
 from collections.abc import Sequence
@@ -34,6 +35,43 @@
 #: of 5 ms, the loop would wait 5 ms for the lock whenever a pool thread is computing.
 ROUTER_SWITCH_INTERVAL_S = 0.0002
 
+#: Signals that stop the process.
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+#: What a request to stop writes if no signal made it.
+_NO_SIGNAL = b"\0"
+
+
+class StopRequest:
+    """Request to stop the process, made by a signal or by any thread.
+
+    The interpreter's own signal handler writes the number of a signal to a socket. A
+    handler in Python would run in the main thread between any two of its steps: it
+    deadlocks if it takes a lock that the main thread holds, such as those of
+    `threading.Event` and of the log, and does not run while a system call blocks that
+    began just after the signal.
+    """
+
+    def __init__(self) -> None:
+        self._reader, self._writer = socket.socketpair()
+        self._writer.setblocking(False)
+
+    def install(self) -> None:
+        """Let SIGTERM and SIGINT request the stop; to be called in the main thread."""
+        signal.set_wakeup_fd(self._writer.fileno(), warn_on_full_buffer=False)
+        for number in STOP_SIGNALS:
+            signal.signal(number, lambda _number, _frame: None)
+
+    def make(self) -> None:
+        """Request the stop; any thread may call this."""
+        self._writer.send(_NO_SIGNAL)
+
+    def wait(self) -> None:
+        """Wait for the first request; further requests have no effect."""
+        number = self._reader.recv(1)[0]
+        if number:
+            logger.info("event=stop_asked signal={}", signal.Signals(number).name)
+
 
 def get_parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
@@ -84,12 +122,13 @@
 def _run_controller(args: argparse.Namespace) -> int:
     settings = read_controller(args.settings)
     configure_logging(f"controller/{settings.name}", args.log_level)
-    stop = _make_stop_event()
+    stop = StopRequest()
+    stop.install()
     has_failed = threading.Event()
 
     def on_failure() -> None:
         has_failed.set()
-        stop.set()
+        stop.make()
 
     controller = Controller(settings, on_failure)
     controller.start()
@@ -102,7 +141,8 @@
 def _run_router(args: argparse.Namespace) -> int:
     settings = read_router(args.settings)
     configure_logging(f"router/{settings.name}", args.log_level)
-    stop = _make_stop_event()
+    stop = StopRequest()
+    stop.install()
     sys.setswitchinterval(ROUTER_SWITCH_INTERVAL_S)
     router = Router(settings)
     router.start()
@@ -124,19 +164,5 @@
     return EXIT_OK
 
 
-def _make_stop_event() -> threading.Event:
-    """Return an event that SIGTERM and SIGINT set; further signals have no effect."""
-    stop = threading.Event()
-
-    def on_signal(number: int, _frame: object) -> None:
-        if not stop.is_set():
-            logger.info("event=stop_asked signal={}", signal.Signals(number).name)
-        stop.set()
-
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
-    return stop
-
-
 if __name__ == "__main__":
     run()
