server: a request that ends with its deadline or with a stop is no loss of its target

What callers saw: berylnotchd answered some requests whose time was over with 502 target_failed in place of 504, and logged attempt_failed with cause lost. The target got a failure towards its ejection, and the request was reported as one that crashes targets: two such ends, and it is refused for an hour.

Cause: the transfer had the same time limit as its exchange, so two timers were due at one moment. curl counts in whole ms, rounded down, and so came first at times; a transfer that ends with an error before a response counts as a lost target.

Targets of berylnotchd are not told any time, so this was the only way in which the end of a stop could be charged to them.

Change: the exchange ends its transfer, whose own limit is 5 s later. The new test failed before, as the limit was the deadline itself.

--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -54,6 +54,11 @@
 #: milliseconds; without a leader, the caller must not wait until the next election.
 LOSS_CONFIRMATION_S = 1.0
 
+#: Seconds by which the time limit of a transfer exceeds that of its exchange, which
+#: ends the transfer. A transfer that ran out of time first would count as the loss of
+#: its target.
+TRANSFER_MARGIN_S = 5.0
+
 #: Interval in seconds between checks whether a key can be verified.
 _KEY_CHECK_S = 0.05
 
@@ -216,7 +221,7 @@
         if choice is None:
             message = f"no target of {job.service.name} can take the request"
             return job.exchange.on_no_target(now, action.number, message, 1.0)
-        timeout_s = max(self._context.end_by(job) - now, 0.001)
+        timeout_s = max(self._context.end_by(job) - now, 0.0) + TRANSFER_MARGIN_S
         try:
             request = self._selector.build_request(
                 job, choice.target, action, timeout_s
--- a/tests/test_server/test_runner.py
+++ b/tests/test_server/test_runner.py
@@ -21,6 +21,7 @@
     RunStatus,
     SendBytes,
     SendHead,
+    StartAttempt,
 )
 from berylnotch.util.metrics import Metrics
 
@@ -260,3 +261,34 @@
     state.timers.pop()()
     assert b"error-event" in job.caller.sent and b"event-1" not in job.caller.sent
     assert job.caller.is_finished and state.ends == [job]
+
+
+def test_transfer_that_outlasts_its_request_is_not_taken_for_a_lost_target(
+    state, runner
+):
+    # Of two timers for one moment, that of the transfer may come first.
+    job, now, timeouts = make_job(), time.monotonic(), []
+    job.deadline = now + 5.0
+    choice = SimpleNamespace(
+        target=SimpleNamespace(name="sake-1"),
+        work_s=0.0,
+        ranked=SimpleNamespace(weights=""),
+    )
+    runner._selector = SimpleNamespace(
+        choose=lambda *_: choice,
+        build_request=lambda _job, _target, _action, timeout_s: timeouts.append(
+            timeout_s
+        ),
+        record_sent=lambda *_: None,
+    )
+    runner._accounting = SimpleNamespace(
+        is_refused=lambda *_: False, can_attempt=lambda *_: True
+    )
+    state.context.stop = None
+    state.context.end_by = lambda job: job.deadline
+    state.context.health.record_sent = lambda *_: None
+    state.context.crash_guard.on_request_started = lambda *_: None
+    state.context.upstreams = SimpleNamespace(start=lambda *_: None)
+    job.exchange.attempt_started = lambda *_: ()
+    runner.perform(job, [StartAttempt(1, frozenset(), 0, "")])
+    assert timeouts[0] > job.deadline - now + 1.0
