group, membership: messages and identities for the software versions of streams

Nothing sends or reads them yet. Routers tell the leader at which software version streams began (StreamRecords, one message a version, 8 bytes a stream), ask for it (VersionQuery, VersionReply), and learn from TargetsUpdate.mixed_services for which services each stream has to be recorded; RouterReport.recording confirms it. ListedTarget.software_version is the list's `version`, empty if missing, malformed or over 64 characters: such an engine still serves, and its streams are unknown.

Tests: test_stream_versions; test_platform, test_group, test_fleet_registry pass.

--- a/berylnotch/group/messages.py
+++ b/berylnotch/group/messages.py
@@ -126,7 +126,9 @@
     failures. ``leaving`` are the announcements of leaving targets that the router
     received, and ``limits`` those of limits. ``token_request`` asks for tokens of
     limited targets, in which a target's identity takes the place of the organisation.
-    ``completed`` are requests with identities that the leader suspects.
+    ``completed`` are requests with identities that the leader suspects. ``recording``
+    are the services for which the router sends the record of each stream; it has sent
+    the records of the streams that it began before.
     """
 
     name: str
@@ -143,6 +145,7 @@
     limits: tuple[LimitNotice, ...] = ()
     token_request: GrantRequest | None = None
     completed: tuple[CompletionNotice, ...] = ()
+    recording: tuple[str, ...] = ()
 
 
 @frozen
@@ -184,7 +187,9 @@
     the previous update. ``gone`` are the identities of targets that are no longer
     listed. ``numbers`` are the numbers of ``targets``, in the same order. ``numbering``
     identifies the leader's assignment of numbers; other messages with the same
-    ``numbering`` refer to targets by these numbers.
+    ``numbering`` refer to targets by these numbers. ``mixed_services`` are the services
+    for which routers have to record the software version of each stream, all of them
+    in each update.
     """
 
     targets: tuple[TargetEntry, ...]
@@ -194,6 +199,7 @@
     is_whole: bool = True
     numbering: int = 0
     numbers: tuple[int, ...] = ()
+    mixed_services: tuple[str, ...] = ()
 
 
 @frozen
@@ -270,11 +276,51 @@
     refused: tuple[tuple[bytes, ...], ...] = ()
 
 
+@frozen
+class StreamRecords:
+    """Streams of a service that began at one software version.
+
+    ``identities`` are those of `berylnotch.membership.stream_versions`, joined. An
+    empty ``version`` means that the router cannot tell it.
+    """
+
+    service: str
+    version: str
+    identities: bytes
+
+
+@frozen
+class VersionQuery:
+    """Question of a router for the software version at which a stream began.
+
+    The reply has the same ``number``. An empty ``identity`` asks for the version of all
+    streams of the service, in case that they have the same.
+    """
+
+    number: int
+    service: str
+    identity: bytes
+
+
+@frozen
+class VersionReply:
+    """Software version at which a stream began, empty if it is unknown."""
+
+    number: int
+    version: str
+
+
 #: Classes of the messages between controllers.
 GROUP_MESSAGES = (*message_classes(consensus), JoinRequest, Redirect)
 
 #: Classes of the messages that a controller accepts.
-CONTROLLER_MESSAGES = (*GROUP_MESSAGES, RouterReport, GrantRequest)
+CONTROLLER_MESSAGES = (
+    *GROUP_MESSAGES,
+    RouterReport,
+    GrantRequest,
+    StreamRecords,
+    VersionQuery,
+)
 
 #: Classes of the messages that a router accepts.
 ROUTER_MESSAGES = (
@@ -287,4 +333,5 @@
     NoteRecords,
     GrantReply,
     TokenReply,
+    VersionReply,
 )
--- a/berylnotch/membership/listing.py
+++ b/berylnotch/membership/listing.py
@@ -36,6 +36,9 @@
         restart under the same identity; its memory is then empty.
     models : tuple of ModelVersion
         Weights that the target runs.
+    software_version : str
+        Version of the target's software, empty if unknown. A stream may go on only at
+        targets of the version that began it.
     """
 
     target_id: str
@@ -46,3 +49,4 @@
     is_leaving: bool = False
     born_ms: int = 0
     models: tuple[ModelVersion, ...] = ()
+    software_version: str = ""
--- a/berylnotch/platform/targets.py
+++ b/berylnotch/platform/targets.py
@@ -10,6 +10,10 @@
 
 from berylnotch.errors import ConfigurationError
 from berylnotch.membership.listing import ListedTarget, ModelVersion
+from berylnotch.membership.stream_versions import (
+    MAX_VERSION_CHARS,
+    UNKNOWN_VERSION,
+)
 from berylnotch.net.messages import Headers, HttpRequest, HttpResponse
 from berylnotch.platform import names
 from berylnotch.platform.fields import (
@@ -200,11 +204,23 @@
             is_leaving=_IS_LEAVING_BY_STATE[state],
             born_ms=get_integer(values, "born", 0),
             models=_decode_models(values),
+            software_version=_decode_software_version(values),
         )
     except (FieldError, ConfigurationError):
         return None
 
 
+def _decode_software_version(values: dict[str, Any]) -> str:
+    """Return the software version of an entry, empty if it is missing or malformed.
+
+    Work may still be sent to a target without a version; its streams go on nowhere.
+    """
+    version = values.get("version")
+    if not isinstance(version, str) or len(version) > MAX_VERSION_CHARS:
+        return UNKNOWN_VERSION
+    return version if version.isprintable() else UNKNOWN_VERSION
+
+
 def _decode_models(values: dict[str, Any]) -> tuple[ModelVersion, ...]:
     items = (as_object(item, "model") for item in get_list(values, "models", []))
     return tuple(
