group: replicated software versions of services, and records of streams

ListSoftwareVersions names the versions at which streams of a service that still last may have begun; RecordStreams adds identities and drops batches that the leader calls too old (no clock in the state). A stream without a record began at the only version of its service, if there is one; recorded twice with two versions, or with none, it is unknown. Nothing proposes these commands yet.

--- a/berylnotch/group/commands.py
+++ b/berylnotch/group/commands.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from berylnotch.group.stream_records import VersionGroup
 from berylnotch.transport.packing import message_classes
 
 
@@ -60,4 +61,35 @@
     identities: tuple[bytes, ...]
 
 
+@frozen
+class ServiceVersions:
+    """Software versions at which streams of a service that still last may have begun.
+
+    Without any, the service is forgotten. An empty version stands for streams whose
+    version cannot be told.
+    """
+
+    service: str
+    versions: tuple[str, ...]
+
+
+@frozen
+class ListSoftwareVersions:
+    """Replace the software versions of some services.
+
+    A version is listed before the first request is sent to an engine of it, and until
+    no stream that began there can last.
+    """
+
+    services: tuple[ServiceVersions, ...]
+
+
+@frozen
+class RecordStreams:
+    """Record the software versions of streams, and drop the batches before a number."""
+
+    groups: tuple[VersionGroup, ...]
+    keep_from: int = 0
+
+
 COMMANDS = message_classes(sys.modules[__name__])
--- a/berylnotch/group/state.py
+++ b/berylnotch/group/state.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from attrs import frozen
 
 from berylnotch.group.commands import (
     COMMANDS,
     AllowCause,
     GiveBackOrders,
+    ListSoftwareVersions,
     NameWeights,
     PutConfiguration,
+    RecordStreams,
     RefuseCause,
+    ServiceVersions,
     TakeOrders,
 )
+from berylnotch.group.stream_records import RecordedStreams, SavedBatch
 from berylnotch.membership.listing import ModelVersion
+from berylnotch.membership.stream_versions import UNKNOWN_VERSION
 from berylnotch.transport.packing import pack, unpack
 
 #: Causes that are refused at the same time; the oldest are allowed first.
@@ -29,6 +36,9 @@
     weights: tuple[ModelVersion, ...]
     order_holder: str
     refused: tuple[tuple[bytes, ...], ...] = ()
+    software_versions: tuple[ServiceVersions, ...] = ()
+    stream_batches: tuple[SavedBatch, ...] = ()
+    next_stream_batch: int = 0
 
 
 class FleetState:
@@ -40,6 +50,29 @@
         self._weights: dict[str, int] = {}
         self._order_holder = ""
         self._refused: dict[frozenset[bytes], None] = {}
+        self._software_versions: dict[str, frozenset[str]] = {}
+        self._recorded_streams = RecordedStreams()
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """Number that grows with each change other than of stream records."""
+        return self._revision
+
+    @property
+    def software_versions(self) -> Mapping[str, frozenset[str]]:
+        """Software versions at which streams of each service may have begun.
+
+        An empty version stands for streams whose version cannot be told.
+        """
+        return self._software_versions
+
+    @property
+    def stream_batches(self) -> range:
+        """Numbers of the batches of stream records, from the oldest to the newest."""
+        return range(
+            self._recorded_streams.first_number, self._recorded_streams.next_number
+        )
 
     @property
     def version(self) -> int:
@@ -69,6 +102,26 @@
         """Causes of crashes: requests with all identities of one are refused."""
         return frozenset(self._refused)
 
+    def recorded_version(self, identity: bytes) -> str | None:
+        """Return the recorded software version of a stream, None without a record."""
+        return self._recorded_streams.version(identity)
+
+    def stream_version(self, service: str, identity: bytes) -> str:
+        """Return the software version at which a stream began, empty if unknown.
+
+        A stream without a record began at the only version of its service.
+        """
+        recorded = self._recorded_streams.version(identity)
+        if recorded is not None:
+            return recorded
+        versions = self._software_versions.get(service, frozenset())
+        return next(iter(versions)) if len(versions) == 1 else UNKNOWN_VERSION
+
+    @property
+    def streams_dropped(self) -> int:
+        """Number of records that this process dropped for lack of room."""
+        return self._recorded_streams.dropped
+
     def wanted_version(self, model: str) -> int:
         """Return the newest announced version of a model, 0 if there is none."""
         return self._weights.get(model, 0)
@@ -76,6 +129,10 @@
     def apply(self, payload: bytes) -> None:
         """Apply a committed command."""
         command = unpack(payload, COMMANDS)
+        if isinstance(command, RecordStreams):
+            self._record_streams(command)
+            return
+        self._revision += 1
         if isinstance(command, PutConfiguration):
             if command.version > self._version:
                 self._version = command.version
@@ -94,6 +151,19 @@
                 del self._refused[next(iter(self._refused))]
         elif isinstance(command, AllowCause):
             self._refused.pop(frozenset(command.identities), None)
+        elif isinstance(command, ListSoftwareVersions):
+            for listed in command.services:
+                self._software_versions[listed.service] = frozenset(listed.versions)
+                if not listed.versions:
+                    del self._software_versions[listed.service]
+
+    def _record_streams(self, command: RecordStreams) -> None:
+        self._recorded_streams.drop_before(command.keep_from)
+        for service in self._recorded_streams.add(command.groups):
+            # Streams of the service without a record may have had one.
+            self._revision += 1
+            versions = self._software_versions.get(service, frozenset())
+            self._software_versions[service] = versions | {UNKNOWN_VERSION}
 
     def snapshot(self) -> bytes:
         """Return the serialised state."""
@@ -104,6 +174,12 @@
                 self.weights,
                 self._order_holder,
                 tuple(tuple(sorted(cause)) for cause in self._refused),
+                tuple(
+                    ServiceVersions(service, tuple(sorted(versions)))
+                    for service, versions in sorted(self._software_versions.items())
+                ),
+                self._recorded_streams.save(),
+                self._recorded_streams.next_number,
             )
         )
 
@@ -115,3 +191,8 @@
         self._weights = {w.name: w.version for w in saved.weights}
         self._order_holder = saved.order_holder
         self._refused = {frozenset(cause): None for cause in saved.refused}
+        self._software_versions = {
+            s.service: frozenset(s.versions) for s in saved.software_versions
+        }
+        self._recorded_streams.restore(saved.stream_batches, saved.next_stream_batch)
+        self._revision += 1
