daemon: the leader lists software versions, records streams and answers routers

Callers saw streams joined from two software versions: a router can't tell at which version a stream began that another router began, and after a loss of power none can.

Targets of a version are withheld from routers until the version is committed in the list of its service, and, if the service had another one, until all routers confirm that they sent the records of their streams (1 s at most). Records apply many times a second: they leave out the rest of what a leader does with newly applied state.

--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -16,6 +16,8 @@
     JoinRequest,
     Redirect,
     RouterReport,
+    StreamRecords,
+    VersionQuery,
 )
 from berylnotch.group.state import FleetState
 from berylnotch.membership.announced_weights import AnnouncedWeights
@@ -201,6 +203,12 @@
         elif isinstance(message, GrantRequest):
             if self._leader is not None and self._host.is_active():
                 self._leader.answer_grant_request(link, message)
+        elif isinstance(message, StreamRecords):
+            if self._leader is not None:
+                self._leader.stream_versions.on_records(message)
+        elif isinstance(message, VersionQuery):
+            if self._leader is not None:
+                self._leader.stream_versions.on_query(link, message)
 
     def _is_leader_known(self) -> bool:
         return self._leader is not None or self._redirect().leader != ""
--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -10,6 +10,7 @@
 from berylnotch.daemon.fleet.registry import RouterRegistry
 from berylnotch.daemon.fleet.replica_host import ReplicaHost
 from berylnotch.daemon.fleet.stores import StoreMonitor
+from berylnotch.daemon.fleet.stream_versions import StreamVersions
 from berylnotch.daemon.fleet.watch import TargetListReader
 from berylnotch.daemon.fleet.weights import WeightsRollout
 from berylnotch.entry.settings import EntrySettings
@@ -147,6 +148,17 @@
                 TARGETS_BATCH_S, PAGES_BATCH_PER_ROUTER_S * self.registry.count
             ),
         )
+        self.stream_versions = StreamVersions(
+            loop,
+            state,
+            host.propose,
+            host.is_active,
+            self.registry.is_recording,
+            host.term <= FIRST_LEADER_TERM,
+            self._on_usable_targets_changed,
+            log,
+        )
+        self._applied_revision: int | None = None
         #: Targets from pages of the first list that are not sent yet.
         self._unsent_page_targets: list[ListedTarget] = []
         self._note_filter = NoteFilter(self._cache_capacity)
@@ -216,6 +228,7 @@
         self._roster_pushes.close()
         self._crash_judge.close()
         self._crash_pushes.close()
+        self.stream_versions.close()
         self._prompt_pushes.close()
         self._target_pushes.close()
         self._page_pushes.close()
@@ -227,6 +240,11 @@
 
     def on_applied(self) -> None:
         """Derive limits and updates from the newly applied state."""
+        self.stream_versions.on_applied()
+        # Stream records are applied many times a second, and concern nothing below.
+        if self._applied_revision == self._state.revision:
+            return
+        self._applied_revision = self._state.revision
         if self._state.version != self._limits_version:
             self._limits_version = self._state.version
             configuration = decode_configuration(self._state.content)
@@ -238,6 +256,9 @@
                 for s in configuration.services
                 if s.engine
             }
+            self.stream_versions.set_longest_timeout(
+                max((route.timeout_s for route in configuration.routes), default=0.0)
+            )
             stores = {s.store_address for s in configuration.services}
             self._store_monitor.watch(stores - {""})
         self._crash_judge.on_applied()
@@ -305,24 +326,44 @@
         self._target_pushes.schedule()
 
     def _push_targets_now(self) -> None:
-        if self._inventory.listed_at is not None:
+        if self._inventory.listed_at is None:
+            return
+        # A router serves the requests that wait for targets with the first update.
+        if not self.registry.has_targets and self.stream_versions.is_listing:
+            self._target_pushes.schedule()
+        else:
             self.registry.push_targets(self._targets_update(self._inventory.entries()))
 
     def _push_pages(self) -> None:
+        is_usable = self.stream_versions.is_usable
         targets, self._unsent_page_targets = self._unsent_page_targets, []
-        entries = tuple(TargetEntry(target, is_loading=False) for target in targets)
+        self._unsent_page_targets = [t for t in targets if not is_usable(t)]
+        entries = tuple(TargetEntry(t, is_loading=False) for t in targets)
         self.registry.push_pages(evolve(self._targets_update(entries), is_whole=False))
 
     def _targets_update(self, entries: tuple[TargetEntry, ...]) -> TargetsUpdate:
-        weight_versions = self._announced_weights.with_ages(boot_time())
-        return TargetsUpdate(entries, weight_versions, self._store_monitor.down)
+        return TargetsUpdate(
+            tuple(e for e in entries if self.stream_versions.is_usable(e.target)),
+            self._announced_weights.with_ages(boot_time()),
+            self._store_monitor.down,
+            mixed_services=self.stream_versions.mixed_services,
+        )
+
+    def _on_usable_targets_changed(self) -> None:
+        if self._inventory.listed_at is not None:
+            self.push_targets()
+        else:
+            self._page_pushes.schedule()
 
     def _on_page(self, targets: tuple[ListedTarget, ...]) -> None:
         """Forward a page of the first target list that this leader reads.
 
         After a power loss, routers know no targets until a page arrives.
         """
-        if self._inventory.listed_at is None and self._host.is_active():
+        if not self._host.is_active():
+            return
+        self.stream_versions.on_page(targets)
+        if self._inventory.listed_at is None:
             self._unsent_page_targets += targets
             self._page_pushes.schedule()
 
@@ -333,17 +374,23 @@
         previous = {t.target_id: t for t in self._inventory.targets()}
         self._page_pushes.close()
         self._inventory.replace_targets(boot_time(), targets)
+        self.stream_versions.on_list(targets)
         for target in self._inventory.targets():
             old = previous.pop(target.target_id, None)
             if old is not None and old.born_ms != target.born_ms:
                 self._note_filter.forget_engine(target.target_id)
-            if old is None or old.is_leaving != target.is_leaving:
+            if (
+                old is None
+                or old.is_leaving != target.is_leaving
+                or old.software_version != target.software_version
+            ):
                 self._log.info(
                     "target_listed",
                     target=target.target_id,
                     service=target.service,
                     at=target.address,
                     is_leaving=target.is_leaving,
+                    software_version=target.software_version,
                 )
         for target_id in previous:
             self._note_filter.forget_engine(target_id)
--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -84,6 +84,11 @@
         """Number of routers that report."""
         return len(self._routers)
 
+    @property
+    def has_targets(self) -> bool:
+        """Whether a complete list of targets was sent."""
+        return self._targets is not None
+
     def on_report(self, link: Link, report: RouterReport) -> None:
         """Store a report, and send its router the state that it lacks."""
         key = report.address
@@ -217,6 +222,10 @@
             self._crashes = update
             self._send_all(update)
 
+    def is_recording(self, service: str) -> bool:
+        """Return whether all routers record the streams of a service."""
+        return all(service in r.report.recording for r in self._routers.values())
+
     def requests(self) -> dict[str, int]:
         """Return the running requests at each target, from the newest load sums."""
         return {load.target_id: load.requests for load in self._load_sums.loads}
@@ -280,6 +289,9 @@
 
 def _are_equal_except_targets(one: TargetsUpdate, other: TargetsUpdate) -> bool:
     """Return whether two updates are equal apart from targets and ages of weights."""
-    return one.down_stores == other.down_stores and [
-        (w.model, w.version) for w in one.weights
-    ] == [(w.model, w.version) for w in other.weights]
+    return (
+        one.down_stores == other.down_stores
+        and one.mixed_services == other.mixed_services
+        and [(w.model, w.version) for w in one.weights]
+        == [(w.model, w.version) for w in other.weights]
+    )
--- a/tests/test_daemon/test_fleet_registry.py
+++ b/tests/test_daemon/test_fleet_registry.py
@@ -130,3 +130,17 @@
     assert [m for m in old.sent if isinstance(m, CrashesUpdate)] == [update]
     assert new.sent[0] == update
     assert any(isinstance(m, TargetsUpdate) for m in new.sent[1:])
+
+
+def test_routers_learn_that_a_service_has_become_mixed_without_a_changed_target():
+    # Else they record nothing, and the second version waits for them in vain.
+    registry, link = RouterRegistry(FleetState(), Log()), Link()
+    registry.on_report(link, report())
+    registry.push_targets(TargetsUpdate((), ()))
+    assert not registry.is_recording("s")
+    registry.push_targets(TargetsUpdate((), (), mixed_services=("s",)))
+    assert link.sent[-1].mixed_services == ("s",) and not link.sent[-1].is_whole
+    registry.on_report(link, report(recording=("s",)))
+    assert registry.is_recording("s")
+    registry.on_report(Link(), report("other"))
+    assert not registry.is_recording("s")
--- a/tests/test_platform/test_targets.py
+++ b/tests/test_platform/test_targets.py
@@ -72,6 +72,25 @@
     assert "i-1" in [t.target_id for t in decoded.targets]
 
 
+@pytest.mark.parametrize(
+    ("listed", "decoded"),
+    [
+        ("v1", "v1"),
+        ("", ""),
+        (None, ""),
+        (2, ""),
+        (["v1"], ""),
+        ("v" * 64, "v" * 64),
+        ("v" * 65, ""),
+        ("v\n1", ""),
+        ("v\ud800", ""),
+    ],
+)
+def test_engine_with_an_odd_software_version_still_serves(listed, decoded):
+    (target,) = decode_page(make_page({**VALID_ENTRY, "version": listed})).targets
+    assert target.software_version == decoded
+
+
 @pytest.mark.parametrize(
     "response",
     [
