Design note, operations and capacity of the record of software versions

Tests for three mutants that survived: a record sent while a second version is being committed, a stream reported with two versions, records dropped for lack of room shortly before the unknown version would leave.

--- a/berylnotch/group/stream_records.py
+++ b/berylnotch/group/stream_records.py
@@ -13,7 +13,7 @@
     split_identities,
 )
 
-#: Largest number of records; the oldest are dropped first. A record takes about 130
+#: Largest number of records; the oldest are dropped first. A record takes about 155
 #: bytes of memory in each controller.
 MAX_STREAM_RECORDS = 100_000
 
--- a/tests/test_daemon/test_fleet_stream_versions.py
+++ b/tests/test_daemon/test_fleet_stream_versions.py
@@ -5,11 +5,12 @@
 from berylnotch.daemon.fleet import stream_recorder, stream_versions
 from berylnotch.daemon.fleet.stream_recorder import RECORD_BATCH_S
 from berylnotch.daemon.fleet.stream_versions import RECORDING_WAIT_S, StreamVersions
+from berylnotch.group import stream_records
 from berylnotch.group.messages import StreamRecords, VersionQuery
 from berylnotch.group.state import FleetState
 from tests.test_daemon.test_crash_load import Clock
 from tests.test_daemon.test_fleet_registry import Link, Log
-from tests.test_group.test_stream_records import identity, record
+from tests.test_group.test_stream_records import identity, list_versions, record
 from tests.test_membership.test_version_tracker import target
 
 
@@ -235,3 +236,41 @@
     group.send("v1", 1)
     clock.advance(0.1)
     assert group.proposals == []
+
+
+def test_record_sent_while_a_second_version_is_being_committed_is_kept(clock, group):
+    group.list("v1")
+    group.leader.on_list([target("v1"), target("v2")])
+    group.send("v1", 1)
+    group.commit()
+    clock.advance(0.1)
+    group.commit()
+    assert group.query(1) == "v1"
+
+
+def test_stream_reported_with_two_versions_is_unknown(clock, group):
+    group.mix()
+    for version in ("v1", "v2"):
+        group.send(version, 1)
+        clock.advance(0.1)
+        group.commit()
+    assert group.query(1) == ""
+
+
+def test_dropped_records_make_streams_unknown_for_a_whole_lifetime(
+    clock, group, monkeypatch
+):
+    monkeypatch.setattr(stream_records, "MAX_STREAM_RECORDS", 2)
+    group.list("v1")
+    list_versions(group.state, "v1", "")
+    group.commit()
+    for _ in range(25):
+        group.list("v1")
+        clock.advance(1.0)
+    group.send("", 1, 2, 3)
+    clock.advance(0.1)
+    group.commit()
+    for _ in range(29):
+        group.list("v1")
+        clock.advance(1.0)
+    assert group.query(4) == ""
