daemon: a version that is taken from the list is not used until it is listed again

Found by the model of test_stream_version_model: an engine of a version that had been away for a lifetime came back while the command that takes the version from the list was not committed yet. The version was still listed, so routers got the target, and a stream that began there in these milliseconds counted as one of the remaining version from the commit on: a take-up would have gone on at another version.

Versions that a command in flight takes from the list are not usable; after the commit the version is listed again at once, not with the next reading.

The model plays random deaths of leaders and routers, losses of power, slow and cut routers, lost commands, and versions that come and go; no answer may name another version than the one that began.

--- a/berylnotch/daemon/fleet/stream_versions.py
+++ b/berylnotch/daemon/fleet/stream_versions.py
@@ -95,6 +95,9 @@
         #: the number of the last records that came before all routers recorded.
         self._withheld: dict[tuple[str, str], float] = {}
         self._recorded_after: dict[tuple[str, str], int] = {}
+        #: Versions by service that a command in flight takes from the list. A target
+        #: that comes back meanwhile may not be used until its version is listed again.
+        self._leaving: dict[str, frozenset[str]] = {}
         self._streams_dropped = state.streams_dropped
         self._is_proposing = False
         self._is_closed = False
@@ -131,9 +134,12 @@
 
     def is_usable(self, target: ListedTarget) -> bool:
         """Return whether routers may send requests to a target."""
-        listed = self._state.software_versions.get(target.service, frozenset())
-        version = target.software_version
-        return version in listed and (target.service, version) not in self._withheld
+        service, version = target.service, target.software_version
+        return (
+            version in self._state.software_versions.get(service, frozenset())
+            and version not in self._leaving.get(service, frozenset())
+            and (service, version) not in self._withheld
+        )
 
     def on_page(self, targets: Iterable[ListedTarget]) -> None:
         """Follow a part of the target list."""
@@ -236,11 +242,13 @@
             self._retries.schedule()
             return
         self._is_proposing = True
+        listed = self._state.software_versions
+        self._leaving = {s: listed.get(s, frozenset()) - v for s, v in changes.items()}
 
-        def on_done(is_committed: bool) -> None:
+        def on_done(_is_committed: bool) -> None:
             self._is_proposing = False
-            if not is_committed:
-                self._retries.schedule()
+            self._leaving = {}
+            self._retries.schedule()
 
         services = tuple(
             ServiceVersions(service, tuple(sorted(versions)))
--- a/tests/test_daemon/test_fleet_stream_versions.py
+++ b/tests/test_daemon/test_fleet_stream_versions.py
@@ -19,11 +19,13 @@
 
     def __init__(self, clock):
         self.clock, self.state = clock, FleetState()
-        self.recording, self.is_active = False, True
+        self.recording, self.is_active, self.leader = False, True, None
         self.lead()
 
     def lead(self, is_first=True):
         """Make a new leader, with which the proposals of the one before are lost."""
+        if self.leader is not None:
+            self.leader.close()
         self.proposals, self.pushes, self.link = [], 0, Link()
         self.leader = StreamVersions(
             self.clock,
@@ -274,3 +276,24 @@
         group.list("v1")
         clock.advance(1.0)
     assert group.query(4) == ""
+
+
+def test_version_that_comes_back_while_it_leaves_is_listed_before_it_is_used(
+    clock, group
+):
+    group.mix()
+    group.leader.on_list([target("v2")])
+    for _ in range(31):
+        group.lose()
+        clock.advance(1.0)
+        group.leader.on_list([target("v2")])
+    assert group.proposals
+    group.leader.on_list([target("v1"), target("v2")])
+    # A stream that began now would count as one of v2 after the commit.
+    assert group.usable("v1") == []
+    group.commit()
+    clock.advance(0.1)
+    assert group.usable("v1") == []
+    group.commit()
+    clock.advance(0.1)
+    assert group.usable("v1") == ["v1"]
