--- a/berylnotch/daemon/fleet/stream_recorder.py
+++ b/berylnotch/daemon/fleet/stream_recorder.py
@@ -36,12 +36,19 @@
 #: Largest number of queries that wait for a commit; the oldest get no answer.
 MAX_WAITING_QUERIES = 10_000
 
+#: Longest time in seconds for which a query waits; routers refuse a take-up earlier.
+MAX_QUERY_WAIT_S = 2.0
+
 
 @frozen
 class _WaitingQuery:
-    """A query, and the number of the last records that came before it."""
+    """A query, and the number of the last records that came before it.
+
+    ``expires_at`` is the boot time after which it gets no answer any more.
+    """
 
     after: int
+    expires_at: float
     link: Link
     query: VersionQuery
 
@@ -171,7 +178,11 @@
         if self._settled >= self._received:
             self._answer(link, query)
         else:
-            self._waiting.append(_WaitingQuery(self._received, link, query))
+            self._waiting.append(
+                _WaitingQuery(
+                    self._received, boot_time() + MAX_QUERY_WAIT_S, link, query
+                )
+            )
 
     def _is_unrecorded(self, identity: bytes, version: str, is_needed: bool) -> bool:
         recorded = self._state.recorded_version(identity)
@@ -230,7 +241,8 @@
     def _answer_waiting(self) -> None:
         while self._waiting and self._waiting[0].after <= self._settled:
             waiting = self._waiting.popleft()
-            self._answer(waiting.link, waiting.query)
+            if boot_time() < waiting.expires_at:
+                self._answer(waiting.link, waiting.query)
 
     def _has_old_records(self, now: float) -> bool:
         return self._keep_from(now) > self._state.stream_batches.start
--- a/tests/test_daemon/test_fleet_stream_versions.py
+++ b/tests/test_daemon/test_fleet_stream_versions.py
@@ -297,3 +297,12 @@
     group.commit()
     clock.advance(0.1)
     assert group.usable("v1") == ["v1"]
+
+
+def test_query_that_waited_too_long_gets_no_answer(clock, group):
+    group.mix()
+    group.send("v1", 1)
+    group.query(1)
+    clock.advance(3.0)
+    group.commit()
+    assert group.answer(1) is None
