daemon: stream records sent while no leader is known reach the leader

A router sends its records once over a link, and the report after them confirms it. A controller that did not lead yet dropped the records, but answered the report once it led: a second version was released although the streams that began before were not recorded, and their take-ups would have been refused.

--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -204,8 +204,11 @@
             if self._leader is not None and self._host.is_active():
                 self._leader.answer_grant_request(link, message)
         elif isinstance(message, StreamRecords):
+            self._check_leadership()
             if self._leader is not None:
                 self._leader.stream_versions.on_records(message)
+            else:
+                self._waiting_routers.add_records(link, message)
         elif isinstance(message, VersionQuery):
             if self._leader is not None:
                 self._leader.stream_versions.on_query(link, message)
@@ -215,7 +218,10 @@
 
     def _answer_report(self, link: Link, report: RouterReport) -> None:
         """Process a router's report as leader, or redirect the router to the leader."""
+        early_records = self._waiting_routers.take_records(link)
         if self._leader is not None:
+            for records in early_records:
+                self._leader.stream_versions.on_records(records)
             self._leader.on_report(link, report)
         else:
             link.send(self._redirect())
--- a/tests/test_daemon/test_fleet_waiting_routers.py
+++ b/tests/test_daemon/test_fleet_waiting_routers.py
@@ -1,7 +1,7 @@
 """Tests of the routers that wait at a controller without a known leader."""
 
 from berylnotch.daemon.fleet.waiting_routers import MAX_WAIT_S, WaitingRouters
-from berylnotch.group.messages import CompletionNotice, CrashMark
+from berylnotch.group.messages import CompletionNotice, CrashMark, StreamRecords
 from tests.test_daemon.test_fleet_registry import Link, report
 
 
@@ -38,3 +38,16 @@
     waiting_routers.add(link, report(), 10.15)
     ((_, merged),) = waiting_routers.pop_due(10.2, True)
     assert merged.crashes == (mark,) and merged.completed == (notice,)
+
+
+def test_stream_records_sent_before_a_leader_is_known_reach_the_leader():
+    # The report that follows tells the leader that it has the records.
+    waiting_routers, link = WaitingRouters(), Link()
+    records = [StreamRecords("s", "v1", bytes([n] * 8)) for n in range(3)]
+    for message in records:
+        waiting_routers.add_records(link, message)
+    assert waiting_routers.take_records(link) == tuple(records)
+    assert waiting_routers.take_records(link) == ()
+    waiting_routers.add_records(link, records[0])
+    waiting_routers.remove(link)
+    assert waiting_routers.take_records(link) == ()
