daemon: version queries sent while no leader is known reach the leader

After a loss of all power routers are back before a leader is elected. A controller that did not lead yet dropped their queries, so that take-ups of the first moments were refused for lack of a reply. Queries are kept beside the records, in the order in which they came, and answered before the router's report.

Tests: test_fleet_waiting_routers, test_fleet_stream_versions and the model pass.

--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -203,25 +203,22 @@
         elif isinstance(message, GrantRequest):
             if self._leader is not None and self._host.is_active():
                 self._leader.answer_grant_request(link, message)
-        elif isinstance(message, StreamRecords):
+        elif isinstance(message, StreamRecords | VersionQuery):
             self._check_leadership()
             if self._leader is not None:
-                self._leader.stream_versions.on_records(message)
+                self._leader.stream_versions.on_message(link, message)
             else:
-                self._waiting_routers.add_records(link, message)
-        elif isinstance(message, VersionQuery):
-            if self._leader is not None:
-                self._leader.stream_versions.on_query(link, message)
+                self._waiting_routers.keep(link, message)
 
     def _is_leader_known(self) -> bool:
         return self._leader is not None or self._redirect().leader != ""
 
     def _answer_report(self, link: Link, report: RouterReport) -> None:
         """Process a router's report as leader, or redirect the router to the leader."""
-        early_records = self._waiting_routers.take_records(link)
+        kept = self._waiting_routers.take_kept(link)
         if self._leader is not None:
-            for records in early_records:
-                self._leader.stream_versions.on_records(records)
+            for message in kept:
+                self._leader.stream_versions.on_message(link, message)
             self._leader.on_report(link, report)
         else:
             link.send(self._redirect())
--- a/berylnotch/daemon/fleet/stream_versions.py
+++ b/berylnotch/daemon/fleet/stream_versions.py
@@ -152,16 +152,15 @@
         self._submit()
         self._recorder.drop_old()
 
-    def on_records(self, records: StreamRecords) -> None:
-        """Record the software version of streams."""
-        listed = self._state.software_versions.get(records.service)
+    def on_message(self, link: Link, message: StreamRecords | VersionQuery) -> None:
+        """Record streams, or answer a query about one."""
+        if isinstance(message, VersionQuery):
+            self._recorder.on_query(link, message)
+            return
+        listed = self._state.software_versions.get(message.service)
         # A second version of the service may be about to be committed.
-        is_needed = listed != {records.version} or self._is_proposing
-        self._recorder.on_records(records, is_needed)
-
-    def on_query(self, link: Link, query: VersionQuery) -> None:
-        """Answer a query once all records that came before it are committed."""
-        self._recorder.on_query(link, query)
+        is_needed = listed != {message.version} or self._is_proposing
+        self._recorder.on_records(message, is_needed)
 
     def on_applied(self) -> None:
         """Follow the newly applied state."""
--- a/berylnotch/daemon/fleet/waiting_routers.py
+++ b/berylnotch/daemon/fleet/waiting_routers.py
@@ -4,7 +4,7 @@
 
 from attrs import evolve, frozen
 
-from berylnotch.group.messages import RouterReport, StreamRecords
+from berylnotch.group.messages import RouterReport, StreamRecords, VersionQuery
 from berylnotch.transport.link import Link
 
 #: Longest time in seconds that a router waits at a controller that knows no leader:
@@ -12,8 +12,9 @@
 #: this one may be partitioned from the group.
 MAX_WAIT_S = 0.3
 
-#: Largest number of messages with stream records that are kept for one waiting router.
-MAX_KEPT_RECORDS = 256
+#: Largest number of stream records and version queries, each a message, that are kept
+#: for one waiting router.
+MAX_KEPT_MESSAGES = 256
 
 
 @frozen
@@ -33,7 +34,7 @@
 
     def __init__(self) -> None:
         self._waiting: dict[Link, _WaitingRouter] = {}
-        self._records: dict[Link, list[StreamRecords]] = {}
+        self._kept: dict[Link, list[StreamRecords | VersionQuery]] = {}
 
     def add(self, link: Link, report: RouterReport, now: float) -> None:
         """Keep the report of a router; a later report does not extend its wait."""
@@ -49,20 +50,20 @@
         )
         self._waiting[link] = _WaitingRouter(merged, earlier.expires_at)
 
-    def add_records(self, link: Link, records: StreamRecords) -> None:
-        """Keep stream records, which a router sends only once over a link."""
-        kept = self._records.setdefault(link, [])
-        if len(kept) < MAX_KEPT_RECORDS:
-            kept.append(records)
+    def keep(self, link: Link, message: StreamRecords | VersionQuery) -> None:
+        """Keep a message for the leader, which a router sends once over a link."""
+        kept = self._kept.setdefault(link, [])
+        if len(kept) < MAX_KEPT_MESSAGES:
+            kept.append(message)
 
-    def take_records(self, link: Link) -> tuple[StreamRecords, ...]:
-        """Remove and return the stream records that a router sent while it waited."""
-        return tuple(self._records.pop(link, ()))
+    def take_kept(self, link: Link) -> tuple[StreamRecords | VersionQuery, ...]:
+        """Remove and return the kept messages of a router, in the order they came."""
+        return tuple(self._kept.pop(link, ()))
 
     def remove(self, link: Link) -> None:
         """Remove a link that was closed."""
         self._waiting.pop(link, None)
-        self._records.pop(link, None)
+        self._kept.pop(link, None)
 
     def pop_due(
         self, now: float, is_leader_known: bool
--- a/tests/test_daemon/test_fleet_stream_versions.py
+++ b/tests/test_daemon/test_fleet_stream_versions.py
@@ -64,12 +64,12 @@
 
     def send(self, version, *numbers):
         identities = b"".join(map(identity, numbers))
-        self.leader.on_records(StreamRecords("s", version, identities))
+        self.leader.on_message(self.link, StreamRecords("s", version, identities))
 
     def query(self, number):
         """Return the answer to a query, None without one so far."""
         asked = identity(number) if number else b""
-        self.leader.on_query(self.link, VersionQuery(number, "s", asked))
+        self.leader.on_message(self.link, VersionQuery(number, "s", asked))
         return self.answer(number)
 
     def answer(self, number):
@@ -225,8 +225,8 @@
 
 def test_malformed_records_are_not_proposed(clock, group):
     group.mix()
-    group.leader.on_records(StreamRecords("s", "v1", b"seven.."))
-    group.leader.on_records(StreamRecords("s", "v" * 65, identity(1)))
+    group.leader.on_message(group.link, StreamRecords("s", "v1", b"seven.."))
+    group.leader.on_message(group.link, StreamRecords("s", "v" * 65, identity(1)))
     clock.advance(0.1)
     group.commit()
     assert group.query(1) == "" and group.state.recorded_version(identity(1)) == ""
--- a/tests/test_daemon/test_fleet_waiting_routers.py
+++ b/tests/test_daemon/test_fleet_waiting_routers.py
@@ -1,7 +1,12 @@
 """Tests of the routers that wait at a controller without a known leader."""
 
 from berylnotch.daemon.fleet.waiting_routers import MAX_WAIT_S, WaitingRouters
-from berylnotch.group.messages import CompletionNotice, CrashMark, StreamRecords
+from berylnotch.group.messages import (
+    CompletionNotice,
+    CrashMark,
+    StreamRecords,
+    VersionQuery,
+)
 from tests.test_daemon.test_fleet_registry import Link, report
 
 
@@ -40,14 +45,14 @@
     assert merged.crashes == (mark,) and merged.completed == (notice,)
 
 
-def test_stream_records_sent_before_a_leader_is_known_reach_the_leader():
+def test_records_and_queries_sent_before_a_leader_is_known_reach_the_leader():
     # The report that follows tells the leader that it has the records.
     waiting_routers, link = WaitingRouters(), Link()
-    records = [StreamRecords("s", "v1", bytes([n] * 8)) for n in range(3)]
-    for message in records:
-        waiting_routers.add_records(link, message)
-    assert waiting_routers.take_records(link) == tuple(records)
-    assert waiting_routers.take_records(link) == ()
-    waiting_routers.add_records(link, records[0])
+    messages = (StreamRecords("s", "v1", b"12345678"), VersionQuery(1, "s", b""))
+    for message in messages:
+        waiting_routers.keep(link, message)
+    assert waiting_routers.take_kept(link) == messages
+    assert waiting_routers.take_kept(link) == ()
+    waiting_routers.keep(link, messages[0])
     waiting_routers.remove(link)
-    assert waiting_routers.take_records(link) == ()
+    assert waiting_routers.take_kept(link) == ()
