entry: log the software version of targets and streams, and what each send does to a stream

The incident of the software versions: from 'sent' and 'finished' nobody could tell whether a stream was joined within one answer (repeat, resume, moved run) or by a caller's next try. 'sent' has software, kind and resumes now, and 'finished' software. No decision changes.

--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -35,6 +35,7 @@
 from berylnotch.entry.stopping import longest_answer_s
 from berylnotch.entry.targets import Target
 from berylnotch.entry.time_limit import TimeLimit
+from berylnotch.entry.version_tracker import VersionTracker
 from berylnotch.net.server import ServerConnection
 from berylnotch.platform.requests import refusal_headers
 from berylnotch.quota.bounds import is_limited
@@ -97,6 +98,7 @@
         self._token_deadline: float | None = None
         self._crash_tracker = CrashTracker(context, routed)
         self._relocation = Relocation(context, routed)
+        self._version_tracker = VersionTracker()
 
     # Values for log entries and time limits.
 
@@ -296,6 +298,7 @@
             self._relocation.origin,
         )
         self._crash_tracker.on_sent(target.target_id)
+        self._version_tracker.on_sent(target)
         note_sent(
             self._context,
             self._routed,
@@ -320,6 +323,7 @@
         """Send an event to the caller, unless the caller has already received it."""
         if number is not None:
             self._crash_tracker.on_event()
+            self._version_tracker.on_event()
         self._reply.send_event(data, number)
         if self._reply.is_congested and self._attempt is not None:
             self._attempt.pause()
@@ -571,6 +575,7 @@
             self._remaining_s,
             request.read_at - request.received_at,
             request.read_at - stop.began_at if stop is not None else None,
+            self._version_tracker.version,
         )
         note_end(self._context, self._routed, self._progress, end)
         self._on_end(self)
--- a/berylnotch/entry/records.py
+++ b/berylnotch/entry/records.py
@@ -8,7 +8,7 @@
 from berylnotch.entry.model import Choice, ChoiceInputs
 from berylnotch.entry.results import AttemptResult
 from berylnotch.entry.routed_request import RoutedRequest
-from berylnotch.platform.requests import TargetHeaders
+from berylnotch.platform.requests import CallerRequest, TargetHeaders
 from berylnotch.util.metrics import Label
 
 
@@ -59,6 +59,9 @@
     stopping_s : float or None
         Seconds from the begin of the router's planned stop to the last byte of the
         request, negative if it was read before; None if the router does not stop.
+    software_version : str or None
+        Software version that wrote the stream, empty if it is unknown; None if no
+        event of a stream was sent.
     """
 
     outcome: str
@@ -70,6 +73,7 @@
     remaining_s: float
     read_s: float
     stopping_s: float | None
+    software_version: str | None = None
 
 
 def note_sent(
@@ -81,21 +85,24 @@
     progress: Progress,
 ) -> None:
     """Log that a request is sent, with the inputs to the choice of its target."""
-    target = choice.target
+    target, caller = choice.target, routed.caller
     if target.limit is not None:
         context.metrics.count(
             "berylnotch_limited_target_sends_total", Label("target", target.target_id)
         )
     context.log.info(
         "sent",
-        id=routed.caller.request_id,
+        id=caller.request_id,
         route=routed.route.name,
         target=target.target_id,
+        software=target.listed.software_version,
+        kind=describe_send(caller, target_headers, progress),
+        resumes=caller.resumes,
         send=progress.sends,
         load=target.load,
         own_load=target.in_flight,
         limit_per_s=target.limit.per_s if target.limit else None,
-        prompt=routed.caller.prompt_tokens,
+        prompt=caller.prompt_tokens,
         shared=inputs.chain.path.rpartition("/")[2],
         shared_tokens=inputs.chain.shared_tokens,
         fetch=target_headers.fetch_from,
@@ -111,6 +118,19 @@
     )
 
 
+def describe_send(
+    caller: CallerRequest, target_headers: TargetHeaders, progress: Progress
+) -> str:
+    """Return what a send does to a stream, as one of the values of the log's field."""
+    if target_headers.run_origin:
+        return "move"
+    if target_headers.resume_after != caller.resume_after:
+        return "resume"
+    if progress.sends > 1:
+        return "repeat"
+    return "take-up" if caller.is_resumption else "first"
+
+
 def note_retry(
     context: EntryContext,
     routed: RoutedRequest,
@@ -155,6 +175,7 @@
         left_s=end.remaining_s,
         read_s=end.read_s,
         stopping_s=end.stopping_s,
+        software=end.software_version,
     )
     if end.stopping_s is not None:
         context.metrics.count(
--- a/berylnotch/platform/names.py
+++ b/berylnotch/platform/names.py
@@ -8,6 +8,8 @@
 #: not hold the hash of a whole prefix.
 PROMPT_PARTS = "Berylnotch-Prefix-Hash"
 LAST_EVENT_ID = "Last-Event-Id"
+#: Id of the request that brought the first event of the stream that a caller resumes.
+RESUMES = "Resumes"
 #: Proof that a target generated the response.
 SERVER_STAMP = "Berylnotch-Server-Stamp"
 ORGANISATION = "Berylnotch-Tenant"
--- a/berylnotch/platform/requests.py
+++ b/berylnotch/platform/requests.py
@@ -41,6 +41,9 @@
     part_ids : tuple of str, default=()
         Identities of the prompt's parts that other requests may share, also if the
         parts cannot be used for `chain`; at most ``MAX_PARTS``.
+    resumes : str, default=""
+        Id of the request that brought the first event of the stream that the caller
+        resumes, empty if not stated.
     """
 
     request_id: str
@@ -53,6 +56,12 @@
     chain: PrefixChain
     resume_after: int | None
     part_ids: tuple[str, ...] = ()
+    resumes: str = ""
+
+    @property
+    def is_resumption(self) -> bool:
+        """Whether the caller has received the begin of the stream that it asks for."""
+        return bool(self.resumes or self.resume_after)
 
     @property
     def tokens(self) -> int:
@@ -159,6 +168,7 @@
         resume_after=_parse_integer(headers.get(names.LAST_EVENT_ID)),
         # The last part belongs to the request itself or to its session.
         part_ids=tuple(part.part_id for part in parts[:-1][:MAX_PARTS]),
+        resumes=headers.get(names.RESUMES).strip(),
     )
 
 
--- a/tests/test_platform/test_requests.py
+++ b/tests/test_platform/test_requests.py
@@ -24,8 +24,10 @@
             ("Berylnotch-Token-Count", "1460,80"),
             ("Berylnotch-Prefix-Hash", "5c:800,91:410,e4:250"),
             ("Last-Event-Id", "12"),
+            ("Resumes", "id-0"),
         )
     )
+    assert caller.resumes == "id-0" and caller.is_resumption
     assert caller.key == "secret" and caller.request_id == "id-1"
     assert caller.deadline_s == 2.5 and caller.tokens == 1540
     assert caller.chain.path == "5c/91" and caller.chain.shared_tokens == 1210
