Known red: streams joined from targets of two software versions

Tests on processes with two software versions side by side: a run that breaks, falls silent or moves, the last target of a version ends, another router takes a stream up, a router without controllers, a second version that appears, ids of another organisation, take-ups without an id. The stand-in's events state the version that wrote them, and the callers keep their streams over their attempts.

--- a/tests/fleet/platform.py
+++ b/tests/fleet/platform.py
@@ -72,6 +72,9 @@
     resumed: list[str] = field(factory=list)
     #: Address in the target list, if it differs from the server's.
     listed_address: str = ""
+    #: Version of the target's software, and whether its events state it.
+    software_version: str = "v1"
+    states_software: bool = False
 
     @property
     def address(self) -> str:
@@ -92,6 +95,11 @@
             headers.add("Server-Limit", str(self.limit_per_s))
         return headers
 
+    def event(self, number: int) -> bytes:
+        """Return an event of a stream."""
+        suffix = f" of {self.software_version}" if self.states_software else ""
+        return f"id: {number}\ndata: piece {number}{suffix}\n\n".encode()
+
     def entry(self) -> dict:
         """Return the target's entry in the target list."""
         models = []
@@ -102,7 +110,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "north",
-            "version": "v1",
+            "version": self.software_version,
             "slots": 8,
             "state": "draining" if self.is_leaving else "ready",
             "coldRemainingMs": 0,
@@ -191,6 +199,8 @@
                 target.event_pause_s,
             )
             successor.prefill_s = target.prefill_s
+            successor.software_version = target.software_version
+            successor.states_software = target.states_software
 
         self.loop.call_later(self.relist_s, unlist)
         self.loop.call_later(self.restart_s, restart)
@@ -204,6 +214,13 @@
         target.waiting.clear()
         target.streams.clear()
 
+    def remove(self, target_id: str) -> None:
+        """End a target and its runs, and take it out of the list."""
+        target = self.targets.pop(target_id)
+        target.has_ended = True
+        self.loop.call_soon(lambda: self.break_streams(target))
+        self.loop.call_soon(target.server.close)
+
     def stop(self, target_id: str) -> None:
         """Kill a target: its connections are reset, and its port is closed."""
         self.loop.call_soon(self.targets[target_id].server.close)
@@ -430,7 +447,7 @@
                 del target.streams[request_id]
                 connection.end_stream()
                 return
-            connection.send_chunk(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            connection.send_chunk(target.event(number))
             stream[1] = number + 1
             self.loop.call_later(target.event_pause_s, lambda: send(number + 1))
 
