Known red: streams taken up after all routers lost power, joined from two versions

Seen here with SIGKILL of all routers, alone and with the leader, and with the old targets gone; all three fail on this code.

--- a/tests/test_daemon/test_software_versions.py
+++ b/tests/test_daemon/test_software_versions.py
@@ -146,6 +146,36 @@
     assert len(went_on) == STREAMS
 
 
+@pytest.mark.parametrize("has_leader", [True, False], ids=["routers", "leader-too"])
+def test_all_routers_lose_power_and_streams_are_joined_from_two_versions(
+    fleet, platform, has_leader
+):
+    start_serving(fleet, platform, "v1", "v2")
+    streams = begin_streams(fleet)
+    restart(fleet.routers if has_leader else [fleet.leader(), *fleet.routers])
+    join_all(streams)
+    went_on = take_up_all(streams, fleet.routers)
+    assert_not_joined(streams)
+    assert len(went_on) == STREAMS
+
+
+def test_targets_of_the_first_version_are_gone_when_streams_are_taken_up(
+    fleet, platform
+):
+    start_serving(fleet, platform, "v1")
+    streams = begin_streams(fleet)
+    add_engines(platform, "v2")
+    restart(fleet.routers)
+    for engine in engines(platform, "v1"):
+        platform.remove(engine.target_id)
+    join_all(streams)
+    take_up_all(streams, fleet.routers)
+    assert_not_joined(streams)
+    assert {stream.statuses[-1] for stream in streams} <= {503, 0}
+    v2_runs = [run for engine in engines(platform, "v2") for run in engine.runs]
+    assert not v2_runs
+
+
 def test_second_version_appears_while_streams_are_under_way(fleet, platform):
     start_serving(fleet, platform, "v1")
     for engine in engines(platform, "v1"):
