entry: a stream goes on only at the software version that began it

Cause: the choice of a target for a run that goes on knew the version of weights only. Within one answer a repeat after the first event, a resume after silence and a moved run went to any engine; over a caller's tries no router knew which version began the stream, as 'Resumes' was not read.

A request's version is that of the target which wrote its first event, and the choice, the destination of a moved run and its way back to the source are limited to it. A router remembers the streams that it began, sends records to the leader while a service has several versions, and asks the leader at a take-up before it sends anything. Unknown is refused at once, with 503 as not run; so is a take-up without 'Resumes', unless one version wrote all streams. A target that ended has no known version until the list has caught up; a reset connection alone is no sign of an end, since the address still accepts others. A route's service follows from the id of the stream's first request, so that a take-up asks the service that began it. A Last-Event-Id that is not understood is not passed on.

Admission: a take-up is not refused for a late first event, as its caller waits for the rest.

Tests changed: targets of test_entry have a version now, since streams of unknown ones go on nowhere; two tests on processes let callers go on for some seconds rather than six tries, and take up what the retry budget does not cover within one answer.

--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -256,9 +256,7 @@
                 for s in configuration.services
                 if s.engine
             }
-            self.stream_versions.set_longest_timeout(
-                max((route.timeout_s for route in configuration.routes), default=0.0)
-            )
+            self.stream_versions.set_longest_timeout(configuration.longest_timeout_s)
             stores = {s.store_address for s in configuration.services}
             self._store_monitor.watch(stores - {""})
         self._crash_judge.on_applied()
--- a/berylnotch/daemon/fleet/reports.py
+++ b/berylnotch/daemon/fleet/reports.py
@@ -67,6 +67,8 @@
         """Send a first report, with all that a new leader has to know."""
         self._context.crash_watch.report_all()
         self._context.target_limits.report_all()
+        # The report confirms that the leader has the records.
+        self._context.streams.on_link_open(boot_time())
         self.send()
 
     def schedule(self) -> None:
@@ -111,6 +113,7 @@
                     now, context.fleet.name, self._incarnation
                 ),
                 completed=context.crash_watch.take_completions(now),
+                recording=context.streams.mixed_services,
             )
         )
 
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -32,6 +32,7 @@
     RouterEntry,
     TargetsUpdate,
     TokenReply,
+    VersionReply,
 )
 from berylnotch.membership.answers import answer_addresses
 from berylnotch.membership.departure import StopSchedule, plan_stop
@@ -85,6 +86,10 @@
 #: callers.
 MIN_RETRY_AFTER_S = 0.3
 
+#: Seconds from the first event of a stream until its record is sent to the leader. The
+#: delay gathers streams that begin at about the same time into one message.
+RECORD_DELAY_S = 0.02
+
 #: Interval in seconds between two sweeps that close idle connections to targets.
 IDLE_CLOSE_INTERVAL_S = 1.0
 
@@ -165,6 +170,10 @@
         self._context.schedule_report = self._reports.schedule
         self._context.has_other_routers = lambda: bool(self._other_routers)
         self._context.has_leader = lambda: self._leader_link.has_leader
+        self._context.send_to_leader = self._leader_link.send
+        self._context.schedule_records = CoalescedAction(
+            loop, self._context.streams.flush, lambda: RECORD_DELAY_S
+        ).schedule
         self._caller_server = HttpServer(
             loop,
             settings.listen,
@@ -427,6 +436,10 @@
         elif isinstance(message, TargetsUpdate):
             self._targets_received_at = boot_time()
             self._numbered_targets.store_numbers(message)
+            if self._context.streams.set_mixed_services(
+                boot_time(), message.mixed_services
+            ):
+                self._reports.send()
             apply_targets(self._context, message)
             self._release_buffered_requests()
         elif isinstance(message, RosterUpdate):
@@ -445,6 +458,8 @@
             self._context.gate.receive(boot_time(), self._quota_sent_at, message)
         elif isinstance(message, TokenReply):
             self._context.target_limits.receive(boot_time(), message.reply)
+        elif isinstance(message, VersionReply):
+            self._context.streams.receive(message)
         elif isinstance(message, CrashesUpdate):
             if apply_crashes(self._context, message):
                 for exchange in tuple(self._exchanges):
@@ -468,6 +483,9 @@
             was=current.version if current else 0,
             routes=len(self._context.routes.configuration.routes),
         )
+        self._context.streams.set_longest_timeout(
+            self._context.routes.configuration.longest_timeout_s
+        )
         apply_limits(self._context)
         self._reports.send()
         self._release_buffered_requests()
@@ -477,6 +495,7 @@
     def _check_quota(self) -> None:
         gate, now = self._context.gate, boot_time()
         gate.serve(now)
+        self._context.streams.serve(now)
         if now < gate.quota.next_ask_at:
             return
         request = gate.request(
--- a/berylnotch/daemon/fleet/stream_versions.py
+++ b/berylnotch/daemon/fleet/stream_versions.py
@@ -9,6 +9,7 @@
 from berylnotch.group.messages import StreamRecords, VersionQuery
 from berylnotch.group.state import FleetState
 from berylnotch.membership.listing import ListedTarget
+from berylnotch.membership.stream_versions import stream_lifetime_s
 from berylnotch.membership.version_tracker import VersionTracker
 from berylnotch.transport.link import Link
 from berylnotch.transport.packing import pack
@@ -17,13 +18,6 @@
 from berylnotch.util.lines import EventLog
 from berylnotch.util.loop import Loop
 
-#: Shortest time in seconds for which versions and records are kept.
-MIN_LIFETIME_S = 30.0
-
-#: Time for which they are kept, as a multiple of the longest time-out of a route: a
-#: stream may be taken up when its own time is over.
-LIFETIME_FACTOR = 2
-
 #: Longest time in seconds for which targets of a further version are withheld until
 #: all routers have sent the records of their streams.
 RECORDING_WAIT_S = 1.0
@@ -80,7 +74,7 @@
         self._tracker = VersionTracker(
             has_unlisted=not is_first_leader and not state.software_versions
         )
-        self._lifetime_s = MIN_LIFETIME_S
+        self._lifetime_s = stream_lifetime_s(0.0)
         self._recorder = StreamRecorder(
             loop,
             state,
@@ -127,7 +121,7 @@
 
     def set_longest_timeout(self, timeout_s: float) -> None:
         """Set the longest time-out of all routes in seconds."""
-        self._lifetime_s = max(MIN_LIFETIME_S, LIFETIME_FACTOR * timeout_s)
+        self._lifetime_s = stream_lifetime_s(timeout_s)
 
     def is_usable(self, target: ListedTarget) -> bool:
         """Return whether routers may send requests to a target."""
--- a/berylnotch/entry/candidates.py
+++ b/berylnotch/entry/candidates.py
@@ -185,9 +185,15 @@
     return target.is_usable(inputs.now) and is_suitable(target, inputs)
 
 
+def has_software(target: Target, inputs: ChoiceInputs) -> bool:
+    """Tell whether a target runs the software version that the stream needs, if any."""
+    version = inputs.software_version
+    return version is None or target.has_software(version, inputs.now)
+
+
 def is_suitable(target: Target, inputs: ChoiceInputs) -> bool:
     """Tell whether a target may serve the request as soon as it is usable."""
-    if target.target_id in inputs.excluded:
+    if target.target_id in inputs.excluded or not has_software(target, inputs):
         return False
     if not inputs.model:
         return True
--- a/berylnotch/entry/choice.py
+++ b/berylnotch/entry/choice.py
@@ -16,6 +16,7 @@
 from attrs import evolve
 
 from berylnotch.entry.candidates import (
+    has_software,
     homes_by_version,
     is_suitable,
     long_prompt_candidates,
@@ -136,7 +137,9 @@
     usable_times = [
         target.usable_at(inputs.now)
         for target in targets
-        if not target.is_leaving and target.target_id not in inputs.excluded
+        if not target.is_leaving
+        and target.target_id not in inputs.excluded
+        and has_software(target, inputs)
     ]
     if not usable_times:
         return None
--- a/berylnotch/entry/choice_inputs.py
+++ b/berylnotch/entry/choice_inputs.py
@@ -23,6 +23,7 @@
     routed: RoutedRequest,
     service: Service,
     excluded: Collection[str],
+    software_version: str | None = None,
 ) -> ChoiceInputs:
     """Return the inputs to the choice of a target.
 
@@ -36,6 +37,8 @@
         Service that the request is sent to.
     excluded : collection of str
         Identities of targets that must not be chosen.
+    software_version : str, optional
+        Software version that the target must have.
     """
     caller, announced_weights, settings = (
         routed.caller,
@@ -94,6 +97,7 @@
         costs=context.costs(service),
         failure_domain=context.fleet.failure_domain,
         excluded=excluded,
+        software_version=software_version,
     )
 
 
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -15,6 +15,7 @@
 from berylnotch.entry.loss_probe import LossProber
 from berylnotch.entry.quota_gate import QuotaGate
 from berylnotch.entry.settings import EntrySettings
+from berylnotch.entry.stream_registry import StreamRegistry
 from berylnotch.entry.target_limits import TargetLimits
 from berylnotch.entry.targets import Target, TargetTable
 from berylnotch.membership.announced_weights import AnnouncedWeights
@@ -93,6 +94,12 @@
     loaded_targets : set of str
         Identities of the targets for which the newest updates set the load from other
         routers or the suspect state.
+    streams : StreamRegistry
+        Software versions at which streams began.
+    send_to_leader : callable
+        Sends a message to the leader, or drops it without a link.
+    schedule_records : callable
+        Schedules the records of streams for the leader.
     has_leader : callable
         Returns whether the router has a link to a leader.
     ask_quota : callable
@@ -139,6 +146,18 @@
     router_count: int = 1
     is_roster_known: bool = False
     loaded_targets: set[str] = field(factory=set)
+    streams: StreamRegistry = field(
+        default=Factory(
+            lambda self: StreamRegistry(
+                lambda message: self.send_to_leader(message),
+                lambda: self.schedule_records(),
+                self.settings.version_wait_s,
+            ),
+            takes_self=True,
+        )
+    )
+    send_to_leader: Callable[[object], None] = lambda message: None
+    schedule_records: Callable[[], None] = lambda: None
     has_leader: Callable[[], bool] = lambda: True
     ask_quota: Callable[[], None] = lambda: None
     schedule_report: Callable[[], None] = lambda: None
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Collection
 
@@ -35,9 +36,10 @@
 from berylnotch.entry.stopping import longest_answer_s
 from berylnotch.entry.targets import Target
 from berylnotch.entry.time_limit import TimeLimit
-from berylnotch.entry.version_tracker import VersionTracker
+from berylnotch.entry.version_constraint import VersionConstraint
 from berylnotch.net.server import ServerConnection
-from berylnotch.platform.requests import refusal_headers
+from berylnotch.placement.mixing import MAX_WEIGHT, rendezvous_weight
+from berylnotch.platform.requests import CallerRequest, refusal_headers
 from berylnotch.quota.bounds import is_limited
 from berylnotch.routing.model import Service
 from berylnotch.routing.table import pick_service
@@ -85,7 +87,7 @@
         self._has_ended = False
         route = routed.route
         # The request keeps its service, also if a later configuration lacks it.
-        service_name = pick_service(route.splits, random.random())
+        service_name = pick_service(route.splits, _split_draw(routed.caller))
         self._service: Service = context.routes.service(service_name)
         self._started_at = routed.request.received_at
         self._reply = Reply(connection, context.metrics, route.name, self._started_at)
@@ -98,7 +100,7 @@
         self._token_deadline: float | None = None
         self._crash_tracker = CrashTracker(context, routed)
         self._relocation = Relocation(context, routed)
-        self._version_tracker = VersionTracker()
+        self._software = VersionConstraint(context, routed, service_name)
 
     # Values for log entries and time limits.
 
@@ -116,6 +118,14 @@
         # Nothing is refunded, so a request that is refused must not be charged.
         if self._context.stop is not None and self._refuse_if_too_late():
             return
+        self._software.resolve(self._on_software_resolved)
+
+    def _on_software_resolved(self, problem: str) -> None:
+        if self._has_ended:
+            return
+        if problem:
+            self._refuse(503, Reason.UNKNOWN_VERSION, problem, None)
+            return
         organisation = self._routed.organisation
         if not is_limited(organisation):
             self._on_charge(Charge.CHARGED, 0.0)
@@ -190,9 +200,7 @@
             else:
                 self._give_up(Reason.DEADLINE, detail)
             return
-        inputs = make_choice_inputs(
-            self._context, self._routed, self._service, self._excluded_targets()
-        )
+        inputs = self._choice_inputs(self._excluded_targets())
         choice = choose(self._context.targets.of(self._service.name), inputs)
         self._request_tokens()
         if choice is None:
@@ -200,6 +208,9 @@
             return
         if not self._progress.runs and self._routed.is_stream:
             latency_s = self._routed.route.target_latency_s
+            if self._routed.caller.is_resumption:
+                # A caller that has a part of the stream waits longer for the rest.
+                latency_s = math.inf
             decision = decide_admission(choice, latency_s, self._remaining_s)
             if not decision.is_admitted:
                 reason = f"first event expected after {choice.delay_ms:.0f} ms"
@@ -298,7 +309,7 @@
             self._relocation.origin,
         )
         self._crash_tracker.on_sent(target.target_id)
-        self._version_tracker.on_sent(target)
+        self._software.on_sent(target)
         note_sent(
             self._context,
             self._routed,
@@ -323,7 +334,7 @@
         """Send an event to the caller, unless the caller has already received it."""
         if number is not None:
             self._crash_tracker.on_event()
-            self._version_tracker.on_event()
+            self._software.on_event()
         self._reply.send_event(data, number)
         if self._reply.is_congested and self._attempt is not None:
             self._attempt.pause()
@@ -350,7 +361,9 @@
             return None
         source = self._context.targets.get(self._crash_tracker.target_id)
         excluded = {*self._tried_targets, *full_engines}
-        return self._relocation.choose_destination(self._service, source, excluded)
+        return self._relocation.choose_destination(
+            self._service, source, excluded, self._software.version
+        )
 
     def _continue_run(self, stopped_run: StoppedRun, target: Target) -> None:
         """Send the rest of a stopped run to the engine that has its KV cache."""
@@ -361,9 +374,7 @@
             self._fail(502, Reason.DEADLINE, detail)
             return
         self._relocation.begin(stopped_run)
-        inputs = make_choice_inputs(
-            self._context, self._routed, self._service, self._tried_targets
-        )
+        inputs = self._choice_inputs(self._tried_targets)
         self._send_to(inputs, Choice(target, 0.0))
 
     def _on_takeover_refused(
@@ -371,7 +382,9 @@
     ) -> None:
         """Resume a run at its source after a refused takeover, or retry the request."""
         refusing_target = result.target
-        if self._relocation.can_resume_at_source(
+        if self._software.allows(
+            stopped_run.source
+        ) and self._relocation.can_resume_at_source(
             stopped_run, self._service.name, refusing_target
         ):
             self._record_retry(result, f"takeover of the run failed: {result.reason}")
@@ -389,6 +402,7 @@
             return
         if result.is_lost:
             self._crash_tracker.on_target_lost(target)
+        self._software.on_attempt_end(result)
         self._crash_tracker.on_attempt_end()
         if result.end is AttemptEnd.MOVED:
             self._progress.moves += 1
@@ -445,10 +459,13 @@
             self._routed.caller.output_tokens,
         )
 
-    def _choose_other_target(self) -> Choice | None:
-        inputs = make_choice_inputs(
-            self._context, self._routed, self._service, self._excluded_targets()
+    def _choice_inputs(self, excluded: Collection[str]) -> ChoiceInputs:
+        return make_choice_inputs(
+            self._context, self._routed, self._service, excluded, self._software.version
         )
+
+    def _choose_other_target(self) -> Choice | None:
+        inputs = self._choice_inputs(self._excluded_targets())
         return choose(self._context.targets.of(self._service.name), inputs)
 
     def _retry(self, result: AttemptResult, is_run: bool) -> None:
@@ -575,7 +592,15 @@
             self._remaining_s,
             request.read_at - request.received_at,
             request.read_at - stop.began_at if stop is not None else None,
-            self._version_tracker.version,
+            self._software.version,
         )
         note_end(self._context, self._routed, self._progress, end)
         self._on_end(self)
+
+
+def _split_draw(caller: CallerRequest) -> float:
+    """Return the number that selects a service, the same for all parts of a stream."""
+    request_id = caller.resumes or caller.request_id
+    if not request_id:
+        return random.random()
+    return rendezvous_weight(request_id, "") / MAX_WEIGHT
--- a/berylnotch/entry/model.py
+++ b/berylnotch/entry/model.py
@@ -70,6 +70,9 @@
         the targets are compared.
     weights_samples : callable
         Returns one target for each set of weights that is in use.
+    software_version : str or None
+        Software version that the target must have, because it began the stream; empty
+        if that version is unknown, None if any version may serve the request.
     costs : EngineCosts
         Processing and transfer costs of the engines.
     """
@@ -95,6 +98,7 @@
     stored_levels: Callable[[Target], int] = lambda target: 0
     ring_walk: Callable[[str], Iterator[Target]] | None = None
     weights_samples: Callable[[], Collection[Target]] = lambda: ()
+    software_version: str | None = None
     costs: EngineCosts = field(factory=EngineCosts)
 
 
--- a/berylnotch/entry/refusals.py
+++ b/berylnotch/entry/refusals.py
@@ -28,5 +28,7 @@
     CRASHES = "crashes"
     #: The target's answer was lost or is invalid.
     TARGET_LOST = "target-lost"
+    #: The software version that began the caller's stream is unknown.
+    UNKNOWN_VERSION = "unknown-version"
     #: The router process stops before the request ends.
     STOPPING = "stopping"
--- a/berylnotch/entry/relocation.py
+++ b/berylnotch/entry/relocation.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Collection
 
+from berylnotch.entry.candidates import has_software
 from berylnotch.entry.choice_inputs import make_choice_inputs
 from berylnotch.entry.context import EntryContext
 from berylnotch.entry.migration import StoppedRun
@@ -33,9 +34,9 @@
 ) -> Target | None:
     """Return the engine to which a run migrates, None if the run stays.
 
-    The engine must run the same weights and must neither be draining itself nor limit
-    its requests. A run stays if its weights are too old for new requests. Of several
-    engines, the one with the lowest load is selected.
+    The engine must run the same weights and the same software, and must neither be
+    draining itself nor limit its requests. A run stays if its weights are too old for
+    new requests. Of several engines, the one with the lowest load is selected.
     """
     version = source.version(inputs.model)
     if version is None or inputs.outdated_s(version) >= inputs.stale_s:
@@ -44,7 +45,7 @@
     def is_eligible(target: Target) -> bool:
         if target is source or target.is_emptying or target.limit is not None:
             return False
-        if target.target_id in inputs.excluded:
+        if target.target_id in inputs.excluded or not has_software(target, inputs):
             return False
         if target.version(inputs.model) != version:
             return False
@@ -83,14 +84,20 @@
         return self._stopped_run.origin if self._stopped_run is not None else ""
 
     def choose_destination(
-        self, service: Service, source: Target | None, excluded: Collection[str]
+        self,
+        service: Service,
+        source: Target | None,
+        excluded: Collection[str],
+        software_version: str | None,
     ) -> Target | None:
         """Return the engine to which the run should migrate, None if the run stays."""
         if service.engine is None or source is None:
             return None
         if not service.engine.supports_migration:
             return None
-        inputs = make_choice_inputs(self._context, self._routed, service, excluded)
+        inputs = make_choice_inputs(
+            self._context, self._routed, service, excluded, software_version
+        )
         targets = self._context.targets.of(service.name)
         destination = choose_destination(targets, inputs, source)
         return (
--- a/berylnotch/entry/settings.py
+++ b/berylnotch/entry/settings.py
@@ -50,6 +50,8 @@
         weights have no extra cost.
     quota_wait_s : float, default=0.45
         Longest wait for tokens of an organisation's limit.
+    version_wait_s : float, default=0.45
+        Longest wait for the leader's reply on the software version of a stream.
     slow_factor : float, default=2.5
         Multiple of a route's target latency after which a repeatable request
         without an answer goes to another target. Callers abandon a stream at four
@@ -85,6 +87,7 @@
     weights_margin_s: float = 1.0
     fresh_weights_s: float = 1.2
     quota_wait_s: float = 0.45
+    version_wait_s: float = 0.45
     slow_factor: float = 2.5
     stall_s: float = 2.0
     weights_load_s: float = 2.2
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -13,6 +13,7 @@
 from berylnotch.group.messages import LeavingWord, TargetEntry
 from berylnotch.membership.ejection import Ejection
 from berylnotch.membership.listing import ListedTarget
+from berylnotch.membership.stream_versions import UNKNOWN_VERSION
 from berylnotch.net.client import ClientConnection
 from berylnotch.placement.ring import Ring
 from berylnotch.util.address import parse_address
@@ -84,6 +85,9 @@
         its weights have not changed since it was first listed.
     is_suspect : bool
         Whether several routers have ejected it after failures.
+    outdated_until : float
+        Boot time until which the listed software version may be that of an earlier
+        process with the same identity, because the target ended.
     unread : int
         Number of prompt tokens of this router's requests that the target has probably
         not processed yet.
@@ -115,6 +119,7 @@
     left_silent_at: float = 0.0
     weights_at: float = 0.0
     is_suspect: bool = False
+    outdated_until: float = 0.0
 
     @property
     def target_id(self) -> str:
@@ -143,6 +148,16 @@
                 return listed_model.version
         return None
 
+    def software_version(self, now: float) -> str:
+        """Return the version of the target's software, empty if it is unknown."""
+        if now < self.outdated_until:
+            return UNKNOWN_VERSION
+        return self.listed.software_version
+
+    def has_software(self, version: str, now: float) -> bool:
+        """Return whether the target is known to run a version of its software."""
+        return version != UNKNOWN_VERSION and version == self.software_version(now)
+
     def note_outcome(self, has_failed: bool, latency_s: float | None = None) -> None:
         """Add the outcome of a request to the moving averages."""
         self.failure_rate += (has_failed - self.failure_rate) * EWMA_WEIGHT
--- a/berylnotch/membership/stream_versions.py
+++ b/berylnotch/membership/stream_versions.py
@@ -16,6 +16,24 @@
 #: Longest software version in characters.
 MAX_VERSION_CHARS = 64
 
+#: Shortest time in seconds for which versions and records of streams are kept.
+MIN_LIFETIME_S = 30.0
+
+#: Time for which they are kept, as a multiple of the longest time-out of a route: a
+#: stream may be taken up when its own time is over.
+LIFETIME_FACTOR = 2
+
+
+def stream_lifetime_s(longest_timeout_s: float) -> float:
+    """Return the seconds for which a stream lasts over all requests for it.
+
+    Parameters
+    ----------
+    longest_timeout_s : float
+        Longest time-out of all routes, in seconds.
+    """
+    return max(MIN_LIFETIME_S, LIFETIME_FACTOR * longest_timeout_s)
+
 
 def stream_identity(organisation: str, service: str, request_id: str) -> bytes:
     """Return the identity of the stream that a request began.
--- a/berylnotch/platform/requests.py
+++ b/berylnotch/platform/requests.py
@@ -177,10 +177,8 @@
 ) -> HttpRequest:
     """Return the request to a target: the caller's request with replaced headers."""
     headers = request.headers.end_to_end()
-    removed_names = set(names.SYSTEM_HEADERS)
-    if target_headers.resume_after is not None:
-        removed_names.add(names.LAST_EVENT_ID.lower())
-    headers = headers.without(removed_names)
+    # A value that this system does not understand may be one that the target does.
+    headers = headers.without({*names.SYSTEM_HEADERS, names.LAST_EVENT_ID.lower()})
     headers.add(names.DEADLINE_MS, str(max(1, int(target_headers.deadline_s * 1000))))
     headers.add(names.EXPECTED_TARGET, target_headers.target_id)
     _add_header(headers, names.ORGANISATION, target_headers.organisation)
--- a/berylnotch/routing/model.py
+++ b/berylnotch/routing/model.py
@@ -154,3 +154,8 @@
     services: tuple[Service, ...]
     organisations: tuple[Organisation, ...] | None = None
     limits: HttpLimits = field(factory=HttpLimits)
+
+    @property
+    def longest_timeout_s(self) -> float:
+        """Longest time-out of all routes in seconds, 0 without routes."""
+        return max((route.timeout_s for route in self.routes), default=0.0)
--- a/tests/test_daemon/test_software_versions.py
+++ b/tests/test_daemon/test_software_versions.py
@@ -1,15 +1,22 @@
 """Streams of a fleet of processes, while targets of two software versions serve."""
 
 import time
+from functools import partial
 
 import pytest
 
-from tests.fleet.processes import FleetOfProcesses, configuration, wait_until
+from tests.fleet.processes import (
+    FleetOfProcesses,
+    configuration,
+    in_threads,
+    wait_until,
+)
 from tests.fleet.streams import CallerStream
 
 EVENTS = 40
 EVENT_INTERVAL_S = 0.04
 STREAMS = 12
+RETRY_PAUSE_S = 0.2
 OTHER_KEY = "key-of-beta"
 
 
@@ -65,15 +72,19 @@
         stream.join()
 
 
-def take_up_all(streams, routers, attempts=6):
+def take_up_all(streams, routers, for_s=10.0):
     """Take up each broken stream as callers do, and return those that went on."""
     broken = [stream for stream in streams if not stream.is_whole]
     begun = {stream.name: len(stream.events) for stream in broken}
-    for attempt in range(attempts):
-        for number, stream in enumerate(broken):
-            if not stream.is_whole:
-                stream.take_up(routers[(number + attempt + 1) % len(routers)])
-        time.sleep(0.1)
+    end_at = time.monotonic() + for_s
+
+    def retry(stream, number):
+        while not stream.is_whole and time.monotonic() < end_at:
+            number += 1
+            stream.take_up(routers[number % len(routers)])
+            time.sleep(0.0 if stream.is_whole else RETRY_PAUSE_S)
+
+    in_threads([partial(retry, stream, n) for n, stream in enumerate(broken)])
     return [s for s in broken if len(s.events) > begun[s.name]]
 
 
@@ -97,6 +108,7 @@
     for engine in engines(platform, "v1")[:1] + engines(platform, "v2")[:1]:
         platform.loop.call_soon(lambda e=engine: platform.break_streams(e))
     join_all(streams)
+    take_up_all(streams, fleet.routers)
     assert_not_joined(streams)
     assert all(stream.is_whole for stream in streams)
 
@@ -107,7 +119,7 @@
     for engine in engines(platform, "v1"):
         platform.remove(engine.target_id)
     join_all(streams)
-    take_up_all(streams, fleet.routers, attempts=1)
+    take_up_all(streams, fleet.routers, for_s=1.0)
     assert_not_joined(streams)
     lost = [stream for stream in streams if not stream.is_whole]
     assert lost and all(stream.statuses[-1] == 503 for stream in lost)
@@ -169,9 +181,9 @@
     for engine in engines(platform, "v1"):
         platform.remove(engine.target_id)
     join_all(streams)
-    take_up_all(streams, fleet.routers)
+    take_up_all(streams, fleet.routers, for_s=4.0)
     assert_not_joined(streams)
-    assert {stream.statuses[-1] for stream in streams} <= {503, 0}
+    assert {stream.statuses[-1] for stream in streams} == {503}
     v2_runs = [run for engine in engines(platform, "v2") for run in engine.runs]
     assert not v2_runs
 
--- a/tests/test_entry/conftest.py
+++ b/tests/test_entry/conftest.py
@@ -44,7 +44,15 @@
     entry_context.targets.update(
         [
             TargetEntry(
-                ListedTarget("e", "llm", "127.0.0.1:9", "north", 8, models=models)
+                ListedTarget(
+                    "e",
+                    "llm",
+                    "127.0.0.1:9",
+                    "north",
+                    8,
+                    models=models,
+                    software_version="v1",
+                )
             )
         ]
     )
--- a/tests/test_entry/test_failures.py
+++ b/tests/test_entry/test_failures.py
@@ -115,6 +115,7 @@
                     "north",
                     8,
                     models=(ModelVersion("model-1", 1),) if service == "llm" else (),
+                    software_version="v1",
                 )
             )
             for service in ("llm", "desk")
--- a/tests/test_entry/test_planned_stop.py
+++ b/tests/test_entry/test_planned_stop.py
@@ -43,7 +43,11 @@
 def add_target(context, name):
     models = (ModelVersion("model-1", 1),)
     listed = [context.targets.get("e").listed]
-    listed.append(ListedTarget(name, "llm", "127.0.0.1:8", "north", 8, models=models))
+    listed.append(
+        ListedTarget(
+            name, "llm", "127.0.0.1:8", "north", 8, models=models, software_version="v1"
+        )
+    )
     context.targets.update([TargetEntry(target) for target in listed])
 
 
