--- a/berylnotch/platform/requests.py
+++ b/berylnotch/platform/requests.py
@@ -41,6 +41,9 @@
     part_ids : tuple of str, default=()
         Identities of the prompt's parts that other requests may share, also if the
         parts cannot be used for `chain`; at most ``MAX_PARTS``.
+    resumes : str, default=""
+        Id of the request that brought the first event of the stream that the caller
+        resumes, empty if not stated.
     """
 
     request_id: str
@@ -53,6 +56,12 @@
     chain: PrefixChain
     resume_after: int | None
     part_ids: tuple[str, ...] = ()
+    resumes: str = ""
+
+    @property
+    def is_resumption(self) -> bool:
+        """Whether the caller has received the begin of the stream that it asks for."""
+        return bool(self.resumes or self.resume_after)
 
     @property
     def tokens(self) -> int:
@@ -159,6 +168,7 @@
         resume_after=_parse_integer(headers.get(names.LAST_EVENT_ID)),
         # The last part belongs to the request itself or to its session.
         part_ids=tuple(part.part_id for part in parts[:-1][:MAX_PARTS]),
+        resumes=headers.get(names.RESUMES).strip(),
     )
 
 
@@ -167,10 +177,8 @@
 ) -> HttpRequest:
     """Return the request to a target: the caller's request with replaced headers."""
     headers = request.headers.end_to_end()
-    removed_names = set(names.SYSTEM_HEADERS)
-    if target_headers.resume_after is not None:
-        removed_names.add(names.LAST_EVENT_ID.lower())
-    headers = headers.without(removed_names)
+    # A value that this system does not understand may be one that the target does.
+    headers = headers.without({*names.SYSTEM_HEADERS, names.LAST_EVENT_ID.lower()})
     headers.add(names.DEADLINE_MS, str(max(1, int(target_headers.deadline_s * 1000))))
     headers.add(names.EXPECTED_TARGET, target_headers.target_id)
     _add_header(headers, names.ORGANISATION, target_headers.organisation)
