--- a/benchmarks/stream_records.py
+++ b/benchmarks/stream_records.py
@@ -12,12 +12,11 @@
 from collections.abc import Callable
 
 from berylnotch.daemon.fleet.stream_recorder import RECORD_BATCH_S
-from berylnotch.daemon.fleet.stream_versions import MIN_LIFETIME_S
 from berylnotch.group import stream_records
 from berylnotch.group.commands import RecordStreams
 from berylnotch.group.state import FleetState
 from berylnotch.group.stream_records import VersionGroup
-from berylnotch.membership.stream_versions import IDENTITY_BYTES
+from berylnotch.membership.stream_versions import IDENTITY_BYTES, MIN_LIFETIME_S
 from berylnotch.transport.packing import pack
 
 
--- a/tests/test_daemon/test_stream_version_model.py
+++ b/tests/test_daemon/test_stream_version_model.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from berylnotch.daemon.fleet import stream_recorder, stream_versions
-from berylnotch.daemon.fleet.stream_versions import MIN_LIFETIME_S
 from berylnotch.group.state import FleetState
+from berylnotch.membership.stream_versions import MIN_LIFETIME_S
 from tests.test_daemon.test_crash_load import Clock
 from tests.test_daemon.test_fleet_stream_versions import Group
 from tests.test_membership.test_version_tracker import target
