--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+import zlib
 from collections.abc import Callable, Collection
 
 import attrs
@@ -38,7 +39,6 @@
 from berylnotch.entry.time_limit import TimeLimit
 from berylnotch.entry.version_constraint import VersionConstraint
 from berylnotch.net.server import ServerConnection
-from berylnotch.placement.mixing import MAX_WEIGHT, rendezvous_weight
 from berylnotch.platform.requests import CallerRequest, refusal_headers
 from berylnotch.quota.bounds import is_limited
 from berylnotch.routing.model import Service
@@ -603,4 +603,4 @@
     request_id = caller.resumes or caller.request_id
     if not request_id:
         return random.random()
-    return rendezvous_weight(request_id, "") / MAX_WEIGHT
+    return zlib.crc32(request_id.encode()) / 2**32
--- a/berylnotch/placement/mixing.py
+++ b/berylnotch/placement/mixing.py
@@ -7,9 +7,6 @@
 
 _MASK = (1 << 64) - 1
 
-#: Number that is greater than all weights.
-MAX_WEIGHT = 1 << 64
-
 
 @lru_cache(maxsize=8192)
 def rendezvous_weight(node: str, key: str) -> int:
