entry: a take-up comes before new requests of its organisation at the engines

By the log four take-ups were refused as too late for their deadline, with software=v1.3, and two ran out of time behind prompts of new requests, which any engine could serve. Take-ups have the most urgent route priority now, and the estimate of their delay with it. The organisation's rank still comes first.

--- a/berylnotch/entry/routed_request.py
+++ b/berylnotch/entry/routed_request.py
@@ -56,12 +56,14 @@
     def priority(self) -> int:
         """Engine priority, 0 being the most urgent.
 
-        The organisation's priority takes precedence over the route's.
+        The organisation's priority takes precedence over the route's. A stream that the
+        caller resumes comes before the organisation's other requests: few targets may
+        continue it, and new requests, which any target may serve, wait at these too.
         """
         rank = self.organisation.priority if self.organisation else 0
-        return min(
-            LEAST_URGENT_PRIORITY, rank * PRIORITIES_PER_RANK + self.route.priority
-        )
+        is_resumption = self.is_stream and self.caller.is_resumption
+        route_priority = 0 if is_resumption else self.route.priority
+        return min(LEAST_URGENT_PRIORITY, rank * PRIORITIES_PER_RANK + route_priority)
 
     @property
     def is_urgent(self) -> bool:
--- a/tests/fleet/streams.py
+++ b/tests/fleet/streams.py
@@ -24,6 +24,7 @@
     """A stream that one caller asks for, over several attempts.
 
     ``statuses`` has the status of each attempt, 0 if its connection failed.
+    ``first_id`` is the request id of the newest attempt that began without an event.
     """
 
     name: str
@@ -31,6 +32,7 @@
     data: bytes = b""
     statuses: list[int] = field(factory=list)
     is_whole: bool = False
+    first_id: str = ""
     #: Seconds from the newest attempt's begin to its answer's head.
     answered_s: float = 0.0
     _thread: threading.Thread | None = None
@@ -47,6 +49,8 @@
 
     def begin(self, router: FleetProcess, **headers: str) -> None:
         """Start an attempt in a thread, which goes on after the last event."""
+        if not self.events:
+            self.first_id = f"{self.name}-{len(self.statuses)}"
         self._thread = threading.Thread(
             target=self._attempt, args=(router, headers), daemon=True
         )
@@ -59,7 +63,7 @@
 
     def take_up(self, router: FleetProcess, **headers: str) -> int:
         """Make one more attempt, and return its status."""
-        headers.setdefault("Resumes", f"{self.name}-0")
+        headers.setdefault("Resumes", self.first_id)
         headers = {name: value for name, value in headers.items() if value}
         self.begin(router, **{"Last-Event-Id": str(self.events[-1])}, **headers)
         self.join()
--- a/tests/test_daemon/test_software_versions.py
+++ b/tests/test_daemon/test_software_versions.py
@@ -28,9 +28,9 @@
     processes.close()
 
 
-def add_engines(platform, version, count=2, events=EVENTS):
+def add_engines(platform, version, count=2, events=EVENTS, prefix=""):
     for number in range(count):
-        engine = platform.add(f"{version}-{number}", "llm", version=1)
+        engine = platform.add(f"{prefix}{version}-{number}", "llm", version=1)
         engine.events, engine.event_pause_s = events, EVENT_INTERVAL_S
         engine.software_version, engine.states_software = version, True
 
--- a/tests/test_entry/test_version_constraint.py
+++ b/tests/test_entry/test_version_constraint.py
@@ -104,3 +104,12 @@
     exchange, _ = begin(context)
     add_target(context, "f", "")
     assert not exchange.can_retry_elsewhere()
+
+
+def test_take_up_waits_behind_new_requests_of_its_organisation(context, messages):
+    exchange, _, _ = make_exchange(context, headers=TAKE_UP)
+    routed = exchange._routed
+    route = evolve(routed.route, priority=2)
+    assert evolve(routed, route=route).priority == 0
+    new_request = evolve(routed.caller, resumes="", resume_after=None)
+    assert evolve(routed, route=route, caller=new_request).priority == 2
