--- a/tests/test_entry/test_version_constraint.py
+++ b/tests/test_entry/test_version_constraint.py
@@ -8,6 +8,7 @@
 from berylnotch.group.messages import TargetEntry, VersionQuery, VersionReply
 from berylnotch.membership.stream_versions import stream_identity
 from berylnotch.net.messages import Headers
+from berylnotch.routing.model import Split
 from berylnotch.util.clock import boot_time
 from tests.test_entry.support import make_exchange
 
@@ -113,3 +114,15 @@
     assert evolve(routed, route=route).priority == 0
     new_request = evolve(routed.caller, resumes="", resume_after=None)
     assert evolve(routed, route=route, caller=new_request).priority == 2
+
+
+def test_take_up_on_a_split_route_comes_to_another_service(context, messages):
+    first = Headers((*NAMED[:1], ("Berylnotch-Request-Id", "id-1"), *NAMED[2:-1]))
+    route = context.routes.route("app.example", "/chat/x")
+    splits = (Split("llm", 1), Split("desk", 1))
+    context.routes.route = lambda host, path: evolve(route, splits=splits)
+    services = [
+        make_exchange(context, headers=headers)[0]._service.name
+        for headers in (first, *[TAKE_UP] * 20)
+    ]
+    assert len(set(services)) == 1
--- a/tests/test_platform/test_requests.py
+++ b/tests/test_platform/test_requests.py
@@ -86,6 +86,13 @@
     assert sent.headers.count("Last-Event-Id") == 1
 
 
+def test_unreadable_last_event_id_is_understood_by_the_target():
+    sent = encode_for_target(
+        make_request(("Last-Event-Id", "0" * 20 + "12")), TargetHeaders(1, "t")
+    )
+    assert sent.headers.get("Last-Event-Id") == ""
+
+
 def test_not_run_needs_its_header_or_status_421():
     assert not decode_answer(503, Headers()).is_not_run
     assert decode_answer(503, Headers((("Berylnotch-Not-Executed", "1"),))).is_not_run
