entry: streams that callers resume get the tokens of their organisation first

By the log 13 take-ups after the last loss of power were refused for lack of tokens (11 limit, 2 no-grant): all routers are back at once, and their callers ask anew. A take-up is tried for some seconds only, a new request may come back later.

A request that resumes a stream now gets tokens before the organisation's others, and waits for them up to 1 s, also while the organisation is over its limit. It counts in full; no token is given out that was not before.

--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -126,7 +126,11 @@
         self._log = log
         self.metrics = Metrics()
         entry_settings = EntrySettings()
-        gate = QuotaGate(LocalQuota(FLEET_QUOTA), entry_settings.quota_wait_s)
+        gate = QuotaGate(
+            LocalQuota(FLEET_QUOTA),
+            entry_settings.quota_wait_s,
+            entry_settings.resumption_wait_s,
+        )
         self._quota_checks = CoalescedAction(loop, self._check_quota, lambda: 0.0)
         self._context = EntryContext(
             settings=entry_settings,
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -132,7 +132,11 @@
             return
         gate = self._context.gate
         if gate.charge(
-            boot_time(), organisation.name, self._routed.cost, self._on_charge
+            boot_time(),
+            organisation.name,
+            self._routed.cost,
+            self._on_charge,
+            self._routed.is_resumption,
         ):
             self._context.ask_quota()
 
@@ -208,7 +212,7 @@
             return
         if not self._progress.runs and self._routed.is_stream:
             latency_s = self._routed.route.target_latency_s
-            if self._routed.caller.is_resumption:
+            if self._routed.is_resumption:
                 # A caller that has a part of the stream waits longer for the rest.
                 latency_s = math.inf
             decision = decide_admission(choice, latency_s, self._remaining_s)
--- a/berylnotch/entry/quota_gate.py
+++ b/berylnotch/entry/quota_gate.py
@@ -31,6 +31,7 @@
     tokens: int
     expires_at: float
     on_charged: OnCharged
+    is_resumption: bool
 
 
 class QuotaGate:
@@ -42,11 +43,17 @@
         Grants of this router.
     wait_s : float
         Longest time in seconds for which a request waits for a grant.
+    resumption_wait_s : float, default=0.0
+        Longest time in seconds for which a request that resumes a stream waits, if it
+        exceeds ``wait_s``.
     """
 
-    def __init__(self, quota: LocalQuota, wait_s: float) -> None:
+    def __init__(
+        self, quota: LocalQuota, wait_s: float, resumption_wait_s: float = 0.0
+    ) -> None:
         self._quota = quota
         self._wait_s = wait_s
+        self._resumption_wait_s = max(wait_s, resumption_wait_s)
         self._pending: dict[str, deque[_PendingCharge]] = {}
 
     @property
@@ -55,25 +62,37 @@
         return self._quota
 
     def charge(
-        self, now: float, organisation: str, tokens: int, on_charged: OnCharged
+        self,
+        now: float,
+        organisation: str,
+        tokens: int,
+        on_charged: OnCharged,
+        is_resumption: bool = False,
     ) -> bool:
         """Charge a request, at once or as soon as a grant allows it.
 
+        A request that resumes a stream gets tokens before the organisation's others,
+        and waits for them while the organisation is over its limit.
+
         Returns
         -------
         bool
             Whether the quota owner should be asked for tokens soon.
         """
         queue = self._pending.get(organisation)
-        if not queue and self._quota.charge(now, organisation, tokens):
+        is_next = not queue or is_resumption and not queue[0].is_resumption
+        if is_next and self._quota.charge(now, organisation, tokens):
             on_charged(Charge.CHARGED, 0.0)
             return False
         retry_s = self._quota.retry_after_ms(organisation) / 1000
-        if retry_s > 0:
+        if retry_s > 0 and not is_resumption:
             on_charged(Charge.OVER_LIMIT, retry_s)
             return False
         queue = self._pending.setdefault(organisation, deque())
-        queue.append(_PendingCharge(tokens, now + self._wait_s, on_charged))
+        wait_s = self._resumption_wait_s if is_resumption else self._wait_s
+        pending = _PendingCharge(tokens, now + wait_s, on_charged, is_resumption)
+        resumptions = sum(earlier.is_resumption for earlier in queue)
+        queue.insert(resumptions if is_resumption else len(queue), pending)
         self._update_demand(organisation)
         return True
 
@@ -114,16 +133,18 @@
     def _serve_queue(self, now: float, organisation: str) -> None:
         queue = self._pending[organisation]
         retry_s = self._quota.retry_after_ms(organisation) / 1000
+        refusal = Charge.OVER_LIMIT if retry_s > 0 else Charge.UNKNOWN
         while queue:
             first_charge = queue[0]
             if self._quota.charge(now, organisation, first_charge.tokens):
                 queue.popleft().on_charged(Charge.CHARGED, 0.0)
-            elif retry_s > 0:
-                queue.popleft().on_charged(Charge.OVER_LIMIT, retry_s)
             elif now >= first_charge.expires_at:
-                queue.popleft().on_charged(Charge.UNKNOWN, 0.0)
+                queue.popleft().on_charged(refusal, retry_s)
             else:
                 break
+        # While the organisation is over its limit, only resumptions wait.
+        while queue and retry_s > 0 and not queue[-1].is_resumption:
+            queue.pop().on_charged(Charge.OVER_LIMIT, retry_s)
         if not queue:
             del self._pending[organisation]
         self._update_demand(organisation)
--- a/berylnotch/entry/routed_request.py
+++ b/berylnotch/entry/routed_request.py
@@ -52,6 +52,11 @@
         """Whether the response is a stream of events."""
         return self.route.kind is RouteKind.STREAM
 
+    @property
+    def is_resumption(self) -> bool:
+        """Whether the caller resumes a stream of which it has received the begin."""
+        return self.is_stream and self.caller.is_resumption
+
     @property
     def priority(self) -> int:
         """Engine priority, 0 being the most urgent.
@@ -61,8 +66,7 @@
         continue it, and new requests, which any target may serve, wait at these too.
         """
         rank = self.organisation.priority if self.organisation else 0
-        is_resumption = self.is_stream and self.caller.is_resumption
-        route_priority = 0 if is_resumption else self.route.priority
+        route_priority = 0 if self.is_resumption else self.route.priority
         return min(LEAST_URGENT_PRIORITY, rank * PRIORITIES_PER_RANK + route_priority)
 
     @property
--- a/berylnotch/entry/settings.py
+++ b/berylnotch/entry/settings.py
@@ -50,6 +50,9 @@
         weights have no extra cost.
     quota_wait_s : float, default=0.45
         Longest wait for tokens of an organisation's limit.
+    resumption_wait_s : float, default=1.0
+        Longest wait for tokens of a request that resumes a stream. It also waits while
+        the organisation is over its limit.
     version_wait_s : float, default=0.45
         Longest wait for the leader's reply on the software version of a stream.
     slow_factor : float, default=2.5
@@ -87,6 +90,7 @@
     weights_margin_s: float = 1.0
     fresh_weights_s: float = 1.2
     quota_wait_s: float = 0.45
+    resumption_wait_s: float = 1.0
     version_wait_s: float = 0.45
     slow_factor: float = 2.5
     stall_s: float = 2.0
--- a/berylnotch/entry/version_constraint.py
+++ b/berylnotch/entry/version_constraint.py
@@ -62,7 +62,7 @@
         ``on_resolved`` is called with the problem, empty if the request may be sent.
         """
         caller = self._routed.caller
-        if not self._routed.is_stream or not caller.is_resumption:
+        if not self._routed.is_resumption:
             on_resolved("")
             return
 
