--- a/berylnotch/entry/routed_request.py
+++ b/berylnotch/entry/routed_request.py
@@ -52,16 +52,22 @@
         """Whether the response is a stream of events."""
         return self.route.kind is RouteKind.STREAM
 
+    @property
+    def is_resumption(self) -> bool:
+        """Whether the caller resumes a stream of which it has received the begin."""
+        return self.is_stream and self.caller.is_resumption
+
     @property
     def priority(self) -> int:
         """Engine priority, 0 being the most urgent.
 
-        The organisation's priority takes precedence over the route's.
+        The organisation's priority takes precedence over the route's. A stream that the
+        caller resumes comes before the organisation's other requests: few targets may
+        continue it, and new requests, which any target may serve, wait at these too.
         """
         rank = self.organisation.priority if self.organisation else 0
-        return min(
-            LEAST_URGENT_PRIORITY, rank * PRIORITIES_PER_RANK + self.route.priority
-        )
+        route_priority = 0 if self.is_resumption else self.route.priority
+        return min(LEAST_URGENT_PRIORITY, rank * PRIORITIES_PER_RANK + route_priority)
 
     @property
     def is_urgent(self) -> bool:
--- a/tests/test_platform/test_requests.py
+++ b/tests/test_platform/test_requests.py
@@ -24,8 +24,10 @@
             ("Berylnotch-Token-Count", "1460,80"),
             ("Berylnotch-Prefix-Hash", "5c:800,91:410,e4:250"),
             ("Last-Event-Id", "12"),
+            ("Resumes", "id-0"),
         )
     )
+    assert caller.resumes == "id-0" and caller.is_resumption
     assert caller.key == "secret" and caller.request_id == "id-1"
     assert caller.deadline_s == 2.5 and caller.tokens == 1540
     assert caller.chain.path == "5c/91" and caller.chain.shared_tokens == 1210
@@ -84,6 +86,13 @@
     assert sent.headers.count("Last-Event-Id") == 1
 
 
+def test_unreadable_last_event_id_is_understood_by_the_target():
+    sent = encode_for_target(
+        make_request(("Last-Event-Id", "0" * 20 + "12")), TargetHeaders(1, "t")
+    )
+    assert sent.headers.get("Last-Event-Id") == ""
+
+
 def test_not_run_needs_its_header_or_status_421():
     assert not decode_answer(503, Headers()).is_not_run
     assert decode_answer(503, Headers((("Berylnotch-Not-Executed", "1"),))).is_not_run
