--- a/tests/fleet/platform.py
+++ b/tests/fleet/platform.py
@@ -117,6 +117,7 @@
     def __init__(self) -> None:
         self.loop = Loop("platform")
         self.targets: dict[str, StandInTarget] = {}
+        #: Entries that another system wrote: JSON values, or bytes as they are sent.
         self.foreign_entries: list[object] = []
         self.list_calls = 0
         #: Targets per page of the list, and number of pages that can be read; requests
@@ -218,8 +219,15 @@
             return
         first, end = page * self.page_size, (page + 1) * self.page_size
         next_token = str(page + 1) if end < len(entries) else None
-        body = {"instances": entries[first:end], "nextToken": next_token}
-        connection.respond(200, Headers(), json.dumps(body).encode())
+        texts = [
+            entry if isinstance(entry, bytes) else json.dumps(entry).encode()
+            for entry in entries[first:end]
+        ]
+        body = b'{"instances":[%s],"nextToken":%s}' % (
+            b",".join(texts),
+            json.dumps(next_token).encode(),
+        )
+        connection.respond(200, Headers(), body)
 
     def _serve_target(
         self, target: StandInTarget, connection: ServerConnection, request: HttpRequest
--- a/tests/test_daemon/test_fleet.py
+++ b/tests/test_daemon/test_fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import socket
 import time
 
 import pytest
@@ -215,6 +216,92 @@
         assert fleet.ask(fleet.routers[0], "/book/x", f"f-{number}").status == 200
 
 
+def _odd_entries():
+    sound = {"id": "odd", "service": "desk", "address": "127.0.0.1:9", "zone": "x"}
+    sound = {**sound, "state": "ready", "slots": 8, "born": 1, "models": []}
+    changes = [
+        {"id": "a\r\nb"},
+        {"id": "\ud800"},
+        {"id": "中"},
+        {"id": ""},
+        {"address": "127.0.0.1:0"},
+        {"address": "0.0.0.0:80"},
+        {"address": "127.0.0.1:" + "9" * 5000},
+        {"slots": -1},
+        {"slots": 10**30},
+        {"born": 10**30},
+        {"models": [{"name": "m", "version": 10**30}]},
+    ]
+    deep = b"[" * 100_000 + b"]" * 100_000
+    raw = [deep, b'{"id":"odd","x":%s}' % deep, b'{"x":%s}' % (b"9" * 5000), b"007"]
+    return [*({**sound, **change} for change in changes), *raw]
+
+
+def test_odd_entries_of_the_target_list_stop_neither_requests_nor_its_reading(
+    fleet, platform
+):
+    platform.foreign_entries = _odd_entries()
+    # The odd entries begin on the page of the last target, which others follow.
+    platform.page_size = 3
+    fleet.make_ready()
+    platform.targets["desk-1"].is_leaving = True
+    platform.add("desk-3", "desk")
+    added = platform.targets["desk-3"]
+    wait_until(
+        lambda: (
+            fleet.ask(fleet.routers[0], "/book/x", f"n-{time.monotonic()}")
+            and added.runs
+        ),
+        "requests at a target that was added beside the odd entries",
+    )
+    for number in range(20):
+        assert fleet.ask(fleet.routers[1], "/book/x", f"o-{number}").status == 200
+    processes = (*fleet.controllers, *fleet.routers)
+    assert all(process.process.poll() is None for process in processes)
+    lines = [line for process in processes for line in process.lines()]
+    assert [line for line in lines if line.get("event") == "call_failed"] == []
+    skipped = [line for line in lines if line.get("event") == "target_entries_skipped"]
+    assert 1 <= len(skipped) <= 4 and skipped[-1]["count"] == str(len(_odd_entries()))
+
+
+def test_odd_operator_calls_are_refused_with_a_reason(fleet):
+    fleet.make_ready()
+    text = json.dumps(configuration(5))
+    for body in (
+        text.replace('"version": 5', f'"version": {10**30}'),
+        text.replace('"alpha"', '"\\ud800"'),
+    ):
+        assert fleet.put(body.encode()).status == 400
+    for body in (b'{"model":"m","version":1%s}' % (b"0" * 30), b'{"model":"\\ud800"}'):
+        answer = fleet.operator("POST", "/version-put", body)
+        assert answer is not None and answer.status == 400
+
+
+def test_odd_bytes_on_a_link_close_only_that_link(fleet):
+    fleet.make_ready()
+    controller = wait_until(fleet.leader, "a leader")
+    frames = (b"\xff" * 9, b"\0\0\0\2\0\0\0\0\0\xff\xff", b"GET / HTTP/1.1\r\n\r\n")
+    for frame in frames:
+        address = fleet.links_address(controller.ip).pair
+        with socket.create_connection(address, 5) as sock:
+            sock.sendall(frame)
+            while sock.recv(4096):
+                continue
+
+    def closed():
+        return [
+            line
+            for line in controller.lines()
+            if line.get("event") == "link_closed" and "limit" in line["reason"]
+        ]
+
+    wait_until(closed, "a line in the log")
+    assert fleet.leader() is controller
+    lines = [line for router in fleet.routers for line in router.lines()]
+    assert [line for line in lines if line.get("event") == "leader_lost"] == []
+    assert fleet.ask(fleet.routers[0], "/book/x", "after").status == 200
+
+
 def test_weights_are_rolled_out_one_engine_at_a_time(fleet, platform):
     fleet.make_ready()
     assert fleet.name_weights(2).status == 200
--- a/tests/test_daemon/test_fleet_watch.py
+++ b/tests/test_daemon/test_fleet_watch.py
@@ -32,6 +32,18 @@
         self.calls.append((delay_s, call))
 
 
+class RecordingLog(Log):
+    """Log that keeps the lines of skipped entries."""
+
+    def __init__(self):
+        self.counts = []
+
+    def warning(self, event, **fields):
+        """Keep the count of a line about skipped entries."""
+        if event == "target_entries_skipped":
+            self.counts.append(fields["count"])
+
+
 def _page_response(number, last):
     entry = {
         "id": f"i-{number}",
@@ -52,7 +64,7 @@
     return requests, timers, lists
 
 
-def _watch(monkeypatch):
+def _watch(monkeypatch, log=None):
     requests, pages, lists, timers = [], [], [], TimerRecorder()
 
     def fetch(loop, address, request, timeout_s, on_done):
@@ -66,7 +78,7 @@
         RATE,
         pages.append,
         lists.append,
-        Log(),
+        log or Log(),
     )
     watch.start()
     return requests, timers, lists, pages
@@ -161,3 +173,60 @@
         timers.calls[-1][1]()
     assert limited_pause_s > pauses[1] > pauses[2]
     assert pauses[-1] == PAGE_PAUSE_S
+
+
+def _entry(target_id, **changes):
+    entry = {
+        "id": target_id,
+        "service": "llm",
+        "address": "10.0.0.1:80",
+        "zone": "d",
+        "state": "ready",
+    }
+    return {**entry, **changes}
+
+
+def _response(*entries, next_token=None):
+    body = {"instances": entries, "nextToken": next_token}
+    return HttpResponse(200, Headers(()), json.dumps(body).encode())
+
+
+def test_port_too_long_for_an_integer_does_not_end_the_reading(reading):
+    requests, timers, lists = reading
+    odd = _entry("odd", address="10.0.0.9:" + "9" * 5000)
+    requests[-1][1](_response(odd, _entry("i-1")), "")
+    assert [t.target_id for t in lists[0]] == ["i-1"]
+    timers.calls[-1][1]()
+    assert len(requests) == 2
+
+
+@pytest.mark.parametrize("is_newer_first", [True, False])
+@pytest.mark.parametrize("are_on_one_page", [True, False])
+def test_of_two_entries_with_one_id_the_target_born_later_is_kept(
+    reading, is_newer_first, are_on_one_page
+):
+    requests, timers, lists = reading
+    older = _entry("i-1", address="10.0.0.7:80", born=1000)
+    newer = _entry("i-1", address="10.0.0.8:80", born=2000)
+    first, second = (newer, older) if is_newer_first else (older, newer)
+    if are_on_one_page:
+        requests[-1][1](_response(first, second), "")
+    else:
+        requests[-1][1](_response(first, next_token="p"), "")
+        timers.calls[-1][1]()
+        requests[-1][1](_response(second), "")
+    assert [t.address for t in lists[0]] == ["10.0.0.8:80"]
+
+
+def test_skipped_entries_are_logged_once_until_they_change(monkeypatch):
+    log = RecordingLog()
+    requests, timers, _, _ = _watch(monkeypatch, log)
+    odd = _entry("odd", slots=-1)
+
+    def read(*entries):
+        requests[-1][1](_response(_entry("i-1"), *entries), "")
+        timers.calls[-1][1]()
+
+    for entries in ([odd], [odd], [odd, 7], [], [], [odd]):
+        read(*entries)
+    assert log.counts == [1, 2, 0, 1]
--- a/tests/test_transport/test_packing.py
+++ b/tests/test_transport/test_packing.py
@@ -2,6 +2,7 @@
 
 import zlib
 
+import msgpack
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -103,3 +104,16 @@
 def test_a_frame_over_the_limit_is_refused():
     with pytest.raises(TransportError):
         PlainSession("x", ()).feed(b"\xff" * 9)
+
+
+def test_nested_messages_and_announced_sizes_are_refused():
+    name = msgpack.packb("RouterReport")
+    for data in (
+        b"\x91" * 100_000 + b"\xc0",
+        b"\x92" + name + b"\x91" * 5000 + b"\xc0",
+        b"\xdd\xff\xff\xff\xff",
+        b"\x92" + name + b"\xa2\xff\xfe",
+        msgpack.packb((["RouterReport"], ())),
+    ):
+        with pytest.raises(CodecError):
+            unpack(data, CONTROLLER_MESSAGES)
