addresses: a port of thousands of digits is a malformed address

What was seen: a target in the list with a port of 5,000 digits ended the reading of the list; other scripts' digits were taken as a port. Cause: int() raises ValueError for over 4,300 digits, which no caller of parse_address expects, and str.isdecimal() and int() accept digits of all scripts. Evidence: test_port_too_long_for_an_integer_does_not_end_the_reading and two tests of test_util/test_address.py failed before and pass now. Ruled out: IPv4Address, which accepts ASCII digits only. Change: ASCII digits, five at most; messages quote 80 characters at most. Ran: tests/test_util, test_settings, test_daemon/test_fleet_watch.py, 105 passed.

--- a/berylnotch/util/address.py
+++ b/berylnotch/util/address.py
@@ -8,6 +8,11 @@
 
 from berylnotch.errors import ConfigurationError
 
+_MAX_PORT = 65535
+
+#: Maximum number of characters of a malformed address in an error message.
+_MAX_QUOTED_LENGTH = 80
+
 
 @frozen
 class Address:
@@ -34,12 +39,15 @@
         If the text is not an IPv4 address with a port from 0 to 65535.
     """
     host, _, port = text.strip().rpartition(":")
+    quoted = repr(text[:_MAX_QUOTED_LENGTH])
     try:
         ipaddress.IPv4Address(host)
     except ValueError:
         raise ConfigurationError(
-            f"{text!r} is no address; use an IPv4 address and a port, 10.0.0.1:8000"
+            f"{quoted} is no address; use an IPv4 address and a port, 10.0.0.1:8000"
         ) from None
-    if not port.isdecimal() or int(port) > 65535:
-        raise ConfigurationError(f"port {port!r} of {text!r} is not from 0 to 65535")
+    # `int` accepts digits of all scripts, and raises an error for thousands of digits.
+    is_number = port.isascii() and port.isdecimal() and len(port) <= len(str(_MAX_PORT))
+    if not is_number or int(port) > _MAX_PORT:
+        raise ConfigurationError(f"port of {quoted} is not from 0 to {_MAX_PORT}")
     return Address(host, int(port))
