target list: decode each entry by itself

What was seen: one entry that is nested 100,000 deep, holds an integer of 5,000 digits (in a field that nobody reads, too), a raw control character or 007 hid all entries of its page and all later pages, at each reading; on processes no router got ready. Cause: the page was decoded as one JSON value. Ruled out: a streaming JSON library (none is a dependency); raw_decode per entry, since it cannot find the end of what it cannot decode; a plain scan of brackets, which took 1.6 s for 4 MB of small arrays. Change: util/json_entries.py splits the body by its brackets before anything is decoded. An entry over 64 KiB or 32 levels is skipped. More than 100,000 turns of brackets refuse the page, so that no entry holds up the process.

--- a/berylnotch/platform/targets.py
+++ b/berylnotch/platform/targets.py
@@ -22,6 +22,7 @@
     parse_json,
 )
 from berylnotch.util.address import parse_address
+from berylnotch.util.json_entries import EntryError, decode_entry, split_entries
 
 #: Usable states of a target in the list, and whether the target is leaving.
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
@@ -118,17 +119,19 @@
     """
     if response.status != 200:
         raise FieldError(f"target list responded with status {response.status}")
-    # Other systems write entries too. A malformed entry must not hide the others, so
-    # decoding is lenient.
-    values = as_object(parse_json(response.body, is_strict=False), "list")
-    items = get_list(values, "instances")
-    targets = [target for target in map(_decode_target, items) if target is not None]
-    # "nextToken" is a page token here; in the events of KV stores, the field of the
-    # same name is a position.
-    next_page = values.get("nextToken")
+    # Other systems write entries too. A malformed entry must not hide the others.
+    try:
+        parts = split_entries(response.body, "instances")
+        # "nextToken" is a page token here; in the events of KV stores, the field of
+        # the same name is a position.
+        next_page = decode_entry(parts.fields.get("nextToken", "null"))
+    except EntryError as error:
+        raise FieldError(f"not a target list: {error}") from error
     if next_page is not None and not isinstance(next_page, str):
         raise FieldError("nextToken is neither a string nor null")
-    return TargetPage(tuple(targets), len(items) - len(targets), next_page or "")
+    targets = [target for target in map(_decode_target, parts.entries) if target]
+    skipped = len(parts.entries) - len(targets)
+    return TargetPage(tuple(targets), skipped, next_page or "")
 
 
 def report_request(host: str) -> HttpRequest:
@@ -181,13 +184,13 @@
     return HttpRequest("POST", "/order", headers, json.dumps(body).encode())
 
 
-def _decode_target(value: Any) -> ListedTarget | None:
+def _decode_target(text: str) -> ListedTarget | None:
     """Return the target of a list entry, None if the entry is not usable.
 
     Other systems may write entries with missing, malformed or unknown values.
     """
     try:
-        values = as_object(value, "entry")
+        values = as_object(decode_entry(text), "entry")
         state = get_string(values, "state")
         if state not in _IS_LEAVING_BY_STATE:
             return None
@@ -201,7 +204,7 @@
             born_ms=get_integer(values, "born", 0),
             models=_decode_models(values),
         )
-    except (FieldError, ConfigurationError):
+    except (EntryError, FieldError, ConfigurationError):
         return None
 
 
