platform: a range for every number

What was seen: slots, born or a model's version of 10^30 in one entry made a target whose message to the routers could not be packed (OverflowError), so routers got no more targets; negative ones were taken as well, positions of stores too. A timeout of 10^400 in a configuration raised OverflowError. Cause: fields were checked for their type only. Evidence: test_target_with_a_number_out_of_range_is_skipped and test_odd_state_of_a_store_is_refused failed before and pass now. Ruled out: a check in the codec of messages, which could only refuse the table of all targets. Change: integers and numbers fit into 64 bits; counts and times are not negative; a target states a million slots at most.

--- a/berylnotch/platform/fields.py
+++ b/berylnotch/platform/fields.py
@@ -9,6 +9,9 @@
 
 T = TypeVar("T")
 
+#: Largest integer that messages between processes can hold.
+MAX_INTEGER = 2**63 - 1
+
 #: Default value of a field that must be present.
 _REQUIRED = object()
 
@@ -72,14 +75,26 @@
     return _get_field(values, name, bool, default)
 
 
-def get_integer(values: dict[str, Any], name: str, default: Any = _REQUIRED) -> int:
-    """Return the value of an integer field."""
-    return _get_field(values, name, int, default)
+def get_integer(
+    values: dict[str, Any],
+    name: str,
+    default: Any = _REQUIRED,
+    low: int = -MAX_INTEGER,
+    high: int = MAX_INTEGER,
+) -> int:
+    """Return the value of an integer field from ``low`` to ``high``."""
+    value = _get_field(values, name, int, default)
+    if value is not None and not low <= value <= high:
+        raise FieldError(f"{name} is not from {low} to {high}")
+    return value
 
 
 def get_number(values: dict[str, Any], name: str, default: Any = _REQUIRED) -> float:
-    """Return the value of a numeric field."""
-    return _get_field(values, name, (int, float), default)
+    """Return the value of a numeric field, at most `MAX_INTEGER` either way."""
+    value = _get_field(values, name, (int, float), default)
+    if value is not None and not -MAX_INTEGER <= value <= MAX_INTEGER:
+        raise FieldError(f"{name} is not from {-MAX_INTEGER} to {MAX_INTEGER}")
+    return value
 
 
 def get_list(values: dict[str, Any], name: str, default: Any = _REQUIRED) -> list[Any]:
--- a/berylnotch/platform/stores.py
+++ b/berylnotch/platform/stores.py
@@ -54,5 +54,5 @@
     # "nextToken" is a position in the events here; in the target list, the field of
     # the same name is a page token.
     return StoreState(
-        get_integer(values, "bootEpoch"), get_integer(values, "nextToken")
+        get_integer(values, "bootEpoch"), get_integer(values, "nextToken", low=0)
     )
--- a/berylnotch/platform/targets.py
+++ b/berylnotch/platform/targets.py
@@ -24,6 +24,9 @@
 from berylnotch.util.address import parse_address
 from berylnotch.util.json_entries import EntryError, decode_entry, split_entries
 
+#: Largest number of concurrent requests of a target that the target list may state.
+MAX_SLOTS = 1_000_000
+
 #: Usable states of a target in the list, and whether the target is leaving.
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
@@ -152,9 +155,9 @@
     values = as_object(parse_json(response.body, is_strict=False), "report")
     return EngineReport(
         target_id=get_string(values, "id", "") or response.headers.get(names.TARGET_ID),
-        born_ms=get_integer(values, "born", None),
+        born_ms=get_integer(values, "born", None, low=0),
         is_busy=get_bool(values, "busy", False),
-        orders_taken=get_integer(values, "seqNo", 0),
+        orders_taken=get_integer(values, "seqNo", 0, low=0),
         models=_decode_models(values),
     )
 
@@ -199,9 +202,9 @@
             service=get_string(values, "service"),
             address=str(parse_address(get_string(values, "address"))),
             failure_domain=get_string(values, "zone"),
-            slots=get_integer(values, "slots", 0),
+            slots=get_integer(values, "slots", 0, low=0, high=MAX_SLOTS),
             is_leaving=_IS_LEAVING_BY_STATE[state],
-            born_ms=get_integer(values, "born", 0),
+            born_ms=get_integer(values, "born", 0, low=0),
             models=_decode_models(values),
         )
     except (EntryError, FieldError, ConfigurationError):
@@ -211,5 +214,6 @@
 def _decode_models(values: dict[str, Any]) -> tuple[ModelVersion, ...]:
     items = (as_object(item, "model") for item in get_list(values, "models", []))
     return tuple(
-        ModelVersion(get_string(i, "name"), get_integer(i, "version")) for i in items
+        ModelVersion(get_string(i, "name"), get_integer(i, "version", low=0))
+        for i in items
     )
