target list: an address without a port or of no single host is no target

What was seen: entries with port 0, 0.0.0.0, a multicast or a reserved address became targets, and requests were sent there. Cause: the address was checked as an address to listen on, where port 0 and 0.0.0.0 have a meaning. Evidence: test_target_with_an_odd_port_is_skipped and test_target_with_an_address_that_cannot_be_reached_is_skipped failed before and pass now. Ruled out: a stricter parse_address, which settings use with port 0.

--- a/berylnotch/platform/targets.py
+++ b/berylnotch/platform/targets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from ipaddress import IPv4Address
 from typing import Any
 from urllib.parse import quote
 
@@ -200,7 +201,7 @@
         return ListedTarget(
             target_id=get_string(values, "id"),
             service=get_string(values, "service"),
-            address=str(parse_address(get_string(values, "address"))),
+            address=_decode_address(values),
             failure_domain=get_string(values, "zone"),
             slots=get_integer(values, "slots", 0, low=0, high=MAX_SLOTS),
             is_leaving=_IS_LEAVING_BY_STATE[state],
@@ -211,6 +212,23 @@
         return None
 
 
+def _decode_address(values: dict[str, Any]) -> str:
+    """Return the address of an entry, which must be one that a process can connect to.
+
+    Raises
+    ------
+    ConfigurationError
+        If the address is malformed.
+    FieldError
+        If it names no port or no single host.
+    """
+    address = parse_address(get_string(values, "address"))
+    ip = IPv4Address(address.host)
+    if not address.port or ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+        raise FieldError(f"address {address} names no port or no single host")
+    return str(address)
+
+
 def _decode_models(values: dict[str, Any]) -> tuple[ModelVersion, ...]:
     items = (as_object(item, "model") for item in get_list(values, "models", []))
     return tuple(
