platform: names and identities that headers, logs and messages can hold

What was seen: an id or a name with a lone surrogate made a target that could not be packed for the routers (UnicodeEncodeError); an id with CR LF, or not in ASCII, went into a header of each request to it; empty ones were taken, too, also from reports. Cause: strings were checked for their type only. Evidence: test_target_with_text_unfit_for_headers_and_logs_is_skipped, test_target_whose_id_no_header_can_carry_is_skipped and test_odd_report_is_refused failed before and pass now. Ruled out: escaping, since an engine compares its id with the header. Change: ids are 1 to 256 visible ASCII characters; names are 1 to 256 characters without control characters, line separators and surrogates.

--- a/berylnotch/platform/fields.py
+++ b/berylnotch/platform/fields.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import Any, TypeVar
 
 from berylnotch.errors import GatewayError
@@ -12,6 +13,18 @@
 #: Largest integer that messages between processes can hold.
 MAX_INTEGER = 2**63 - 1
 
+#: Maximum number of characters of a name or an identity.
+MAX_NAME_LENGTH = 256
+
+#: Text without control characters, line separators and surrogates, which logs and
+#: messages between processes cannot hold.
+_NAME = re.compile(
+    rf"[^\x00-\x1f\x7f-\x9f\u2028\u2029\ud800-\udfff]{{1,{MAX_NAME_LENGTH}}}"
+)
+
+#: Visible ASCII characters, which every header can carry.
+_TOKEN = re.compile(rf"[!-~]{{1,{MAX_NAME_LENGTH}}}")
+
 #: Default value of a field that must be present.
 _REQUIRED = object()
 
@@ -70,6 +83,16 @@
     return _get_field(values, name, str, default)
 
 
+def get_name(values: dict[str, Any], name: str) -> str:
+    """Return the value of a string field that goes into logs and messages."""
+    return _get_matching(values, name, _NAME)
+
+
+def get_token(values: dict[str, Any], name: str) -> str:
+    """Return the value of a string field that goes into headers."""
+    return _get_matching(values, name, _TOKEN)
+
+
 def get_bool(values: dict[str, Any], name: str, default: Any = _REQUIRED) -> bool:
     """Return the value of a boolean field."""
     return _get_field(values, name, bool, default)
@@ -114,3 +137,13 @@
     if is_unexpected_bool or not isinstance(value, expected_type):
         raise FieldError(f"{name} has the wrong type: {type(value).__name__}")
     return value
+
+
+def _get_matching(values: dict[str, Any], name: str, pattern: re.Pattern[str]) -> str:
+    value = get_string(values, name)
+    if not pattern.fullmatch(value):
+        raise FieldError(
+            f"{name} is empty, over {MAX_NAME_LENGTH} characters, or has a character "
+            "that is not allowed"
+        )
+    return value
--- a/berylnotch/platform/targets.py
+++ b/berylnotch/platform/targets.py
@@ -19,7 +19,9 @@
     get_bool,
     get_integer,
     get_list,
+    get_name,
     get_string,
+    get_token,
     parse_json,
 )
 from berylnotch.util.address import parse_address
@@ -155,7 +157,9 @@
         raise FieldError(f"engine report responded with status {response.status}")
     values = as_object(parse_json(response.body, is_strict=False), "report")
     return EngineReport(
-        target_id=get_string(values, "id", "") or response.headers.get(names.TARGET_ID),
+        target_id=get_token(values, "id")
+        if values.get("id")
+        else response.headers.get(names.TARGET_ID),
         born_ms=get_integer(values, "born", None, low=0),
         is_busy=get_bool(values, "busy", False),
         orders_taken=get_integer(values, "seqNo", 0, low=0),
@@ -199,10 +203,10 @@
         if state not in _IS_LEAVING_BY_STATE:
             return None
         return ListedTarget(
-            target_id=get_string(values, "id"),
-            service=get_string(values, "service"),
+            target_id=get_token(values, "id"),
+            service=get_name(values, "service"),
             address=_decode_address(values),
-            failure_domain=get_string(values, "zone"),
+            failure_domain=get_name(values, "zone"),
             slots=get_integer(values, "slots", 0, low=0, high=MAX_SLOTS),
             is_leaving=_IS_LEAVING_BY_STATE[state],
             born_ms=get_integer(values, "born", 0, low=0),
@@ -232,6 +236,6 @@
 def _decode_models(values: dict[str, Any]) -> tuple[ModelVersion, ...]:
     items = (as_object(item, "model") for item in get_list(values, "models", []))
     return tuple(
-        ModelVersion(get_string(i, "name"), get_integer(i, "version", low=0))
+        ModelVersion(get_name(i, "name"), get_integer(i, "version", low=0))
         for i in items
     )
