target list: an id with a colon is no target

What was seen: an entry with the id 10.0.0.1:80 became a target; notes on prompts at it count as notes on a store, since routers and leader tell the two apart by the colon (group.columns.is_store). Cause: the invariant of is_store was not checked where ids enter. Evidence: test_target_whose_id_could_be_the_address_of_a_store_is_skipped failed without the change and passes with it.

--- a/berylnotch/platform/targets.py
+++ b/berylnotch/platform/targets.py
@@ -203,7 +203,7 @@
         if state not in _IS_LEAVING_BY_STATE:
             return None
         return ListedTarget(
-            target_id=get_token(values, "id"),
+            target_id=_decode_id(values),
             service=get_name(values, "service"),
             address=_decode_address(values),
             failure_domain=get_name(values, "zone"),
@@ -216,6 +216,14 @@
         return None
 
 
+def _decode_id(values: dict[str, Any]) -> str:
+    target_id = get_token(values, "id")
+    # Addresses of stores and identities of targets are told apart by the colon.
+    if ":" in target_id:
+        raise FieldError("id holds a colon")
+    return target_id
+
+
 def _decode_address(values: dict[str, Any]) -> str:
     """Return the address of an entry, which must be one that a process can connect to.
 
--- a/tests/test_platform/test_odd_entries.py
+++ b/tests/test_platform/test_odd_entries.py
@@ -117,6 +117,10 @@
     assert _taken([*(_entry(id=target_id) for target_id in ids), not_utf8]) == []
 
 
+def test_target_whose_id_could_be_the_address_of_a_store_is_skipped():
+    assert _taken([_entry(id="10.0.0.1:80")]) == []
+
+
 def test_repeated_names_in_an_entry_do_not_spoil_the_page():
     assert _decode_beside_sound(_entry()[:-1] + ',"id":"i-2"}').next_page == "p-2"
 
