platform: handles of KV copies that headers can carry

What was seen: a handle with CR LF, or not in ASCII, went into the header of the request that resumes the run, where encoding it raises UnicodeEncodeError or adds a header. Cause: as for ids, the type only was checked. Evidence: test_handle_that_no_header_can_carry_is_refused failed before, passes now. Ruled out: quoting as in the call that frees a copy; the engine defines the header's format.

--- a/berylnotch/platform/moves.py
+++ b/berylnotch/platform/moves.py
@@ -8,7 +8,7 @@
 from attrs import frozen
 
 from berylnotch.net.messages import Headers, HttpRequest, HttpResponse
-from berylnotch.platform.fields import FieldError, as_object, get_string, parse_json
+from berylnotch.platform.fields import FieldError, as_object, get_token, parse_json
 
 
 @frozen
@@ -62,12 +62,13 @@
     """
     if response.status == 200:
         values = as_object(parse_json(response.body, is_strict=False), "copy")
-        return MoveAnswer(200, get_string(values, "handle"), is_copied=True)
+        return MoveAnswer(200, get_token(values, "handle"), is_copied=True)
     if response.status != 503 or not response.body:
         return MoveAnswer(response.status)
     try:
         values = as_object(parse_json(response.body, is_strict=False), "refusal")
-        return MoveAnswer(503, get_string(values, "handle", ""))
+        handle = get_token(values, "handle") if values.get("handle") else ""
+        return MoveAnswer(503, handle)
     except FieldError:
         # A refusal whose body cannot be decoded counts as a refusal without a handle.
         return MoveAnswer(503)
