operators' calls: the name of a model is checked when weights are announced

What was seen: weights announced for a model whose name has a lone surrogate raised UnicodeEncodeError in the controller, and the operator got no answer; a name with CR LF, or an empty one, was replicated. Evidence: test_odd_weights_announcement_is_refused failed before, passes now.

--- a/berylnotch/platform/operators.py
+++ b/berylnotch/platform/operators.py
@@ -13,7 +13,7 @@
     FieldError,
     as_object,
     get_integer,
-    get_string,
+    get_name,
     parse_json,
 )
 
@@ -54,9 +54,7 @@
         If the body cannot be decoded or the version is not positive.
     """
     values = as_object(parse_json(request.body), "body")
-    announced = ModelVersion(
-        get_string(values, "model"), get_integer(values, "version")
-    )
+    announced = ModelVersion(get_name(values, "model"), get_integer(values, "version"))
     if announced.version < 1:
         raise FieldError(f"version {announced.version} is not positive")
     return announced
