operators' calls: a configuration whose texts cannot be used gets a 400

A tenant whose name no header can carry, a name with a surrogate or line break, and a store at no address were accepted, and failed at each request or in the leader's polls of all stores. Cause: only types and references were checked. Ruled out: the same checks for the configuration that the group holds, since a router that refuses it would serve nothing after an update of the software.

--- a/berylnotch/daemon/fleet/operators.py
+++ b/berylnotch/daemon/fleet/operators.py
@@ -9,7 +9,7 @@
 from berylnotch.net.messages import Headers, HttpRequest
 from berylnotch.net.reading import HttpLimits
 from berylnotch.net.server import HttpServer, ServerConnection
-from berylnotch.platform.configuration import decode_configuration
+from berylnotch.platform.configuration import decode_new_configuration
 from berylnotch.platform.operators import (
     OperatorCall,
     decode_call,
@@ -138,7 +138,7 @@
         self, connection: ServerConnection, request: HttpRequest
     ) -> None:
         try:
-            configuration = decode_configuration(request.body)
+            configuration = decode_new_configuration(request.body)
         except InvalidConfigurationError as error:
             self._answer(connection, request, 400, str(error))
             return
--- a/berylnotch/platform/configuration.py
+++ b/berylnotch/platform/configuration.py
@@ -4,10 +4,15 @@
 
 from typing import Any
 
+import attrs
+
+from berylnotch.errors import ConfigurationError
 from berylnotch.net.reading import HttpLimits
 from berylnotch.platform.fields import (
     FieldError,
     as_object,
+    check_header_value,
+    check_text,
     get_bool,
     get_integer,
     get_list,
@@ -26,6 +31,7 @@
     Service,
     Split,
 )
+from berylnotch.util.address import parse_address
 
 _ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -51,6 +57,43 @@
     return configuration
 
 
+def decode_new_configuration(body: bytes) -> FleetConfiguration:
+    """Decode and validate a configuration that an operator puts.
+
+    It is checked more strictly than the configuration that the group holds already:
+    without that one, routers would serve nothing.
+
+    Raises
+    ------
+    InvalidConfigurationError
+        If the configuration cannot be decoded or is invalid, or if logs, headers or
+        connections could not use one of its values.
+    """
+    configuration = decode_configuration(body)
+    try:
+        _check_texts(configuration)
+        for organisation in configuration.organisations or ():
+            check_header_value(organisation.name, "name of a tenant")
+        for service in configuration.services:
+            if service.store_address:
+                parse_address(service.store_address)
+    except (ConfigurationError, FieldError) as error:
+        raise InvalidConfigurationError(str(error)) from error
+    return configuration
+
+
+def _check_texts(value: Any) -> None:
+    """Check all strings of a value and, recursively, of its parts."""
+    if isinstance(value, str):
+        check_text(value)
+    elif isinstance(value, tuple):
+        for item in value:
+            _check_texts(item)
+    elif attrs.has(type(value)):
+        for field in attrs.fields(type(value)):
+            _check_texts(getattr(value, field.name))
+
+
 def _decode_fleet_configuration(values: dict[str, Any]) -> FleetConfiguration:
     organisations = None
     if values.get("tenants") is not None:
--- a/berylnotch/platform/fields.py
+++ b/berylnotch/platform/fields.py
@@ -16,11 +16,12 @@
 #: Maximum number of characters of a name or an identity.
 MAX_NAME_LENGTH = 256
 
-#: Text without control characters, line separators and surrogates, which logs and
-#: messages between processes cannot hold.
-_NAME = re.compile(
-    rf"[^\x00-\x1f\x7f-\x9f\u2028\u2029\ud800-\udfff]{{1,{MAX_NAME_LENGTH}}}"
-)
+#: Maximum number of characters of any other text.
+MAX_TEXT_LENGTH = 4096
+
+#: Control characters, line separators and surrogates, which logs and messages between
+#: processes cannot hold.
+_FORBIDDEN = re.compile(r"[\x00-\x1f\x7f-\x9f\u2028\u2029\ud800-\udfff]")
 
 #: Visible ASCII characters, which every header can carry.
 _TOKEN = re.compile(rf"[!-~]{{1,{MAX_NAME_LENGTH}}}")
@@ -83,14 +84,54 @@
     return _get_field(values, name, str, default)
 
 
+def check_text(text: str) -> None:
+    """Check that logs and messages between processes can hold a text.
+
+    Raises
+    ------
+    FieldError
+        If they cannot.
+    """
+    if len(text) > MAX_TEXT_LENGTH:
+        raise FieldError(f"text of over {MAX_TEXT_LENGTH} characters")
+    if _FORBIDDEN.search(text):
+        raise FieldError("text with a control character or surrogate")
+
+
+def check_header_value(text: str, label: str) -> None:
+    """Check that a header can carry a text; ``label`` names it in errors.
+
+    Raises
+    ------
+    FieldError
+        If the text is empty or too long, or has a character that is not in Latin-1.
+    """
+    is_latin_1 = all(character <= "\xff" for character in text)
+    if not is_latin_1 or not 0 < len(text) <= MAX_NAME_LENGTH:
+        raise FieldError(
+            f"{label} is empty, over {MAX_NAME_LENGTH} characters, or not in Latin-1"
+        )
+
+
 def get_name(values: dict[str, Any], name: str) -> str:
     """Return the value of a string field that goes into logs and messages."""
-    return _get_matching(values, name, _NAME)
+    value = get_string(values, name)
+    if not 0 < len(value) <= MAX_NAME_LENGTH or _FORBIDDEN.search(value):
+        raise FieldError(
+            f"{name} is empty, over {MAX_NAME_LENGTH} characters, or has a control "
+            "character or surrogate"
+        )
+    return value
 
 
 def get_token(values: dict[str, Any], name: str) -> str:
     """Return the value of a string field that goes into headers."""
-    return _get_matching(values, name, _TOKEN)
+    value = get_string(values, name)
+    if not _TOKEN.fullmatch(value):
+        raise FieldError(
+            f"{name} is not 1 to {MAX_NAME_LENGTH} visible ASCII characters"
+        )
+    return value
 
 
 def get_bool(values: dict[str, Any], name: str, default: Any = _REQUIRED) -> bool:
@@ -137,13 +178,3 @@
     if is_unexpected_bool or not isinstance(value, expected_type):
         raise FieldError(f"{name} has the wrong type: {type(value).__name__}")
     return value
-
-
-def _get_matching(values: dict[str, Any], name: str, pattern: re.Pattern[str]) -> str:
-    value = get_string(values, name)
-    if not pattern.fullmatch(value):
-        raise FieldError(
-            f"{name} is empty, over {MAX_NAME_LENGTH} characters, or has a character "
-            "that is not allowed"
-        )
-    return value
--- a/tests/test_platform/test_odd_entries.py
+++ b/tests/test_platform/test_odd_entries.py
@@ -6,7 +6,10 @@
 
 from berylnotch.membership.listing import ListedTarget, ModelVersion
 from berylnotch.net.messages import Headers, HttpRequest, HttpResponse
-from berylnotch.platform.configuration import decode_configuration
+from berylnotch.platform.configuration import (
+    decode_configuration,
+    decode_new_configuration,
+)
 from berylnotch.platform.fields import FieldError
 from berylnotch.platform.moves import decode_move
 from berylnotch.platform.operators import decode_weights_name
@@ -221,20 +224,27 @@
         ('"name": "alpha"', '"name": "a\\r\\nb"'),
         ('"name": "alpha"', '"name": "\\u4e2d"'),
         ('"name": "alpha"', '"name": ""'),
+        ('"pathPrefix": "/chat/"', '"pathPrefix": "/a\\nb/"'),
+        ('"name": "llm"', '"name": "llm", "kvStoreAddr": "nowhere"'),
     ]
     text = json.dumps(configuration(7, timeoutMs=4321))
-    decode_configuration(text.encode())
+    decode_new_configuration(text.encode())
     accepted = []
     for old, new in changes:
         assert old in text
         try:
-            decode_configuration(text.replace(old, new).encode())
+            decode_new_configuration(text.replace(old, new).encode())
         except InvalidConfigurationError:
             continue
         accepted.append(new[:40])
     assert accepted == []
 
 
+def test_held_configuration_with_odd_texts_still_serves():
+    text = json.dumps(configuration(7)).replace('"alpha"', '"\\u4e2d"')
+    assert decode_configuration(text.encode()).version == 7
+
+
 @pytest.mark.parametrize(
     "value", [DIGITS, "٣".encode().decode("latin-1"), "²", "nan", "inf", "-1", "1e400"]
 )
