target list: of two entries with one id the target born later is kept

What was seen: the entry that came last in the list replaced the other, whatever it was; an entry of another writer without a birth replaced an engine. Cause: the inventory keeps targets by id, and nothing decided between two. Evidence: test_of_two_entries_with_one_id_the_target_born_later_is_kept (on one page and on two, in both orders) failed before and passes now. Ruled out: dropping both, since one odd entry would then take an engine out; keeping the first, since both processes of an engine that restarts may be listed.

--- a/berylnotch/daemon/fleet/watch.py
+++ b/berylnotch/daemon/fleet/watch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from berylnotch.errors import GatewayError
 from berylnotch.membership.listing import ListedTarget
@@ -165,5 +165,18 @@
             self._pause_s = max(
                 PAUSE_DECREASE_FACTOR * self._pause_s, self._min_pause_s
             )
-        self._on_list(tuple(self._targets))
+        self._on_list(_without_duplicates(self._targets))
         self._loop.call_later(self._period_s, self._start_reading)
+
+
+def _without_duplicates(targets: Iterable[ListedTarget]) -> tuple[ListedTarget, ...]:
+    """Return the target that was born last of each identity, else the first.
+
+    While a target restarts, both its processes may be listed.
+    """
+    by_id: dict[str, ListedTarget] = {}
+    for target in targets:
+        other = by_id.get(target.target_id)
+        if other is None or target.born_ms > other.born_ms:
+            by_id[target.target_id] = target
+    return tuple(by_id.values())
