target list: an error in a callback does not end the reading

What was seen: whatever left the reader's callback ended the reading of the list for as long as the leader leads, since the next call was scheduled last. Cause: the class of 'a port of thousands of digits': an exception that is not a GatewayError skips what a callback was to schedule. Evidence: test_error_in_a_callback_does_not_end_the_reading failed for both callbacks without the change and passes with it. Ruled out: catching all errors here, since the loop logs them already (call_failed). Change: the next call is scheduled before the targets are passed on.

--- a/berylnotch/daemon/fleet/watch.py
+++ b/berylnotch/daemon/fleet/watch.py
@@ -153,10 +153,10 @@
         self._page_count += 1
         if page.next_page and self._page_count < MAX_PAGES:
             self._attempts = 0
-            self._on_page(page.targets)
             self._loop.call_later(
                 self._pause_s, lambda: self._request_page(page.next_page)
             )
+            self._on_page(page.targets)
             return
         if self._is_failing or page.next_page:
             self._log.info("target_list_read", is_cut_off=bool(page.next_page))
@@ -165,8 +165,9 @@
             self._pause_s = max(
                 PAUSE_DECREASE_FACTOR * self._pause_s, self._min_pause_s
             )
-        self._on_list(_without_duplicates(self._targets))
+        # An error in the callback must not end the reading.
         self._loop.call_later(self._period_s, self._start_reading)
+        self._on_list(_without_duplicates(self._targets))
 
 
 def _without_duplicates(targets: Iterable[ListedTarget]) -> tuple[ListedTarget, ...]:
--- a/tests/test_daemon/test_fleet_watch.py
+++ b/tests/test_daemon/test_fleet_watch.py
@@ -230,3 +230,19 @@
     for entries in ([odd], [odd], [odd, 7], [], [], [odd]):
         read(*entries)
     assert log.counts == [1, 2, 0, 1]
+
+
+@pytest.mark.parametrize("failing", ["on_page", "on_list"])
+def test_error_in_a_callback_does_not_end_the_reading(monkeypatch, failing):
+    requests, timers, lists, pages = _watch(monkeypatch)
+    reader = requests[-1][1].__self__
+
+    def fail(targets):
+        raise KeyError("target")
+
+    monkeypatch.setattr(reader, f"_{failing}", fail)
+    with pytest.raises(KeyError):
+        next_token = "p" if failing == "on_page" else None
+        requests[-1][1](_response(_entry("i-1"), next_token=next_token), "")
+    timers.calls[-1][1]()
+    assert len(requests) == 2
