target list: skipped entries are counted and logged

What was seen: entries that are no targets left no trace; an engine whose entry is malformed was missing without a reason. Change: berylnotch_target_entries_skipped at the leader, and the line target_entries_skipped when the skipped entries change, with the first 60 characters and the reason of four of them. Ruled out: a line for each entry, or at each reading. The test on processes waits for the line, and for 30 more calls of the list, since the first pages are passed on before the list is complete; it asks for exactly one line in place of one to four.

--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -279,6 +279,8 @@
             metrics.gauge("berylnotch_routers", float(self._leader.registry.count))
             dropped = self._leader.notes_dropped
             metrics.gauge("berylnotch_prompt_notes_dropped", float(dropped))
+            skipped = self._leader.skipped_entries
+            metrics.gauge("berylnotch_target_entries_skipped", float(skipped))
             listed_at = self._leader.inventory.listed_at
             if listed_at is not None:
                 age_s = boot_time() - listed_at
--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -203,6 +203,12 @@
         """Targets of the newest list, with the weights that they are loading."""
         return self._inventory
 
+    @property
+    def skipped_entries(self) -> int:
+        """Number of entries of the target list that describe no usable target."""
+        reader = self._target_list_reader
+        return reader.skipped_count if reader is not None else 0
+
     def start(self) -> None:
         """Start the services of the leader."""
         if self._target_list_reader is not None:
--- a/berylnotch/daemon/fleet/watch.py
+++ b/berylnotch/daemon/fleet/watch.py
@@ -42,6 +42,9 @@
 #: the log.
 MAX_PAGES = 200
 
+#: Maximum number of skipped entries of the list that are quoted in the log.
+MAX_LOGGED_ENTRIES = 4
+
 
 class TargetListReader:
     """Reads the whole target list periodically.
@@ -82,7 +85,8 @@
         self._log = log
         self._is_closed = False
         self._targets: list[ListedTarget] = []
-        self._skipped = 0
+        self._skipped: list[str] = []
+        self._logged_skipped: list[str] = []
         self._page_count = 0
         self._page_token = ""
         self._min_pause_s = self._pause_s = 1 / (RATE_SHARE * calls_per_s)
@@ -93,6 +97,11 @@
         self._attempts = 0
         self._is_failing = False
 
+    @property
+    def skipped_count(self) -> int:
+        """Number of entries of the last list that describe no usable target."""
+        return len(self._logged_skipped)
+
     def start(self) -> None:
         """Start the first reading."""
         self._start_reading()
@@ -102,7 +111,7 @@
         self._is_closed = True
 
     def _start_reading(self) -> None:
-        self._targets, self._skipped, self._page_count, self._attempts = [], 0, 0, 0
+        self._targets, self._skipped, self._page_count, self._attempts = [], [], 0, 0
         self._is_reading_limited = False
         self._request_page("")
 
@@ -149,7 +158,7 @@
             self._loop.call_later(RETRY_DELAY_S, retry)
             return
         self._targets += page.targets
-        self._skipped += page.skipped
+        self._skipped += page.skipped_entries
         self._page_count += 1
         if page.next_page and self._page_count < MAX_PAGES:
             self._attempts = 0
@@ -165,10 +174,23 @@
             self._pause_s = max(
                 PAUSE_DECREASE_FACTOR * self._pause_s, self._min_pause_s
             )
+        self._log_skipped()
         # An error in the callback must not end the reading.
         self._loop.call_later(self._period_s, self._start_reading)
         self._on_list(_without_duplicates(self._targets))
 
+    def _log_skipped(self) -> None:
+        """Log the entries of a list that were skipped, if others were before."""
+        skipped = sorted(self._skipped)
+        if skipped == self._logged_skipped:
+            return
+        self._logged_skipped = skipped
+        self._log.warning(
+            "target_entries_skipped",
+            count=len(skipped),
+            entries="; ".join(skipped[:MAX_LOGGED_ENTRIES]),
+        )
+
 
 def _without_duplicates(targets: Iterable[ListedTarget]) -> tuple[ListedTarget, ...]:
     """Return the target that was born last of each identity, else the first.
--- a/berylnotch/platform/targets.py
+++ b/berylnotch/platform/targets.py
@@ -30,6 +30,9 @@
 #: Largest number of concurrent requests of a target that the target list may state.
 MAX_SLOTS = 1_000_000
 
+#: Maximum number of characters of a skipped entry that are quoted in the log.
+MAX_QUOTED_LENGTH = 60
+
 #: Usable states of a target in the list, and whether the target is leaving.
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
@@ -42,16 +45,21 @@
     ----------
     targets : tuple of ListedTarget
         Usable targets of the page.
-    skipped : int
-        Number of entries that describe no usable target.
+    skipped_entries : tuple of str
+        Beginning of each entry that describes no usable target, and the reason.
     next_page : str
         Token of the next page, empty on the last page.
     """
 
     targets: tuple[ListedTarget, ...]
-    skipped: int
+    skipped_entries: tuple[str, ...]
     next_page: str
 
+    @property
+    def skipped(self) -> int:
+        """Number of entries that describe no usable target."""
+        return len(self.skipped_entries)
+
 
 @frozen
 class EngineReport:
@@ -135,9 +143,13 @@
         raise FieldError(f"not a target list: {error}") from error
     if next_page is not None and not isinstance(next_page, str):
         raise FieldError("nextToken is neither a string nor null")
-    targets = [target for target in map(_decode_target, parts.entries) if target]
-    skipped = len(parts.entries) - len(targets)
-    return TargetPage(tuple(targets), skipped, next_page or "")
+    targets, skipped_entries = [], []
+    for text in parts.entries:
+        try:
+            targets.append(_decode_target(text))
+        except (EntryError, FieldError, ConfigurationError) as error:
+            skipped_entries.append(f"{text[:MAX_QUOTED_LENGTH]!a}: {error}")
+    return TargetPage(tuple(targets), tuple(skipped_entries), next_page or "")
 
 
 def report_request(host: str) -> HttpRequest:
@@ -192,28 +204,30 @@
     return HttpRequest("POST", "/order", headers, json.dumps(body).encode())
 
 
-def _decode_target(text: str) -> ListedTarget | None:
-    """Return the target of a list entry, None if the entry is not usable.
+def _decode_target(text: str) -> ListedTarget:
+    """Return the target of a list entry.
 
     Other systems may write entries with missing, malformed or unknown values.
+
+    Raises
+    ------
+    EntryError, FieldError, ConfigurationError
+        If the entry describes no usable target.
     """
-    try:
-        values = as_object(decode_entry(text), "entry")
-        state = get_string(values, "state")
-        if state not in _IS_LEAVING_BY_STATE:
-            return None
-        return ListedTarget(
-            target_id=_decode_id(values),
-            service=get_name(values, "service"),
-            address=_decode_address(values),
-            failure_domain=get_name(values, "zone"),
-            slots=get_integer(values, "slots", 0, low=0, high=MAX_SLOTS),
-            is_leaving=_IS_LEAVING_BY_STATE[state],
-            born_ms=get_integer(values, "born", 0, low=0),
-            models=_decode_models(values),
-        )
-    except (EntryError, FieldError, ConfigurationError):
-        return None
+    values = as_object(decode_entry(text), "entry")
+    state = get_name(values, "state")
+    if state not in _IS_LEAVING_BY_STATE:
+        raise FieldError(f"state {state!r} is unknown")
+    return ListedTarget(
+        target_id=_decode_id(values),
+        service=get_name(values, "service"),
+        address=_decode_address(values),
+        failure_domain=get_name(values, "zone"),
+        slots=get_integer(values, "slots", 0, low=0, high=MAX_SLOTS),
+        is_leaving=_IS_LEAVING_BY_STATE[state],
+        born_ms=get_integer(values, "born", 0, low=0),
+        models=_decode_models(values),
+    )
 
 
 def _decode_id(values: dict[str, Any]) -> str:
--- a/tests/test_daemon/test_fleet.py
+++ b/tests/test_daemon/test_fleet.py
@@ -244,6 +244,13 @@
     # The odd entries begin on the page of the last target, which others follow.
     platform.page_size = 3
     fleet.make_ready()
+    processes = (*fleet.controllers, *fleet.routers)
+
+    def events(name):
+        lines = [line for process in processes for line in process.lines()]
+        return [line for line in lines if line.get("event") == name]
+
+    wait_until(lambda: events("target_entries_skipped"), "a line on odd entries")
     platform.targets["desk-1"].is_leaving = True
     platform.add("desk-3", "desk")
     added = platform.targets["desk-3"]
@@ -256,12 +263,12 @@
     )
     for number in range(20):
         assert fleet.ask(fleet.routers[1], "/book/x", f"o-{number}").status == 200
-    processes = (*fleet.controllers, *fleet.routers)
+    calls = platform.list_calls
+    wait_until(lambda: platform.list_calls > calls + 30, "further readings of the list")
     assert all(process.process.poll() is None for process in processes)
-    lines = [line for process in processes for line in process.lines()]
-    assert [line for line in lines if line.get("event") == "call_failed"] == []
-    skipped = [line for line in lines if line.get("event") == "target_entries_skipped"]
-    assert 1 <= len(skipped) <= 4 and skipped[-1]["count"] == str(len(_odd_entries()))
+    assert events("call_failed") == []
+    (skipped,) = events("target_entries_skipped")
+    assert skipped["count"] == str(len(_odd_entries()))
 
 
 def test_odd_operator_calls_are_refused_with_a_reason(fleet):
