links: a controller logs why a link that it accepted was closed

What was seen: odd bytes on a controller's link closed only that link, as they should, but unless a router had registered on it nothing in the log told so. Change: link_closed with the peer and the reason, as for links that it opened. Ruled out: a warning, since links close at each stop.

--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -181,6 +181,7 @@
     def _on_link_closed(self, link: Link, reason: str) -> None:
         self._links.discard(link)
         self._waiting_routers.remove(link)
+        self._log.info("link_closed", peer=link.peer, reason=reason)
         if self._leader is not None:
             self._leader.registry.on_link_closed(link, reason)
 
