links: the error of a malformed message has a bounded length

What was seen: the name of an unknown class, of a megabyte, went into the reason for closing the link, and so into one line of the log. Cause: the library's error quotes what it could not decode. Evidence: test_error_of_a_large_message_does_not_fill_the_log failed without the change. Ruled out: the other limits of a message, which hold already (test_nested_messages_and_announced_sizes_are_refused). Ran: tests/test_transport.

--- a/berylnotch/transport/packing.py
+++ b/berylnotch/transport/packing.py
@@ -28,6 +28,10 @@
 #: shrink.
 MIN_COMPRESSED_BYTES = 2048
 
+#: Maximum number of characters of a library's error in the message of an error. The
+#: library may quote the whole message.
+MAX_REASON_LENGTH = 200
+
 #: First byte of a compressed message. MessagePack reserves this byte, so that no
 #: uncompressed message begins with it.
 _COMPRESSED = b"\xc1"
@@ -61,7 +65,8 @@
         return _converter.structure(values, cls)
     except Exception as error:
         # The libraries raise many types of exceptions for malformed bytes.
-        raise CodecError(f"invalid message of {len(data)} bytes: {error!r}") from error
+        reason = repr(error)[:MAX_REASON_LENGTH]
+        raise CodecError(f"invalid message of {len(data)} bytes: {reason}") from error
 
 
 def _decompress(data: bytes) -> bytes:
--- a/tests/test_transport/test_packing.py
+++ b/tests/test_transport/test_packing.py
@@ -117,3 +117,10 @@
     ):
         with pytest.raises(CodecError):
             unpack(data, CONTROLLER_MESSAGES)
+
+
+def test_error_of_a_large_message_does_not_fill_the_log():
+    data = msgpack.packb(("x" * 1_000_000, ()))
+    with pytest.raises(CodecError) as error:
+        unpack(data, CONTROLLER_MESSAGES)
+    assert len(str(error.value)) < 300
