berylnotchd: a range for numbers and texts in responses

What was seen: loads of targets with numbers of 10^30, infinite or NaN, and texts with surrogates were taken; a weights version with a surrogate goes into a replicated command that cannot be encoded. A target with a negative number of runs looked emptier than an idle one. Cause: responses were checked for types only. Evidence: test_load_with_numbers_or_text_out_of_range_is_rejected and test_negative_load_makes_no_target_look_emptier_than_idle failed before, pass now. Ruled out: rejecting negative loads, whose other fields are still of use. Ran: tests/test_gateways.

--- a/berylnotch/gateways/answers.py
+++ b/berylnotch/gateways/answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import TypeVar
 
 import cattrs
@@ -11,6 +12,13 @@
 
 #: Largest response body that is decoded, in bytes.
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+
+#: Largest integer, and largest number of characters of a text, in a response.
+MAX_INTEGER = 2**63 - 1
+MAX_TEXT_LENGTH = 4096
+
+#: Control characters and surrogates, which messages and logs cannot hold.
+_FORBIDDEN = re.compile(r"[\x00-\x1f\x7f-\x9f\ud800-\udfff]")
 _OK_STATUS = 200
 _BUSY_STATUSES = frozenset((429, 503))
 
@@ -19,7 +27,7 @@
 
 
 def _structure_scalar(value: object, cls: type) -> object:
-    """Return a JSON scalar that already has the type ``cls``.
+    """Return a JSON scalar that already has the type ``cls`` and is in range.
 
     An integer is accepted as a float. Without this hook, cattrs converts values of
     other types.
@@ -27,6 +35,11 @@
     is_int_as_float = cls is float and type(value) is int
     if type(value) is not cls and not is_int_as_float:
         raise ValueError(f"expected {cls.__name__}, not {type(value).__name__}")
+    if isinstance(value, str):
+        if len(value) > MAX_TEXT_LENGTH or _FORBIDDEN.search(value):
+            raise ValueError("text is too long or has a control character or surrogate")
+    elif not -MAX_INTEGER <= value <= MAX_INTEGER:
+        raise ValueError(f"number is not from {-MAX_INTEGER} to {MAX_INTEGER}")
     return cls(value)
 
 
--- a/berylnotch/gateways/load.py
+++ b/berylnotch/gateways/load.py
@@ -79,6 +79,6 @@
         incarnation=load.incarnation,
         measured_at=requested_at - max(0.0, load.age_s),
         queue_wait_s=max(0.0, load.queue_wait_s),
-        running=load.running,
+        running=max(0, load.running),
         leaving=load.leaving,
     )
