berylnotchd: one odd entry of the VM list hides no other VM

What was seen: an entry of another type, or one that cannot be decoded, lost the whole list, so VMs that leave were not seen as leaving. Cause: as for the target list, all or nothing. Evidence: test_odd_vm_hides_no_other_vm_of_the_list failed before and passes now. Ruled out: the same for events, versions and loads, each of which one system writes about itself. Change: entries are decoded one by one; a line platform_entries_skipped when their number changes. Names and addresses are not empty.

--- a/berylnotch/daemon/controller/targets.py
+++ b/berylnotch/daemon/controller/targets.py
@@ -73,6 +73,7 @@
         self._propose = propose
         self._loads: dict[str, _ReceivedLoad] = {}
         self._next_list_at = 0.0
+        self._skipped_vms = 0
         self._next_load_at: dict[str, float] = {}
 
     def load(self, target: str) -> TargetLoad | None:
@@ -142,6 +143,9 @@
         if vm_list is None:
             logger.warning("event=platform_list_missing reason={!r}", str(error))
             return
+        if vm_list.skipped != self._skipped_vms:
+            self._skipped_vms = vm_list.skipped
+            logger.warning("event=platform_entries_skipped count={}", vm_list.skipped)
         for listed in vm_list.vms:
             if listed.state is VmState.LEAVING:
                 self._mark_leaving(listed)
--- a/berylnotch/gateways/vmlist.py
+++ b/berylnotch/gateways/vmlist.py
@@ -7,9 +7,9 @@
 
 from enum import Enum
 
-from attrs import frozen
+from attrs import field, frozen, validators
 
-from berylnotch.gateways.answers import decode_response
+from berylnotch.gateways.answers import decode_entries
 from berylnotch.gateways.http import UpstreamRequest
 
 #: Path at which the platform serves the list.
@@ -35,16 +35,20 @@
         Whether the VM is live, or leaving because the platform is about to remove it.
     """
 
-    name: str
-    address: str
+    name: str = field(validator=validators.min_len(1))
+    address: str = field(validator=validators.min_len(1))
     state: VmState
 
 
 @frozen
 class VmList:
-    """The complete list; a VM that is missing was removed or is not listed yet."""
+    """The complete list; a VM that is missing was removed or is not listed yet.
+
+    ``skipped`` is the number of entries that describe no VM.
+    """
 
     vms: tuple[ListedVm, ...]
+    skipped: int = 0
 
 
 def build_vms(address: str, timeout_s: float) -> UpstreamRequest:
@@ -54,4 +58,4 @@
 
 def read_vms(status: int, body: bytes) -> VmList:
     """Decode the list; raises `InvalidResponseError` or `BusyError`."""
-    return decode_response(VmList, status, body)
+    return VmList(*decode_entries(ListedVm, status, body, "vms"))
