berylnotchd: odd answers of engines raise no error and charge nothing

What was seen: a nested answer raised RecursionError, a count of tokens of 1e400 OverflowError where the request ends; a count of 10^30, a negative one or one in digits of another script was charged to the organisation. Cause: int() of whatever the answer holds; RecursionError is no ValueError. Evidence: test_nested_answer_of_an_engine_is_not_whole, test_odd_count_of_tokens_is_ not_charged and test_count_of_tokens_in_another_script_is_not_charged failed before and pass now. Ruled out: charging the limit for a count out of range, since the engine is at fault and not the organisation. Ran: tests/test_gateways, tests/test_server.

--- a/berylnotch/gateways/engine.py
+++ b/berylnotch/gateways/engine.py
@@ -26,6 +26,9 @@
 #: Number of the last event that the caller has; the engine resumes after it.
 RESUME_HEADER = "x-resume-after"
 
+#: Largest number of generated tokens that a response may report.
+MAX_COMPLETION_TOKENS = 10_000_000
+
 _FORWARDED_HEADERS = frozenset(("content-type", "cache-control", "retry-after"))
 
 
@@ -129,14 +132,20 @@
     """Return whether a body is a complete generation, a JSON object with choices."""
     try:
         response = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return False
     return isinstance(response, dict) and bool(response.get("choices"))
 
 
 def completion_tokens(body: bytes) -> int:
-    """Return the generated tokens that a response reports, or 0."""
+    """Return the generated tokens that a response reports, or 0.
+
+    A number out of range is not counted, because it would use up the limit of an
+    organisation.
+    """
     try:
-        return int(json.loads(body)["usage"]["completion_tokens"])
-    except (ValueError, KeyError, TypeError):
+        tokens = json.loads(body)["usage"]["completion_tokens"]
+    except (ValueError, KeyError, TypeError, RecursionError):
         return 0
+    is_in_range = type(tokens) is int and 0 <= tokens <= MAX_COMPLETION_TOKENS
+    return tokens if is_in_range else 0
