streams: an event id of thousands of digits costs only its stream

What was seen: an id of 5,000 digits from an engine raised ValueError in the callback that reads the stream, in a fleet's router and in berylnotchd, so the exchange neither went on nor ended. Cause: the class of the odd entries: int() raises an error that no caller expects. Found by trying each int() on bytes from outside; the others are bounded. Evidence: one test each of test_entry/test_events.py and test_streams/test_scanner.py and two of test_sequence.py failed before and pass now. Change: ids have 18 digits at most. A longer one is no number in a fleet's router; in berylnotchd it breaks the stream off like an event without a number. Ran: tests/test_entry/test_events.py, tests/test_streams, tests/test_gateways: 188 passed.

--- a/berylnotch/entry/events.py
+++ b/berylnotch/entry/events.py
@@ -13,7 +13,7 @@
 _BOUNDARY_BYTES = 4
 _DATA = re.compile(rb"(?:\A|\n)data[:\r\n]")
 _STATUS_LINE = re.compile(rb"\s*HTTP/\d")
-_ID = re.compile(rb"(?:\A|\n)id:[ \t]*(\d+)")
+_ID = re.compile(rb"(?:\A|\n)id:[ \t]*(\d{1,18})(?!\d)")
 
 
 @frozen
--- a/berylnotch/streams/scanner.py
+++ b/berylnotch/streams/scanner.py
@@ -14,7 +14,7 @@
 _BOUNDARY = b"\n\n"
 _END_MARKER_TEXT = b"[DONE]"
 _END_MARKER_EVENT = re.compile(rb"(?:\A|(?<=\n))data: ?\[DONE\]\n\n")
-_END_MARKER_ID = re.compile(rb"(?:\A|\n)id: ?(\d+)\n")
+_END_MARKER_ID = re.compile(rb"(?:\A|\n)id: ?(\d{1,18})\n")
 _EXTRA_BLANK_LINES = re.compile(rb"\n{3,}")
 
 
--- a/berylnotch/streams/sequence.py
+++ b/berylnotch/streams/sequence.py
@@ -13,7 +13,7 @@
 # The pattern begins with a literal, because a search for a pattern that begins with
 # an alternation is several times slower.
 _EVENT_ID = re.compile(rb"\n\nid: (\d+)\n")
-_ID_LINE = re.compile(rb"(?:\A|\n)id: ?(\d+)(?=\n|\Z)")
+_ID_LINE = re.compile(rb"(?:\A|\n)id: ?(\d{1,18})(?=\n|\Z)")
 
 
 @define(slots=True, eq=False)
--- a/tests/test_entry/test_events.py
+++ b/tests/test_entry/test_events.py
@@ -66,3 +66,8 @@
     assert splitter.feed(b"id: 1\ndata: x" + boundary[:cut]) == []
     (event,) = splitter.feed(boundary[cut:])
     assert event.number == 1
+
+
+def test_id_too_long_for_an_integer_is_no_number():
+    (odd, sound) = EventSplitter().feed(b"id: %s\ndata\n\nid: 2\n\n" % (b"9" * 5000))
+    assert odd.number is None and sound.number == 2
--- a/tests/test_streams/test_scanner.py
+++ b/tests/test_streams/test_scanner.py
@@ -77,3 +77,8 @@
     with pytest.raises(EventTooLongError):
         scanner.feed(b"x" * 10)
     assert scanner.buffered_bytes <= 100
+
+
+def test_end_marker_with_an_id_too_long_for_an_integer_ends_the_stream():
+    result = EventScanner().feed(b"id: %s\n%s" % (b"9" * 5000, END_MARKER))
+    assert result.is_ended and result.end_number == 0
--- a/tests/test_streams/test_sequence.py
+++ b/tests/test_streams/test_sequence.py
@@ -69,3 +69,10 @@
 def test_event_without_number_is_refused():
     with pytest.raises(SequenceError):
         EventSequence("B").rewrite_ids(b"data: a\n\n", 1)
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_id_too_long_for_an_integer_is_refused(count):
+    event = b"id: %s\ndata: x\n\n" % (b"9" * 5000)
+    with pytest.raises(SequenceError):
+        EventSequence("B").rewrite_ids(event * count, count)
