berylnotchd: a Retry-After of thousands of digits is ignored

What was seen: it was read as an infinite time. Evidence: test_retry_after_too_long_for_a_time_is_ignored failed before, passes now. Ran: tests/test_gateways.

--- a/berylnotch/gateways/http.py
+++ b/berylnotch/gateways/http.py
@@ -22,6 +22,9 @@
 WEIGHTS_HEADER = "x-weights"
 
 _STATUS_LINE = re.compile(rb"HTTP/[0-9.]+ (\d{3})(?: |\r?\n|\Z)")
+#: Digits of the longest time in seconds that a header may state.
+MAX_SECONDS_DIGITS = 9
+
 _CONTROL_CHARACTERS = re.compile(r"[\x00-\x1f\x7f]")
 #: Length, in characters, below which a key is not searched for in requests.
 _MIN_KEY_LENGTH = 8
@@ -134,4 +137,5 @@
 
 
 def _parse_seconds(text: str) -> float:
-    return float(text) if text.isascii() and text.isdigit() else 0.0
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_SECONDS_DIGITS
+    return float(text) if is_number else 0.0
--- a/tests/test_gateways/test_odd_values.py
+++ b/tests/test_gateways/test_odd_values.py
@@ -7,6 +7,7 @@
 from berylnotch.gateways.cache_events import read_cache_events
 from berylnotch.gateways.engine import completion_tokens, is_whole_answer
 from berylnotch.gateways.errors import InvalidResponseError
+from berylnotch.gateways.http import read_head
 from berylnotch.gateways.load import read_load, to_report
 from berylnotch.gateways.vmlist import read_vms
 from berylnotch.gateways.weights import read_versions
@@ -76,3 +77,8 @@
 def test_count_of_tokens_in_another_script_is_not_charged():
     body = '{"usage":{"completion_tokens":"٣"}}'.encode()
     assert completion_tokens(body) == 0
+
+
+def test_retry_after_too_long_for_a_time_is_ignored():
+    lines = [b"HTTP/1.1 503 Busy\r\n", b"Retry-After: %s\r\n" % DIGITS.encode()]
+    assert read_head(lines, frozenset()).retry_after_s == 0
