berylnotchd: a limit of tokens too large for a float is taken as 10^9

What was seen: a body with max_tokens of 10^400 is valid JSON and a valid integer; recording how long its answer took raised OverflowError ('int too large to convert to float') in a unit test. What its caller saw on processes was not tried. Cause: a field with a type and no upper bound. Evidence: float() of the limit raised before; test_limit_of_tokens_is_never_too_large_for_a_float passes now. Ruled out: a refusal, since the body is passed on as it is, and the engine decides about it. Ran: tests/test_server, 56 passed.

--- a/berylnotch/server/intake.py
+++ b/berylnotch/server/intake.py
@@ -17,6 +17,8 @@
 
 #: Assumed number of prompt bytes per token, to estimate prompt tokens.
 BYTES_PER_TOKEN = 4
+#: Largest number of output tokens that a request is taken to allow.
+MAX_OUTPUT_TOKENS = 1_000_000_000
 #: Longest idempotency key, in characters.
 MAX_IDEMPOTENCY_KEY_LENGTH = 200
 _MAX_REQUEST_ID_LENGTH = 100
@@ -133,7 +135,7 @@
         stream=_read_field(fields, "stream", bool, False),
         prompt=prompt,
         prompt_tokens=max(1, math.ceil(len(prompt) / BYTES_PER_TOKEN)),
-        max_tokens=token_limit,
+        max_tokens=min(token_limit, MAX_OUTPUT_TOKENS),
     )
 
 
