--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -183,6 +183,7 @@
     def _on_link_closed(self, link: Link, reason: str) -> None:
         self._links.discard(link)
         self._waiting_routers.remove(link)
+        self._log.info("link_closed", peer=link.peer, reason=reason)
         if self._leader is not None:
             self._leader.registry.on_link_closed(link, reason)
 
@@ -290,6 +291,8 @@
             metrics.gauge("berylnotch_routers", float(self._leader.registry.count))
             dropped = self._leader.notes_dropped
             metrics.gauge("berylnotch_prompt_notes_dropped", float(dropped))
+            skipped = self._leader.skipped_entries
+            metrics.gauge("berylnotch_target_entries_skipped", float(skipped))
             listed_at = self._leader.inventory.listed_at
             if listed_at is not None:
                 age_s = boot_time() - listed_at
--- a/berylnotch/platform/targets.py
+++ b/berylnotch/platform/targets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from ipaddress import IPv4Address
 from typing import Any
 from urllib.parse import quote
 
@@ -22,10 +23,19 @@
     get_bool,
     get_integer,
     get_list,
+    get_name,
     get_string,
+    get_token,
     parse_json,
 )
 from berylnotch.util.address import parse_address
+from berylnotch.util.json_entries import EntryError, decode_entry, split_entries
+
+#: Largest number of concurrent requests of a target that the target list may state.
+MAX_SLOTS = 1_000_000
+
+#: Maximum number of characters of a skipped entry that are quoted in the log.
+MAX_QUOTED_LENGTH = 60
 
 #: Usable states of a target in the list, and whether the target is leaving.
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
@@ -39,16 +49,21 @@
     ----------
     targets : tuple of ListedTarget
         Usable targets of the page.
-    skipped : int
-        Number of entries that describe no usable target.
+    skipped_entries : tuple of str
+        Beginning of each entry that describes no usable target, and the reason.
     next_page : str
         Token of the next page, empty on the last page.
     """
 
     targets: tuple[ListedTarget, ...]
-    skipped: int
+    skipped_entries: tuple[str, ...]
     next_page: str
 
+    @property
+    def skipped(self) -> int:
+        """Number of entries that describe no usable target."""
+        return len(self.skipped_entries)
+
 
 @frozen
 class EngineReport:
@@ -122,17 +137,23 @@
     """
     if response.status != 200:
         raise FieldError(f"target list responded with status {response.status}")
-    # Other systems write entries too. A malformed entry must not hide the others, so
-    # decoding is lenient.
-    values = as_object(parse_json(response.body, is_strict=False), "list")
-    items = get_list(values, "instances")
-    targets = [target for target in map(_decode_target, items) if target is not None]
-    # "nextToken" is a page token here; in the events of KV stores, the field of the
-    # same name is a position.
-    next_page = values.get("nextToken")
+    # Other systems write entries too. A malformed entry must not hide the others.
+    try:
+        parts = split_entries(response.body, "instances")
+        # "nextToken" is a page token here; in the events of KV stores, the field of
+        # the same name is a position.
+        next_page = decode_entry(parts.fields.get("nextToken", "null"))
+    except EntryError as error:
+        raise FieldError(f"not a target list: {error}") from error
     if next_page is not None and not isinstance(next_page, str):
         raise FieldError("nextToken is neither a string nor null")
-    return TargetPage(tuple(targets), len(items) - len(targets), next_page or "")
+    targets, skipped_entries = [], []
+    for text in parts.entries:
+        try:
+            targets.append(_decode_target(text))
+        except (EntryError, FieldError, ConfigurationError) as error:
+            skipped_entries.append(f"{text[:MAX_QUOTED_LENGTH]!a}: {error}")
+    return TargetPage(tuple(targets), tuple(skipped_entries), next_page or "")
 
 
 def report_request(host: str) -> HttpRequest:
@@ -152,10 +173,12 @@
         raise FieldError(f"engine report responded with status {response.status}")
     values = as_object(parse_json(response.body, is_strict=False), "report")
     return EngineReport(
-        target_id=get_string(values, "id", "") or response.headers.get(names.TARGET_ID),
-        born_ms=get_integer(values, "born", None),
+        target_id=get_token(values, "id")
+        if values.get("id")
+        else response.headers.get(names.TARGET_ID),
+        born_ms=get_integer(values, "born", None, low=0),
         is_busy=get_bool(values, "busy", False),
-        orders_taken=get_integer(values, "seqNo", 0),
+        orders_taken=get_integer(values, "seqNo", 0, low=0),
         models=_decode_models(values),
     )
 
@@ -185,29 +208,56 @@
     return HttpRequest("POST", "/order", headers, json.dumps(body).encode())
 
 
-def _decode_target(value: Any) -> ListedTarget | None:
-    """Return the target of a list entry, None if the entry is not usable.
+def _decode_target(text: str) -> ListedTarget:
+    """Return the target of a list entry.
 
     Other systems may write entries with missing, malformed or unknown values.
+
+    Raises
+    ------
+    EntryError, FieldError, ConfigurationError
+        If the entry describes no usable target.
     """
-    try:
-        values = as_object(value, "entry")
-        state = get_string(values, "state")
-        if state not in _IS_LEAVING_BY_STATE:
-            return None
-        return ListedTarget(
-            target_id=get_string(values, "id"),
-            service=get_string(values, "service"),
-            address=str(parse_address(get_string(values, "address"))),
-            failure_domain=get_string(values, "zone"),
-            slots=get_integer(values, "slots", 0),
-            is_leaving=_IS_LEAVING_BY_STATE[state],
-            born_ms=get_integer(values, "born", 0),
-            models=_decode_models(values),
-            software_version=_decode_software_version(values),
-        )
-    except (FieldError, ConfigurationError):
-        return None
+    values = as_object(decode_entry(text), "entry")
+    state = get_name(values, "state")
+    if state not in _IS_LEAVING_BY_STATE:
+        raise FieldError(f"state {state!r} is unknown")
+    return ListedTarget(
+        target_id=_decode_id(values),
+        service=get_name(values, "service"),
+        address=_decode_address(values),
+        failure_domain=get_name(values, "zone"),
+        slots=get_integer(values, "slots", 0, low=0, high=MAX_SLOTS),
+        is_leaving=_IS_LEAVING_BY_STATE[state],
+        born_ms=get_integer(values, "born", 0, low=0),
+        models=_decode_models(values),
+        software_version=_decode_software_version(values),
+    )
+
+
+def _decode_id(values: dict[str, Any]) -> str:
+    target_id = get_token(values, "id")
+    # Addresses of stores and identities of targets are told apart by the colon.
+    if ":" in target_id:
+        raise FieldError("id holds a colon")
+    return target_id
+
+
+def _decode_address(values: dict[str, Any]) -> str:
+    """Return the address of an entry, which must be one that a process can connect to.
+
+    Raises
+    ------
+    ConfigurationError
+        If the address is malformed.
+    FieldError
+        If it names no port or no single host.
+    """
+    address = parse_address(get_string(values, "address"))
+    ip = IPv4Address(address.host)
+    if not address.port or ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+        raise FieldError(f"address {address} names no port or no single host")
+    return str(address)
 
 
 def _decode_software_version(values: dict[str, Any]) -> str:
@@ -224,5 +274,6 @@
 def _decode_models(values: dict[str, Any]) -> tuple[ModelVersion, ...]:
     items = (as_object(item, "model") for item in get_list(values, "models", []))
     return tuple(
-        ModelVersion(get_string(i, "name"), get_integer(i, "version")) for i in items
+        ModelVersion(get_name(i, "name"), get_integer(i, "version", low=0))
+        for i in items
     )
