server, membership: berylnotchd takes late requests in a stop only if they end before the exit

Cause: has_time_for took them by twice the longest of a route's last answers, which is no bound once targets get slower, break or fall silent.

Change: a request that was read after estimate_until is taken only with a deadline before answer_by; others are refused at once as not run.

--- a/berylnotch/daemon/router/router.py
+++ b/berylnotch/daemon/router/router.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import secrets
 import threading
 import time
@@ -150,10 +151,13 @@
         # Without a configuration the router has no routes and no caller uses its
         # address, so there is no grace period.
         grace_period_s = self._view.fleet.address_keep_s if self._view.revision else 0.0
+        # Stops last minutes here, so an answer that outlasts an estimate of its
+        # duration still has most of the stop.
         stop = plan_stop(
             time.monotonic(),
             grace_period_s + self._settings.stop_limit_s,
             grace_period_s,
+            max_estimate_s=math.inf,
         )
         logger.info(
             "event=router_leaving keep_s={} stop_s={}",
--- a/berylnotch/membership/departure.py
+++ b/berylnotch/membership/departure.py
@@ -61,7 +61,10 @@
 
 
 def plan_stop(
-    began_at: float, stop_s: float, address_lifetime_s: float
+    began_at: float,
+    stop_s: float,
+    address_lifetime_s: float,
+    max_estimate_s: float = MAX_ESTIMATE_S,
 ) -> StopSchedule:
     """Return the schedule of a stop.
 
@@ -73,6 +76,8 @@
         Seconds from the signal to the kill of the process.
     address_lifetime_s : float
         Longest time in seconds for which callers use an address answer.
+    max_estimate_s : float, default=MAX_ESTIMATE_S
+        Longest time in seconds for which requests are taken by an estimate.
     """
     max_reserve_s = MAX_RESERVE_FRACTION * stop_s
     exit_by = began_at + stop_s
@@ -80,7 +85,7 @@
     return StopSchedule(
         began_at=began_at,
         accept_until=min(began_at + address_lifetime_s, answer_by),
-        estimate_until=began_at + min(MAX_ESTIMATE_S, MAX_ESTIMATE_FRACTION * stop_s),
+        estimate_until=began_at + min(max_estimate_s, MAX_ESTIMATE_FRACTION * stop_s),
         answer_by=answer_by,
         close_by=exit_by - min(EXIT_RESERVE_S, max_reserve_s),
         exit_by=exit_by,
--- a/berylnotch/server/stopping.py
+++ b/berylnotch/server/stopping.py
@@ -35,13 +35,16 @@
 def has_time_for(context: Context, job: Job) -> bool:
     """Return whether the answer to a request will end before this router stops.
 
-    The longest time that it may take follows from the recent answers of the route.
+    The longest time that it may take follows from the recent answers of the route. They
+    are no bound once targets get slower, break or fall silent, so a request that came
+    late in the stop must end by its own deadline.
     """
-    if context.stop is None:
+    stop = context.stop
+    if stop is None or job.deadline <= stop.answer_by:
         return True
-    now = time.monotonic()
-    longest_s = min(_longest_answer_s(context, job), job.deadline - now)
-    return now + longest_s <= context.stop.answer_by
+    if job.arrived_at > stop.estimate_until:
+        return False
+    return time.monotonic() + _longest_answer_s(context, job) <= stop.answer_by
 
 
 def stopping_refusal(
--- a/tests/test_server/test_stopping.py
+++ b/tests/test_server/test_stopping.py
@@ -51,6 +51,7 @@
         language=language,
         is_stream=language is not None and language.stream,
         idempotent=idempotent,
+        arrived_at=time.monotonic(),
         deadline=time.monotonic() + timeout_s,
         attempt=SimpleNamespace(dispatch=SimpleNamespace(sent_at=100.0)),
         first_byte_at=0.0,
@@ -79,6 +80,14 @@
     assert has_time_for(make_context(15.0), make_job(timeout_s=10.0))
 
 
+@pytest.mark.parametrize(("timeout_s", "is_taken"), [(4.0, True), (6.0, False)])
+def test_late_request_that_may_outlast_the_router_is_refused(timeout_s, is_taken):
+    context = make_context(8.0)
+    record_answer(context, make_job(), 100.1)
+    context.stop = plan_stop(time.monotonic() - 3.0, 8.0, 0.0)
+    assert has_time_for(context, make_job(timeout_s=timeout_s)) is is_taken
+
+
 def test_router_that_does_not_stop_takes_all_requests():
     assert has_time_for(make_context(None), make_job(timeout_s=1000.0))
 
