cmd/daemon: a second signal no longer ends a stopped process with another exit code

What operators saw: berylnotchd that got SIGTERM again while its interpreter ended exited with -15 in place of 0, as if it had been killed. Cause: Python restores the default actions of handled signals before the process is gone. Ruled out: lost answers, as the router has drained and closed by then.

--- a/berylnotch/cmd/daemon.py
+++ b/berylnotch/cmd/daemon.py
@@ -69,6 +69,10 @@
     def wait(self) -> None:
         """Wait for the first request; further requests have no effect."""
         number = self._reader.recv(1)[0]
+        for stop_signal in STOP_SIGNALS:
+            # The interpreter restores the default actions of handled signals at its
+            # end, and not those of ignored ones.
+            signal.signal(stop_signal, signal.SIG_IGN)
         if number:
             logger.info("event=stop_asked signal={}", signal.Signals(number).name)
 
--- a/tests/test_daemon/test_keys_and_stops.py
+++ b/tests/test_daemon/test_keys_and_stops.py
@@ -262,6 +262,16 @@
         assert fleet.children[name].wait() == 0
 
 
+def test_further_signals_do_not_change_the_end_of_a_process(fleet, small_fleet):
+    # Python restores the default actions of handled signals as the interpreter ends.
+    for name in ("entry-1", "c1"):
+        child = fleet.children[name]
+        while child.is_running:
+            child.signal(signal.SIGTERM)
+            time.sleep(0.0005)
+        assert child.wait() == 0
+
+
 def test_graceful_stop_completes_running_answer(fleet, small_fleet, callers):
     request = json.dumps(chat("sake-1", "contract", 60, False)).encode()
     response = callers[0].open("POST", PATH, request)
