membership: count a stop from the begin of a short pause of the process

What callers may see: after a pause of up to 0.3 s around SIGTERM (a starved or stopped process) requests sent up to 3.1 s after the signal are taken by an estimate, and may be cut without the excuse of the first 3 s. Cause: a signal that waited for the process counted from its delivery, unless the pause was longer than 0.3 s, which is the measure of a suspension that breaks links. Evidence: test_a_signal_during_a_short_pause_counts_from_its_begin failed before: a signal after a pause of 0.25 s counted from the end of the pause. Change: a pause of two ticks, 0.1 s, is enough for the time of a signal. The exit comes earlier by the pause at most. What counts as a suspension for links stays.

--- a/berylnotch/membership/suspension.py
+++ b/berylnotch/membership/suspension.py
@@ -12,6 +12,10 @@
 #: ticks, more than a busy event loop delays one.
 MIN_GAP_S = 0.3
 
+#: Time in seconds without a tick from which a signal may have waited for the process,
+#: which may be starved for such a time. It is two intervals between ticks.
+MIN_SIGNAL_GAP_S = 0.1
+
 #: Seconds after a gap in which a signal may have been sent before or during this gap.
 #: It covers the delivery of the signal and the calls that run first.
 DELIVERY_S = 0.1
@@ -32,12 +36,16 @@
 
     def __init__(self, now: float) -> None:
         self._ticked_at = now
+        self._suspension_ended_at = -math.inf
         self._gap_began_at = self._gap_ended_at = -math.inf
 
     def tick(self, now: float) -> None:
         """Note that the process runs; call this several times in `MIN_GAP_S`."""
-        if now - self._ticked_at > MIN_GAP_S:
+        gap_s = now - self._ticked_at
+        if gap_s > MIN_SIGNAL_GAP_S:
             self._gap_began_at, self._gap_ended_at = self._ticked_at, now
+        if gap_s > MIN_GAP_S:
+            self._suspension_ended_at = now
         self._ticked_at = now
 
     def earliest_sent_at(self, now: float) -> float:
@@ -50,4 +58,4 @@
     def was_suspended(self, now: float) -> bool:
         """Whether a peer may have lost contact because this process did not run."""
         self.tick(now)
-        return now - self._gap_ended_at < AFTERMATH_S
+        return now - self._suspension_ended_at < AFTERMATH_S
--- a/tests/test_membership/test_suspension.py
+++ b/tests/test_membership/test_suspension.py
@@ -24,6 +24,16 @@
     assert watch.earliest_sent_at(later) == later
 
 
+def test_a_signal_during_a_short_pause_counts_from_its_begin():
+    """Otherwise a request sent later than the excuse allows is taken by an estimate."""
+    watch = SuspensionWatch(10.0)
+    watch.tick(10.05)
+    assert watch.earliest_sent_at(10.3) == 10.05
+    watch.tick(10.31)
+    assert watch.earliest_sent_at(10.3 + DELIVERY_S / 2) == 10.05
+    assert not watch.was_suspended(10.35)
+
+
 def test_lost_contact_is_put_down_to_a_suspension_just_before():
     watch = SuspensionWatch(10.0)
     watch.tick(10.05)
