--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from berylnotch.entry.announcements import apply_announcements
@@ -36,6 +37,10 @@
 #: Number of prompt parts in a log line.
 MAX_LOGGED_PARTS = 16
 
+#: Seconds before the end of its time from which a target may end an attempt for lack of
+#: time: requests state whole milliseconds, and the clocks of two VMs differ.
+EXPIRY_TOLERANCE_S = 0.01
+
 #: Back-off, in seconds, after a target refuses a request because it is full and
 #: specifies no back-off.
 FULL_TARGET_BACKOFF_S = 0.15
@@ -180,7 +185,7 @@
             self._target.heard_at,
         )
         due_at = failover_at(
-            self._context.settings, route, pending, self._context.answer_by
+            self._context.settings, route, pending, self._stop_answer_by
         )
         if now < due_at or not route.target_latency_s:
             delay_s = max(0.05, due_at - now)
@@ -196,6 +201,13 @@
             # Another target may get room before the router stops and cuts the answer.
             self._context.loop.call_later(RETRY_CHECK_S, self.check_overdue)
 
+    @property
+    def _stop_answer_by(self) -> float:
+        """Boot time at which the router's stop ends the request, else infinite."""
+        answer_by = self._context.answer_by
+        deadline = self._sent_at + self._target_headers.deadline_s
+        return answer_by if answer_by < deadline else math.inf
+
     def _record_silence(self, now: float) -> None:
         """Record that the target is left, unless it answers other requests."""
         if self._target.heard_at <= max(self._sent_at, self._last_event_at):
@@ -318,14 +330,22 @@
         self._release_target()
         tail = self._splitter.tail if self._is_stream else None
         problem = response_problem(self._head, answer, tail, self._may_have_stopped)
+        has_expired = self._has_expired(boot_time())
+        if has_expired and status < 300 and not self._head.is_delimited:
+            # The target closes its connection at the end of an answer and also if it
+            # stops the work at the deadline.
+            problem = problem or "connection closed at the deadline"
         if problem:
             self._connection.close()
+            if has_expired:
+                self._report_expiry(problem)
+                return
             is_lost = not self._head.is_delimited
             self._report_end(AttemptEnd.BROKEN, problem, is_lost=is_lost)
             return
         self._context.targets.keep(target, self._connection)
         if answer.is_not_run:
-            self._on_refusal(status)
+            self._on_refusal(status, has_expired)
             return
         if self._is_stream:
             self._on_stream_complete()
@@ -337,12 +357,13 @@
                 f"status {status} without the header for requests that did not run",
             )
             return
-        target.heard_at = boot_time()
+        now = target.heard_at = boot_time()
         if status < 500:
             self._record_success()
         else:
             target.ejection.on_abandoned(self._attempt_id)
-        target.note_outcome(status >= 500, boot_time() - self._sent_at)
+        if status < 500 or not has_expired:
+            target.note_outcome(status >= 500, now - self._sent_at)
         self._count_result(f"status-{status // 100}xx")
         self._owner.on_attempt_end(
             AttemptResult(
@@ -364,6 +385,9 @@
             return
         self._release_target()
         target, now = self._target, boot_time()
+        if failure is Failure.BROKEN and self._has_expired(now):
+            self._report_expiry(reason)
+            return
         if failure is Failure.NO_SOCKET:
             target.ejection.on_abandoned(self._attempt_id)
         else:
@@ -379,6 +403,7 @@
             failure=failure.value,
             reason=reason,
             after_s=now - self._sent_at,
+            given_s=self._target_headers.deadline_s,
             failures=target.ejection.failures,
             events=self._event_count,
             parts=",".join(self._routed.caller.part_ids[:MAX_LOGGED_PARTS]),
@@ -424,10 +449,19 @@
         if migration.on_stream_end is not None:
             migration.on_stream_end()
 
-    def _on_refusal(self, status: int) -> None:
-        """Back off from a target that refused the request without running it."""
+    def _on_refusal(self, status: int, has_expired: bool) -> None:
+        """Back off from a target that refused the request without running it.
+
+        A target also refuses a request whose time is over while it waits there. That
+        says nothing of other requests.
+        """
         target = self._target
         target.ejection.on_abandoned(self._attempt_id)
+        if has_expired:
+            self._report_end(
+                AttemptEnd.NOT_RUN, f"refused with {status} at the deadline"
+            )
+            return
         pause_s = (
             FULL_TARGET_BACKOFF_S if status in (503, 429) else MISDIRECTED_BACKOFF_S
         )
@@ -454,6 +488,24 @@
         self._connection.close()
         self._report_end(AttemptEnd.BROKEN, reason)
 
+    def _has_expired(self, now: float) -> bool:
+        """Whether the time that the request stated for the target is over."""
+        given_s = self._target_headers.deadline_s
+        return now - self._sent_at >= given_s - EXPIRY_TOLERANCE_S
+
+    def _report_expiry(self, reason: str) -> None:
+        """Report a run that its target ended for lack of time, which is no failure."""
+        self._target.ejection.on_abandoned(self._attempt_id)
+        self._context.log.info(
+            "attempt_expired",
+            id=self._routed.caller.request_id,
+            target=self._target.target_id,
+            reason=reason,
+            given_s=self._target_headers.deadline_s,
+            events=self._event_count,
+        )
+        self._report_end(AttemptEnd.EXPIRED, reason)
+
     def _count_result(self, result: str) -> None:
         self._context.metrics.count(
             "berylnotch_attempts_total",
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -24,6 +24,10 @@
 #: last ten outcomes count.
 EWMA_WEIGHT = 0.12
 
+#: Seconds after the end of a target for which its listed software version may be out of
+#: date: the target list lags, and another version may start under the same identity.
+OUTDATED_LISTING_S = 3.0
+
 #: Shortest time in seconds for which a target that was left for its silence counts as
 #: silent: a router that does not stop leaves a target after about as long. A stopping
 #: router waits for less.
@@ -154,6 +158,14 @@
             return UNKNOWN_VERSION
         return self.listed.software_version
 
+    def on_ended(self, now: float) -> None:
+        """Record that the target's address refuses connections.
+
+        A reset or cut breaks connections to targets that go on, so a broken connection
+        alone is no sign of an end.
+        """
+        self.outdated_until = now + OUTDATED_LISTING_S
+
     def has_software(self, version: str, now: float) -> bool:
         """Return whether the target is known to run a version of its software."""
         return version != UNKNOWN_VERSION and version == self.software_version(now)
--- a/berylnotch/entry/version_constraint.py
+++ b/berylnotch/entry/version_constraint.py
@@ -9,17 +9,11 @@
 from collections.abc import Callable
 
 from berylnotch.entry.context import EntryContext
-from berylnotch.entry.results import AttemptEnd, AttemptResult
 from berylnotch.entry.routed_request import RoutedRequest
 from berylnotch.entry.targets import Target
 from berylnotch.membership.stream_versions import UNKNOWN_VERSION, stream_identity
-from berylnotch.net.listener_probe import ListenerState
 from berylnotch.util.clock import boot_time
 
-#: Seconds after the end of a target for which its listed software version may be out of
-#: date: the target list lags, and another version may start under the same identity.
-OUTDATED_LISTING_S = 3.0
-
 
 class VersionConstraint:
     """Software version at which the stream of one request may go on.
@@ -98,23 +92,6 @@
             identity = self._identity(request_id)
             streams.record(now, self._service, identity, self._version)
 
-    def on_attempt_end(self, result: AttemptResult) -> None:
-        """Record whether the target that ran the request may have been replaced.
-
-        A reset ends connections to targets that go on, so that a broken connection is a
-        sign only if the target's address refuses others.
-        """
-        target = result.target
-
-        def on_probed(state: ListenerState) -> None:
-            if state is ListenerState.REFUSED:
-                target.outdated_until = boot_time() + OUTDATED_LISTING_S
-
-        if result.end is AttemptEnd.NOT_REACHED:
-            on_probed(ListenerState.REFUSED)
-        elif result.is_lost:
-            self._context.loss_prober.probe(target, on_probed)
-
     def _identity(self, request_id: str) -> bytes:
         organisation = self._routed.organisation_name
         return stream_identity(organisation, self._service, request_id)
