--- a/berylnotch/entry/loss_probe.py
+++ b/berylnotch/entry/loss_probe.py
@@ -7,6 +7,7 @@
 
 from berylnotch.net.listener_probe import ListenerState, probe_listener
 from berylnotch.util.address import parse_address
+from berylnotch.util.clock import boot_time
 from berylnotch.util.metrics import Label
 
 if TYPE_CHECKING:
@@ -64,6 +65,8 @@
 
     def _finish(self, target: Target, state: ListenerState) -> None:
         waiting = self._waiting.pop(target.target_id)
+        if state is ListenerState.REFUSED:
+            target.on_ended(boot_time())
         log = self._context.log
         write_log = log.warning if state is ListenerState.REFUSED else log.info
         write_log(
--- a/tests/test_entry/test_version_constraint.py
+++ b/tests/test_entry/test_version_constraint.py
@@ -4,9 +4,10 @@
 from attrs import evolve
 
 from berylnotch.entry.results import AttemptEnd, AttemptResult
-from berylnotch.entry.version_constraint import OUTDATED_LISTING_S
+from berylnotch.entry.targets import OUTDATED_LISTING_S
 from berylnotch.group.messages import TargetEntry, VersionQuery, VersionReply
 from berylnotch.membership.stream_versions import stream_identity
+from berylnotch.net.listener_probe import ListenerState
 from berylnotch.net.messages import Headers
 from berylnotch.routing.model import Split
 from berylnotch.util.clock import boot_time
@@ -126,3 +127,13 @@
         for headers in (first, *[TAKE_UP] * 20)
     ]
     assert len(set(services)) == 1
+
+
+@pytest.mark.parametrize(
+    "state, is_known", [(ListenerState.REFUSED, False), (ListenerState.LISTENING, True)]
+)
+def test_reset_connection_counts_as_the_end_of_a_target(context, state, is_known):
+    target = context.targets.get("e")
+    context.loss_prober._waiting["e"] = []
+    context.loss_prober._finish(target, state)
+    assert target.has_software("v1", boot_time()) is is_known
