--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -331,6 +331,7 @@
             choice,
             target_headers,
             self._progress,
+            has_begun=self._reply.last_event is not None,
         )
         self._attempt = Attempt(
             self._context, choice, self._routed, target_headers, self
--- a/berylnotch/entry/records.py
+++ b/berylnotch/entry/records.py
@@ -8,7 +8,7 @@
 from berylnotch.entry.model import Choice, ChoiceInputs
 from berylnotch.entry.results import AttemptResult
 from berylnotch.entry.routed_request import RoutedRequest
-from berylnotch.platform.requests import CallerRequest, TargetHeaders
+from berylnotch.platform.requests import TargetHeaders
 from berylnotch.util.metrics import Label
 
 
@@ -83,8 +83,12 @@
     choice: Choice,
     target_headers: TargetHeaders,
     progress: Progress,
+    has_begun: bool,
 ) -> None:
-    """Log that a request is sent, with the inputs to the choice of its target."""
+    """Log that a request is sent, with the inputs to the choice of its target.
+
+    ``has_begun`` states that events of the stream were sent to the caller before.
+    """
     target, caller = choice.target, routed.caller
     if target.limit is not None:
         context.metrics.count(
@@ -96,7 +100,7 @@
         route=routed.route.name,
         target=target.target_id,
         software=target.listed.software_version,
-        kind=describe_send(caller, target_headers, progress),
+        kind=describe_send(routed, target_headers, progress, has_begun),
         resumes=caller.resumes,
         send=progress.sends,
         load=target.load,
@@ -119,16 +123,19 @@
 
 
 def describe_send(
-    caller: CallerRequest, target_headers: TargetHeaders, progress: Progress
+    routed: RoutedRequest,
+    target_headers: TargetHeaders,
+    progress: Progress,
+    has_begun: bool,
 ) -> str:
     """Return what a send does to a stream, as one of the values of the log's field."""
     if target_headers.run_origin:
-        return "move"
-    if target_headers.resume_after != caller.resume_after:
+        return "takeover"
+    if has_begun:
         return "resume"
     if progress.sends > 1:
         return "repeat"
-    return "take-up" if caller.is_resumption else "first"
+    return "take-up" if routed.is_resumption else "first"
 
 
 def note_retry(
