--- a/tests/test_daemon/test_software_versions.py
+++ b/tests/test_daemon/test_software_versions.py
@@ -242,3 +242,25 @@
     stream = CallerStream("x", data=b"id: 3\ndata: piece 3 of v1\n\n")
     status = stream.take_up(fleet.routers[0], Resumes="")
     assert status == (200 if len(versions) == 1 else 503)
+
+
+def test_id_that_was_used_at_another_router_names_the_version_of_its_other_stream(
+    fleet, platform
+):
+    start_serving(fleet, platform, "v1", "v2")
+    earlier = [CallerStream(f"s{number}") for number in range(STREAMS)]
+    for stream in earlier:
+        stream.begin(fleet.routers[0])
+    join_all(earlier)
+    streams = [CallerStream(f"s{number}") for number in range(STREAMS)]
+    for stream in streams:
+        stream.begin(fleet.routers[1])
+    wait_until(
+        lambda: all(len(stream.events) >= 4 for stream in streams),
+        "events of all streams",
+    )
+    fleet.routers[1].kill()
+    join_all(streams)
+    assert any(a.versions != b.versions for a, b in zip(earlier, streams, strict=True))
+    take_up_all(streams, fleet.routers[:1], for_s=2.0)
+    assert_not_joined(streams)
