entry: ask the leader also for a remembered stream while versions are mixed

What callers saw: a take-up under an id that began streams at two routers, of two versions, goes on at the wrong version if it comes to the router that has the other stream in memory. Cause: a router answered from its own memory, so the rule that two versions under one id are unknown held only for the leader's records. Evidence: test_id_that_was_used_at_another_router_names_the_version_of_its_other_stream failed in 1 of 1 runs (load 13); the route, the leader and the engines were sound. Change: while several versions serve, the router sends its records and asks the leader; another answer than its memory is unknown. After: test_software_versions, test_stream_registry and test_version_constraint passed in one run (31 tests, load 15). It costs such a take-up one exchange with the leader.

--- a/berylnotch/entry/stream_registry.py
+++ b/berylnotch/entry/stream_registry.py
@@ -42,6 +42,8 @@
     message: VersionQuery
     expires_at: float
     on_version: OnVersion
+    #: Version that this router remembers, empty if it remembers none.
+    own_version: str
 
 
 class StreamRegistry:
@@ -105,31 +107,41 @@
     ) -> None:
         """Find out at which version a stream began, at once or when the leader replies.
 
-        An empty identity asks for the version of all streams of the service.
+        An empty identity asks for the version of all streams of the service. While
+        several versions serve, the leader is also asked for a remembered stream, since
+        its id may have begun one of another version at another router.
         """
         stream = self._known.get(identity)
+        own_version = UNKNOWN_VERSION
         if stream is not None and now < stream.expires_at:
-            on_version(stream.version, True)
-            return
+            own_version = stream.version
+            if own_version == UNKNOWN_VERSION or service not in self._mixed_services:
+                on_version(own_version, True)
+                return
+            # The leader replies after the records that reached it before the query.
+            self.flush()
         self._newest_number += 1
         query = VersionQuery(self._newest_number, service, identity)
         self._queries[query.number] = _PendingQuery(
-            query, now + self._wait_s, on_version
+            query, now + self._wait_s, on_version, own_version
         )
         self._send(query)
 
     def receive(self, reply: VersionReply) -> None:
         """Apply a reply of the leader."""
         pending = self._queries.pop(reply.number, None)
-        if pending is not None:
-            pending.on_version(reply.version, True)
+        if pending is None:
+            return
+        is_other = pending.own_version not in (UNKNOWN_VERSION, reply.version)
+        pending.on_version(UNKNOWN_VERSION if is_other else reply.version, True)
 
     def serve(self, now: float) -> None:
-        """End the queries that have waited too long."""
+        """End the queries that waited too long with what this router remembers."""
         for number, pending in tuple(self._queries.items()):
             if now >= pending.expires_at:
                 del self._queries[number]
-                pending.on_version(UNKNOWN_VERSION, False)
+                is_remembered = pending.own_version != UNKNOWN_VERSION
+                pending.on_version(pending.own_version, is_remembered)
 
     def set_mixed_services(self, now: float, services: Iterable[str]) -> bool:
         """Set the services at which targets of several versions may serve.
