--- a/berylnotch/util/json_entries.py
+++ b/berylnotch/util/json_entries.py
@@ -15,6 +15,8 @@
 
 from attrs import frozen
 
+from berylnotch.errors import BerylnotchError
+
 #: Maximum depth of nested arrays and objects in an entry.
 MAX_DEPTH = 32
 
@@ -42,7 +44,7 @@
 _CLOSING_BRACKETS = re.compile(r"[\]}]++")
 
 
-class EntryError(Exception):
+class EntryError(BerylnotchError):
     """A body cannot be split, or an entry cannot be decoded."""
 
 
