entry: a lack of sockets here says nothing of a target's software version

What callers could see: for 3 s after this router had no socket for a connection to a target, take-ups of its streams were refused, and streams that began there could go on nowhere. Cause: each target that was not reached counted as ended. Now only one whose address refuses or ignores connections does. The new test failed before.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -395,6 +395,7 @@
         if failure is Failure.NOT_SENT:
             # No process listens at the target's address any more, and the target's
             # prefix cache is lost.
+            target.on_ended(now)
             self._context.prompts.forget_engine(target.target_id)
         self._context.log.warning(
             "attempt_failed",
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -417,8 +417,6 @@
             return
         if result.is_lost:
             self._crash_tracker.on_target_lost(target)
-        if result.end is AttemptEnd.NOT_REACHED:
-            target.on_ended(boot_time())
         self._crash_tracker.on_attempt_end()
         if result.end is AttemptEnd.MOVED:
             self._progress.moves += 1
--- a/tests/test_entry/test_version_constraint.py
+++ b/tests/test_entry/test_version_constraint.py
@@ -3,10 +3,10 @@
 import pytest
 from attrs import evolve
 
-from berylnotch.entry.results import AttemptEnd, AttemptResult
 from berylnotch.entry.targets import OUTDATED_LISTING_S
 from berylnotch.group.messages import TargetEntry, VersionQuery, VersionReply
 from berylnotch.membership.stream_versions import stream_identity
+from berylnotch.net.client import Failure
 from berylnotch.net.listener_probe import ListenerState
 from berylnotch.net.messages import Headers
 from berylnotch.routing.model import Split
@@ -95,12 +95,18 @@
 def test_restarted_target_counts_as_its_earlier_version(context):
     target = context.targets.get("e")
     exchange, _, _ = make_exchange(context)
-    exchange.on_attempt_end(AttemptResult(target, AttemptEnd.NOT_REACHED, "refused"))
+    exchange._attempt.on_failure(Failure.NOT_SENT, "refused")
     now = boot_time()
     assert not target.has_software("v1", now)
     assert target.has_software("v1", now + OUTDATED_LISTING_S)
 
 
+def test_lack_of_sockets_here_makes_no_version_unknown(context):
+    exchange, _, _ = make_exchange(context)
+    exchange._attempt.on_failure(Failure.NO_SOCKET, "too many open files")
+    assert context.targets.get("e").has_software("v1", boot_time())
+
+
 def test_target_without_a_version_continues_a_stream_without_one(context):
     add_target(context, "e", "")
     exchange, _ = begin(context)
