daemon: a group without a configuration has no streams of unknown software versions

Cause: the services of a first target list get the unknown version for the longest time of a stream, unless the leader's term is that of a group's first leader, so that streams from before an update of the controllers go on nowhere. Elections had failed, and the first leader had term 3. Take-ups without a record are refused for 30 s then. A test that kills the first leader does not show it, since that leader lists the versions. Change: what counts is whether the group ever had a configuration. Without one no router has served a request. A leader has a lease only once all that was acknowledged is applied.

--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -154,7 +154,8 @@
             host.propose,
             host.is_active,
             self.registry.is_recording,
-            host.term <= FIRST_LEADER_TERM,
+            # Without a configuration no router has served a request.
+            state.version == 0,
             self._on_usable_targets_changed,
             log,
         )
--- a/berylnotch/daemon/fleet/stream_versions.py
+++ b/berylnotch/daemon/fleet/stream_versions.py
@@ -45,8 +45,8 @@
         Returns whether this controller holds the leader lease at the current time.
     is_recording : callable
         Returns whether all routers record the streams of a service.
-    is_first_leader : bool
-        Whether no earlier leader of the group can have sent targets to routers.
+    is_new_group : bool
+        Whether no router of the group can have served a request yet.
     on_changed : callable
         Called when the targets that routers may use have changed.
     log : EventLog
@@ -60,7 +60,7 @@
         propose: Callable[[bytes, Callable[[bool], None]], None],
         is_active: Callable[[], bool],
         is_recording: Callable[[str], bool],
-        is_first_leader: bool,
+        is_new_group: bool,
         on_changed: Callable[[], None],
         log: EventLog,
     ) -> None:
@@ -72,7 +72,7 @@
         self._log = log
         # A leader of an earlier software has listed no versions.
         self._tracker = VersionTracker(
-            has_unlisted=not is_first_leader and not state.software_versions
+            has_unlisted=not is_new_group and not state.software_versions
         )
         self._lifetime_s = stream_lifetime_s(0.0)
         self._recorder = StreamRecorder(
