daemon: a configuration before the first leader's services start makes no version unknown

Cause: asked only whether the group had a configuration. An operator's call is served as soon as the replica has its lease; the services of the leader start at the next check, some ms later, and took the group for one that served before. Change: a first term counts as a new group again as well. Left: failed elections and a configuration in these ms together.

--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -154,8 +154,9 @@
             host.propose,
             host.is_active,
             self.registry.is_recording,
-            # Without a configuration no router has served a request.
-            state.version == 0,
+            # Without a configuration no router has served a request. Operators may
+            # put one before the services of the group's first leader start.
+            host.term <= FIRST_LEADER_TERM or state.version == 0,
             self._on_usable_targets_changed,
             log,
         )
--- a/tests/test_daemon/test_fleet_leader.py
+++ b/tests/test_daemon/test_fleet_leader.py
@@ -52,5 +52,9 @@
     assert listed_versions(term, has_configuration=False) == {"v1"}
 
 
+def test_configuration_before_the_first_leader_starts_makes_streams_unknown():
+    assert listed_versions(2, has_configuration=True) == {"v1"}
+
+
 def test_leader_of_a_group_that_listed_no_versions_takes_its_streams_for_known():
     assert listed_versions(3, has_configuration=True) == {"", "v1"}
