entry: log why a failed request is not repeated, and the state of the retry budget

A request that ended with a target's error said nothing about why it was not sent again, and nothing named the budget, the router's share of the slack, the number of routers that it counts with or the age of the process, so the hypotheses of the incident could not be told apart. finished has not_repeated; sent_again and the new retry_denied have budget, share, routers and age_s; retry_share tells each change of a share; berylnotch_retries_denied_total counts denials by reason. No decision changes.

--- a/berylnotch/admission/retry.py
+++ b/berylnotch/admission/retry.py
@@ -18,6 +18,7 @@
     ALREADY_RAN = "already-ran"
     TOO_MANY_ATTEMPTS = "too-many-attempts"
     DEADLINE_TOO_NEAR = "deadline-too-near"
+    NO_TARGET = "no-target"
     BUDGET_SPENT = "budget-spent"
 
 
--- a/berylnotch/admission/window.py
+++ b/berylnotch/admission/window.py
@@ -43,6 +43,11 @@
         self._interval_s = window_s / N_INTERVALS
         self._intervals: deque[_Interval] = deque()
 
+    @property
+    def reserve(self) -> float:
+        """Retries that are allowed in each window beside those of first attempts."""
+        return self._settings.reserve
+
     def resize(self, settings: RetrySettings) -> None:
         """Apply changed settings; earlier retries still count."""
         self._settings = settings
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -112,6 +112,8 @@
         Schedule of the router's planned stop, None while it serves.
     has_other_routers : callable
         Returns whether callers can use other routers.
+    started_at : float
+        Boot time at which the process started.
     own_note_keys : deque of tuple
         Identifying fields of this router's newest prompt notes. The leader sends the
         notes back to their author as well, and the router skips these copies.
@@ -164,6 +166,7 @@
     answer_times: AnswerTimes = field(factory=AnswerTimes)
     stop: StopSchedule | None = None
     has_other_routers: Callable[[], bool] = lambda: False
+    started_at: float = field(factory=boot_time)
     own_note_keys: deque[tuple] = field(factory=lambda: deque(maxlen=MAX_OWN_NOTES))
     #: Former numbers of routers, each with the boot time at which it changed.
     _former_router_counts: deque[tuple[float, int]] = field(factory=deque)
@@ -261,14 +264,25 @@
 
     def resize_budgets(self, router_count: int) -> None:
         """Divide the fleet's retry slack among a number of routers."""
-        now = boot_time()
+        now, share = boot_time(), self._retry_settings().reserve
+        shared_by = self.sharing_router_count
         self._former_router_counts.append((now, self.router_count))
         while self._former_router_counts[0][0] < now - self.fleet.bounds.stop_s:
             self._former_router_counts.popleft()
         self.router_count = max(1, router_count)
         self.is_roster_known = True
+        settings = self._retry_settings()
+        if settings.reserve != share:
+            self.log.info(
+                "retry_share",
+                share=settings.reserve,
+                was=share,
+                routers=self.sharing_router_count,
+                routers_were=shared_by,
+                age_s=now - self.started_at,
+            )
         for budget in self._budgets.values():
-            budget.resize(self._retry_settings())
+            budget.resize(settings)
 
     def _max_idle_connections(self, target: Target) -> int:
         """Return the number of connections that this router keeps to a target."""
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from berylnotch.admission.retry import RetryDecision
 from berylnotch.entry.admission import decide_admission
 from berylnotch.entry.attempt import Attempt
 from berylnotch.entry.choice import (
@@ -26,6 +27,7 @@
     Progress,
     RequestEnd,
     note_end,
+    note_not_repeated,
     note_retry,
     note_sent,
 )
@@ -442,22 +444,19 @@
             self._retry(result, is_run=not is_not_run)
 
     def _on_answer(self, result: AttemptResult) -> None:
-        status, route = result.status, self._routed.route
+        status = result.status
         if self._reply.has_head:
             # The caller has received the head of a stream, and a response with another
             # status cannot follow it.
             self._retry(attrs.evolve(result, reason=f"status {status}"), is_run=True)
             return
-        is_failure = status in _RETRIED_STATUSES
-        may_repeat = route.is_retryable and self._progress.runs < route.max_attempts
-        if is_failure and may_repeat:
-            choice = self._choose_other_target()
-            has_time = choice is not None and self._has_time_for(choice)
-            if self._remaining_s > MIN_SEND_TIME_S and has_time:
-                if self._context.budget(self._service.name).spend(boot_time()):
-                    self._record_retry(result, f"status {status}")
-                    self._choose_and_send()
-                    return
+        if status in _RETRIED_STATUSES:
+            decision = self._decide_repeat()
+            if decision is RetryDecision.RETRY:
+                self._record_retry(result, f"status {status}")
+                self._choose_and_send()
+                return
+            self._note_not_repeated(decision)
         if status < 400:
             self._crash_tracker.on_completed(result.target, result.is_delimited)
             self._record_answer_time()
@@ -466,6 +465,39 @@
             "served" if status < 400 else "target_failed", status, result.target
         )
 
+    def _decide_repeat(self) -> RetryDecision:
+        """Decide whether a run that failed with an answer is repeated elsewhere.
+
+        A repetition is taken from the retry budget.
+        """
+        obstacle = self._repeat_obstacle()
+        if obstacle is not None:
+            return obstacle
+        if self._remaining_s <= MIN_SEND_TIME_S:
+            return RetryDecision.DEADLINE_TOO_NEAR
+        choice = self._choose_other_target()
+        if choice is None:
+            return RetryDecision.NO_TARGET
+        if not self._has_time_for(choice):
+            return RetryDecision.DEADLINE_TOO_NEAR
+        if not self._context.budget(self._service.name).spend(boot_time()):
+            return RetryDecision.BUDGET_SPENT
+        return RetryDecision.RETRY
+
+    def _repeat_obstacle(self) -> RetryDecision | None:
+        """Return why the route allows no further run, None if it allows one."""
+        route = self._routed.route
+        if not route.is_retryable:
+            return RetryDecision.NOT_IDEMPOTENT
+        if self._progress.runs >= route.max_attempts:
+            return RetryDecision.TOO_MANY_ATTEMPTS
+        return None
+
+    def _note_not_repeated(self, decision: RetryDecision) -> None:
+        note_not_repeated(
+            self._context, self._routed, self._progress, self._service.name, decision
+        )
+
     def _record_answer_time(self) -> None:
         begun_at = self._sent_at
         if self._routed.is_stream and self._reply.first_event_s:
@@ -487,23 +519,24 @@
 
     def _retry(self, result: AttemptResult, is_run: bool) -> None:
         """Send the request to another target, or give up."""
-        route, progress = self._routed.route, self._progress
-        reason = result.reason
-        if is_run:
-            may_repeat = route.is_retryable and progress.runs < route.max_attempts
-            if not may_repeat:
-                self._fail_run(reason, result)
-                return
+        progress, reason = self._progress, result.reason
+        obstacle = self._repeat_obstacle() if is_run else None
+        if obstacle is not None:
+            self._note_not_repeated(obstacle)
+            self._fail_run(reason, result)
+            return
         if self._remaining_s < MIN_SEND_TIME_S:
             # The request ends without another send, so no retry is charged.
             self._choose_and_send()
         elif progress.sends >= self._context.settings.max_sends:
+            self._note_not_repeated(RetryDecision.TOO_MANY_ATTEMPTS)
             self._give_up(Reason.ALL_REFUSED, f"{progress.sends} times: {reason}")
         elif result.end is AttemptEnd.NOT_REACHED:
             # The retry budget counts only requests that arrive at targets.
             self._record_retry(result, reason)
             self._choose_and_send()
         elif not self._context.budget(self._service.name).spend(boot_time()):
+            self._note_not_repeated(RetryDecision.BUDGET_SPENT)
             self._give_up(Reason.BUDGET, reason)
         else:
             self._record_retry(result, reason)
@@ -536,10 +569,9 @@
 
     def _may_resume_later(self) -> bool:
         """Whether the rest of a stream may find a target before the router stops."""
-        route = self._routed.route
         if self._context.stop is None or self._reply.last_event is None:
             return False
-        has_attempts = route.is_retryable and self._progress.runs < route.max_attempts
+        has_attempts = self._repeat_obstacle() is None
         return has_attempts and self._remaining_s >= MIN_SEND_TIME_S
 
     def _resume_in_stop(self) -> None:
--- a/berylnotch/entry/records.py
+++ b/berylnotch/entry/records.py
@@ -4,11 +4,13 @@
 
 from attrs import define, frozen
 
+from berylnotch.admission.retry import RetryDecision
 from berylnotch.entry.context import EntryContext
 from berylnotch.entry.model import Choice, ChoiceInputs
 from berylnotch.entry.results import AttemptResult
 from berylnotch.entry.routed_request import RoutedRequest
 from berylnotch.platform.requests import TargetHeaders
+from berylnotch.util.clock import boot_time
 from berylnotch.util.metrics import Label
 
 
@@ -24,11 +26,14 @@
         Number of the sends after which the target may have run the request.
     moves : int, default=0
         Number of times that the run was stopped in order to resume from its KV cache.
+    not_repeated : RetryDecision or None
+        Why the request was not sent again after its last failure, None without one.
     """
 
     sends: int = 0
     runs: int = 0
     moves: int = 0
+    not_repeated: RetryDecision | None = None
 
 
 @frozen
@@ -157,9 +162,47 @@
         sends=progress.sends,
         runs=progress.runs,
         last_event=last_event,
+        **_budget_fields(context, listed.service),
     )
 
 
+def _budget_fields(context: EntryContext, service: str) -> dict[str, object]:
+    """Return log fields with this router's part of a service's retry budget."""
+    budget = context.budget(service)
+    return {
+        "budget": budget.balance(boot_time()),
+        "share": budget.reserve,
+        "routers": context.sharing_router_count,
+        "age_s": boot_time() - context.started_at,
+    }
+
+
+def note_not_repeated(
+    context: EntryContext,
+    routed: RoutedRequest,
+    progress: Progress,
+    service: str,
+    decision: RetryDecision,
+) -> None:
+    """Record why a failed request is not sent again, and log the state of the budget.
+
+    Other reasons than the budget are in the log entry of the request's end.
+    """
+    progress.not_repeated = decision
+    context.metrics.count(
+        "berylnotch_retries_denied_total",
+        Label("service", service),
+        Label("reason", decision.value),
+    )
+    if decision is RetryDecision.BUDGET_SPENT:
+        context.log.warning(
+            "retry_denied",
+            id=routed.caller.request_id,
+            service=service,
+            **_budget_fields(context, service),
+        )
+
+
 def note_end(
     context: EntryContext, routed: RoutedRequest, progress: Progress, end: RequestEnd
 ) -> None:
@@ -177,6 +220,7 @@
         sends=progress.sends,
         runs=progress.runs,
         moves=progress.moves,
+        not_repeated=progress.not_repeated.value if progress.not_repeated else "",
         first_s=end.first_event_s,
         took_s=end.took_s,
         left_s=end.remaining_s,
