entry, quota: a router that starts brings no retries with it

Cause: the budget of the fleet was kept as shares in the processes, and the record of what a share had spent ended with its process. Each start spent a full reserve, and the ratio of the window's requests again (hypothesis 1: each generation of routers made 10 to 27 repeats). And the slack was divided by the roster, which leaves out routers that stop: four that stopped together had a share of 40 of 40 each, one that was left alone while three started again as well (hypothesis 2). Nothing was found for hypothesis 3: arrivals that nobody charged.

Now each router saves few of the retries that its own requests earn, from an empty start, so that the processes that follow each other in one place need no record; the slack is granted by the leader to routers whose requests fail, counted over the window at the leader (quota/window_bucket.py), with the messages and state machines of the organisations' tokens. A new leader grants nothing until the window holds no grants of the one before.

--- a/berylnotch/admission/retry.py
+++ b/berylnotch/admission/retry.py
@@ -35,8 +35,7 @@
         higher ratio hides more failures, but adds load in the same proportion
         while targets are overloaded.
     reserve : float, default=10.0
-        Largest number of retries that a service can accumulate, and its initial
-        budget.
+        Largest number of retries that a service can accumulate.
     """
 
     max_attempts: int = field(default=3, validator=ge(1))
@@ -72,21 +71,32 @@
 class RetryBudget:
     """Limits the retries of one service to a fraction of its first attempts.
 
+    A budget that starts empty bounds the processes that follow each other in one place:
+    in any window they make at most one reserve of retries beside those that first
+    attempts earn.
+
     Parameters
     ----------
     settings : RetrySettings
         Ratio and reserve of the budget.
+    balance : float, default=0.0
+        Initial number of retries.
     """
 
-    def __init__(self, settings: RetrySettings) -> None:
+    def __init__(self, settings: RetrySettings, balance: float = 0.0) -> None:
         self._settings = settings
-        self._balance = settings.reserve
+        self._balance = balance
 
     @property
     def balance(self) -> float:
         """Number of retries that may be made now."""
         return self._balance
 
+    @property
+    def reserve(self) -> float:
+        """Largest number of retries that can be accumulated."""
+        return self._settings.reserve
+
     @property
     def has_room(self) -> bool:
         """Whether another retry may be made."""
--- a/berylnotch/daemon/fleet/controller.py
+++ b/berylnotch/daemon/fleet/controller.py
@@ -15,6 +15,7 @@
     CONTROLLER_MESSAGES,
     JoinRequest,
     Redirect,
+    RetryRequest,
     RouterReport,
     StreamRecords,
     VersionQuery,
@@ -204,6 +205,9 @@
         elif isinstance(message, GrantRequest):
             if self._leader is not None and self._host.is_active():
                 self._leader.answer_grant_request(link, message)
+        elif isinstance(message, RetryRequest):
+            if self._leader is not None and self._host.is_active():
+                self._leader.answer_retry_request(link, message.request)
         elif isinstance(message, StreamRecords | VersionQuery):
             self._check_leadership()
             if self._leader is not None:
--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -16,6 +16,7 @@
 from berylnotch.entry.settings import EntrySettings
 from berylnotch.group.columns import is_store
 from berylnotch.group.messages import (
+    RetryReply,
     RouterReport,
     TargetEntry,
     TargetsUpdate,
@@ -29,6 +30,7 @@
 from berylnotch.quota.bounds import FLEET_QUOTA, effective_limits
 from berylnotch.quota.messages import GrantRequest
 from berylnotch.quota.owner import QuotaOwner
+from berylnotch.quota.retries import new_retry_owner, retry_limit
 from berylnotch.quota.target_limits import TARGET_QUOTA, enforced_limit
 from berylnotch.settings.fleet import FleetSettings
 from berylnotch.transport.link import Link
@@ -167,6 +169,12 @@
         self._service_cache_tokens: dict[str, int] = {}
         self._quota = QuotaOwner(FLEET_QUOTA, host.term, boot_time())
         self._target_quota = QuotaOwner(TARGET_QUOTA, host.term, boot_time())
+        # No router has served a request before the first configuration.
+        is_first = host.term <= FIRST_LEADER_TERM or state.version == 0
+        self._retries = new_retry_owner(
+            settings.bounds, host.term, boot_time(), is_first
+        )
+        self._services: frozenset[str] = frozenset()
         self._limits = {}
         self._limits_version = 0
         self._is_closed = False
@@ -259,6 +267,7 @@
             self._limits = effective_limits(
                 configuration.organisations or (), self._settings.bounds
             )
+            self._services = frozenset(s.name for s in configuration.services)
             self._service_cache_tokens = {
                 s.name: s.engine.cache_tokens
                 for s in configuration.services
@@ -327,6 +336,12 @@
         """Answer a router's request for quota tokens."""
         link.send(self._quota.grant(boot_time(), request, self._limits))
 
+    def answer_retry_request(self, link: Link, request: GrantRequest) -> None:
+        """Answer a router's request for retries."""
+        limit = retry_limit(self._settings.bounds, self.registry.recent_count)
+        limits = dict.fromkeys(self._services, limit) if limit is not None else {}
+        link.send(RetryReply(self._retries.grant(boot_time(), request, limits)))
+
     def push_targets(self) -> None:
         """Send changed targets to the routers with the next batch."""
         self._target_pushes.schedule()
--- a/berylnotch/daemon/fleet/registry.py
+++ b/berylnotch/daemon/fleet/registry.py
@@ -23,11 +23,17 @@
 from berylnotch.group.state import FleetState
 from berylnotch.transport.link import Link
 from berylnotch.transport.packing import pack
+from berylnotch.util.clock import boot_time
 from berylnotch.util.lines import EventLog
+from berylnotch.util.recent_maximum import RecentMaximum
 
 #: Routers that must have ejected a target before all others avoid it.
 MIN_EJECTING_ROUTERS = 2
 
+#: Seconds for which a router that does not report any more may still hold its part of a
+#: limit. It exceeds the usual length of a partition.
+COUNT_MEMORY_S = 300.0
+
 
 @define
 class _Router:
@@ -61,6 +67,7 @@
         self._log = log
         self._on_roster_changed = on_roster_changed or self.push_roster
         self._routers: dict[str, _Router] = {}
+        self._counts = RecentMaximum(COUNT_MEMORY_S)
         self._targets: TargetsUpdate | None = None
         #: Packed pages of the first target list, until all of it has been read.
         self._first_pages: list[bytes] = []
@@ -84,6 +91,14 @@
         """Number of routers that report."""
         return len(self._routers)
 
+    @property
+    def recent_count(self) -> int:
+        """Largest number of routers that reported within `COUNT_MEMORY_S`."""
+        return self._counts.largest(boot_time(), self.count)
+
+    def _remember_count(self) -> None:
+        self._counts.replace(boot_time(), self.count)
+
     @property
     def has_targets(self) -> bool:
         """Whether a complete list of targets was sent."""
@@ -102,6 +117,7 @@
                 version=report.configuration_version,
             )
             router = _Router(link, report, report.configuration_version)
+            self._remember_count()
             self._routers[key] = router
         was_leaving = router.report.is_leaving
         router.report = report
@@ -116,6 +132,7 @@
         """Remove the router of a closed link."""
         for key, router in tuple(self._routers.items()):
             if router.link is link:
+                self._remember_count()
                 del self._routers[key]
                 self._log.warning("router_lost", router=router.report.name, why=reason)
                 self._on_roster_changed()
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -29,6 +29,8 @@
     CrashesUpdate,
     LoadColumns,
     NoteRecords,
+    RetryReply,
+    RetryRequest,
     RosterUpdate,
     RouterEntry,
     TargetsUpdate,
@@ -133,6 +135,7 @@
             entry_settings.resumption_wait_s,
         )
         self._quota_checks = CoalescedAction(loop, self._check_quota, lambda: 0.0)
+        self._retry_checks = CoalescedAction(loop, self._check_retries, lambda: 0.0)
         self._context = EntryContext(
             settings=entry_settings,
             fleet=settings,
@@ -143,6 +146,7 @@
             gate=gate,
             prompts=CacheModel(),
             ask_quota=self._quota_checks.schedule,
+            ask_retries=self._retry_checks.schedule,
         )
         self._started_at = boot_time()
         self._suspension_watch = SuspensionWatch(self._started_at)
@@ -223,6 +227,7 @@
             QUOTA_CHECK_INTERVAL_S, lambda: self._suspension_watch.tick(boot_time())
         )
         self._loop.call_every(QUOTA_CHECK_INTERVAL_S, self._check_quota)
+        self._loop.call_every(QUOTA_CHECK_INTERVAL_S, self._check_retries)
         self._loop.call_every(QUOTA_CHECK_INTERVAL_S, self._check_target_limits)
         self._loop.call_every(
             IDLE_CLOSE_INTERVAL_S, self._context.targets.close_expired
@@ -431,8 +436,10 @@
         # The previous leader may have stopped before it answered the last requests for
         # tokens.
         self._context.gate.quota.restart()
+        self._context.retries.restart()
         self._context.target_limits.restart()
         self._check_quota()
+        self._check_retries()
         self._check_target_limits()
 
     def _on_leader_message(self, message: object) -> None:
@@ -462,6 +469,8 @@
             self._context.gate.receive(boot_time(), self._quota_sent_at, message)
         elif isinstance(message, TokenReply):
             self._context.target_limits.receive(boot_time(), message.reply)
+        elif isinstance(message, RetryReply):
+            self._context.retries.receive(boot_time(), message.reply)
         elif isinstance(message, VersionReply):
             self._context.streams.receive(message)
         elif isinstance(message, CrashesUpdate):
@@ -515,6 +524,13 @@
         self._quota_sent_at = now
         self._leader_link.send(request)
 
+    def _check_retries(self) -> None:
+        retries, now = self._context.retries, boot_time()
+        retries.serve(now)
+        request = retries.request(now, self._settings.name, self._incarnation)
+        if request is not None:
+            self._leader_link.send(RetryRequest(request))
+
     def _check_target_limits(self) -> None:
         limits, now = self._context.target_limits, boot_time()
         had_owner = limits.has_owner
@@ -543,7 +559,7 @@
         metrics.gauge("berylnotch_targets_heard_seconds", targets_age_s)
         refused_count = float(len(context.crash_watch.refused))
         metrics.gauge("berylnotch_refused_causes", refused_count)
-        for service, budget in context.budgets_left().items():
+        for service, budget in context.retries.balances(boot_time()).items():
             metrics.gauge("berylnotch_retry_budget", budget, Label("service", service))
         for name, version in context.announced_weights.versions().items():
             metrics.gauge(
--- a/berylnotch/daemon/fleet/updates.py
+++ b/berylnotch/daemon/fleet/updates.py
@@ -139,7 +139,7 @@
     Routers that left the roster hold tokens until they exit. The tokens are divided
     again afterwards.
     """
-    context.resize_budgets(router_count)
+    context.set_router_count(router_count)
     apply_limits(context)
     if context.recent_router_count > context.router_count:
         context.loop.call_later(
--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -54,8 +54,8 @@
 #: the interval of the timeout check while a migration is in progress.
 MIGRATION_RETRY_S = 0.8
 
-#: Interval in seconds at which a stopping router checks again whether another target
-#: can take an overdue request.
+#: Interval in seconds at which a router that stops, or has no retry left, checks again
+#: whether an overdue request can be sent to another target.
 RETRY_CHECK_S = 0.1
 
 #: Number of engines that are asked to take over a run before the router waits for
@@ -197,8 +197,9 @@
             self._report_end(
                 AttemptEnd.BROKEN, f"no data from the target for {waited_s:.2f} s"
             )
-        elif self._context.stop is not None:
-            # Another target may get room before the router stops and cuts the answer.
+        elif self._context.stop is not None or self._owner.lacks_retry:
+            # Another target may get room before the router stops and cuts the answer,
+            # or the quota owner may grant a retry.
             self._context.loop.call_later(RETRY_CHECK_S, self.check_overdue)
 
     @property
--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -8,12 +8,11 @@
 
 from attrs import Factory, define, field
 
-from berylnotch.admission.retry import RetrySettings
-from berylnotch.admission.window import WindowBudget
 from berylnotch.entry.answer_times import AnswerTimes
 from berylnotch.entry.crash_watch import CrashWatch
 from berylnotch.entry.loss_probe import LossProber
 from berylnotch.entry.quota_gate import QuotaGate
+from berylnotch.entry.retry_budgets import RetryBudgets
 from berylnotch.entry.settings import EntrySettings
 from berylnotch.entry.stream_registry import StreamRegistry
 from berylnotch.entry.target_limits import TargetLimits
@@ -34,6 +33,7 @@
 from berylnotch.util.lines import EventLog
 from berylnotch.util.loop import Loop
 from berylnotch.util.metrics import Metrics
+from berylnotch.util.recent_maximum import RecentMaximum
 
 #: Number of routers among which limits of the fleet are divided until a leader sends
 #: the actual number. It is the number in a medium-sized fleet, because all routers may
@@ -104,6 +104,10 @@
         Returns whether the router has a link to a leader.
     ask_quota : callable
         Schedules a request for tokens to the quota owner.
+    ask_retries : callable
+        Schedules a request for retries to the quota owner.
+    retries : RetryBudgets
+        Retries that this router may make.
     schedule_report : callable
         Schedules the next report to the leader earlier than its regular time.
     answer_times : AnswerTimes
@@ -162,15 +166,28 @@
     schedule_records: Callable[[], None] = lambda: None
     has_leader: Callable[[], bool] = lambda: True
     ask_quota: Callable[[], None] = lambda: None
+    ask_retries: Callable[[], None] = lambda: None
+    retries: RetryBudgets = field(
+        default=Factory(
+            lambda self: RetryBudgets(
+                self.fleet.bounds,
+                lambda: self.sending_router_count,
+                lambda: self.ask_retries(),
+            ),
+            takes_self=True,
+        )
+    )
     schedule_report: Callable[[], None] = lambda: None
     answer_times: AnswerTimes = field(factory=AnswerTimes)
     stop: StopSchedule | None = None
     has_other_routers: Callable[[], bool] = lambda: False
     started_at: float = field(factory=boot_time)
     own_note_keys: deque[tuple] = field(factory=lambda: deque(maxlen=MAX_OWN_NOTES))
-    #: Former numbers of routers, each with the boot time at which it changed.
-    _former_router_counts: deque[tuple[float, int]] = field(factory=deque)
-    _budgets: dict[str, WindowBudget] = field(factory=dict)
+    _router_counts: RecentMaximum = field(
+        default=Factory(
+            lambda self: RecentMaximum(self.fleet.bounds.stop_s), takes_self=True
+        )
+    )
     _estimators: dict[str, PrefillEstimator] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -201,24 +218,13 @@
         Routers that stop are not counted any more, but serve requests and hold tokens
         until they exit.
         """
-        since = boot_time() - self.fleet.bounds.stop_s
-        former = [count for at, count in self._former_router_counts if at >= since]
-        return max(self.router_count, *former, 1)
+        return max(1, self._router_counts.largest(boot_time(), self.router_count))
 
     @property
     def sending_router_count(self) -> int:
         """Largest number of routers that may send requests to targets."""
         return max(self.sharing_router_count, self.recent_router_count)
 
-    def budget(self, service: str) -> WindowBudget:
-        """Return this router's retry budget for a service."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            window_s = self.fleet.bounds.retry_window_s
-            budget = WindowBudget(self._retry_settings(), window_s)
-            self._budgets[service] = budget
-        return budget
-
     def estimator(self, service: str) -> PrefillEstimator:
         """Return the prefill estimator of a service's engines."""
         return self._estimators.setdefault(service, PrefillEstimator())
@@ -255,34 +261,23 @@
             return 0
         return service.engine.cache_tokens
 
-    def budgets_left(self) -> dict[str, float]:
-        """Return the number of retries that each service's budget allows now."""
-        now = boot_time()
-        return {
-            service: budget.balance(now) for service, budget in self._budgets.items()
-        }
-
-    def resize_budgets(self, router_count: int) -> None:
-        """Divide the fleet's retry slack among a number of routers."""
-        now, share = boot_time(), self._retry_settings().reserve
-        shared_by = self.sharing_router_count
-        self._former_router_counts.append((now, self.router_count))
-        while self._former_router_counts[0][0] < now - self.fleet.bounds.stop_s:
-            self._former_router_counts.popleft()
+    def set_router_count(self, router_count: int) -> None:
+        """Apply the number of routers among which limits are divided."""
+        now, share = boot_time(), self.retries.share
+        shared_by = self.sending_router_count
+        self._router_counts.replace(now, self.router_count)
         self.router_count = max(1, router_count)
         self.is_roster_known = True
-        settings = self._retry_settings()
-        if settings.reserve != share:
+        if self.retries.share != share:
             self.log.info(
                 "retry_share",
-                share=settings.reserve,
+                share=self.retries.share,
                 was=share,
-                routers=self.sharing_router_count,
+                routers=self.sending_router_count,
                 routers_were=shared_by,
                 age_s=now - self.started_at,
             )
-        for budget in self._budgets.values():
-            budget.resize(settings)
+        self.retries.resize()
 
     def _max_idle_connections(self, target: Target) -> int:
         """Return the number of connections that this router keeps to a target."""
@@ -292,15 +287,3 @@
             return usual
         kept = service.max_connections * KEPT_CONNECTIONS_FRACTION
         return min(usual, int(kept / self.sharing_router_count))
-
-    def _retry_settings(self) -> RetrySettings:
-        bounds, fraction = self.fleet.bounds, self.settings.retry_part
-        slack_share = bounds.retry_slack / self.sharing_router_count
-        # With a reserve below one retry, the budget would allow the first retry only
-        # after many requests.
-        reserve = max(slack_share * fraction, min(1.0, slack_share))
-        return RetrySettings(
-            max_attempts=self.settings.max_sends,
-            ratio=bounds.retry_ratio * fraction,
-            reserve=reserve,
-        )
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -35,6 +35,7 @@
 from berylnotch.entry.relocation import MIN_REST_S, Relocation
 from berylnotch.entry.reply import Reply
 from berylnotch.entry.results import AttemptEnd, AttemptResult
+from berylnotch.entry.retry_budgets import RETRY_WAIT_S
 from berylnotch.entry.routed_request import RoutedRequest
 from berylnotch.entry.stopping import longest_answer_s
 from berylnotch.entry.targets import Target
@@ -91,6 +92,7 @@
         self._attempt: Attempt | None = None
         self._tried_targets: set[str] = set()
         self._has_ended = False
+        self._lacks_retry = False
         route = routed.route
         # The request keeps its service, also if a later configuration lacks it.
         service_name = pick_service(route.splits, _split_draw(routed.caller))
@@ -178,7 +180,7 @@
     def _admit(self) -> None:
         if self._fail_if_refused():
             return
-        self._context.budget(self._service.name).earn(boot_time())
+        self._context.retries.earn(self._service.name)
         self._choose_and_send()
 
     def on_refusals_changed(self) -> None:
@@ -359,9 +361,12 @@
     def can_retry_elsewhere(self) -> bool:
         """Tell whether time, limits, budget and targets allow one more attempt."""
         has_attempts = self._progress.runs + 1 < self._routed.route.max_attempts
-        has_budget = self._context.budget(self._service.name).has_room(boot_time())
         has_time = self._remaining_s > MIN_RETRY_TIME_S
-        if not (has_attempts and has_budget and has_time):
+        self._lacks_retry = False
+        if not (has_attempts and has_time):
+            return False
+        if not self._context.retries.has_room(boot_time(), self._service.name):
+            self._lacks_retry = True
             return False
         choice = self._choose_other_target()
         if choice is None and self._context.stop is not None:
@@ -372,6 +377,11 @@
             return False
         return self._has_time_for(choice)
 
+    @property
+    def lacks_retry(self) -> bool:
+        """Whether only the retry budget kept the last check from one more attempt."""
+        return self._lacks_retry
+
     def choose_destination(self, full_engines: Collection[str]) -> Target | None:
         """Return the engine to which the run should migrate, None if the run stays."""
         if self._reply.last_event is None or self._remaining_s < MIN_REST_S:
@@ -451,12 +461,20 @@
             self._retry(attrs.evolve(result, reason=f"status {status}"), is_run=True)
             return
         if status in _RETRIED_STATUSES:
-            decision = self._decide_repeat()
-            if decision is RetryDecision.RETRY:
-                self._record_retry(result, f"status {status}")
-                self._choose_and_send()
+            obstacle = self._repeat_obstacle()
+            if obstacle is None:
+                obstacle = self._send_obstacle()
+            if obstacle is None:
+                self._take_retry(
+                    result, f"status {status}", lambda: self._deliver(result)
+                )
                 return
-            self._note_not_repeated(decision)
+            self._note_not_repeated(obstacle)
+        self._deliver(result)
+
+    def _deliver(self, result: AttemptResult) -> None:
+        """Send the target's own answer to the caller."""
+        status = result.status
         if status < 400:
             self._crash_tracker.on_completed(result.target, result.is_delimited)
             self._record_answer_time()
@@ -465,14 +483,8 @@
             "served" if status < 400 else "target_failed", status, result.target
         )
 
-    def _decide_repeat(self) -> RetryDecision:
-        """Decide whether a run that failed with an answer is repeated elsewhere.
-
-        A repetition is taken from the retry budget.
-        """
-        obstacle = self._repeat_obstacle()
-        if obstacle is not None:
-            return obstacle
+    def _send_obstacle(self) -> RetryDecision | None:
+        """Return why the request cannot be sent elsewhere now, None if it can."""
         if self._remaining_s <= MIN_SEND_TIME_S:
             return RetryDecision.DEADLINE_TOO_NEAR
         choice = self._choose_other_target()
@@ -480,9 +492,28 @@
             return RetryDecision.NO_TARGET
         if not self._has_time_for(choice):
             return RetryDecision.DEADLINE_TOO_NEAR
-        if not self._context.budget(self._service.name).spend(boot_time()):
-            return RetryDecision.BUDGET_SPENT
-        return RetryDecision.RETRY
+        return None
+
+    def _take_retry(
+        self, result: AttemptResult, reason: str, on_denied: Callable[[], None]
+    ) -> None:
+        """Send the request again as soon as the budget allows, or call a function."""
+
+        def on_decision(is_charged: bool) -> None:
+            if self._has_ended:
+                return
+            if is_charged:
+                self._record_retry(result, reason)
+                self._choose_and_send()
+            else:
+                self._note_not_repeated(RetryDecision.BUDGET_SPENT)
+                on_denied()
+
+        retries, now = self._context.retries, boot_time()
+        if self._remaining_s > RETRY_WAIT_S:
+            retries.take(now, self._service.name, on_decision)
+        else:
+            on_decision(retries.spend(now, self._service.name))
 
     def _repeat_obstacle(self) -> RetryDecision | None:
         """Return why the route allows no further run, None if it allows one."""
@@ -535,12 +566,10 @@
             # The retry budget counts only requests that arrive at targets.
             self._record_retry(result, reason)
             self._choose_and_send()
-        elif not self._context.budget(self._service.name).spend(boot_time()):
-            self._note_not_repeated(RetryDecision.BUDGET_SPENT)
-            self._give_up(Reason.BUDGET, reason)
         else:
-            self._record_retry(result, reason)
-            self._choose_and_send()
+            self._take_retry(
+                result, reason, lambda: self._give_up(Reason.BUDGET, reason)
+            )
 
     def _record_retry(self, result: AttemptResult, reason: str) -> None:
         last_event = self._reply.last_event
@@ -583,8 +612,8 @@
         if self._may_resume_later():
             choice = self._choose_other_target()
             has_target = choice is not None and self._has_time_for(choice)
-            budget = self._context.budget(self._service.name)
-            if not has_target or not budget.spend(boot_time()):
+            retries = self._context.retries
+            if not has_target or not retries.spend(boot_time(), self._service.name):
                 self._context.loop.call_later(RESUME_INTERVAL_S, self._resume_in_stop)
                 return
         self._choose_and_send()
--- a/berylnotch/entry/records.py
+++ b/berylnotch/entry/records.py
@@ -168,12 +168,13 @@
 
 def _budget_fields(context: EntryContext, service: str) -> dict[str, object]:
     """Return log fields with this router's part of a service's retry budget."""
-    budget = context.budget(service)
+    now = boot_time()
     return {
-        "budget": budget.balance(boot_time()),
-        "share": budget.reserve,
-        "routers": context.sharing_router_count,
-        "age_s": boot_time() - context.started_at,
+        "budget": context.retries.balance(now, service),
+        "granted": context.retries.granted(now, service),
+        "share": context.retries.share,
+        "routers": context.sending_router_count,
+        "age_s": now - context.started_at,
     }
 
 
--- a/berylnotch/entry/relocation.py
+++ b/berylnotch/entry/relocation.py
@@ -129,6 +129,5 @@
     def _charge_budget(self, service_name: str) -> bool:
         """Charge the retry budget for one send, unless an earlier charge is unused."""
         if not self._is_charged:
-            budget = self._context.budget(service_name)
-            self._is_charged = budget.spend(boot_time())
+            self._is_charged = self._context.retries.spend(boot_time(), service_name)
         return self._is_charged
--- a/berylnotch/entry/results.py
+++ b/berylnotch/entry/results.py
@@ -64,6 +64,10 @@
     def on_event(self, data: bytes, number: int | None) -> None:
         """Handle an event of a stream."""
 
+    @property
+    def lacks_retry(self) -> bool:
+        """Whether only the retry budget kept the last check from one more attempt."""
+
     def can_retry_elsewhere(self) -> bool:
         """Return whether the request may be sent to another target now."""
 
--- a/berylnotch/entry/settings.py
+++ b/berylnotch/entry/settings.py
@@ -33,9 +33,6 @@
     max_sends : int, default=4
         Largest number of targets that one request is sent to, including those that
         refuse to run it.
-    retry_part : float, default=0.8
-        Fraction of the fleet's retry budget that the routers use. The rest covers
-        retries of other routers that a router does not know of yet.
     retry_after_s : float, default=0.5
         Retry time for a refused caller if no better estimate exists.
     grant_retry_s : float, default=1.0
@@ -84,7 +81,6 @@
     max_idle_connections: int = 8
     deadline_grace_s: float = 0.08
     max_sends: int = 4
-    retry_part: float = 0.8
     retry_after_s: float = 0.5
     grant_retry_s: float = 1.0
     weights_margin_s: float = 1.0
--- a/berylnotch/group/messages.py
+++ b/berylnotch/group/messages.py
@@ -155,6 +155,20 @@
     reply: GrantReply
 
 
+@frozen
+class RetryRequest:
+    """Request of a router for retries, in which services are the organisations."""
+
+    request: GrantRequest
+
+
+@frozen
+class RetryReply:
+    """Answer to a `RetryRequest`."""
+
+    reply: GrantReply
+
+
 @frozen
 class ConfigurationUpdate:
     """The active configuration, as the bytes that the operator submitted."""
@@ -318,6 +332,7 @@
     *GROUP_MESSAGES,
     RouterReport,
     GrantRequest,
+    RetryRequest,
     StreamRecords,
     VersionQuery,
 )
@@ -333,5 +348,6 @@
     NoteRecords,
     GrantReply,
     TokenReply,
+    RetryReply,
     VersionReply,
 )
--- a/berylnotch/quota/bucket.py
+++ b/berylnotch/quota/bucket.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from typing import Protocol
 
-from attrs import define
+from berylnotch.quota.outstanding import OutstandingGrants
 
 
 class Limit(Protocol):
@@ -24,19 +23,6 @@
         """Weight relative to other organisations."""
 
 
-@define
-class OutstandingGrant:
-    """Tokens that one router may still charge, as known to the quota owner.
-
-    ``spent`` is the total that the router's present incarnation last reported. The
-    grant cannot be charged from ``expires_at`` on.
-    """
-
-    tokens: int
-    spent: int
-    expires_at: float
-
-
 class Bucket:
     """Token bucket whose level and outstanding grants together never exceed the burst.
 
@@ -60,10 +46,8 @@
         self._rate = rate
         self._burst = burst
         self._level = level
-        self._outstanding = 0
         self._updated_at = refill_start
-        #: Outstanding grants by router, the first to expire first.
-        self._grants: OrderedDict[str, OutstandingGrant] = OrderedDict()
+        self._grants = OutstandingGrants()
 
     @property
     def level(self) -> float:
@@ -73,7 +57,7 @@
     @property
     def outstanding(self) -> int:
         """Granted tokens that routers may still charge."""
-        return self._outstanding
+        return self._grants.total
 
     @property
     def rate(self) -> float:
@@ -92,13 +76,8 @@
 
     def advance(self, now: float) -> None:
         """Refill the bucket up to ``now`` and write off expired grants."""
-        while self._grants:
-            router, grant = next(iter(self._grants.items()))
-            if grant.expires_at > now:
-                break
-            self._refill(grant.expires_at)
-            del self._grants[router]
-            self._outstanding -= grant.tokens
+        for expired_at, _tokens in self._grants.expire(now):
+            self._refill(expired_at)
         self._refill(now)
 
     def resize(self, rate: float, burst: float) -> None:
@@ -122,16 +101,7 @@
         spent : int
             Tokens that the router has charged since it started.
         """
-        grant = self._grants.get(router)
-        if grant is None:
-            grant = OutstandingGrant(tokens=0, spent=spent, expires_at=0.0)
-            self._grants[router] = grant
-        used_tokens = max(0, spent - grant.spent)
-        still_held = min(held, grant.tokens)
-        unused_tokens = max(0, grant.tokens - still_held - used_tokens)
-        self._outstanding += still_held - grant.tokens
-        grant.tokens = still_held
-        grant.spent = spent
+        used_tokens, unused_tokens = self._grants.record(router, held, spent)
         self._level += unused_tokens
         self._cap_level()
         return used_tokens
@@ -145,13 +115,8 @@
             All tokens that the router may charge until ``expires_at``, including
             those that the router reported as held.
         """
-        grant = self._grants[router]
-        grant.tokens += tokens
-        grant.expires_at = expires_at
-        self._grants.move_to_end(router)
         self._level -= tokens
-        self._outstanding += tokens
-        return grant.tokens
+        return self._grants.add(router, tokens, expires_at)
 
     def _refill(self, now: float) -> None:
         elapsed_s = now - self._updated_at
@@ -162,5 +127,5 @@
         self._cap_level()
 
     def _cap_level(self) -> None:
-        max_level = max(0.0, self._burst - self._outstanding)
+        max_level = max(0.0, self._burst - self._grants.total)
         self._level = min(self._level, max_level)
--- a/berylnotch/quota/owner.py
+++ b/berylnotch/quota/owner.py
@@ -11,9 +11,10 @@
 from berylnotch.quota.messages import Grant, GrantReply
 from berylnotch.quota.usage import BEST_PRIORITY, UsageAverage, usage_priority
 from berylnotch.quota.waiting import WaitQueue
+from berylnotch.quota.window_bucket import WindowBucket
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from berylnotch.quota.bucket import Limit
     from berylnotch.quota.messages import GrantRequest, QuotaAsk
@@ -29,7 +30,7 @@
 
 @define
 class _Account:
-    bucket: Bucket
+    bucket: Bucket | WindowBucket
     usage: UsageAverage
     waiting: WaitQueue
     share: float
@@ -56,10 +57,20 @@
         Term of the leader.
     now : float
         Monotonic time, not earlier than the end of the previous leader's lease.
+    new_bucket : callable, optional
+        Returns the bucket of a limit, from the limit and `steady_from`. By default, it
+        is a token bucket.
     """
 
-    def __init__(self, settings: QuotaSettings, term: int, now: float) -> None:
+    def __init__(
+        self,
+        settings: QuotaSettings,
+        term: int,
+        now: float,
+        new_bucket: Callable[[Limit, float], Bucket | WindowBucket] | None = None,
+    ) -> None:
         self._settings = settings
+        self._new_bucket = new_bucket or self._new_token_bucket
         self._term = term
         self._started_at = now
         self._now = now
@@ -173,7 +184,7 @@
         account = self._accounts.get(name)
         if account is None:
             account = _Account(
-                self._new_bucket(limit),
+                self._new_bucket(limit, self._steady_from),
                 UsageAverage(self._settings.usage_window_s, self._now),
                 WaitQueue(self._settings.lifetime_s / 2),
                 limit.share,
@@ -185,9 +196,9 @@
         account.share = limit.share
         return account
 
-    def _new_bucket(self, limit: Limit) -> Bucket:
+    def _new_token_bucket(self, limit: Limit, steady_from: float) -> Bucket:
         initial_level = limit.burst * self._settings.takeover_part
-        return Bucket(limit.rate, limit.burst, self._steady_from, initial_level)
+        return Bucket(limit.rate, limit.burst, steady_from, initial_level)
 
     def _grant_size(self, account: _Account, router: str, ask: QuotaAsk) -> int:
         """Return the tokens to grant: 0, or enough for the first waiting work.
--- a/berylnotch/server/judging.py
+++ b/berylnotch/server/judging.py
@@ -53,7 +53,8 @@
         """
         budget = self._retry_budgets.get(job.service.name)
         if budget is None:
-            budget = RetryBudget(self._context.settings.retry)
+            settings = self._context.settings.retry
+            budget = RetryBudget(settings, settings.reserve)
             self._retry_budgets[job.service.name] = budget
         if action.number == 1:
             budget.earn()
--- a/tests/test_admission/test_retry.py
+++ b/tests/test_admission/test_retry.py
@@ -42,14 +42,34 @@
     assert decide_retry(SETTINGS, 0.0, attempt, True) is RetryDecision.RETRY
 
 
-@given(st.lists(st.booleans(), max_size=300))
-def test_retries_stay_within_the_ratio_to_first_attempts(attempts):
-    budget = RetryBudget(SETTINGS)
-    earned = spent = 0
-    for is_first in attempts:
-        if is_first:
+@given(st.lists(st.sampled_from(["first", "retry", "restart"]), max_size=120))
+def test_retries_of_processes_in_one_place_stay_within_the_ratio(steps):
+    """A process that starts with a reserve adds it to that of its predecessor."""
+    settings = RetrySettings(ratio=0.2, reserve=2.0)
+    budget, spent, earned = RetryBudget(settings), [0], [0]
+    for step in steps:
+        if step == "restart":
+            budget = RetryBudget(settings)
+        elif step == "first":
             budget.earn()
-            earned += 1
-        else:
-            spent += budget.spend()
-        assert spent <= SETTINGS.reserve + SETTINGS.ratio * earned + 1e-9
+        is_spent = step == "retry" and budget.spend()
+        spent.append(spent[-1] + is_spent)
+        earned.append(earned[-1] + (step == "first"))
+        for begin in range(len(spent)):
+            allowed = settings.reserve + settings.ratio * (earned[-1] - earned[begin])
+            assert spent[-1] - spent[begin] <= allowed + 1e-9
+
+
+def test_budget_saves_no_more_than_its_reserve():
+    budget = RetryBudget(SETTINGS)
+    for _ in range(1000):
+        budget.earn()
+    assert sum(budget.spend() for _ in range(50)) == SETTINGS.reserve
+
+
+def test_reduced_reserve_applies_to_saved_retries():
+    budget = RetryBudget(SETTINGS)
+    for _ in range(1000):
+        budget.earn()
+    budget.resize(RetrySettings(reserve=2.0))
+    assert sum(budget.spend() for _ in range(50)) == 2
--- a/tests/test_daemon/test_fleet_updates.py
+++ b/tests/test_daemon/test_fleet_updates.py
@@ -138,7 +138,7 @@
         fleet=SimpleNamespace(bounds=FleetBounds()),
         gate=QuotaGate(quota, 0.45),
         loop=SimpleNamespace(call_later=lambda *timer: timers.append(timer)),
-        resize_budgets=lambda router_count: None,
+        set_router_count=lambda router_count: None,
         router_count=2,
         recent_router_count=9,
         is_roster_known=True,
--- a/tests/test_entry/conftest.py
+++ b/tests/test_entry/conftest.py
@@ -19,7 +19,7 @@
 from berylnotch.util.loop import Loop
 from berylnotch.util.metrics import Metrics
 from tests.fleet.processes import configuration
-from tests.test_entry.support import Log
+from tests.test_entry.support import Log, connect_retry_owner, earn_retry
 from tests.test_platform.test_configuration import encode
 
 
@@ -56,4 +56,7 @@
             )
         ]
     )
+    connect_retry_owner(entry_context)
+    for service in ("llm", "desk"):
+        earn_retry(entry_context, service)
     return entry_context
--- a/tests/test_entry/support.py
+++ b/tests/test_entry/support.py
@@ -1,5 +1,7 @@
 """Builders and fakes for tests of the request path."""
 
+import math
+
 from berylnotch.entry.exchange import Exchange
 from berylnotch.entry.model import ChoiceInputs
 from berylnotch.entry.routed_request import RoutedRequest
@@ -11,6 +13,7 @@
 from berylnotch.placement.cache_model import CachedLevels, Holding
 from berylnotch.placement.chains import PromptPart, make_prefix_chain
 from berylnotch.platform.requests import decode_request
+from berylnotch.quota.retries import new_retry_owner, retry_limit
 from berylnotch.util.clock import boot_time
 
 MODEL = "m"
@@ -133,3 +136,24 @@
     exchange = Exchange(context, connection, routed, ended.append)
     exchange.start()
     return exchange, connection, ended
+
+
+def connect_retry_owner(context):
+    """Let a leader that has led since the group began answer requests for retries."""
+    bounds = context.fleet.bounds
+    owner = new_retry_owner(bounds, 1, boot_time(), is_first=True)
+    limits = dict.fromkeys(("llm", "desk"), retry_limit(bounds, 1))
+
+    def ask():
+        request = context.retries.request(boot_time(), "entry-1", "1")
+        if request is not None:
+            reply = owner.grant(boot_time(), request, limits)
+            context.retries.receive(boot_time(), reply)
+
+    context.ask_retries = ask
+
+
+def earn_retry(context, service):
+    """Count the first attempts that earn one retry."""
+    for _ in range(math.ceil(1 / context.fleet.bounds.retry_ratio)):
+        context.retries.earn(service)
--- a/tests/test_entry/test_kept_connections.py
+++ b/tests/test_entry/test_kept_connections.py
@@ -38,7 +38,7 @@
     context, router_count, max_connections
 ):
     set_max_connections(context, max_connections)
-    context.resize_budgets(router_count)
+    context.set_router_count(router_count)
     kept = keep_many(context)
     assert kept <= 8
     assert kept * router_count <= max_connections / 2
@@ -46,5 +46,5 @@
 
 def test_a_service_without_a_limit_keeps_the_usual_number(context):
     set_max_connections(context, 0)
-    context.resize_budgets(500)
+    context.set_router_count(500)
     assert keep_many(context) == context.settings.max_idle_connections
--- a/tests/test_entry/test_planned_stop.py
+++ b/tests/test_entry/test_planned_stop.py
@@ -278,7 +278,7 @@
     assert not ended and exchange._attempt is None
     target.refused_until = 0.0
     for _ in range(20):
-        context.budget("llm").earn(boot_time())
+        context.retries.earn("llm")
     delayed.pop()()
     assert exchange._attempt is not None
     stop_with(0.0)
--- a/tests/test_entry/test_target_limits.py
+++ b/tests/test_entry/test_target_limits.py
@@ -113,17 +113,17 @@
     """
     stop_s, now = context.fleet.bounds.stop_s, NOW
     monkeypatch.setattr("berylnotch.entry.context.boot_time", lambda: now)
-    context.resize_budgets(4)
+    context.set_router_count(4)
     now += 100
-    context.resize_budgets(2)
-    context.resize_budgets(0)
+    context.set_router_count(2)
+    context.set_router_count(0)
     now += 0.9 * stop_s
     assert context.router_count == 1 and context.sending_router_count == 4
     now += 0.2 * stop_s
     assert context.sending_router_count == 1
     limits, target = context.target_limits, make_target("t")
-    context.resize_budgets(8)
-    context.resize_budgets(1)
+    context.set_router_count(8)
+    context.set_router_count(1)
     limits.set_limit(now, target, 2.0)
     limits.request_tokens(now, "llm")
     limits.asks(now, "r", "1")
