--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -173,6 +173,7 @@
                 self.fleet.bounds,
                 lambda: self.sending_router_count,
                 lambda: self.ask_retries(),
+                lambda: self.has_leader(),
             ),
             takes_self=True,
         )
--- a/berylnotch/entry/retry_budgets.py
+++ b/berylnotch/entry/retry_budgets.py
@@ -13,7 +13,7 @@
 from berylnotch.entry.quota_gate import Charge, QuotaGate
 from berylnotch.quota.local import LocalQuota
 from berylnotch.quota.messages import GrantReply, GrantRequest
-from berylnotch.quota.retries import RETRY_QUOTA, saved_retries
+from berylnotch.quota.retries import RETRY_QUOTA, retry_limit, saved_retries
 from berylnotch.settings.fleet import FleetBounds
 
 #: Longest time in seconds for which a failed request waits for a retry. It is several
@@ -36,6 +36,8 @@
         Returns the largest number of routers that may save retries.
     ask_owner : callable
         Schedules a request for retries to the quota owner.
+    has_owner : callable
+        Returns whether there is a quota owner to ask.
     """
 
     def __init__(
@@ -43,16 +45,24 @@
         bounds: FleetBounds,
         router_count: Callable[[], int],
         ask_owner: Callable[[], None],
+        has_owner: Callable[[], bool],
     ) -> None:
         self._bounds = bounds
         self._router_count = router_count
         self._ask_owner = ask_owner
+        self._has_owner = has_owner
         self._gate = QuotaGate(LocalQuota(RETRY_QUOTA), RETRY_WAIT_S)
         self._earned: dict[str, RetryBudget] = {}
         #: Boot time until which a retry is wanted that no request waits for.
         self._wanted_until: dict[str, float] = {}
         self._asked_at = 0.0
 
+    @property
+    def _can_be_granted(self) -> bool:
+        """Whether a request for retries can have an answer."""
+        limit = retry_limit(self._bounds, self._router_count())
+        return limit is not None and self._has_owner()
+
     @property
     def share(self) -> float:
         """Number of earned retries that this router saves at most for a service."""
@@ -117,6 +127,9 @@
         if self._budget(service).spend():
             on_decision(True)
             return
+        if not self._can_be_granted:
+            on_decision(self._gate.quota.charge(now, service, 1))
+            return
         must_ask = self._gate.charge(
             now,
             service,
@@ -157,9 +170,10 @@
 
     def _want(self, now: float, service: str) -> None:
         """Ask for a retry for a request that checks again later."""
-        self._wanted_until[service] = now + WANTED_S
-        self._gate.quota.want(service, 1)
-        self._ask_owner()
+        if self._can_be_granted:
+            self._wanted_until[service] = now + WANTED_S
+            self._gate.quota.want(service, 1)
+            self._ask_owner()
 
     def _budget(self, service: str) -> RetryBudget:
         budget = self._earned.get(service)
--- a/tests/test_entry/test_retry_budgets.py
+++ b/tests/test_entry/test_retry_budgets.py
@@ -34,8 +34,12 @@
     def __init__(self, fleet, number, incarnation):
         self.fleet, self.name = fleet, f"entry-{number}"
         self.incarnation, self.is_cut = str(incarnation), False
+        self.knows_leader = True
         self.retries = RetryBudgets(
-            BOUNDS, lambda: self.fleet.router_count, self.ask_owner
+            BOUNDS,
+            lambda: self.fleet.router_count,
+            self.ask_owner,
+            lambda: self.knows_leader,
         )
 
     def ask_owner(self):
@@ -184,6 +188,14 @@
     assert decisions == [False]
 
 
+def test_request_is_denied_at_once_while_there_is_no_leader():
+    fleet = Fleet()
+    router, decisions = fleet.routers[0], []
+    router.knows_leader = False
+    router.retries.take(fleet.now, SERVICE, decisions.append)
+    assert decisions == [False]
+
+
 def test_request_is_denied_at_once_when_the_owner_has_no_retries_left():
     fleet = Fleet()
     fleet.fail_requests(60)
