fleet: retries are granted for services that a configuration has removed

Requests keep their service, but the leader granted retries only for the services of the newest configuration; now for each service that a router names.

--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -174,7 +174,6 @@
         self._retries = new_retry_owner(
             settings.bounds, host.term, boot_time(), is_first
         )
-        self._services: frozenset[str] = frozenset()
         self._limits = {}
         self._limits_version = 0
         self._is_closed = False
@@ -267,7 +266,6 @@
             self._limits = effective_limits(
                 configuration.organisations or (), self._settings.bounds
             )
-            self._services = frozenset(s.name for s in configuration.services)
             self._service_cache_tokens = {
                 s.name: s.engine.cache_tokens
                 for s in configuration.services
@@ -339,7 +337,9 @@
     def answer_retry_request(self, link: Link, request: GrantRequest) -> None:
         """Answer a router's request for retries."""
         limit = retry_limit(self._settings.bounds, self.registry.recent_count)
-        limits = dict.fromkeys(self._services, limit) if limit is not None else {}
+        # Requests keep their service, also if a later configuration lacks it.
+        services = {ask.organisation for ask in request.asks}
+        limits = dict.fromkeys(services, limit) if limit is not None else {}
         link.send(RetryReply(self._retries.grant(boot_time(), request, limits)))
 
     def push_targets(self) -> None:
