--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -103,6 +103,8 @@
         self._settings = fleet.folder / f"{name}.conf"
         self._log = fleet.folder / f"{name}.log"
         self._process: subprocess.Popen | None = None
+        #: Further lines of the section ``[process]``.
+        self.extra = ""
 
     @property
     def is_running(self) -> bool:
@@ -123,7 +125,9 @@
         fleet = self._fleet
         template = (ROOT / "deploy" / f"{self.role}.ini").read_text(encoding="utf-8")
         fields = fleet.fields(self, is_first)
-        self._settings.write_text(_render(template, fields), encoding="utf-8")
+        text = _render(template, fields)
+        text = text.replace("[process]\n", f"[process]\n{self.extra}", 1)
+        self._settings.write_text(text, encoding="utf-8")
         environment = {
             "PATH": os.environ.get("PATH", ""),
             "HOME": os.environ.get("HOME", ""),
