--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -179,6 +180,8 @@
         routers: int = 2,
         bounds: dict[str, str] | None = None,
     ) -> None:
+        # The clean-up must run also if the time limit of `run.sh` ends the script.
+        signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(2))
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._bounds = {
