entry: an unanswered call that stops a run is not settled by a later answer

Cause: any answer to a later call that had no handle (404, 409, 5xx) ended the migration as 'stayed, certain', so the end of the connection was taken for the end of a stream without a length. Besides, the doubt of a migration was a flag that the next migration overwrote, and it did not hold for a later run of the request at the same engine.

Evidence: move_unanswered says now whether the call was to stop the run; in the run of the case the stop has no answer, 404 follows 1 s later, run_not_moved result=stayed, and the request ends as served in the next ms. Ruled out: a lost answer to the copy (stops_run=True), 409 (status=404), events dropped here.

Change: only a migration whose calls to stop all have an answer ends without doubt; 404 and 409 tell about their own call alone. The doubt is kept by request and engine until the request ends. The answer to a slow stop is awaited while the call is repeated, so that the run moves.

The tuple of the unit tests' fixture is built from the new property: a migration whose run was confirmed as stopped is certain, any other one if no stop is without an answer; no expectation of an existing test changed.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -111,9 +111,6 @@
         self._next_migration_at = 0.0
         #: Identities of the engines that did not take over the run.
         self._asked_destinations: set[str] = set()
-        #: Whether the target may have stopped the run for a migration that it did not
-        #: confirm.
-        self._may_have_stopped = False
 
     @property
     def has_sent(self) -> bool:
@@ -330,7 +327,8 @@
         target, status = self._target, self._head.status
         self._release_target()
         tail = self._splitter.tail if self._is_stream else None
-        problem = response_problem(self._head, answer, tail, self._may_have_stopped)
+        may_have_stopped = target.target_id in self._owner.unanswered_stops
+        problem = response_problem(self._head, answer, tail, may_have_stopped)
         has_expired = self._has_expired(boot_time())
         if has_expired and status < 300 and not self._head.is_delimited:
             # The target closes its connection at the end of an answer and also if it
@@ -437,17 +435,16 @@
         )
         self._migration.start()
 
-    def _on_migration_end(
-        self, stopped_run: StoppedRun | None, is_certain: bool
-    ) -> None:
+    def _on_migration_end(self, stopped_run: StoppedRun | None) -> None:
         migration, self._migration = self._migration, None
+        if migration.has_unanswered_stop:
+            self._owner.unanswered_stops.add(self._target.target_id)
         if stopped_run is not None:
             self._record_success()
             self._release_target()
             self._connection.close()
             self._report_end(AttemptEnd.MOVED, "", stopped_run=stopped_run)
             return
-        self._may_have_stopped = not is_certain
         if migration.on_stream_end is not None:
             migration.on_stream_end()
 
--- a/berylnotch/entry/exchange.py
+++ b/berylnotch/entry/exchange.py
@@ -91,6 +91,7 @@
         self._progress = Progress()
         self._attempt: Attempt | None = None
         self._tried_targets: set[str] = set()
+        self.unanswered_stops: set[str] = set()
         self._has_ended = False
         self._lacks_retry = False
         route = routed.route
--- a/berylnotch/entry/judging.py
+++ b/berylnotch/entry/judging.py
@@ -36,8 +36,7 @@
         Bytes after the last whole event of a stream, None if the response is not a
         stream.
     may_have_stopped : bool
-        Whether the target may have stopped the run for a migration whose outcome is
-        unknown.
+        Whether the target may have stopped the run without an answer to the call.
     """
     if head.status >= 300:
         return ""
--- a/berylnotch/entry/migration.py
+++ b/berylnotch/entry/migration.py
@@ -10,7 +10,7 @@
 from berylnotch.entry.targets import Target
 from berylnotch.errors import GatewayError
 from berylnotch.net.fetch import fetch
-from berylnotch.net.messages import HttpRequest, HttpResponse
+from berylnotch.net.messages import HttpResponse
 from berylnotch.platform.moves import (
     MoveAnswer,
     decode_move,
@@ -29,6 +29,10 @@
 #: attempt may be lost.
 MAX_STOP_ATTEMPTS = 2
 
+#: Time limit, in seconds, for the answers to all attempts to stop a run. A slow copy
+#: may be complete while the next attempt is in progress.
+STOP_TIMEOUT_S = MAX_STOP_ATTEMPTS * REQUEST_TIMEOUT_S
+
 #: Time, in seconds, to wait for the last events of a run after the run is known to have
 #: stopped.
 LAST_EVENTS_WAIT_S = 0.1
@@ -76,8 +80,12 @@
     destination : Target
         Engine at which the run shall resume.
     on_end : callable
-        Called with the stopped run, or None if the run was not stopped, and with
-        whether that outcome is certain.
+        Called with the stopped run, or None if no engine confirmed that it stopped.
+
+    Notes
+    -----
+    An engine may carry out a request to stop the run at any time after it was sent. A
+    later answer, such as that no such run exists, does not tell what became of it.
     """
 
     def __init__(
@@ -86,7 +94,7 @@
         request_id: str,
         source: Target,
         destination: Target,
-        on_end: Callable[[StoppedRun | None, bool], None],
+        on_end: Callable[[StoppedRun | None], None],
     ) -> None:
         self._context = context
         self._request_id = request_id
@@ -96,6 +104,9 @@
         self._has_ended = False
         self._handle = ""
         self._stop_attempts = 0
+        #: Number of requests to stop the run whose answers may still arrive.
+        self._pending_stops = 0
+        self._has_unanswered_stop = False
         self._stopped_run: StoppedRun | None = None
         #: Handles the end of a stream that ended during the migration.
         self._on_stream_end: Callable[[], None] | None = None
@@ -105,15 +116,20 @@
         """Deferred handler of the stream's end, None if the stream has not ended."""
         return self._on_stream_end
 
+    @property
+    def has_unanswered_stop(self) -> bool:
+        """Whether a call that stops the run has no answer, so it may still take place."""
+        return self._has_unanswered_stop or self._pending_stops > 0
+
     def start(self) -> None:
         """Copy the KV cache while the run continues."""
-        self._send(self._move_request(stops_run=False), self._on_copy_answer)
+        self._send(False, REQUEST_TIMEOUT_S, self._on_copy_answer)
 
     def defer_stream_end(self, on_stream_end: Callable[[], None]) -> None:
         """Defer the end of the stream until it is known whether the run stopped."""
         self._on_stream_end = on_stream_end
         if self._stopped_run is not None:
-            self._end(self._stopped_run, is_certain=True)
+            self._end(self._stopped_run)
 
     def cancel(self) -> None:
         """Abandon the migration because the request has ended, and free any copy."""
@@ -127,45 +143,67 @@
         if self._has_ended:
             self._free_copy(answer.handle if answer else "")
         elif answer is None or not answer.is_copied:
-            self._end(None, is_certain=True, status=answer.status if answer else 0)
+            self._end(None, answer.status if answer else 0)
         else:
             self._handle = answer.handle
             self._stop_run()
 
     def _stop_run(self) -> None:
+        timeout_s = STOP_TIMEOUT_S - self._stop_attempts * REQUEST_TIMEOUT_S
         self._stop_attempts += 1
-        self._send(self._move_request(stops_run=True), self._on_stop_answer)
+        self._pending_stops += 1
+        if self._stop_attempts < MAX_STOP_ATTEMPTS:
+            self._context.loop.call_later(REQUEST_TIMEOUT_S, self._on_stop_overdue)
+        self._send(True, timeout_s, self._on_stop_answer)
+
+    def _on_stop_overdue(self) -> None:
+        is_open = not self._has_ended and self._stopped_run is None
+        if is_open and self._stop_attempts < MAX_STOP_ATTEMPTS:
+            self._stop_run()
 
     def _on_stop_answer(self, answer: MoveAnswer | None) -> None:
+        self._pending_stops -= 1
+        if answer is None or not (answer.handle or answer.is_refusal):
+            self._has_unanswered_stop = True
+        if self._stopped_run is not None:
+            # The copy may be the one that the stopped run resumes from.
+            return
         if self._has_ended:
             self._free_copy(answer.handle if answer else "")
-        elif answer is None:
-            if self._stop_attempts < MAX_STOP_ATTEMPTS:
-                self._stop_run()
-            else:
-                self._end(None, is_certain=False)
-        elif not answer.handle:
-            self._end(None, is_certain=True, status=answer.status)
+        elif answer is not None and answer.handle:
+            self._on_run_stopped(answer)
+        elif self._is_stop_in_progress(answer):
+            # The answer to the other request may still arrive.
+            return
+        elif answer is not None and answer.is_refusal:
+            self._end(None, answer.status)
+        elif self._stop_attempts < MAX_STOP_ATTEMPTS:
+            self._stop_run()
         else:
-            destination = self._destination if answer.is_copied else self._source
-            self._stopped_run = StoppedRun(self._source, destination, answer.handle)
-            if self._on_stream_end is not None:
-                self._end(self._stopped_run, is_certain=True)
-            else:
-                self._context.loop.call_later(
-                    LAST_EVENTS_WAIT_S,
-                    lambda: self._end(self._stopped_run, is_certain=True),
-                )
+            self._end(None, answer.status if answer else 0)
 
-    def _end(
-        self, stopped_run: StoppedRun | None, is_certain: bool, status: int = 200
-    ) -> None:
+    def _is_stop_in_progress(self, answer: MoveAnswer | None) -> bool:
+        """Whether another request may still stop the run, by the answer to this one."""
+        is_gone = answer is not None and answer.is_refusal and not answer.is_busy
+        return self._pending_stops > 0 and not is_gone
+
+    def _on_run_stopped(self, answer: MoveAnswer) -> None:
+        destination = self._destination if answer.is_copied else self._source
+        self._stopped_run = StoppedRun(self._source, destination, answer.handle)
+        if self._on_stream_end is not None:
+            self._end(self._stopped_run)
+        else:
+            self._context.loop.call_later(
+                LAST_EVENTS_WAIT_S, lambda: self._end(self._stopped_run)
+            )
+
+    def _end(self, stopped_run: StoppedRun | None, status: int = 200) -> None:
         if self._has_ended:
             return
         self._has_ended = True
-        result = "unknown"
-        if is_certain:
-            result = "moved" if stopped_run is not None else "stayed"
+        result = "unknown" if self.has_unanswered_stop else "stayed"
+        if stopped_run is not None:
+            result = "moved"
         self._context.metrics.count("berylnotch_moves_total", Label("result", result))
         self._context.log.info(
             "run_moved" if stopped_run is not None else "run_not_moved",
@@ -175,17 +213,17 @@
             result=result,
             status=status,
             calls=self._stop_attempts,
+            has_unanswered_stop=self.has_unanswered_stop,
         )
         if stopped_run is None:
             self._free_copy(self._handle)
-        self._on_end(stopped_run, is_certain)
-
-    def _move_request(self, stops_run: bool) -> HttpRequest:
-        host, to = self._source.listed.address, self._destination.listed.address
-        return move_request(host, self._request_id, to, stops_run)
+        self._on_end(stopped_run)
 
     def _send(
-        self, request: HttpRequest, on_answer: Callable[[MoveAnswer | None], None]
+        self,
+        stops_run: bool,
+        timeout_s: float,
+        on_answer: Callable[[MoveAnswer | None], None],
     ) -> None:
         def on_response(response: HttpResponse | None, reason: str) -> None:
             answer = None
@@ -199,12 +237,15 @@
                     "move_unanswered",
                     id=self._request_id,
                     target=self._source.target_id,
+                    stops_run=stops_run,
                     reason=reason,
                 )
             on_answer(answer)
 
-        address = parse_address(self._source.listed.address)
-        fetch(self._context.loop, address, request, REQUEST_TIMEOUT_S, on_response)
+        source, to = self._source.listed.address, self._destination.listed.address
+        request = move_request(source, self._request_id, to, stops_run)
+        address = parse_address(source)
+        fetch(self._context.loop, address, request, timeout_s, on_response)
 
     def _free_copy(self, handle: str) -> None:
         """Free an unused copy, which engines otherwise keep for some seconds."""
--- a/berylnotch/entry/results.py
+++ b/berylnotch/entry/results.py
@@ -56,7 +56,14 @@
 
 
 class AttemptOwner(Protocol):
-    """Receiver of an attempt's events."""
+    """Receiver of an attempt's events.
+
+    ``unanswered_stops`` holds the identities of the targets that did not answer a call
+    to stop a run of the request. They may carry it out at any time, and it stops a
+    later run of the request at the same target as well.
+    """
+
+    unanswered_stops: set[str]
 
     def on_stream_begin(self, status: int, headers: Headers) -> None:
         """Handle the head of a stream."""
--- a/berylnotch/platform/moves.py
+++ b/berylnotch/platform/moves.py
@@ -30,6 +30,16 @@
     handle: str = ""
     is_copied: bool = False
 
+    @property
+    def is_refusal(self) -> bool:
+        """Whether the engine states that it did not carry out the call."""
+        return 400 <= self.status < 500
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether the engine refused the call because it carries out another one."""
+        return self.status == 409
+
 
 def move_request(
     host: str, request_id: str, destination: str, stops_run: bool
--- a/tests/fleet/platform.py
+++ b/tests/fleet/platform.py
@@ -16,19 +16,52 @@
 
 from attrs import define, field
 
-from berylnotch.net.messages import Headers, HttpRequest
+from berylnotch.net.messages import Headers, HttpRequest, encode_head
 from berylnotch.net.server import HttpServer, ServerConnection
 from berylnotch.util.address import Address
 from berylnotch.util.loop import Loop
 
 MODEL = "model-1"
 
+#: Time that a slow copy of a run's KV cache takes, and time after which a late call is
+#: carried out, both in seconds.
+SLOW_COPY_S, LATE_CALL_S = 1.4, 2.8
+
 
 def _deadline_s(headers: Mapping[str, str]) -> float:
     """Return the seconds after which a target stops its work on a request."""
     return float(headers.get("berylnotch-deadline-ms", "inf")) / 1000
 
 
+class UndelimitedStream:
+    """Stream on a connection of a caller, whose end is the end of the connection."""
+
+    def __init__(self, connection: ServerConnection, headers: Headers) -> None:
+        self._connection = connection
+        headers.add("Connection", "close")
+        self._send(encode_head(200, headers))
+
+    @property
+    def is_closed(self) -> bool:
+        return self._connection.is_closed
+
+    def send_chunk(self, data: bytes) -> None:
+        self._send(data)
+
+    def end_stream(self) -> None:
+        self._connection.break_off()
+
+    break_off = end_stream
+
+    def abort(self) -> None:
+        self._connection.abort()
+
+    def _send(self, data: bytes) -> None:
+        # Servers of the product send no answers without a length.
+        self._connection._add_output(data)
+        self._connection._flush()
+
+
 @define(eq=False)
 class StandInTarget:
     """Target with its injected faults and a record of its requests."""
@@ -67,8 +100,14 @@
     #: Fraction of requests answered with an error, the same requests each time.
     error_fraction: float = 0.0
     #: Fault that is injected into answers to migration calls: ok (none), no_room, lost
-    #: (the call is carried out, but its answer is not sent), gone.
+    #: (the call is carried out, but its answer is not sent), gone, stop_lost (the same
+    #: for calls that stop a run), stop_slow (their copies take a long time), stop_late
+    #: (they are carried out late, without an answer).
     move_fault: str = "ok"
+    #: Number of calls that were to stop a run.
+    stop_calls: int = 0
+    #: Whether the ends of streams differ from the ends of their connections.
+    has_delimited_streams: bool = True
     #: Time of the monotonic clock until which the target runs and sends nothing, in
     #: seconds. It goes on afterwards; its health answers come all the time.
     silent_until: float = 0.0
@@ -77,6 +116,8 @@
     #: Connections of the model requests that have not begun to be written.
     waiting: set[ServerConnection] = field(factory=set)
     has_ended: bool = False
+    #: Request ids of the runs that are stopped, and whose copy is in progress.
+    stopping: set[str] = field(factory=set)
     #: Request id and next event number of the KV cache copies held, by handle.
     copies: dict[str, tuple[str, int]] = field(factory=dict)
     #: Request ids of the runs that resumed here from a KV cache copy.
@@ -319,24 +360,64 @@
     ) -> None:
         call = json.loads(request.body)
         stream = target.streams.get(call["id"])
+        target.stop_calls += call["last"]
         if target.move_fault == "no_room":
             connection.respond(503, Headers(), b"{}")
             return
+        if call["id"] in target.stopping:
+            connection.respond(409, Headers(), b"{}")
+            return
         if stream is None or target.move_fault == "gone":
             connection.respond(404, Headers(), b"{}")
             return
+        if not call["last"]:
+            body = self._copy(target, call, stream)
+            if target.move_fault == "lost":
+                connection.abort()
+            else:
+                connection.respond(200, Headers(), body)
+        elif target.move_fault == "stop_late":
+            self.loop.call_later(LATE_CALL_S, lambda: self._stop(target, call, stream))
+        else:
+            self._stop(target, call, stream)
+            body = self._copy(target, call, stream)
+            if target.move_fault == "ok":
+                connection.respond(200, Headers(), body)
+            elif target.move_fault == "stop_slow":
+                self._respond_after_copy(target, call, connection, body)
+
+    def _copy(self, target: StandInTarget, call: dict, stream: list) -> bytes:
+        """Copy a run's KV cache to its destination, and return the answer's body."""
         destination = next(t for t in self.targets.values() if t.address == call["to"])
         handle = f"{call['id']}-{len(target.copies)}-{len(destination.copies)}"
         if call["last"]:
-            del target.streams[call["id"]]
             target.copies[handle] = destination.copies[handle] = (call["id"], stream[1])
-            stream[0].abort()
-        body = json.dumps({"handle": handle, "made": stream[1] - 1}).encode()
-        if target.move_fault == "lost":
-            connection.abort()
-        else:
+        return json.dumps({"handle": handle, "made": stream[1] - 1}).encode()
+
+    def _stop(self, target: StandInTarget, call: dict, stream: list) -> None:
+        """Stop a run, and close its stream without its end."""
+        if target.streams.get(call["id"]) is stream:
+            del target.streams[call["id"]]
+            if target.has_delimited_streams:
+                stream[0].abort()
+            else:
+                stream[0].break_off()
+
+    def _respond_after_copy(
+        self,
+        target: StandInTarget,
+        call: dict,
+        connection: ServerConnection,
+        body: bytes,
+    ) -> None:
+        target.stopping.add(call["id"])
+
+        def respond() -> None:
+            target.stopping.discard(call["id"])
             connection.respond(200, Headers(), body)
 
+        self.loop.call_later(SLOW_COPY_S, respond)
+
     def _release_copy(self, handle: str) -> None:
         for target in self.targets.values():
             target.copies.pop(handle, None)
@@ -491,7 +572,10 @@
     ) -> None:
         answer.add("Content-Type", "text/event-stream")
         request_id = answer.get("Berylnotch-Request-Id")
-        connection.start_stream(200, answer)
+        if target.has_delimited_streams:
+            connection.start_stream(200, answer)
+        else:
+            connection = UndelimitedStream(connection, answer)
         stream = target.streams[request_id] = [connection, after + 1]
 
         def send(number: int) -> None:
--- a/tests/test_entry/test_migration.py
+++ b/tests/test_entry/test_migration.py
@@ -95,20 +95,22 @@
     def begin(engine, on_stream_end=None):
         monkeypatch.setattr(migration, "fetch", engine.fetch)
         ends = []
-        move = RunMigration(
-            context,
-            "id-1",
-            SOURCE,
-            DESTINATION,
-            lambda moved, is_sure: ends.append((moved, is_sure)),
-        )
+
+        def on_end(moved):
+            ends.append((moved, moved is not None or not move.has_unanswered_stop))
+
+        move = RunMigration(context, "id-1", SOURCE, DESTINATION, on_end)
         if on_stream_end is not None:
             move.defer_stream_end(on_stream_end)
         move.start()
+        run_timers()
+        return move, ends
+
+    def run_timers():
         while timers:
             timers.pop(0)[1]()
-        return move, ends
 
+    begin.run_timers = run_timers
     return begin
 
 
@@ -146,6 +148,49 @@
     assert ends == [(None, False)]
 
 
+@pytest.mark.parametrize("answer", [(404, {}), (409, {}), (503, {}), (500, {})])
+def test_an_answer_does_not_show_that_an_unanswered_stop_was_not_carried_out(
+    move, answer
+):
+    # The engine stops the run, the answer is lost, and the repeated call is refused.
+    _, ends = move(Engine(COPY, None, answer))
+    assert ends == [(None, False)]
+
+
+def test_a_run_whose_stop_failed_without_a_handle_may_have_stopped(move):
+    _, ends = move(Engine(COPY, (503, {}), (404, {})))
+    assert ends == [(None, False)]
+
+
+class SlowStop(Engine):
+    """Engine whose answer to the first stop arrives after that to the second."""
+
+    def fetch(self, _loop, _address, request, timeout_s, on_response):
+        if len(self.calls) == 1:
+            self.calls.append((request.method, request.target, request.body))
+            self.answer_first_stop = on_response
+            return
+        super().fetch(_loop, _address, request, timeout_s, on_response)
+
+
+def test_a_run_whose_stop_is_in_progress_migrates_once_the_copy_is_complete(move):
+    engine = SlowStop(COPY, (409, {}))
+    _, ends = move(engine)
+    assert ends == [] and len(engine.calls) == 3
+    status, body = STOPPED
+    response = HttpResponse(status, Headers(), json.dumps(body).encode())
+    engine.answer_first_stop(response, "")
+    move.run_timers()
+    [(moved, _)] = ends
+    assert moved.destination is DESTINATION and moved.handle == "h2"
+
+
+def test_the_run_is_not_awaited_after_the_engine_no_longer_has_it(move):
+    engine = SlowStop(COPY, (404, {}))
+    run_move, ends = move(engine)
+    assert ends == [(None, False)] and run_move.has_unanswered_stop
+
+
 def test_a_run_that_stopped_without_a_copy_resumes_at_its_engine(move):
     _, [(moved, _)] = move(Engine(COPY, (503, {"handle": "h9"})))
     assert moved.destination is SOURCE and moved.handle == "h9"
