routing: two routes of one place are refused whatever their names are

Cause: the check compared the two names by identity. The JSON decoder shares one object among equal texts of one letter, empty texts and the default of a missing name, so such routes counted as one.

Evidence: with names of two letters the same call gets 400; operator_call shows that the call was committed by the leader, so no path around the check is involved. All other 'is' of the package compare objects with an identity.

Change: a place that is known is refused. Routers and the leader decode the configuration in force without checks, so that a group which holds such a configuration keeps its routes.

--- a/berylnotch/daemon/fleet/leader.py
+++ b/berylnotch/daemon/fleet/leader.py
@@ -26,7 +26,7 @@
 from berylnotch.membership.announced_weights import AnnouncedWeights
 from berylnotch.membership.inventory import TargetInventory
 from berylnotch.membership.listing import ListedTarget
-from berylnotch.platform.configuration import decode_configuration
+from berylnotch.platform.configuration import decode_held_configuration
 from berylnotch.quota.bounds import FLEET_QUOTA, effective_limits
 from berylnotch.quota.messages import GrantRequest
 from berylnotch.quota.owner import QuotaOwner
@@ -262,7 +262,7 @@
         self._applied_revision = self._state.revision
         if self._state.version != self._limits_version:
             self._limits_version = self._state.version
-            configuration = decode_configuration(self._state.content)
+            configuration = decode_held_configuration(self._state.content)
             self._limits = effective_limits(
                 configuration.organisations or (), self._settings.bounds
             )
--- a/berylnotch/daemon/fleet/router.py
+++ b/berylnotch/daemon/fleet/router.py
@@ -44,7 +44,7 @@
 from berylnotch.net.reading import HttpLimits
 from berylnotch.net.server import HttpServer, ServerConnection
 from berylnotch.placement.cache_model import CacheModel
-from berylnotch.platform.configuration import decode_configuration
+from berylnotch.platform.configuration import decode_held_configuration
 from berylnotch.platform.operators import (
     ADDRESS_PATH,
     READY_PATH,
@@ -489,7 +489,7 @@
         current = self._context.routes
         if current is not None and update.version <= current.version:
             return
-        self._context.routes = RouteTable(decode_configuration(update.content))
+        self._context.routes = RouteTable(decode_held_configuration(update.content))
         self._log.info(
             "configuration",
             version=update.version,
--- a/berylnotch/entry/migration.py
+++ b/berylnotch/entry/migration.py
@@ -118,7 +118,7 @@
 
     @property
     def has_unanswered_stop(self) -> bool:
-        """Whether a call that stops the run has no answer, so it may still take place."""
+        """Whether a call to stop the run has no answer and may still be carried out."""
         return self._has_unanswered_stop or self._pending_stops > 0
 
     def start(self) -> None:
--- a/berylnotch/platform/configuration.py
+++ b/berylnotch/platform/configuration.py
@@ -48,13 +48,27 @@
     InvalidConfigurationError
         If the configuration cannot be decoded or is invalid.
     """
+    configuration = decode_held_configuration(body)
+    check_configuration(configuration)
+    return configuration
+
+
+def decode_held_configuration(body: bytes) -> FleetConfiguration:
+    """Decode the configuration in force.
+
+    It was validated when an operator put it. A check that a later version adds must not
+    leave routers without a configuration.
+
+    Raises
+    ------
+    InvalidConfigurationError
+        If the configuration cannot be decoded.
+    """
     try:
         values = as_object(parse_json(body), "configuration")
-        configuration = _decode_fleet_configuration(values)
+        return _decode_fleet_configuration(values)
     except FieldError as error:
         raise InvalidConfigurationError(str(error)) from error
-    check_configuration(configuration)
-    return configuration
 
 
 def decode_new_configuration(body: bytes) -> FleetConfiguration:
--- a/berylnotch/routing/checks.py
+++ b/berylnotch/routing/checks.py
@@ -19,15 +19,17 @@
             f"version {configuration.version} is not positive"
         )
     _check_services(configuration)
-    route_names: dict[tuple[str, str], str] = {}
+    names_by_place: dict[tuple[str, str], str] = {}
     services = {service.name for service in configuration.services}
     for route in configuration.routes:
         _check_route(route, services)
-        other = route_names.setdefault((route.host, route.prefix), route.name)
-        if other is not route.name:
+        place = route.host, route.prefix
+        if place in names_by_place:
             raise InvalidConfigurationError(
-                f"routes {other!r} and {route.name!r} share {route.host}{route.prefix}"
+                f"routes {names_by_place[place]!r} and {route.name!r} share "
+                f"{route.host}{route.prefix}"
             )
+        names_by_place[place] = route.name
     _check_organisations(configuration)
 
 
--- a/tests/test_platform/test_configuration.py
+++ b/tests/test_platform/test_configuration.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from berylnotch.platform.configuration import decode_configuration
+from berylnotch.platform.configuration import (
+    decode_configuration,
+    decode_held_configuration,
+    decode_new_configuration,
+)
 from berylnotch.routing.errors import InvalidConfigurationError
 from berylnotch.routing.model import RouteKind, Split
 from tests.fleet.processes import configuration
@@ -104,6 +108,56 @@
         decode_configuration(encode(values))
 
 
+@pytest.mark.parametrize(
+    ("first_name", "second_name"),
+    [
+        ("s", "s"),
+        ("", ""),
+        (None, None),
+        (None, "s"),
+        ("\u00e9", "\u00e9"),
+        ("read", "read"),
+        ("read", "write"),
+        ("7", "7"),
+    ],
+)
+@pytest.mark.parametrize(
+    ("first_host", "second_host"),
+    [("a.example", "a.example"), ("a.example", "A.Example"), ("", "")],
+)
+@pytest.mark.parametrize("distance", [1, 3])
+def test_rejects_two_routes_of_one_place_whatever_their_names_are(
+    first_name, second_name, first_host, second_host, distance
+):
+    # The JSON decoder uses one object for equal strings of one letter.
+    values = configuration(3)
+    first, between = values["routes"][:2]
+    first |= {"name": first_name, "hostname": first_host}
+    second = first | {"name": second_name, "hostname": second_host, "service": "desk"}
+    others = [between | {"pathPrefix": f"/{n}/"} for n in range(distance - 1)]
+    values["routes"] = [first, *others, second]
+    for decode in (decode_configuration, decode_new_configuration):
+        with pytest.raises(InvalidConfigurationError, match="share"):
+            decode(encode(values))
+
+
+@pytest.mark.parametrize(
+    ("field", "value"), [("hostname", "b.example"), ("pathPrefix", "/chat/more/")]
+)
+def test_routes_of_different_places_may_have_the_same_name(field, value):
+    values = configuration(3)
+    values["routes"].append(values["routes"][0] | {field: value})
+    assert len(decode_new_configuration(encode(values)).routes) == 4
+
+
+def test_the_configuration_in_force_is_decoded_without_later_checks():
+    values = configuration(3)
+    values["routes"].append(values["routes"][0] | {"service": "desk"})
+    assert len(decode_held_configuration(encode(values)).routes) == 4
+    with pytest.raises(InvalidConfigurationError):
+        decode_held_configuration(encode(values)[:-1])
+
+
 @pytest.mark.parametrize(
     "body",
     [
