platform: a service that a route names beside a split must exist

Cause: the field was not read where there is a split. It is decoded as a part of weight 0 now, which the check covers.

Test: 5 of 5 forms were taken before; a known service beside a split goes on to get its share of the split only.

--- a/berylnotch/platform/configuration.py
+++ b/berylnotch/platform/configuration.py
@@ -153,9 +153,13 @@
     if values.get("trafficSplit") is None:
         return (Split(get_string(values, "service"), 1.0),)
     items = (as_object(item, "split") for item in get_list(values, "trafficSplit"))
-    return tuple(
+    splits = tuple(
         Split(get_string(i, "service"), get_number(i, "weight")) for i in items
     )
+    if values.get("service") is None:
+        return splits
+    # A service beside a split gets no requests, but it must exist as well.
+    return (*splits, Split(get_string(values, "service"), 0.0))
 
 
 def _decode_service(values: dict[str, Any]) -> Service:
--- a/tests/test_platform/test_configuration.py
+++ b/tests/test_platform/test_configuration.py
@@ -11,6 +11,7 @@
 )
 from berylnotch.routing.errors import InvalidConfigurationError
 from berylnotch.routing.model import RouteKind, Split
+from berylnotch.routing.table import pick_service
 from tests.fleet.processes import configuration
 
 
@@ -99,6 +100,22 @@
         decode_configuration(encode(with_field(path, value)))
 
 
+@pytest.mark.parametrize("service", ["ghost", "g", "", "LLM", 5])
+def test_rejects_an_unknown_service_beside_a_valid_split(service):
+    values = with_field(("routes", 0, "service"), service)
+    values["routes"][0]["trafficSplit"] = [{"service": "llm", "weight": 1}]
+    with pytest.raises(InvalidConfigurationError, match="service"):
+        decode_configuration(encode(values))
+
+
+@pytest.mark.parametrize("service", ["llm", "desk", None])
+def test_a_service_beside_a_split_gets_only_its_share_of_the_split(service):
+    values = with_field(("routes", 0, "service"), service)
+    values["routes"][0]["trafficSplit"] = [{"service": "llm", "weight": 1}]
+    splits = decode_configuration(encode(values)).routes[0].splits
+    assert {pick_service(splits, draw / 100) for draw in range(100)} == {"llm"}
+
+
 def test_rejects_key_shared_by_two_organisations():
     values = configuration(3)
     values["tenants"].append(
