net: the numbers of headers and interim responses of an exchange are limited

Cause: the limit of 256 KiB is on bytes, but 29,000 header lines of that size take 4 MB as objects, and all of them are parsed. Also, calls to engines accepted 4 MiB each.

Change: 1,000 headers and 100 interim or other responses an exchange at most, checked while parsing; calls accept 256 KiB, lists 4 MiB as before.

--- a/berylnotch/daemon/fleet/stores.py
+++ b/berylnotch/daemon/fleet/stores.py
@@ -7,7 +7,7 @@
 from attrs import define
 
 from berylnotch.errors import GatewayError
-from berylnotch.net.fetch import fetch
+from berylnotch.net.fetch import MAX_LIST_BYTES, fetch
 from berylnotch.net.messages import HttpResponse
 from berylnotch.platform.stores import StoreState, decode_state, watch_request
 from berylnotch.util.address import parse_address
@@ -90,6 +90,7 @@
             request,
             LONG_POLL_S + RESPONSE_MARGIN_S,
             lambda response, failure: self._on_response(store, response, failure),
+            MAX_LIST_BYTES,
         )
 
     def _on_response(
--- a/berylnotch/daemon/fleet/watch.py
+++ b/berylnotch/daemon/fleet/watch.py
@@ -6,7 +6,7 @@
 
 from berylnotch.errors import GatewayError
 from berylnotch.membership.listing import ListedTarget
-from berylnotch.net.fetch import fetch
+from berylnotch.net.fetch import MAX_LIST_BYTES, fetch
 from berylnotch.net.messages import HttpResponse
 from berylnotch.platform.targets import decode_page, list_request
 from berylnotch.util.address import Address
@@ -120,7 +120,14 @@
             return
         self._page_token = page_token
         request = list_request(str(self._address), page_token)
-        fetch(self._loop, self._address, request, CALL_TIMEOUT_S, self._on_response)
+        fetch(
+            self._loop,
+            self._address,
+            request,
+            CALL_TIMEOUT_S,
+            self._on_response,
+            MAX_LIST_BYTES,
+        )
 
     def _on_response(self, response: HttpResponse | None, failure: str) -> None:
         if self._is_closed:
--- a/berylnotch/net/client.py
+++ b/berylnotch/net/client.py
@@ -12,6 +12,7 @@
 import httptools
 from attrs import frozen
 
+from berylnotch.errors import GatewayError
 from berylnotch.net.messages import Headers, HttpRequest
 from berylnotch.net.sockets import connect, is_local_error
 from berylnotch.util.address import Address
@@ -25,6 +26,18 @@
 #: responses, responses to other requests, chunk sizes and trailers.
 MAX_OVERHEAD_BYTES = 256 * 1024
 
+#: Maximum number of headers and trailers of one exchange, over all its responses. Each
+#: takes much more memory than its bytes.
+MAX_HEADERS = 1000
+
+#: Maximum number of interim responses, and of responses to other requests, in one
+#: exchange.
+MAX_DISCARDED_RESPONSES = 100
+
+
+class ResponseLimitError(GatewayError):
+    """A response exceeds a limit of the client."""
+
 
 class Failure(Enum):
     """Kind of failed exchange, by whether the target may have read the request."""
@@ -115,6 +128,8 @@
         self._method = "GET"
         self._received_bytes = 0
         self._delivered_bytes = 0
+        self._header_count = 0
+        self._discarded_responses = 0
         self._parser: httptools.HttpResponseParser | None = None
         self._headers = Headers()
         #: Time at which the connection became idle, in seconds since boot.
@@ -151,6 +166,7 @@
         self._has_sent = False
         self._is_skipping = False
         self._received_bytes = self._delivered_bytes = 0
+        self._header_count = self._discarded_responses = 0
         self._method = request.method
         self._reset_parser()
         self._output += request.encode()
@@ -201,7 +217,7 @@
     def _on_ready(self, events: int) -> None:
         if events & selectors.EVENT_WRITE:
             self._flush()
-        if events & selectors.EVENT_READ and not self._is_closed:
+        if events & selectors.EVENT_READ and not (self._is_closed or self._is_paused):
             self._receive()
 
     def _flush(self) -> None:
@@ -257,7 +273,12 @@
             try:
                 self._parser.feed_data(data)
             except httptools.HttpParserCallbackError as error:
-                raise error.__context__ or error from None
+                if not isinstance(error.__context__, ResponseLimitError):
+                    raise error.__context__ or error from None
+                self._is_reusable = False
+                received_bytes = self._received_bytes + len(data)
+                self._fail(f"{error.__context__} in {received_bytes} bytes")
+                return
             except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
                 if self._is_complete:
                     self._is_reusable = False
@@ -267,6 +288,9 @@
                     return
             self._received_bytes += len(data)
             data = b""
+            if self._sink is None:
+                # The sink gave up the response while its last bytes were parsed.
+                return
             if self._is_complete:
                 self._finish_exchange()
             elif self._received_bytes > MAX_OVERHEAD_BYTES + 2 * self._delivered_bytes:
@@ -291,7 +315,10 @@
             self._is_reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
+        """Add a header; refuse too many."""
+        self._header_count += 1
+        if self._header_count > MAX_HEADERS:
+            raise ResponseLimitError(f"over {MAX_HEADERS} headers")
         if not self._is_complete:
             self._headers.add(name.decode("latin-1"), value.decode("latin-1").strip())
 
@@ -326,6 +353,11 @@
         if self._is_head_read and not self._is_skipping:
             self._is_complete = True
             return
+        self._discarded_responses += 1
+        if self._discarded_responses > MAX_DISCARDED_RESPONSES:
+            raise ResponseLimitError(
+                f"over {MAX_DISCARDED_RESPONSES} interim or other responses"
+            )
         # The response to the current request may follow in the same segment.
         self._headers = Headers()
         self._is_head_read = False
--- a/berylnotch/net/fetch.py
+++ b/berylnotch/net/fetch.py
@@ -14,6 +14,13 @@
 from berylnotch.util.address import Address
 from berylnotch.util.loop import Loop
 
+#: Default of the maximum size of a response body in bytes. Many calls may be in flight
+#: at the same time, and their responses are small.
+MAX_BODY_BYTES = 256 * 1024
+
+#: Maximum size, in bytes, of the body of a response that lists many entries.
+MAX_LIST_BYTES = 4 * 1024 * 1024
+
 
 class _Fetch(ResponseSink):
     """Collects one response and reports it or the failure."""
@@ -65,7 +72,7 @@
     request: HttpRequest,
     timeout_s: float,
     on_done: Callable[[HttpResponse | None, str], None],
-    max_bytes: int = 4 * 1024 * 1024,
+    max_bytes: int = MAX_BODY_BYTES,
 ) -> None:
     """Send a request on a new connection and collect the response.
 
@@ -82,7 +89,7 @@
     on_done : callable
         Called once with the response and an empty string, or with None and the reason
         of the failure.
-    max_bytes : int, default=4 MiB
+    max_bytes : int, default=256 KiB
         Maximum size of the response body in bytes.
     """
     connection = ClientConnection(loop, address, timeout_s, timeout_s)
--- a/tests/test_net/test_endless.py
+++ b/tests/test_net/test_endless.py
@@ -8,7 +8,13 @@
 
 import pytest
 
-from berylnotch.net.client import MAX_OVERHEAD_BYTES, ClientConnection, Failure
+from berylnotch.net.client import (
+    MAX_DISCARDED_RESPONSES,
+    MAX_HEADERS,
+    MAX_OVERHEAD_BYTES,
+    ClientConnection,
+    Failure,
+)
 from berylnotch.net.fetch import fetch
 from tests.fleet.processes import wait_until
 from tests.test_net.support import RawServer
@@ -29,6 +35,8 @@
     b"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 100\r\n\r\n" + b"x" * 100
 )
 
+INTERIM = b"HTTP/1.1 102 Processing\r\n\r\n"
+
 ENDLESS_RESPONSES = {
     "garbage": (b"", b"\x00\xff" * (PIECE_BYTES // 2)),
     "head": (b"HTTP/1.1 200 OK\r\n", b"X-Filler: yes\r\n" * (PIECE_BYTES // 15)),
@@ -89,6 +97,43 @@
     assert sink.result is Failure.BROKEN
 
 
+@pytest.mark.parametrize(
+    ("first", "count", "result"),
+    [
+        (b"A: b\r\n", MAX_HEADERS - 2, "complete"),
+        (b"A: b\r\n", MAX_HEADERS - 1, Failure.BROKEN),
+        (INTERIM, MAX_DISCARDED_RESPONSES, "complete"),
+        (INTERIM, MAX_DISCARDED_RESPONSES + 1, Failure.BROKEN),
+    ],
+)
+def test_headers_and_interim_responses_are_limited_in_number(
+    loop, first, count, result
+):
+    # Each header takes many times the memory of its bytes, and each head some time.
+    if first == INTERIM:
+        pieces = [first * count, COMPLETE]
+    else:
+        pieces = [COMPLETE.replace(b"\r\nId", b"\r\n" + first * count + b"Id", 1)]
+    sink, _ = send_request(loop, pieces)
+    assert sink.result == result
+
+
+def test_a_response_that_is_given_up_while_its_end_is_parsed_is_no_error(loop):
+    server = RawServer(COMPLETE)
+    connection = ClientConnection(loop, server.address, 5.0, 5.0)
+    sink = Sink()
+
+    def give_up(data):
+        connection.close()
+        sink.done.set()
+
+    sink.on_body = give_up
+    loop.call_soon(lambda: connection.send(REQUEST, sink))
+    assert sink.done.wait(5)
+    wait_until(lambda: connection.is_closed, "the end of the connection")
+    assert sink.result is None
+
+
 def test_bytes_after_a_complete_response_do_not_change_it(loop):
     endless = EndlessResponse(COMPLETE, b"more" * (PIECE_BYTES // 4))
     sink, connection = send_request(loop, endless)
