entry: a probe with an unusable answer does not block its target for good

Callers saw nothing yet: found while reading what ends an attempt. A probe of an ejected target whose answer has no stamp, is a refusal without a promise, or is given up, ended neither as success nor as failure nor as abandoned, so that the target counted as being probed for ever and got no request any more.

Change: the end of each attempt that was not counted ends its probe. Test: both cases failed before.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -621,6 +621,8 @@
     ) -> None:
         self._count_result(end.value.replace(" ", "-"))
         self._take_body()
+        # A probe whose outcome was not counted must not keep the target blocked.
+        self._target.ejection.on_abandoned(self._attempt_id)
         status = self._head.status if self._head else 0
         result = AttemptResult(
             self._target,
