--- a/tests/test_daemon/test_fleet_watch.py
+++ b/tests/test_daemon/test_fleet_watch.py
@@ -67,7 +67,7 @@
 def _watch(monkeypatch, log=None):
     requests, pages, lists, timers = [], [], [], TimerRecorder()
 
-    def fetch(loop, address, request, timeout_s, on_done):
+    def fetch(loop, address, request, timeout_s, on_done, max_bytes):
         requests.append((request.target, on_done))
 
     monkeypatch.setattr(watch_module, "fetch", fetch)
