entry: an attempt that ends during a migration of its run is released once

A response that is given up while its run migrates released its target again when the migration ended, so that the target seemed to have fewer requests than it has, and its call to stop the run was forgotten. The memory of a stream stayed counted after its last event.

Change: the end of an attempt cancels its migration, and keeps that a stop is unanswered; the memory of a stream follows what waits.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -68,7 +68,7 @@
 MAX_MIGRATION_TARGETS = 2
 
 
-class PauseReason(Enum):
+class ReadPause(Enum):
     """Reason why the response of a target is not read."""
 
     #: The caller reads more slowly than events arrive.
@@ -119,11 +119,11 @@
             context.loop,
             routed.caller.output_tokens,
             self._on_events,
-            lambda is_paused: self._set_paused(PauseReason.PROCESSING, is_paused),
+            lambda is_paused: self._set_paused(ReadPause.PROCESSING, is_paused),
         )
         self._body = bytearray()
         self._held: HeldResponse | None = None
-        self._pause_reasons: set[PauseReason] = set()
+        self._pause_reasons: set[ReadPause] = set()
         self._sent_at = 0.0
         self._last_event_at = 0.0
         self._has_ended = False
@@ -157,13 +157,13 @@
 
     def pause(self) -> None:
         """Stop reading the response while the caller is congested (backpressure)."""
-        self._set_paused(PauseReason.CALLER, True)
+        self._set_paused(ReadPause.CALLER, True)
 
     def resume(self) -> None:
         """Continue to read the response after `pause`."""
-        self._set_paused(PauseReason.CALLER, False)
+        self._set_paused(ReadPause.CALLER, False)
 
-    def _set_paused(self, reason: PauseReason, is_paused: bool) -> None:
+    def _set_paused(self, reason: ReadPause, is_paused: bool) -> None:
         """Pause the response for a reason, or remove a reason to pause."""
         if self._connection is None or self._has_ended:
             return
@@ -191,8 +191,6 @@
         else:
             self._target.ejection.on_abandoned(self._attempt_id)
         self._count_result("overdue" if is_overdue else "cancelled")
-        if self._migration is not None:
-            self._migration.cancel()
         self._release_target()
         self._take_body()
         self._connection.close()
@@ -201,7 +199,7 @@
         """End the attempt of a repeatable request if its response is overdue."""
         if self._has_ended or not self._routed.route.is_retryable:
             return
-        if self._migration is not None or PauseReason.MEMORY in self._pause_reasons:
+        if self._migration is not None or ReadPause.MEMORY in self._pause_reasons:
             self._context.loop.call_later(MIGRATION_RETRY_S, self.check_overdue)
             return
         route, now = self._routed.route, boot_time()
@@ -347,15 +345,13 @@
             return
         self._reading.on_processed(self._sent_at)
         self._stream.feed(data)
-        if not self._has_ended and self._stream.held_bytes:
-            self._hold(self._stream.held_bytes)
 
     def _hold(self, size_bytes: int) -> None:
         """Account for the memory of the bytes that wait here."""
         if self._held is None:
             self._held = self._context.response_memory.open(
                 self._target.target_id,
-                lambda is_paused: self._set_paused(PauseReason.MEMORY, is_paused),
+                lambda is_paused: self._set_paused(ReadPause.MEMORY, is_paused),
                 lambda: self._abort("no memory for the response", is_failure=False),
             )
         self._held.resize(size_bytes)
@@ -376,6 +372,10 @@
             self._owner.on_event(event.data, event.number)
             if self._has_ended:
                 return
+        if self._held is not None or self._stream.held_bytes:
+            self._hold(self._stream.held_bytes)
+        if self._has_ended:
+            return
         if self._stream.problem:
             self._abort(self._stream.problem)
         elif self._target.is_emptying or self._target.is_leaving:
@@ -508,8 +508,7 @@
 
     def _on_migration_end(self, stopped_run: StoppedRun | None) -> None:
         migration, self._migration = self._migration, None
-        if migration.has_unanswered_stop:
-            self._owner.unanswered_stops.add(self._target.target_id)
+        self._note_unanswered_stop(migration)
         if stopped_run is not None:
             self._record_success()
             self._release_target()
@@ -519,6 +518,10 @@
         if migration.on_stream_end is not None:
             migration.on_stream_end()
 
+    def _note_unanswered_stop(self, migration: RunMigration) -> None:
+        if migration.has_unanswered_stop:
+            self._owner.unanswered_stops.add(self._target.target_id)
+
     def _on_refusal(self, status: int, has_expired: bool) -> None:
         """Back off from a target that refused the request without running it.
 
@@ -598,6 +601,11 @@
 
     def _release_target(self) -> None:
         self._has_ended = True
+        if self._migration is not None:
+            # The run has ended otherwise, so the outcome of the migration is void.
+            migration, self._migration = self._migration, None
+            self._note_unanswered_stop(migration)
+            migration.cancel()
         self._target.in_flight -= 1
         self._target.long_in_flight -= self._is_long
         if self._target.is_emptying and not self._target.long_in_flight:
