server: the whole answers that a router of berylnotchd holds have a limit together

Each answer is bound by 8 MiB and each target by its requests in flight, but nothing bounds the sum.

Change: ResponseMemory counts and pauses them, by 0.4 of the new setting 'memory'; what is paused waits in curl, 64 KiB.

The fakes of test_runner.py have the new fields.

--- a/berylnotch/entry/context.py
+++ b/berylnotch/entry/context.py
@@ -19,7 +19,11 @@
 from berylnotch.entry.targets import Target, TargetTable
 from berylnotch.membership.announced_weights import AnnouncedWeights
 from berylnotch.membership.departure import StopSchedule
-from berylnotch.net.response_memory import ResponseMemory, response_limits
+from berylnotch.net.response_memory import (
+    DEFAULT_MEMORY_MB,
+    ResponseMemory,
+    response_limits,
+)
 from berylnotch.placement.cache_model import CacheModel
 from berylnotch.placement.costs import (
     DEFAULT_COPY_TOKENS_PER_MS,
@@ -29,7 +33,7 @@
 )
 from berylnotch.routing.model import Service
 from berylnotch.routing.table import RouteTable
-from berylnotch.settings.fleet import DEFAULT_MEMORY_MB, FleetSettings
+from berylnotch.settings.fleet import FleetSettings
 from berylnotch.util.clock import boot_time
 from berylnotch.util.lines import EventLog
 from berylnotch.util.loop import Loop
--- a/berylnotch/net/response_memory.py
+++ b/berylnotch/net/response_memory.py
@@ -30,6 +30,9 @@
 #: Size in bytes up to which a response is never paused. It holds almost all responses.
 SMALL_RESPONSE_BYTES = 256 * 1024
 
+#: Memory in megabytes that a process may use if the settings state none.
+DEFAULT_MEMORY_MB = 256
+
 #: Megabyte as in settings, in bytes.
 _MB = 1_000_000
 
@@ -90,6 +93,11 @@
         """Set the number of bytes held, which may pause or evict a response."""
         self._memory._resize(self, size_bytes)
 
+    def complete(self) -> None:
+        """Record that the response is whole and waits for its caller."""
+        self._is_complete = True
+        self._memory._update_pauses()
+
     def close(self) -> None:
         """Free the memory; further calls have no effect."""
         self._memory._remove(self)
--- a/berylnotch/server/context.py
+++ b/berylnotch/server/context.py
@@ -7,10 +7,11 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
-from attrs import define, evolve, field
+from attrs import Factory, define, evolve, field
 
 from berylnotch.control.protocol import WhyReply
 from berylnotch.entry.answer_times import AnswerTimes
+from berylnotch.net.response_memory import ResponseMemory, response_limits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -81,6 +82,12 @@
     metrics: Metrics
     incarnation: str
     send_heartbeat_soon: Callable[[], None]
+    response_memory: ResponseMemory = field(
+        default=Factory(
+            lambda self: ResponseMemory(response_limits(self.settings.memory_mb)),
+            takes_self=True,
+        )
+    )
     decisions: Decisions = field(factory=Decisions)
     jobs: set[Job] = field(factory=set)
     answer_times: AnswerTimes = field(factory=AnswerTimes)
--- a/berylnotch/server/engine.py
+++ b/berylnotch/server/engine.py
@@ -301,7 +301,9 @@
             return
         job.has_ended = True
         self._context.jobs.discard(job)
-        if not job.caller.is_sent:
+        if job.caller.is_sent:
+            self._runner.free_response(job)
+        else:
             self._closing_jobs.add(job)
         # Dispatch to the freed slot after the current call returns, because the call
         # may come from an admission queue that is being processed.
@@ -309,9 +311,10 @@
 
     def _tick(self) -> None:
         self._check_view_freshness()
-        self._closing_jobs = {
-            job for job in self._closing_jobs if not job.caller.is_sent
-        }
+        sent_jobs = {job for job in self._closing_jobs if job.caller.is_sent}
+        self._closing_jobs -= sent_jobs
+        for job in sent_jobs:
+            self._runner.free_response(job)
         self._admission.refuse_expired()
         if self._context.stop is not None:
             self._admission.refuse_late()
--- a/berylnotch/server/job.py
+++ b/berylnotch/server/job.py
@@ -12,6 +12,7 @@
     from berylnotch.fleet.model import Organisation, Route, Service
     from berylnotch.gateways.transfers import Transfer
     from berylnotch.membership.targets import Dispatch
+    from berylnotch.net.response_memory import HeldResponse
     from berylnotch.placement.placer import Prompt
     from berylnotch.server.caller import CallerConnection
     from berylnotch.server.intake import CallerRequest, LanguageCall
@@ -30,6 +31,8 @@
     dispatch: Dispatch
     transfer: Transfer | None = None
     head: ResponseHead | None = None
+    #: Memory of a response that is buffered.
+    held: HeldResponse | None = None
 
 
 @define(eq=False)
--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -233,7 +233,14 @@
         self._context.crash_guard.on_request_started(job.fingerprint, name)
         self._selector.record_sent(job, choice)
         attempt = Attempt(action.number, name, dispatch)
+        self.free_response(job)
         job.attempt = attempt
+        if not job.is_stream:
+            attempt.held = self._context.response_memory.open(
+                name,
+                lambda is_paused: self._hold_back(attempt, is_paused),
+                lambda: self._give_up(job, attempt),
+            )
         actions = job.exchange.attempt_started(
             now, action.number, name, choice.ranked.weights
         )
@@ -252,13 +259,32 @@
             attempt.head = read_head(lines)
             self._accounting.on_head(attempt)
         except InvalidResponseError:
-            end = UpstreamEnd(complete=False, sent=True)
-            self._context.upstreams.cancel(attempt.transfer)
-            actions = job.exchange.on_transfer_end(now, attempt.number, end)
-        else:
-            actions = job.exchange.on_response_head(now, attempt.number, attempt.head)
+            self._give_up(job, attempt)
+            return
+        actions = job.exchange.on_response_head(now, attempt.number, attempt.head)
         self.perform(job, actions)
 
+    def _give_up(self, job: Job, attempt: Attempt) -> None:
+        """End an attempt whose response cannot be used or held."""
+        end = UpstreamEnd(complete=False, sent=True)
+        self._context.upstreams.cancel(attempt.transfer)
+        now = time.monotonic()
+        self.perform(job, job.exchange.on_transfer_end(now, attempt.number, end))
+
+    def _hold_back(self, attempt: Attempt, is_paused: bool) -> None:
+        """Pause a buffered response while memory is scarce."""
+        if attempt.transfer is None:
+            return
+        if is_paused:
+            self._context.upstreams.pause(attempt.transfer)
+        else:
+            self._context.upstreams.resume(attempt.transfer)
+
+    def free_response(self, job: Job) -> None:
+        """Free the memory of a job's response."""
+        if job.attempt is not None and job.attempt.held is not None:
+            job.attempt.held.close()
+
     def _on_body(self, job: Job, attempt: Attempt, data: bytes) -> None:
         now = time.monotonic()
         self._context.health.first_token(attempt.dispatch)
@@ -266,17 +292,26 @@
         # checks the view's freshness runs.
         self._check_freshness()
         self.perform(job, job.exchange.on_response_chunk(now, attempt.number, data))
+        if attempt.held is not None:
+            is_current = job.attempt is attempt
+            attempt.held.resize(job.exchange.buffered_bytes if is_current else 0)
         if job.caller.is_full:
             self.pause(job, PauseReason.CALLER)
 
     def _on_end(self, job: Job, attempt: Attempt, end: TransferEnd) -> None:
         upstream_end = UpstreamEnd(complete=not end.error, sent=end.sent)
+        if attempt.held is not None:
+            if end.error:
+                attempt.held.close()
+            else:
+                attempt.held.complete()
         self._check_freshness()
         now = time.monotonic()
         actions = job.exchange.on_transfer_end(now, attempt.number, upstream_end)
         self.perform(job, actions)
 
     def _cancel_upstream(self, job: Job) -> None:
+        self.free_response(job)
         attempt = job.attempt
         if attempt is not None and attempt.transfer is not None:
             self._context.upstreams.cancel(attempt.transfer)
--- a/berylnotch/settings/fleet.py
+++ b/berylnotch/settings/fleet.py
@@ -10,15 +10,13 @@
 from attrs import field, frozen
 
 from berylnotch.errors import ConfigurationError
+from berylnotch.net.response_memory import DEFAULT_MEMORY_MB
 from berylnotch.util.address import Address, parse_address
 
 #: Default for the calls per second that the platform allows for the list of targets.
 #: It is the rate of the users' smallest deployment.
 DEFAULT_LIST_RATE = 40.0
 
-#: Memory in megabytes that a process may use if the settings state none.
-DEFAULT_MEMORY_MB = 256.0
-
 #: Smallest memory in megabytes that a process can work with.
 MIN_MEMORY_MB = 64.0
 
--- a/berylnotch/settings/router.py
+++ b/berylnotch/settings/router.py
@@ -8,6 +8,7 @@
 from berylnotch.admission.settings import AdmissionSettings
 from berylnotch.fleet import values
 from berylnotch.membership.settings import MembershipSettings
+from berylnotch.net.response_memory import DEFAULT_MEMORY_MB
 from berylnotch.placement.settings import PlacementSettings
 from berylnotch.quota.settings import QuotaSettings
 from berylnotch.settings.base import (
@@ -76,6 +77,14 @@
         "longest request body",
         "8192 KiB",
     ),
+    ProcessSetting(
+        "router",
+        "memory",
+        values.quantity("MB", 64, 65536),
+        "MB, 64 to 65536",
+        "how much of answers is held: 0.4 of it",
+        f"{DEFAULT_MEMORY_MB} MB",
+    ),
     ProcessSetting(
         "router",
         "target-credential-file",
@@ -121,6 +130,8 @@
         without a message from the leader.
     max_body_bytes : int
         Largest request body, in bytes.
+    memory_mb : int
+        Memory, in megabytes, that the process may use.
     target_credential : str
         Credential sent to targets; empty for none.
     stop_limit_s : float
@@ -137,6 +148,7 @@
     routers: tuple[ControllerAddress, ...] = ()
     freshness_lease_s: float = 2.0
     max_body_bytes: int = 8 * 1024 * 1024
+    memory_mb: int = DEFAULT_MEMORY_MB
     target_credential: str = field(default="", repr=False)
     stop_limit_s: float = 600.0
     admission: AdmissionSettings = Factory(AdmissionSettings)
@@ -168,6 +180,7 @@
         routers=content.routers,
         freshness_lease_s=settings["freshness_lease"],
         max_body_bytes=settings["max_body"] * 1024,
+        memory_mb=settings["memory"],
         target_credential=read_credential(settings["target_credential_file"]),
         stop_limit_s=settings["stop_limit"],
     )
--- a/tests/fleet/endless.py
+++ b/tests/fleet/endless.py
@@ -13,10 +13,10 @@
 #: if its connection is still open, both in bytes.
 PIECE_BYTES, MAX_SENT_BYTES = 64 * 1024, 256 * 1024 * 1024
 
-_ID = re.compile(rb"\r\nBerylnotch-Request-Id: ([^\r]*)\r\n", re.IGNORECASE)
+_ID = re.compile(rb"\r\n(?:Berylnotch|X)-Request-Id: ([^\r]*)\r\n", re.IGNORECASE)
 
 #: Head of an answer to a request; the text after the status line follows it.
-_HEAD = "HTTP/1.1 {status} X\r\nBerylnotch-Request-Id: {id}\r\n"
+_HEAD = "HTTP/1.1 {status} X\r\nBerylnotch-Request-Id: {id}\r\nX-Request-Id: {id}\r\n"
 _HEAD += "Berylnotch-Server-Stamp: stamp\r\n{more}"
 _STREAM = "Content-Type: text/event-stream\r\n\r\n"
 
--- a/tests/test_server/test_runner.py
+++ b/tests/test_server/test_runner.py
@@ -13,6 +13,7 @@
 import pytest
 
 from berylnotch.entry.answer_times import AnswerTimes
+from berylnotch.net.response_memory import ResponseMemory, response_limits
 from berylnotch.server.delivery import Delivery
 from berylnotch.server.runner import Runner
 from berylnotch.streams.actions import (
@@ -124,7 +125,9 @@
         caller=FakeCaller(),
         exchange=FinishedExchange(),
         attempt=SimpleNamespace(
-            target="sake-1", dispatch=SimpleNamespace(sent_at=time.monotonic())
+            target="sake-1",
+            dispatch=SimpleNamespace(sent_at=time.monotonic()),
+            held=None,
         ),
         fingerprint=b"f",
         timer=None,
@@ -289,6 +292,7 @@
     state.context.health.record_sent = lambda *_: None
     state.context.crash_guard.on_request_started = lambda *_: None
     state.context.upstreams = SimpleNamespace(start=lambda *_: None)
+    state.context.response_memory = ResponseMemory(response_limits(64))
     job.exchange.attempt_started = lambda *_: ()
     runner.perform(job, [StartAttempt(1, frozenset(), 0, "")])
     assert timeouts[0] > job.deadline - now + 1.0
