entry: a kept connection is read again after a response that was paused at its end

Callers saw: after a stream whose last events were handled later than its last bytes were read, the next request on the same connection got no answer (504). Found in the review of the limit on work, which pauses such streams; a caller that reads slowly leaves a kept connection paused in the same way in (by reading and by the unit test).

Change: a connection that is kept is read, and the end of a stream comes after the end of its pause. Tests: the two without processes and the one with a fleet (504 at the second stream of 300 events) failed before.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -56,7 +56,8 @@
 MISDIRECTED_BACKOFF_S = 0.4
 
 #: Seconds until the next attempt to migrate a run that no engine has taken over. Also
-#: the interval of the timeout check while a migration is in progress.
+#: the interval of the timeout check while a migration is in progress, or while the
+#: response waits for memory.
 MIGRATION_RETRY_S = 0.8
 
 #: Interval in seconds at which a router that stops, or has no retry left, checks again
--- a/berylnotch/entry/stream_intake.py
+++ b/berylnotch/entry/stream_intake.py
@@ -135,8 +135,7 @@
         self._process()
         if self._is_closed or self._splitter.has_event:
             return
+        self._set_paused(False)
         on_processed, self._on_processed = self._on_processed, None
         if on_processed is not None:
             on_processed()
-        else:
-            self._set_paused(False)
--- a/berylnotch/entry/targets.py
+++ b/berylnotch/entry/targets.py
@@ -363,6 +363,8 @@
         if target.is_leaving or target.target_id not in self._targets:
             connection.close()
         elif connection.is_reusable:
+            # The response that was paused has ended.
+            connection.resume()
             target.idle.append(connection)
             while len(target.idle) > self._max_idle(target):
                 target.idle.popleft().close()
--- a/berylnotch/net/client.py
+++ b/berylnotch/net/client.py
@@ -154,6 +154,11 @@
         """Whether the current request is not the first on this connection."""
         return self._request_count > 1
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether responses are not read."""
+        return self._is_paused
+
     @property
     def has_sent(self) -> bool:
         """Whether a byte of the current request has been written to the socket."""
--- a/tests/test_daemon/test_endless_answers.py
+++ b/tests/test_daemon/test_endless_answers.py
@@ -164,3 +164,16 @@
     sizes = [(a.status, len(a.body)) if a is not None else None for a in answers]
     assert sizes == [(200, LARGE_BYTES)] * REQUESTS
     assert peak_memory_mb(router) < MEMORY_MB and longest_s < MAX_OTHER_S
+
+
+def test_kept_connections_serve_after_streams_of_many_events(fleet, platform):
+    # The end of such a stream is handled later than its last bytes are read.
+    engine = platform.targets["llm-1"]
+    engine.events = 300
+    router = start(fleet)
+    for number in range(20):
+        sent_at = time.monotonic()
+        answer = fleet.ask(router, "/chat/x", f"chat-{number}")
+        assert answer.status == 200 and answer.is_whole
+        assert answer.body.count(b"data:") == 300
+        assert time.monotonic() - sent_at < MAX_OTHER_S
--- a/tests/test_entry/test_kept_connections.py
+++ b/tests/test_entry/test_kept_connections.py
@@ -48,3 +48,11 @@
     set_max_connections(context, 0)
     context.set_router_count(500)
     assert keep_many(context) == context.settings.max_idle_connections
+
+
+def test_a_connection_whose_response_was_paused_at_its_end_is_read_again(context):
+    # A caller that reads slowly pauses the response, whose last bytes are read already.
+    connection = IdleConnection(context.loop, Address("127.0.0.1", 9), 1.0, 1.0)
+    connection.pause()
+    context.targets.keep(context.targets.get("e"), connection)
+    assert not connection.is_paused
--- a/tests/test_entry/test_stream_intake.py
+++ b/tests/test_entry/test_stream_intake.py
@@ -79,7 +79,7 @@
     assert reader.intake.call_when_processed(lambda: ends.append(len(reader.events)))
     for _ in range(5):
         reader.loop.run_turn()
-    assert ends == [2 * MAX_EVENTS_PER_TURN + 1]
+    assert ends == [2 * MAX_EVENTS_PER_TURN + 1] and not reader.is_paused
     assert not reader.intake.call_when_processed(lambda: ends.append(0))
 
 
