entry: a stream is processed once an iteration of the loop, and has few comments between its events

Cause: the loop runs queued calls several times in an iteration, so each stream had several turns; and 8 KiB of comments are 2,700 tiny ones. The callers of the test also decoded thousands of chunks in the process that measures; they read bytes now.

--- a/berylnotch/entry/stream_intake.py
+++ b/berylnotch/entry/stream_intake.py
@@ -15,9 +15,9 @@
 #: loop.
 MAX_EVENTS_PER_TURN = 32
 
-#: Maximum number of bytes of comments between two events. Comments only keep a
-#: connection alive.
-MAX_COMMENT_BYTES = 8 * 1024
+#: Maximum number and size in bytes of the comments between two events. Comments only
+#: keep a connection alive.
+MAX_COMMENTS, MAX_COMMENT_BYTES = 500, 8 * 1024
 
 #: Factor and offset of the largest number of events, from the number of output tokens
 #: that the caller allows. An event has one token or more, but servers may add others.
@@ -57,7 +57,7 @@
         self._is_scheduled = False
         self._is_closed = False
         self._event_count = 0
-        self._comment_bytes = 0
+        self._comment_count = self._comment_bytes = 0
         self._on_processed: Callable[[], None] | None = None
 
     @property
@@ -78,6 +78,8 @@
     @property
     def problem(self) -> str:
         """Why the bytes are not a stream, empty if they may be one."""
+        if self._comment_count > MAX_COMMENTS:
+            return f"over {MAX_COMMENTS} comments without an event"
         if self._comment_bytes > MAX_COMMENT_BYTES:
             return f"over {MAX_COMMENT_BYTES} bytes of comments without an event"
         if self._is_counted and self._event_count > self._max_events:
@@ -110,8 +112,9 @@
         """Count an event or a comment."""
         if event.is_progress:
             self._event_count += 1
-            self._comment_bytes = 0
+            self._comment_count = self._comment_bytes = 0
         else:
+            self._comment_count += 1
             self._comment_bytes += len(event.data)
 
     def close(self) -> None:
@@ -128,6 +131,10 @@
             self._loop.call_soon(self._continue)
 
     def _continue(self) -> None:
+        if self._turn == self._loop.turn and not self._is_closed:
+            # The loop runs queued calls several times in an iteration.
+            self._loop.call_soon(self._continue)
+            return
         self._is_scheduled = False
         if self._is_closed:
             return
--- a/tests/test_daemon/test_endless_answers.py
+++ b/tests/test_daemon/test_endless_answers.py
@@ -4,13 +4,21 @@
 runs out of memory, and the requests of other callers end with it.
 """
 
+import socket
 import threading
 import time
 
 import pytest
 
 from tests.fleet.endless import ENDLESS, RawTarget, endless_answer, large_answer
-from tests.fleet.processes import FleetOfProcesses, configuration, wait_until
+from tests.fleet.platform import MODEL
+from tests.fleet.processes import (
+    KEY,
+    Answer,
+    FleetOfProcesses,
+    configuration,
+    wait_until,
+)
 
 #: Memory in megabytes that the settings grant a router.
 MEMORY_MB = 256
@@ -83,12 +91,12 @@
     answers = []
 
     def ask(number):
-        options = {"deadline_ms": "8000"}
-        if path.startswith("/stream/"):
-            options["Berylnotch_Token_Count"] = "30,20"
-            options["Berylnotch_Prefix_Hash"] = "aa01:20,bb02:10"
         request_id = f"f-{number}"
-        answers.append(fleet.ask(router, path, request_id, "GET", **options))
+        answers.append(
+            fleet.ask(router, path, request_id, "GET", deadline_ms="8000")
+            if not path.startswith("/stream/")
+            else ask_stream(router, path, request_id)
+        )
 
     threads = [threading.Thread(target=ask, args=(n,)) for n in range(count)]
     for thread in threads:
@@ -96,6 +104,27 @@
     return threads, answers
 
 
+def ask_stream(router, path, request_id):
+    """Ask for a stream; return its answer with the body as it was sent.
+
+    Decoding thousands of chunks in this process would delay the other requests.
+    """
+    request = (
+        f"POST {path} HTTP/1.1\r\nHost: app.example\r\nConnection: close\r\n"
+        f"Authorization: Bearer {KEY}\r\nBerylnotch-Request-Id: {request_id}\r\n"
+        f"Berylnotch-Deadline-Ms: 8000\r\nBerylnotch-Model: {MODEL}\r\n"
+        "Berylnotch-Token-Count: 30,20\r\nBerylnotch-Prefix-Hash: aa:20,bb:10\r\n"
+        "Content-Length: 0\r\n\r\n"
+    )
+    data = bytearray()
+    with socket.create_connection((router.ip, router.port), timeout=10) as sock:
+        sock.sendall(request.encode())
+        while piece := sock.recv(65536):
+            data += piece
+    is_whole = b"Content-Length" in data or data.endswith(b"\r\n0\r\n\r\n")
+    return Answer(int(data.split()[1]), None, bytes(data), is_whole)
+
+
 def serve_others(fleet, router, is_over):
     """Send requests to a sound target until a condition; return the longest time."""
     longest_s = 0.0
--- a/tests/test_entry/test_stream_intake.py
+++ b/tests/test_entry/test_stream_intake.py
@@ -11,6 +11,7 @@
     ADDITIONAL_EVENTS,
     EVENTS_PER_TOKEN,
     MAX_COMMENT_BYTES,
+    MAX_COMMENTS,
     MAX_EVENTS_PER_TURN,
     StreamIntake,
 )
@@ -27,6 +28,9 @@
 
     def run_turn(self):
         self.turn += 1
+        self.run_calls()
+
+    def run_calls(self):
         calls, self.calls = self.calls, []
         for call in calls:
             call()
@@ -73,6 +77,15 @@
     assert len(reader.events) == MAX_EVENTS_PER_TURN and reader.is_paused
 
 
+def test_queued_calls_of_one_iteration_process_no_more_events():
+    reader = Intake()
+    reader.intake.feed(b"".join(numbered(4 * MAX_EVENTS_PER_TURN)))
+    for expected in (2, 3, 4):
+        reader.loop.run_turn()
+        reader.loop.run_calls()
+        assert len(reader.events) == expected * MAX_EVENTS_PER_TURN
+
+
 def test_the_end_waits_for_the_events_before_it():
     reader, ends = Intake(), []
     reader.intake.feed(b"".join(numbered(2 * MAX_EVENTS_PER_TURN + 1)))
@@ -101,11 +114,15 @@
             return
 
 
-def test_comments_without_an_event_are_no_stream():
+@pytest.mark.parametrize(
+    "comment", [b":\n\n", b": keep-alive\n\n", b":" * 2000 + b"\n\n"]
+)
+def test_comments_without_an_event_are_no_stream(comment):
     reader = Intake()
-    feed_all(reader, b": keep-alive\n\n", MAX_COMMENT_BYTES)
+    feed_all(reader, comment, MAX_COMMENT_BYTES)
     assert "comments" in reader.intake.problem
-    assert sum(map(len, reader.events)) < MAX_COMMENT_BYTES + 100
+    assert len(reader.events) <= MAX_COMMENTS + 1
+    assert sum(map(len, reader.events)) <= MAX_COMMENT_BYTES + len(comment)
 
 
 def test_comments_between_events_are_allowed():
