review: a reset answer without a length passes for whole

Cause: while a part of a request is unsent, the client connection meets a reset in send, which takes the error off the socket, and then reads the end of the stream as an orderly one.

--- /dev/null
+++ b/review/lib2/engine.py
@@ -0,0 +1,204 @@
+"""Stand-in for an engine: one process, one thread for each channel.
+
+    engine.py IP PORT ID MODE EVENTS
+
+It follows the users' pages: it echoes the request's id, stamps its answers, answers 421
+if another engine is expected, and streams events with increasing ids. MODE says what it
+does beside that. It appends a line to EVENTS for each request that it begins to run, as
+JSON.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import sys
+import threading
+import time
+
+IP, PORT, TARGET_ID, MODE, EVENTS = sys.argv[1:6]
+OPTIONS = dict(p.split("=") for p in MODE.split(",") if "=" in p)
+_mutex = threading.Lock()
+
+
+def note(**fields: object) -> None:
+    """Append a line to the file of events."""
+    fields["t"] = time.time()
+    fields["engine"] = TARGET_ID
+    line = (json.dumps(fields) + "\n").encode()
+    with _mutex:
+        descriptor = os.open(EVENTS, os.O_WRONLY | os.O_APPEND)
+        os.write(descriptor, line)
+        os.close(descriptor)
+
+
+class Channel:
+    """Channel of one caller."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.buffer = sock, b""
+
+    def read_head(self) -> tuple[str, str, dict[str, str]] | None:
+        """Read the head of a request; return None at the end of the channel."""
+        while b"\r\n\r\n" not in self.buffer:
+            data = self.sock.recv(2048)
+            if not data:
+                return None
+            self.buffer += data
+        head, _, self.buffer = self.buffer.partition(b"\r\n\r\n")
+        first, *lines = head.decode("latin-1").split("\r\n")
+        pairs = (line.partition(":") for line in lines)
+        headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
+        method, target, _ = first.split(" ")
+        return method, target, headers
+
+    def read_body(self, size: int) -> bytes:
+        """Read a body of a known size."""
+        parts, read = [self.buffer], len(self.buffer)
+        while read < size:
+            data = self.sock.recv(65536)
+            if not data:
+                raise OSError("closed within a body")
+            parts.append(data)
+            read += len(data)
+        whole = b"".join(parts)
+        self.buffer = whole[size:]
+        return whole[:size]
+
+    def send(self, data: bytes) -> None:
+        """Send bytes."""
+        self.sock.sendall(data)
+
+
+def head_of(headers: dict[str, str], status: str, **more: str) -> bytes:
+    """Head of an answer with what every engine answers."""
+    lines = [f"HTTP/1.1 {status}", f"Berylnotch-Instance-Id: {TARGET_ID}"]
+    if "berylnotch-request-id" in headers:
+        lines.append(f"Berylnotch-Request-Id: {headers['berylnotch-request-id']}")
+        lines.append(f"Berylnotch-Server-Stamp: stamp.{TARGET_ID}")
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in more.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def answer(channel: Channel, headers: dict, status: str, body: bytes, **more) -> None:
+    """Send a whole answer."""
+    channel.send(head_of(headers, status, Content_Length=str(len(body)), **more) + body)
+
+
+def whole_body(request_id: str) -> bytes:
+    """Return the answer of a plain service: 800 bytes that name the request."""
+    return (f"{request_id}:" + "".join(f"{n:07d} " for n in range(200)))[:800].encode()
+
+
+def serve(sock: socket.socket) -> None:
+    """Serve the requests of one channel."""
+    channel = Channel(sock)
+    try:
+        while (request := channel.read_head()) is not None:
+            if not serve_request(channel, *request):
+                return
+    except (OSError, ValueError):
+        return
+    finally:
+        sock.close()
+
+
+def serve_request(channel: Channel, method: str, target: str, headers: dict) -> bool:
+    """Serve one request; return whether the channel is kept."""
+    size = int(headers.get("content-length", "0"))
+    if target == "/healthz":
+        answer(channel, headers, "200 OK", b"")
+        return True
+    if target == "/report":
+        report = {
+            "id": TARGET_ID,
+            "stage": "both",
+            "busy": False,
+            "seqNo": 0,
+            "queued": 0,
+            "running": 0,
+            "kvUsed": 0,
+            "kvTotal": 154411,
+            "handles": 0,
+            "models": [{"name": "model-1", "version": 1, "adapters": []}],
+        }
+        answer(channel, headers, "200 OK", json.dumps(report).encode())
+        return True
+    if headers.get("berylnotch-expect-instance", TARGET_ID) != TARGET_ID:
+        channel.read_body(size)
+        answer(channel, headers, "421 Misdirected", b"", Berylnotch_Not_Executed="1")
+        return True
+    request_id = headers.get("berylnotch-request-id", "")
+    if not request_id:
+        channel.read_body(size)
+        answer(channel, headers, "400 Bad Request", b"", Berylnotch_Not_Executed="1")
+        return True
+    if size > 1_000_000 and MODE.startswith("early"):
+        return serve_early(channel, request_id, headers, size)
+    body = channel.read_body(size)
+    note(id=request_id, path=target)
+    if target.startswith("/chat/"):
+        return stream(channel, request_id, headers, body)
+    time.sleep(0.05)
+    answer(channel, headers, "200 OK", whole_body(request_id))
+    return True
+
+
+def serve_early(channel: Channel, request_id: str, headers: dict, size: int) -> bool:
+    """Answer before a long body is in, without a length, and read on later."""
+    note(id=request_id, path="early")
+    body = whole_body(request_id)
+    channel.send(head_of(headers, "200 OK", Content_Type="application/json"))
+    channel.send(body[:300])
+    note(id=request_id, path="half")
+    time.sleep(1.0)
+    channel.read_body(size)
+    channel.send(body[300:])
+    note(id=request_id, path="end")
+    return False
+
+
+def stream(channel: Channel, request_id: str, headers: dict, body: bytes) -> bool:
+    """Stream events; a request of the mode's kind ends the process on the way."""
+    begun_at = time.monotonic()
+    channel.send(
+        head_of(
+            headers,
+            "200 OK",
+            Content_Type="text/event-stream",
+            Transfer_Encoding="chunked",
+            Berylnotch_Weight_Versions="1",
+        )
+    )
+    for number in range(1, int(OPTIONS.get("events", "30")) + 1):
+        time.sleep(0.05)
+        crash_s = float(OPTIONS.get("crash", "inf"))
+        if b"crashes engines" in body and time.monotonic() - begun_at >= crash_s:
+            note(id=request_id, path="crash")
+            os.kill(os.getpid(), signal.SIGKILL)
+        event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+        channel.send(b"%x\r\n" % len(event) + event + b"\r\n")
+    channel.send(b"0\r\n\r\n")
+    note(id=request_id, path="end")
+    return True
+
+
+def main() -> None:
+    """Accept channels until the process is killed."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if "rcvbuf" in OPTIONS:
+        # A small window: a peer that does not read blocks the writer.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, int(OPTIONS["rcvbuf"]))
+    listener.bind((IP, int(PORT)))
+    listener.listen(256)
+    while True:
+        sock, _ = listener.accept()
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        threading.Thread(target=serve, args=(sock,), daemon=True).start()
+
+
+if __name__ == "__main__":
+    main()
