review: a stopped run goes on at the draining engine

Cause: a run that was stopped to be moved goes on at its source if the rest of its copy is refused, also if the source is leaving, and the next copy starts at its first event.

The stand-in of an engine copies and stops runs.

--- a/review/lib2/engine.py
+++ b/review/lib2/engine.py
@@ -3,9 +3,9 @@
     engine.py IP PORT ID MODE EVENTS
 
 It follows the users' pages: it echoes the request's id, stamps its answers, answers 421
-if another engine is expected, and streams events with increasing ids. MODE says what it
-does beside that. It appends a line to EVENTS for each request that it begins to run, as
-JSON.
+if another engine is expected, streams events with increasing ids, and copies and stops
+runs (`POST /kv-move`). MODE says what it does beside that. It appends a line to EVENTS
+for each request that it begins to run, as JSON.
 """
 
 from __future__ import annotations
@@ -23,6 +23,23 @@
 _mutex = threading.Lock()
 
 
+class Run:
+    """Run of a stream that can be copied and stopped."""
+
+    def __init__(self, made: int) -> None:
+        self.made = made
+        self.must_stop = False
+        self.has_ended = threading.Event()
+
+
+#: Runs by the id of their request, and handles that were used already.
+RUNS: dict[str, Run] = {}
+USED: set[str] = set()
+
+#: Times of the calls that copy or stop a run.
+MOVED_AT: list[float] = []
+
+
 def note(**fields: object) -> None:
     """Append a line to the file of events."""
     fields["t"] = time.time()
@@ -126,6 +143,12 @@
         }
         answer(channel, headers, "200 OK", json.dumps(report).encode())
         return True
+    if target == "/kv-move":
+        move(channel, headers, json.loads(channel.read_body(size)))
+        return True
+    if target.startswith("/kv-handle/"):
+        answer(channel, headers, "200 OK", b"")
+        return True
     if headers.get("berylnotch-expect-instance", TARGET_ID) != TARGET_ID:
         channel.read_body(size)
         answer(channel, headers, "421 Misdirected", b"", Berylnotch_Not_Executed="1")
@@ -138,7 +161,11 @@
     if size > 1_000_000 and MODE.startswith("early"):
         return serve_early(channel, request_id, headers, size)
     body = channel.read_body(size)
-    note(id=request_id, path=target)
+    origin = headers.get("kv-from", "")
+    if origin and not take_handle(origin, request_id):
+        answer(channel, headers, "503 No handle", b"", Berylnotch_Not_Executed="1")
+        return True
+    note(id=request_id, path=target, origin=origin)
     if target.startswith("/chat/"):
         return stream(channel, request_id, headers, body)
     time.sleep(0.05)
@@ -163,6 +190,60 @@
 def stream(channel: Channel, request_id: str, headers: dict, body: bytes) -> bool:
     """Stream events; a request of the mode's kind ends the process on the way."""
     begun_at = time.monotonic()
+    first = int(headers.get("last-event-id", "0")) + 1
+    run = RUNS[request_id] = Run(first - 1)
+    try:
+        return send_events(channel, request_id, headers, body, begun_at, first, run)
+    finally:
+        run.has_ended.set()
+        RUNS.pop(request_id, None)
+
+
+def take_handle(origin: str, request_id: str) -> bool:
+    """Tell whether a handle is of this request; it can be used once."""
+    handle = origin.partition("/")[2]
+    if handle in USED or handle.rpartition(".")[0] != request_id:
+        return False
+    USED.add(handle)
+    return True
+
+
+def move(channel: Channel, headers: dict, call: dict) -> None:
+    """Copy the memory of a run, and stop the run first if the call says so.
+
+    With ``full=S`` in the mode, the other engines have no room: for S seconds from the
+    first call on none for a copy, and then for a first copy and not for the rest.
+    """
+    run = RUNS.get(call["id"])
+    if run is None:
+        answer(channel, headers, "404 No such run", b"")
+        return
+    full_s = float(OPTIONS.get("full", "0"))
+    MOVED_AT.append(time.monotonic())
+    if not call["last"] and time.monotonic() < MOVED_AT[0] + full_s:
+        answer(channel, headers, "503 No room", b"")
+        return
+    if call["last"]:
+        run.must_stop = True
+        run.has_ended.wait(2.0)
+    is_refused = call["last"] and full_s > 0
+    handle = f"{call['id']}.{time.monotonic_ns()}"
+    values = {"handle": handle, "made": run.made}
+    status = "503 No room" if is_refused else "200 OK"
+    note(id=call["id"], path="stopped" if call["last"] else "copied", status=status)
+    answer(channel, headers, status, json.dumps(values).encode())
+
+
+def send_events(
+    channel: Channel,
+    request_id: str,
+    headers: dict,
+    body: bytes,
+    begun_at: float,
+    first: int,
+    run: Run,
+) -> bool:
+    """Send the events of a run, until it ends or is stopped."""
     channel.send(
         head_of(
             headers,
@@ -172,14 +253,18 @@
             Berylnotch_Weight_Versions="1",
         )
     )
-    for number in range(1, int(OPTIONS.get("events", "30")) + 1):
+    for number in range(first, int(OPTIONS.get("events", "30")) + 1):
         time.sleep(0.05)
+        if run.must_stop:
+            # The stream is closed without its end.
+            return False
         crash_s = float(OPTIONS.get("crash", "inf"))
         if b"crashes engines" in body and time.monotonic() - begun_at >= crash_s:
             note(id=request_id, path="crash")
             os.kill(os.getpid(), signal.SIGKILL)
         event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
         channel.send(b"%x\r\n" % len(event) + event + b"\r\n")
+        run.made = number
     channel.send(b"0\r\n\r\n")
     note(id=request_id, path="end")
     return True
--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -87,7 +87,7 @@
     """List of targets, which lags a little behind what the test sets."""
 
     def __init__(self, ip: str, lag_s: float = 0.8) -> None:
-        self._lag_s = lag_s
+        self.lag_s = lag_s
         self._mutex = threading.Lock()
         self._versions: list[tuple[float, bytes]] = [(0.0, _list_body([]))]
         platform = self
@@ -115,7 +115,7 @@
     def set_body(self, body: bytes) -> None:
         """Set the body that the list shows after its lag."""
         with self._mutex:
-            self._versions.append((time.monotonic() + self._lag_s, body))
+            self._versions.append((time.monotonic() + self.lag_s, body))
 
     def body(self) -> bytes:
         """Return what the list shows now."""
@@ -384,7 +384,9 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def configuration(version: int, llm: bool = True, **route: object) -> dict:
+def configuration(
+    version: int, llm: bool = True, moves: bool = False, **route: object
+) -> dict:
     """Return a configuration with a route of each kind."""
 
     def make_route(name: str, kind: str, service: str, **more: object) -> dict:
@@ -411,7 +413,7 @@
         "kvCapacityTokens": 154411,
         "tokenBytes": 35136,
         "linkMbps": 740000.0,
-        "moves": False,
+        "moves": moves,
         "backups": False,
         "stride": 4,
         "maxInflight": 12,
