review: scripts that fail by an error end with 2, and runs are bounded

Cause: an error that was not foreseen, and a signal, ended a script with 1 or left its processes; nothing bounded a run; only the shared harness read TROUBLE.

--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -48,6 +48,10 @@
 }
 
 
+#: Longest run of a case in seconds; the rest of 120 s is for the end of its processes.
+LONGEST_RUN_S = 105
+
+
 class CannotRunError(Exception):
     """The case could not be played, which says nothing about the rule."""
 
@@ -583,17 +587,32 @@
 
 
 def main(play) -> None:
-    """Play a case: exit with 1 if the rule was broken, 0 if it held, 2 otherwise."""
+    """Play a case: exit with 1 if the rule was broken, 0 if it held, 2 otherwise.
+
+    An error of the script, a signal and a run of over `LONGEST_RUN_S` say nothing about
+    the rule. Whatever happens, the processes that were started are ended.
+    """
     record = Record(Path(sys.argv[0]).resolve().parent / "record.txt")
     record(f"trouble: {has_trouble()}")
+
+    def on_signal(number: int, _frame: object) -> None:
+        raise CannotRunError(f"ended by {signal.Signals(number).name}")
+
+    ending = (signal.SIGTERM, signal.SIGINT, signal.SIGALRM)
+    for number in ending:
+        signal.signal(number, on_signal)
+    signal.alarm(LONGEST_RUN_S)
     code, fleet = 2, None
     try:
         fleet = Fleet(record)
         code = 1 if play(fleet, record) else 0
-    except CannotRunError as error:
-        record(f"the case could not run: {error}")
+    except Exception as error:
+        record(f"the case could not run: {error!r}")
     finally:
+        for number in ending:
+            signal.signal(number, signal.SIG_IGN)
         if fleet is not None:
             fleet.close()
         record(f"exit code {code}")
-    sys.exit(code)
+    # Threads may still wait for answers of processes that have ended.
+    os._exit(code)
