net: a response that ends before the request is sent is incomplete

Callers got a part of an answer as a complete one: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. A stream without a length ended as complete before its last event in the same way.

Cause: such a response ends with its connection, so the client has to tell a reset from an orderly end. The kernel reports a reset once. While a part of the request is unsent, the call that sends meets it first, and the call that receives then finds an end without an error. A target that ends with an empty receive buffer looks the same a moment earlier: its kernel closes in order, and resets when the rest of the request arrives.

Change: the end of a connection completes a response without a length only if the whole request has been received by the target's kernel, and no call to send has failed. Responses with a length or in chunks prove their own end, so they are still delivered after a reset.

--- a/berylnotch/net/client.py
+++ b/berylnotch/net/client.py
@@ -15,7 +15,7 @@
 
 from berylnotch.errors import GatewayError
 from berylnotch.net.messages import Headers, HttpRequest
-from berylnotch.net.sockets import connect, is_local_error
+from berylnotch.net.sockets import connect, is_local_error, unacknowledged_bytes
 from berylnotch.util.address import Address
 from berylnotch.util.clock import boot_time
 from berylnotch.util.loop import Loop, Timer
@@ -119,6 +119,7 @@
         self._is_connected = False
         self._is_closed = False
         self._has_sent = False
+        self._has_send_failed = False
         self._request_count = 0
         self._is_reusable = True
         self._is_paused = False
@@ -251,6 +252,7 @@
         except (BlockingIOError, InterruptedError):
             pass
         except OSError as error:
+            self._has_send_failed = True
             if self._is_connected:
                 # The target may have sent its response before it stopped reading.
                 self._receive()
@@ -323,10 +325,27 @@
         if sink is None or not is_close_delimited or self._is_skipping:
             self._fail("closed by the target")
             return
+        if self._is_request_cut():
+            self._fail("closed by the target before it received the whole request")
+            return
         self._sink = None
         self._close()
         sink.on_complete()
 
+    def _is_request_cut(self) -> bool:
+        """Tell whether the connection ended while a part of the request was unsent.
+
+        The socket reports a reset only once, to the call that sends if that comes
+        first, and then ends like a closed one. A target that ends before it received
+        the request resets the connection as soon as the rest arrives. In neither case
+        does the end of the connection prove the end of the response.
+        """
+        return (
+            self._has_send_failed
+            or bool(self._output)
+            or unacknowledged_bytes(self._sock) > 0
+        )
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
--- a/berylnotch/net/sockets.py
+++ b/berylnotch/net/sockets.py
@@ -4,9 +4,11 @@
 
 import ctypes
 import errno
+import fcntl
 import selectors
 import socket
 import struct
+import termios
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -60,6 +62,12 @@
 )
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many bytes in the send buffer the peer's kernel has not received."""
+    size = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(struct.calcsize("i")))
+    return struct.unpack("i", size)[0]
+
+
 def is_local_error(error: OSError) -> bool:
     """Whether this process had no resources left to open a connection."""
     return error.errno in _LOCAL_ERRORS
