net: trailers of responses do not become headers

Callers got 503, which promises that their request has not run, for one that had run: an engine ended its answer in chunks with the trailer Berylnotch-Not-Executed. Every other trailer was taken for a header as well, such as a stamp, an id, a Content-Encoding, or one that was then passed on to the caller.

Cause: httptools reports headers and trailers by the same call, and the client added both to the headers that it had passed on with the head. The end of an answer is judged by these headers once more.

Change: what comes after the head is counted for the limits, and dropped, as on the side of the callers.

--- a/berylnotch/net/client.py
+++ b/berylnotch/net/client.py
@@ -382,11 +382,12 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header; refuse too many."""
+        """Add a header and drop a trailer; refuse too many of both."""
         self._header_count += 1
         if self._header_count > MAX_HEADERS:
             raise ResponseLimitError(f"over {MAX_HEADERS} headers")
-        if not self._is_complete:
+        # Trailers arrive after the head was checked and passed on.
+        if not self._is_head_read:
             self._headers.add(name.decode("latin-1"), value.decode("latin-1").strip())
 
     def on_headers_complete(self) -> None:
--- a/tests/test_daemon/test_broken_answers.py
+++ b/tests/test_daemon/test_broken_answers.py
@@ -111,6 +111,21 @@
         assert (answer.body, answer.is_whole) == (b"good", True), kind
 
 
+@pytest.mark.parametrize("status", [b"200 OK", b"503 Unavailable"])
+def test_trailers_do_not_say_that_a_request_has_not_run(fleet, add_target, status):
+    chunks = b"4\r\ngood\r\n0\r\nBerylnotch-Not-Executed: 1\r\n\r\n"
+    response = make_response(
+        b"HTTP/1.1 " + status, b"Transfer-Encoding: chunked", body=chunks
+    )
+    target = add_target("faulty", RawTarget(response))
+    router = start(fleet, "faulty")
+    answer = fleet.ask(router, path("book", "faulty"), "trailer")
+    assert (answer.status, answer.body) == (
+        (200, b"good") if status.startswith(b"200") else (502, b"")
+    )
+    assert len(target.arrived) == 1
+
+
 def check_failure(answer):
     """Check that a request that may have run failed, and isn't called not run."""
     assert answer is None or not answer.is_whole or answer.status in (502, 504)
