net: responses to HEAD end with their headers

Callers of HEAD got no answer until their deadline if the target announced the length of the body that it left out and kept the connection open. If other bytes followed, such as a late response, they were counted as the body of this one, which then was complete and of a wrong length.

Cause: the method of the request decides whether a body follows, and httptools does not know it.

Evidence: before the change, 5 of the 7 new tests of the client failed: without bytes that follow by waiting for the end, and with them with bytes of the other response as the body, or as malformed.

Change: the client ends the exchange with the head. Bytes that follow make the connection unusable.

--- a/berylnotch/net/client.py
+++ b/berylnotch/net/client.py
@@ -419,9 +419,14 @@
         if self._sink is not None and not self._sink.on_head(head):
             self._is_skipping = True
             self._is_reusable = False
+        elif self._method == "HEAD":
+            # The parser does not know the method, so it would wait for a body.
+            self._is_complete = True
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body to the sink."""
+        if self._is_complete:
+            self._is_reusable = False
         if self._is_complete or self._is_skipping or self._sink is None:
             return
         self._delivered_bytes += len(data)
--- a/tests/test_net/test_client.py
+++ b/tests/test_net/test_client.py
@@ -137,6 +137,39 @@
     assert sink.body == b"good"
 
 
+HEAD_RESPONSES = {
+    "length": b"HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 4\r\n\r\n",
+    "no-length": b"HTTP/1.1 200 OK\r\nId: own\r\n\r\n",
+    "empty": b"HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 0\r\n\r\n",
+    "chunked": b"HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("kind", ["length", "empty", "chunked"])
+def test_a_response_to_head_ends_with_its_headers(loop, kind):
+    # The target keeps the connection open, as it has sent the whole response.
+    server = RawServer(HEAD_RESPONSES[kind], COMPLETE)
+    connection = ClientConnection(loop, server.address, 2.0, 1.0)
+    for body in (b"", b"good"):
+        request = HttpRequest("GET" if body else "HEAD", "/x", Headers())
+        sink = Sink()
+        loop.call_soon(lambda c=connection, r=request, s=sink: c.send(r, s))
+        assert sink.done.wait(5)
+        assert (sink.status, sink.body, sink.result) == (200, body, "complete")
+
+
+@pytest.mark.parametrize("kind", HEAD_RESPONSES)
+def test_bytes_after_a_response_to_head_are_not_its_body(loop, kind):
+    server = RawServer(HEAD_RESPONSES[kind] + OTHER_RESPONSE)
+    connection = ClientConnection(loop, server.address, 2.0, 1.0)
+    sink = Sink()
+    request = HttpRequest("HEAD", "/x", Headers())
+    loop.call_soon(lambda: connection.send(request, sink))
+    assert sink.done.wait(5)
+    assert (sink.status, sink.body, sink.result) == (200, b"", "complete")
+    assert not connection.is_reusable
+
+
 def test_the_keep_alive_timeout_is_parsed(loop):
     answer = COMPLETE.replace(b"Id: own", b"Id: own\r\nKeep-Alive: timeout=7, max=3")
     _, connection = send_request(loop, RawServer(answer))
