gateways: responses whose head is unsound are failures

Callers of berylnotchd got broken answers as answers. A header whose name ended in a blank ("X-Request-Id : other", "X-Not-Run : 1") counted like one without it. If it was the length or the transfer coding, curl did not know it, and the caller got a body that was not the target's. Statuses of 600 and more, 101, HTTP/2.0, control characters in names, values and reasons, the coding "identity" or an empty one, chunks in HTTP/1.0, and a length of 23 digits, which curl ignores, passed as well.

Cause: the transfers relied on curl for the soundness of a head. curl reports any line with a colon as a header, and the decoder of heads strips blanks from the names.

Change: a checker reads each line as curl reports it, interim heads included, with the same rules as the client of the fleet. At the first unsound line it ends the transfer with an error, so that no part of the response is delivered, and its request counts as one that may have run.

--- /dev/null
+++ b/berylnotch/gateways/response_checker.py
@@ -0,0 +1,92 @@
+"""Checks of the responses that curl receives.
+
+curl accepts heads and ends of responses that the protocol forbids, or that do not show
+whether the response is whole. It reports them as a success.
+"""
+
+from __future__ import annotations
+
+from berylnotch.net.messages import Headers
+from berylnotch.net.response_checks import (
+    BodyEnd,
+    UnsoundResponseError,
+    find_body_end,
+    parse_field,
+    parse_status_line,
+)
+
+#: Maximum size, in bytes, of the heads of one response and the interim ones before it.
+MAX_HEAD_BYTES = 64 * 1024
+
+
+class ResponseChecker:
+    """Checks one response while curl receives it.
+
+    Parameters
+    ----------
+    method : str
+        Method of the request.
+    """
+
+    def __init__(self, method: str) -> None:
+        self._method = method
+        self._head_bytes = 0
+        self._lines: list[bytes] = []
+        self._version, self._status = "", 0
+        self._headers = Headers()
+        self._body_end: BodyEnd | None = None
+        self._problem = ""
+
+    @property
+    def head_lines(self) -> tuple[bytes, ...]:
+        """Lines of the last head, the status line first."""
+        return tuple(self._lines)
+
+    def accept_line(self, line: bytes) -> bool:
+        """Check a line of a head; return whether the response is sound so far."""
+        try:
+            self._check_line(line)
+        except UnsoundResponseError as error:
+            self._problem = str(error)
+        return not self._problem
+
+    def find_problem(self, error: str) -> str:
+        """Return why the response is not whole or not sound, empty if it is.
+
+        Parameters
+        ----------
+        error : str
+            Error that curl reports for the transfer, empty if it succeeded.
+        """
+        if self._problem or error:
+            return self._problem or error
+        if self._body_end is None:
+            # curl takes a connection that the server closes within the head for the
+            # end of an empty response.
+            return "connection closed within the head of the response"
+        return ""
+
+    def _check_line(self, line: bytes) -> None:
+        self._head_bytes += len(line)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise UnsoundResponseError(f"head exceeds {MAX_HEAD_BYTES} bytes")
+        if self._body_end is not None:
+            self._lines.append(line)
+            return
+        text = line.removesuffix(b"\n").removesuffix(b"\r")
+        if not self._lines:
+            self._version, self._status = parse_status_line(text)
+        elif text:
+            name, value = parse_field(text)
+            self._headers.add(name, value)
+        elif self._status < 200:
+            # An interim response, which the final one follows.
+            self._lines = []
+            self._headers = Headers()
+            return
+        else:
+            self._body_end = find_body_end(
+                self._method, self._version, self._status, self._headers
+            )
+            return
+        self._lines.append(line)
--- a/berylnotch/gateways/transfers.py
+++ b/berylnotch/gateways/transfers.py
@@ -9,6 +9,7 @@
 import pycurl
 from attrs import frozen
 
+from berylnotch.gateways.response_checker import ResponseChecker
 from berylnotch.util.loop import Loop, Timer
 
 if TYPE_CHECKING:
@@ -16,7 +17,6 @@
 
 #: Bytes of a response that may wait for delivery before curl is paused.
 _MAX_PENDING_BYTES = 64 * 1024
-_MAX_HEAD_BYTES = 64 * 1024
 _CONNECT_TIMEOUT_MS = 1000
 _MAX_IDLE_CONNECTIONS = 512
 #: Methods whose requests may reuse an idle connection.
@@ -34,8 +34,8 @@
     Parameters
     ----------
     error : str
-        Description of the failure; empty if the response is complete as its HTTP
-        framing declares.
+        Description of the failure; empty if the response is sound HTTP, and complete as
+        its framing declares.
     sent : bool
         Whether any byte of the request may have reached the target.
     """
@@ -49,6 +49,8 @@
 
     Parameters
     ----------
+    request : UpstreamRequest
+        The request.
     on_head, on_body, on_end : callable
         Called with the head, each part of the body, and the outcome, in this order.
         They run in the loop's thread, outside curl's callbacks.
@@ -56,17 +58,16 @@
 
     def __init__(
         self,
+        request: UpstreamRequest,
         on_head: OnHead,
         on_body: Callable[[bytes], None],
         on_end: Callable[[TransferEnd], None],
     ) -> None:
         self.curl = pycurl.Curl()
+        self._response = ResponseChecker(request.method)
         self._on_head = on_head
         self._on_body = on_body
         self._on_end = on_end
-        self._head_lines: list[bytes] = []
-        self._head_bytes = 0
-        self._is_head_complete = False
         self._is_head_delivered = False
         self._pending_chunks: list[bytes] = []
         self._pending_bytes = 0
@@ -115,10 +116,10 @@
         on_end: Callable[[TransferEnd], None],
     ) -> Transfer:
         """Send a request; the callbacks receive its response."""
-        transfer = Transfer(on_head, on_body, on_end)
+        transfer = Transfer(request, on_head, on_body, on_end)
         _configure_curl(transfer.curl, request)
         transfer.curl.setopt(
-            pycurl.HEADERFUNCTION, lambda line: self._on_header(transfer, line)
+            pycurl.HEADERFUNCTION, lambda line: _on_header(transfer, line)
         )
         transfer.curl.setopt(
             pycurl.WRITEFUNCTION, lambda data: self._on_write(transfer, data)
@@ -151,19 +152,6 @@
             self._multi.remove_handle(transfer.curl)
             transfer.curl.close()
 
-    def _on_header(self, transfer: Transfer, line: bytes) -> int:
-        transfer._head_bytes += len(line)
-        if transfer._head_bytes > _MAX_HEAD_BYTES:
-            return 0
-        if line in (b"\r\n", b"\n"):
-            transfer._is_head_complete = True
-            return len(line)
-        if line.startswith(b"HTTP/"):
-            transfer._head_lines = []
-            transfer._is_head_complete = False
-        transfer._head_lines.append(line)
-        return len(line)
-
     def _on_write(self, transfer: Transfer, data: bytes) -> int:
         if transfer._pending_bytes > _MAX_PENDING_BYTES:
             transfer._is_curl_paused = True
@@ -187,7 +175,7 @@
             transfer._pending_chunks or _has_succeeded(transfer)
         ):
             transfer._is_head_delivered = True
-            transfer._on_head(tuple(transfer._head_lines))
+            transfer._on_head(transfer._response.head_lines)
         if (
             transfer._pending_chunks
             and not transfer.is_closed
@@ -272,16 +260,18 @@
         transfer = self._transfers.get(curl)
         if transfer is None:
             return
-        if not error and not transfer._is_head_complete:
-            # curl takes a connection that the target closes within the head for the
-            # end of an empty response.
-            error = "connection closed within the head of the response"
+        error = transfer._response.find_problem(error)
         sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
         transfer._end = TransferEnd(error, sent)
         self._release(transfer)
         self._schedule_delivery(transfer)
 
 
+def _on_header(transfer: Transfer, line: bytes) -> int:
+    # curl ends the transfer if it gets another number than that of the bytes.
+    return len(line) if transfer._response.accept_line(line) else 0
+
+
 def _has_succeeded(transfer: Transfer) -> bool:
     return transfer._end is not None and not transfer._end.error
 
--- a/berylnotch/net/response_checks.py
+++ b/berylnotch/net/response_checks.py
@@ -35,6 +35,12 @@
 _CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
+_STATUS_LINE = re.compile(rb"HTTP/(\d\.\d) (\d{3})(?: (.*))?", re.DOTALL)
+
+#: Name of a header: a token of the protocol.
+_NAME = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+
+
 class UnsoundResponseError(GatewayError):
     """A response breaks the protocol."""
 
@@ -65,6 +71,39 @@
         raise UnsoundResponseError("control character in a reason phrase")
 
 
+def parse_status_line(line: bytes) -> tuple[str, int]:
+    """Return version and status of a status line without its line end.
+
+    Raises
+    ------
+    UnsoundResponseError
+        If the line is malformed, or as for `check_status`.
+    """
+    match = _STATUS_LINE.fullmatch(line)
+    if match is None:
+        raise UnsoundResponseError("malformed status line")
+    version, status = match[1].decode("ascii"), int(match[2])
+    check_status(version, status, match[3] or b"")
+    return version, status
+
+
+def parse_field(line: bytes) -> tuple[str, str]:
+    """Return name and value of a header line without its line end.
+
+    Raises
+    ------
+    UnsoundResponseError
+        If the name is no token, such as one before a blank or with a control character,
+        or if the value contains a control character.
+    """
+    name, colon, value = line.partition(b":")
+    if not colon or not _NAME.fullmatch(name):
+        raise UnsoundResponseError("malformed name of a header")
+    if _CONTROL_CHARACTER.search(value):
+        raise UnsoundResponseError("control character in a header")
+    return name.decode("ascii"), value.decode("latin-1").strip(" \t")
+
+
 class BodyEnd(Enum):
     """What shows where the body of a response ends."""
 
--- a/tests/fleet/broken.py
+++ b/tests/fleet/broken.py
@@ -7,6 +7,8 @@
 import socket
 import threading
 
+from berylnotch.util.address import Address
+
 #: Size of a request that a target can begin to answer before it has received it, in
 #: bytes. It exceeds what the kernels of both sides buffer.
 LONG_BYTES = 4_000_000
@@ -38,15 +40,16 @@
     """
 
     def __init__(self, response: bytes) -> None:
-        self._response = response
+        #: The answer, which may be changed.
+        self.response = response
         self._sock = socket.create_server(("127.0.0.1", 0))
         #: Heads of the requests that arrived.
         self.arrived: list[bytes] = []
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
-    def address(self) -> tuple[str, int]:
-        return self._sock.getsockname()
+    def address(self) -> Address:
+        return Address(*self._sock.getsockname())
 
     def close(self) -> None:
         self._sock.close()
@@ -75,7 +78,7 @@
 
     def _respond(self, sock: socket.socket, request: bytes, left_bytes: int) -> None:
         read(sock, left_bytes)
-        sock.sendall(self._response.replace(MARK, echo_id(request)))
+        sock.sendall(self.response.replace(MARK, echo_id(request)))
 
 
 class EarlyTarget(RawTarget):
@@ -96,7 +99,7 @@
         self._end = end
 
     def _respond(self, sock: socket.socket, request: bytes, left_bytes: int) -> None:
-        sock.sendall(self._response.replace(MARK, echo_id(request)))
+        sock.sendall(self.response.replace(MARK, echo_id(request)))
         if self._end == "read":
             read(sock, left_bytes)
             return
@@ -231,3 +234,51 @@
     "length-blanks": make_response(_OK, b"Content-Length: \t4 "),
     "length-zeros": make_response(_OK, b"Content-Length: 0000004"),
 }
+
+#: Header lines with an unsound name or value, by what is wrong with them.
+_UNSOUND_LINES = {
+    "blank-before-colon": b"X-Other : a",
+    "tab-before-colon": b"X-Other\t: a",
+    "blank-in-name": b"X Other: a",
+    "control-in-name": b"X\x01Other: a",
+    "nul-in-name": b"X\x00Other: a",
+    "del-in-name": b"X\x7fOther: a",
+    "latin-1-in-name": b"X\xe9: a",
+    "separator-in-name": b"X(Other): a",
+    "empty-name": b": a",
+    "no-colon": b"X-Other",
+    "control-in-value": b"X-Other: a\x01b",
+    "nul-in-value": b"X-Other: a\x00b",
+    "del-in-value": b"X-Other: a\x7fb",
+    "cr-in-value": b"X-Other: a\rb",
+    "blank-in-name-of-stamp": b"Berylnotch-Server-Stamp : other",
+    "blank-in-name-of-id": b"X-Request-Id : other",
+    "blank-in-name-of-refusal": b"Berylnotch-Not-Executed : 1",
+    "blank-in-name-of-type": b"Content-Type : text/event-stream",
+}
+UNSOUND_FIELDS = {
+    name: make_response(_OK, line, _GOOD) for name, line in _UNSOUND_LINES.items()
+} | {
+    "blank-in-name-of-length": make_response(_OK, b"Content-Length : 4"),
+    "blank-in-name-of-wrong-length": make_response(_OK, b"Content-Length : 2", _GOOD),
+    "blank-before-name-of-length": make_response(_OK + b"\r\n Content-Length: 4"),
+    "blank-in-name-of-coding": make_response(
+        _OK, b"Transfer-Encoding : chunked", body=_CHUNKS
+    ),
+    "control-in-name-of-coding": make_response(
+        _OK, b"Transfer-Encoding\x0b: chunked", body=_CHUNKS
+    ),
+    "blank-in-name-of-interim": b"HTTP/1.1 103 Early Hints\r\nX Other: a\r\n\r\n"
+    + make_response(_OK, _GOOD),
+}
+UNSOUND_RESPONSES |= UNSOUND_FIELDS
+
+ODD_RESPONSES |= {
+    "name-of-signs": make_response(_OK, b"!#$%&'*+-.^_`|~9: a", _GOOD),
+    "empty-value": make_response(_OK, b"X-Other:", _GOOD),
+    "no-blank": make_response(_OK, b"X-Other:a", _GOOD),
+    "blanks-and-tabs": make_response(_OK, b"X-Other: \t a \t b \t", _GOOD),
+    "latin-1-in-value": make_response(_OK, b"X-Other: f\xfcr \x85\xa0", _GOOD),
+    "colons-in-value": make_response(_OK, b"X-Other: a: b :c", _GOOD),
+    "repeated-header": make_response(_OK, b"X-Other: a", b"x-other: b", _GOOD),
+}
--- a/tests/test_daemon/test_broken_answers.py
+++ b/tests/test_daemon/test_broken_answers.py
@@ -35,9 +35,8 @@
     def add(service, target):
         targets.append(target)
         entry = platform.targets["desk-1"].entry()
-        host, port = target.address
         entry |= {"id": f"{service}-1", "service": service}
-        platform.foreign_entries.append(entry | {"address": f"{host}:{port}"})
+        platform.foreign_entries.append(entry | {"address": str(target.address)})
         return target
 
     yield add
--- /dev/null
+++ b/tests/test_daemon/test_broken_answers_daemon.py
@@ -0,0 +1,73 @@
+"""Tests that callers of berylnotchd never get a broken answer as an answer.
+
+The answers are cut, or no sound HTTP. Each is a failure of the target that sent it.
+"""
+
+import pytest
+
+from berylnotch.standins.caller import CallerClient
+from berylnotch.standins.fleet import wait_for
+from berylnotch.standins.texts import DOMAINS, SmallFleet, small_fleet_text
+from tests.fleet.broken import (
+    ODD_RESPONSES,
+    UNSOUND_RESPONSES,
+    RawTarget,
+    make_response,
+)
+
+SOUND = make_response(b"HTTP/1.1 200 OK", b"Content-Length: 4")
+
+
+@pytest.fixture
+def add_target(fleet):
+    """Return a function that starts a fleet with a target, and returns its caller."""
+    targets = []
+
+    def add(target):
+        targets.append(target)
+        fleet.start_controllers(("c1", "c2", "c3"), DOMAINS[:3])
+        engine = fleet.start_engine("sake-1-a")
+        router = fleet.start_router("entry-1", DOMAINS[0])
+        text = small_fleet_text(
+            SmallFleet(
+                routers=(("entry-1", router.address),),
+                engines=(("sake-1-a", engine.address),),
+                plain=(("order-1", str(target.address)),),
+                timeout="5 s",
+            )
+        )
+        assert fleet.apply(text, 0).revision == 1
+        return CallerClient(router.address, fleet.give_key("importer-desk").key)
+
+    yield add
+    for target in targets:
+        target.close()
+
+
+def ask(client, target, response, method):
+    """Return the answer to a request that reached the target."""
+    target.response = SOUND
+    wait_for(lambda: client.send("GET", "/stock").body == b"good", "a sound answer")
+    target.response = response
+    target.arrived.clear()
+    answer = client.send(method, "/orders", b"{}" if method == "POST" else b"")
+    assert target.arrived
+    return answer
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_unsound_answers_are_not_delivered(add_target, method):
+    target = RawTarget(SOUND)
+    client = add_target(target)
+    for kind, response in UNSOUND_RESPONSES.items():
+        answer = ask(client, target, response, method)
+        assert answer.status in (502, 503, 504), (kind, answer)
+        assert answer.headers["x-berylnotch-run"] == "unknown", (kind, answer)
+
+
+def test_sound_answers_that_look_odd_are_delivered(add_target):
+    target = RawTarget(SOUND)
+    client = add_target(target)
+    for kind, response in ODD_RESPONSES.items():
+        answer = ask(client, target, response, "POST")
+        assert answer.body == b"good", (kind, answer)
--- a/tests/test_gateways/test_transfers.py
+++ b/tests/test_gateways/test_transfers.py
@@ -20,16 +20,16 @@
     loop.call_soon(lambda: upstreams.append(Upstreams(loop)))
     wait_until(lambda: upstreams, "transfers")
 
-    def run_transfer(server, method="POST"):
-        heads, body, ends = [], [], []
-        request = UpstreamRequest(f"http://{server.address}/x", method, (), b"", 5.0)
+    def run_transfer(server, method="POST", body=b""):
+        heads, parts, ends = [], [], []
+        request = UpstreamRequest(f"http://{server.address}/x", method, (), body, 5.0)
 
         def start():
-            upstreams[0].start(request, heads.append, body.append, ends.append)
+            upstreams[0].start(request, heads.append, parts.append, ends.append)
 
         loop.call_soon(start)
         wait_until(lambda: ends, "the end of the transfer")
-        return heads, b"".join(body), ends[0]
+        return heads, b"".join(parts), ends[0]
 
     yield run_transfer
     loop.call_soon(upstreams[0].close)
--- a/tests/test_net/test_early_responses.py
+++ b/tests/test_net/test_early_responses.py
@@ -9,7 +9,6 @@
 
 from berylnotch.net.client import ClientConnection, Failure
 from berylnotch.net.messages import Headers, HttpRequest
-from berylnotch.util.address import Address
 from tests.fleet.broken import LONG_BYTES, EarlyTarget
 from tests.test_net.test_client import Sink, loop
 
@@ -40,7 +39,7 @@
 
 
 def send_request(loop, target, size_bytes=LONG_BYTES):
-    connection = ClientConnection(loop, Address(*target.address), 5.0, 1.0)
+    connection = ClientConnection(loop, target.address, 5.0, 1.0)
     request = HttpRequest("POST", "/x", Headers((("Host", "h"),)), b"x" * size_bytes)
     sink = Sink()
     loop.call_soon(lambda: connection.send(request, sink))
