gateways: trailers of responses do not become headers

Callers of berylnotchd were told "not-run" of a request that had run: the target ended its answer in chunks with the trailer X-Not-Run. Any other trailer counted as a header too, such as an id, if it arrived with the begin of the body. The outcome so depended on how the network split the bytes.

Cause: curl reports trailers by the function that reports headers, and the transfers added both to the lines of the head, which is decoded when the loop runs next.

Change: lines after the final head are counted for the limit of its size and dropped.

--- a/berylnotch/gateways/response_checker.py
+++ b/berylnotch/gateways/response_checker.py
@@ -71,7 +71,7 @@
         if self._head_bytes > MAX_HEAD_BYTES:
             raise UnsoundResponseError(f"head exceeds {MAX_HEAD_BYTES} bytes")
         if self._body_end is not None:
-            self._lines.append(line)
+            # curl reports trailers like headers, after the head was checked.
             return
         text = line.removesuffix(b"\n").removesuffix(b"\r")
         if not self._lines:
--- a/tests/test_daemon/test_broken_answers_daemon.py
+++ b/tests/test_daemon/test_broken_answers_daemon.py
@@ -65,6 +65,20 @@
         assert answer.headers["x-berylnotch-run"] == "unknown", (kind, answer)
 
 
+@pytest.mark.parametrize("status", [b"200 OK", b"503 Unavailable"])
+def test_trailers_do_not_say_that_a_request_has_not_run(add_target, status):
+    chunks = b"4\r\ngood\r\n0\r\nX-Not-Run: 1\r\n\r\n"
+    target = RawTarget(SOUND)
+    client = add_target(target)
+    response = make_response(
+        b"HTTP/1.1 " + status, b"Transfer-Encoding: chunked", body=chunks
+    )
+    answer = ask(client, target, response, "POST")
+    assert answer.headers["x-berylnotch-run"] != "not-run"
+    assert (answer.status == 200) == status.startswith(b"200")
+    assert len(target.arrived) == 1
+
+
 def test_sound_answers_that_look_odd_are_delivered(add_target):
     target = RawTarget(SOUND)
     client = add_target(target)
--- a/tests/test_gateways/test_transfers.py
+++ b/tests/test_gateways/test_transfers.py
@@ -54,3 +54,20 @@
     heads, body, end = transfer(RawServer(interim + HEAD + b"good"))
     assert not end.error and body == b"good"
     assert heads[0][0] == b"HTTP/1.1 200 OK\r\n"
+
+
+@pytest.mark.parametrize("is_split", [False, True])
+@pytest.mark.parametrize("name", [b"X-Not-Run", b"X-Request-Id", b"Other"])
+def test_trailers_do_not_become_headers(transfer, name, is_split):
+    # A trailer could claim that the request has not run, or is another one.
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+    end = b"0\r\n" + name + b": 1\r\n\r\n"
+    first = head + b"\r\n4\r\ngood\r\n"
+    server = (
+        RawServer(first, then=[end], pause_s=0.1)
+        if is_split
+        else RawServer(first + end)
+    )
+    heads, body, result = transfer(server)
+    assert not result.error and body == b"good"
+    assert b"".join(heads[0]) == head
