gateways: a response that ends before the request is sent is incomplete

Callers of berylnotchd got a part of an answer as a complete one: the target answered a long upload without a length and ended its side of the connection while a part of the upload was unread.

Cause: curl takes any end of a connection for the end of a response without a length, also while the request is unsent. The kernel of a target that ended resets the connection as soon as the rest arrives, a moment later.

Change: such a response is complete only if curl has sent the whole request, and the target's kernel has received it. curl announces that it is about to close a connection; the bytes that are not acknowledged are counted then.

--- a/berylnotch/gateways/response_checker.py
+++ b/berylnotch/gateways/response_checker.py
@@ -50,13 +50,15 @@
             self._problem = str(error)
         return not self._problem
 
-    def find_problem(self, error: str) -> str:
+    def find_problem(self, error: str, is_request_received: bool) -> str:
         """Return why the response is not whole or not sound, empty if it is.
 
         Parameters
         ----------
         error : str
             Error that curl reports for the transfer, empty if it succeeded.
+        is_request_received : bool
+            Whether the kernel of the server has received the whole request.
         """
         if self._problem or error:
             return self._problem or error
@@ -64,6 +66,10 @@
             # curl takes a connection that the server closes within the head for the
             # end of an empty response.
             return "connection closed within the head of the response"
+        if self._body_end is BodyEnd.CLOSE and not is_request_received:
+            # A server that ends then resets the connection as soon as the rest of the
+            # request arrives, so the end does not prove that the response is whole.
+            return "connection closed before the server received the whole request"
         return ""
 
     def _check_line(self, line: bytes) -> None:
@@ -71,7 +77,7 @@
         if self._head_bytes > MAX_HEAD_BYTES:
             raise UnsoundResponseError(f"head exceeds {MAX_HEAD_BYTES} bytes")
         if self._body_end is not None:
-            # curl reports trailers like headers, after the head was checked.
+            # curl reports trailers like headers, after the head was passed on.
             return
         text = line.removesuffix(b"\n").removesuffix(b"\r")
         if not self._lines:
--- a/berylnotch/gateways/transfers.py
+++ b/berylnotch/gateways/transfers.py
@@ -10,6 +10,7 @@
 from attrs import frozen
 
 from berylnotch.gateways.response_checker import ResponseChecker
+from berylnotch.net.sockets import unacknowledged_bytes
 from berylnotch.util.loop import Loop, Timer
 
 if TYPE_CHECKING:
@@ -65,6 +66,11 @@
     ) -> None:
         self.curl = pycurl.Curl()
         self._response = ResponseChecker(request.method)
+        self._request_body_bytes = len(request.body)
+        #: Descriptor of the connection of a request that has a body, else -1.
+        self._fd = -1
+        #: Number of sent bytes that the target's kernel had not received at the end.
+        self._unreceived_bytes = 0
         self._on_head = on_head
         self._on_body = on_body
         self._on_end = on_end
@@ -96,6 +102,8 @@
         self._timer: Timer | None = None
         self._transfers: dict[pycurl.Curl, Transfer] = {}
         self._callbacks_by_fd: dict[int, Callable[[int], None]] = {}
+        #: Transfers whose request has a body, by the descriptor of their connection.
+        self._uploads_by_fd: dict[int, Transfer] = {}
 
     @property
     def active(self) -> int:
@@ -121,6 +129,11 @@
         transfer.curl.setopt(
             pycurl.HEADERFUNCTION, lambda line: _on_header(transfer, line)
         )
+        if request.body:
+            transfer.curl.setopt(
+                pycurl.SOCKOPTFUNCTION,
+                lambda fd, _purpose: self._on_socket_opened(transfer, fd),
+            )
         transfer.curl.setopt(
             pycurl.WRITEFUNCTION, lambda data: self._on_write(transfer, data)
         )
@@ -148,10 +161,17 @@
         self._release(transfer)
 
     def _release(self, transfer: Transfer) -> None:
+        if self._uploads_by_fd.get(transfer._fd) is transfer:
+            del self._uploads_by_fd[transfer._fd]
         if self._transfers.pop(transfer.curl, None) is not None:
             self._multi.remove_handle(transfer.curl)
             transfer.curl.close()
 
+    def _on_socket_opened(self, transfer: Transfer, fd: int) -> int:
+        transfer._fd = fd
+        self._uploads_by_fd[fd] = transfer
+        return pycurl.SOCKOPT_OK
+
     def _on_write(self, transfer: Transfer, data: bytes) -> int:
         if transfer._pending_bytes > _MAX_PENDING_BYTES:
             transfer._is_curl_paused = True
@@ -209,11 +229,17 @@
         transfer._on_end(transfer._end)
 
     def _on_socket(self, event: int, fd: int, _multi: object, _data: object) -> None:
+        upload = self._uploads_by_fd.get(fd)
         if event == pycurl.POLL_REMOVE:
+            if upload is not None:
+                # curl closes the connection after this call, unless it is paused.
+                upload._unreceived_bytes = unacknowledged_bytes(fd)
             callback = self._callbacks_by_fd.pop(fd, None)
             if callback is not None:
                 self._loop.watch(fd, 0, callback)
             return
+        if upload is not None:
+            upload._unreceived_bytes = 0
         events = 0
         if event in (pycurl.POLL_IN, pycurl.POLL_INOUT):
             events |= selectors.EVENT_READ
@@ -260,7 +286,12 @@
         transfer = self._transfers.get(curl)
         if transfer is None:
             return
-        error = transfer._response.find_problem(error)
+        sent_body_bytes = curl.getinfo(pycurl.SIZE_UPLOAD_T)
+        is_request_received = (
+            sent_body_bytes == transfer._request_body_bytes
+            and not transfer._unreceived_bytes
+        )
+        error = transfer._response.find_problem(error, is_request_received)
         sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
         transfer._end = TransferEnd(error, sent)
         self._release(transfer)
--- a/tests/test_daemon/test_broken_answers_daemon.py
+++ b/tests/test_daemon/test_broken_answers_daemon.py
@@ -9,8 +9,10 @@
 from berylnotch.standins.fleet import wait_for
 from berylnotch.standins.texts import DOMAINS, SmallFleet, small_fleet_text
 from tests.fleet.broken import (
+    LONG_BYTES,
     ODD_RESPONSES,
     UNSOUND_RESPONSES,
+    EarlyTarget,
     RawTarget,
     make_response,
 )
@@ -79,6 +81,19 @@
     assert len(target.arrived) == 1
 
 
+@pytest.mark.parametrize("end", ["reset", "half-close"])
+def test_an_answer_that_is_cut_during_a_long_upload_is_not_delivered(add_target, end):
+    target = EarlyTarget(make_response(b"HTTP/1.1 200 OK", body=b"half"), end)
+    client = add_target(target)
+    wait_for(
+        lambda: client.send("GET", "/v1/models").status == 200, "the key is accepted"
+    )
+    answer = client.send("POST", "/orders", b"x" * LONG_BYTES)
+    assert target.arrived
+    assert answer.status in (502, 504)
+    assert answer.headers["x-berylnotch-run"] == "unknown"
+
+
 def test_sound_answers_that_look_odd_are_delivered(add_target):
     target = RawTarget(SOUND)
     client = add_target(target)
