gateways: responses in malformed chunks are failures

Callers of berylnotchd got answers that were cut, as complete ones: a target wrote the size of a chunk as "0x4", and the caller got an empty body with status 200. Sizes with other letters behind them, line ends without a CR, and malformed trailers passed as well. On a kept connection, bytes that followed the last chunk became the begin of the next response.

Cause: curl decodes chunks leniently. It ends the size at the first byte that is no digit and skips the rest of the line, so "0x4" is the last chunk and the content is read as trailers.

Change: curl passes the chunks on as received, and the framing that reads the bodies of requests decodes them, with rules of its own for responses: the grammar of the protocol for sizes, extensions and trailers, and five bytes around each byte of content, so that chunks of one byte still pass. A transfer with bytes after the last chunk is complete, and its connection is closed.

--- a/berylnotch/gateways/response_checker.py
+++ b/berylnotch/gateways/response_checker.py
@@ -1,11 +1,18 @@
 """Checks of the responses that curl receives.
 
-curl accepts heads and ends of responses that the protocol forbids, or that do not show
-whether the response is whole. It reports them as a success.
+curl accepts heads, chunks and ends of responses that the protocol forbids, or that do
+not show whether the response is whole. It reports them as a success.
 """
 
 from __future__ import annotations
 
+import sys
+
+from berylnotch.net.body_framing import (
+    RESPONSE_CHUNKS,
+    ChunkedFraming,
+    UnreadableRequestError,
+)
 from berylnotch.net.messages import Headers
 from berylnotch.net.response_checks import (
     BodyEnd,
@@ -20,7 +27,9 @@
 
 
 class ResponseChecker:
-    """Checks one response while curl receives it.
+    """Checks one response while curl receives it, and decodes its chunks.
+
+    curl has to pass on the chunks as they were received.
 
     Parameters
     ----------
@@ -35,6 +44,8 @@
         self._version, self._status = "", 0
         self._headers = Headers()
         self._body_end: BodyEnd | None = None
+        self._chunks: ChunkedFraming | None = None
+        self._has_excess = False
         self._problem = ""
 
     @property
@@ -42,13 +53,33 @@
         """Lines of the last head, the status line first."""
         return tuple(self._lines)
 
-    def accept_line(self, line: bytes) -> bool:
-        """Check a line of a head; return whether the response is sound so far."""
+    @property
+    def must_stop(self) -> bool:
+        """Whether curl has to end the transfer, and to close its connection.
+
+        The response is unsound, or bytes follow it that belong to no response.
+        """
+        return bool(self._problem) or self._has_excess
+
+    def feed_line(self, line: bytes) -> None:
+        """Check a line of a head."""
         try:
             self._check_line(line)
         except UnsoundResponseError as error:
             self._problem = str(error)
-        return not self._problem
+
+    def feed_body(self, data: bytes) -> bytes:
+        """Check received bytes of the body, and return the content in them."""
+        if self._chunks is None:
+            return data
+        content = bytearray()
+        try:
+            size_bytes = self._chunks.feed(data, content, sys.maxsize)
+        except UnreadableRequestError as error:
+            self._problem = f"malformed chunks: {error.reason}"
+            return b""
+        self._has_excess = size_bytes < len(data)
+        return bytes(content)
 
     def find_problem(self, error: str, is_request_received: bool) -> str:
         """Return why the response is not whole or not sound, empty if it is.
@@ -60,12 +91,18 @@
         is_request_received : bool
             Whether the kernel of the server has received the whole request.
         """
-        if self._problem or error:
-            return self._problem or error
+        if self._problem:
+            return self._problem
+        if self._has_excess:
+            return ""
+        if error:
+            return error
         if self._body_end is None:
             # curl takes a connection that the server closes within the head for the
             # end of an empty response.
             return "connection closed within the head of the response"
+        if self._chunks is not None and not self._chunks.is_complete:
+            return "connection closed within a body in chunks"
         if self._body_end is BodyEnd.CLOSE and not is_request_received:
             # A server that ends then resets the connection as soon as the rest of the
             # request arrives, so the end does not prove that the response is whole.
@@ -94,5 +131,7 @@
             self._body_end = find_body_end(
                 self._method, self._version, self._status, self._headers
             )
+            if self._body_end is BodyEnd.LAST_CHUNK:
+                self._chunks = ChunkedFraming(RESPONSE_CHUNKS)
             return
         self._lines.append(line)
--- a/berylnotch/gateways/transfers.py
+++ b/berylnotch/gateways/transfers.py
@@ -176,10 +176,12 @@
         if transfer._pending_bytes > _MAX_PENDING_BYTES:
             transfer._is_curl_paused = True
             return pycurl.WRITEFUNC_PAUSE
-        transfer._pending_chunks.append(data)
-        transfer._pending_bytes += len(data)
-        self._schedule_delivery(transfer)
-        return len(data)
+        content = transfer._response.feed_body(data)
+        if content:
+            transfer._pending_chunks.append(content)
+            transfer._pending_bytes += len(content)
+            self._schedule_delivery(transfer)
+        return 0 if transfer._response.must_stop else len(data)
 
     def _schedule_delivery(self, transfer: Transfer) -> None:
         # curl forbids most calls from its callbacks, so delivery is deferred.
@@ -299,8 +301,9 @@
 
 
 def _on_header(transfer: Transfer, line: bytes) -> int:
+    transfer._response.feed_line(line)
     # curl ends the transfer if it gets another number than that of the bytes.
-    return len(line) if transfer._response.accept_line(line) else 0
+    return 0 if transfer._response.must_stop else len(line)
 
 
 def _has_succeeded(transfer: Transfer) -> bool:
@@ -316,6 +319,9 @@
     curl.setopt(pycurl.NOSIGNAL, 1)
     curl.setopt(pycurl.NOPROXY, "*")
     curl.setopt(pycurl.FOLLOWLOCATION, 0)
+    # curl reads chunks leniently: it takes "0x4" for the last one, and "4g" for one of
+    # four bytes.
+    curl.setopt(pycurl.HTTP_TRANSFER_DECODING, 0)
     curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP | pycurl.PROTO_HTTPS)
     if request.method not in _CONNECTION_REUSE_METHODS:
         # curl silently repeats a request if the connection that it reused was closed.
--- a/berylnotch/net/body_framing.py
+++ b/berylnotch/net/body_framing.py
@@ -1,4 +1,4 @@
-"""Framing of request bodies: by an announced length, or in chunks.
+"""Framing of bodies: by an announced length, or in chunks.
 
 The bytes of a chunked body that are no content (sizes, extensions, line ends) are
 bounded in relation to its content, and trailers are dropped.
@@ -9,6 +9,8 @@
 import re
 from typing import Protocol
 
+from attrs import frozen
+
 from berylnotch.errors import RequestError
 
 #: Bytes of chunk sizes, extensions and line ends that a body may have in addition to
@@ -22,8 +24,44 @@
 #: Maximum size of all trailers of a request in bytes, as for its headers by default.
 MAX_TRAILER_BYTES = 16 * 1024
 
-#: Size of a chunk, in at most 15 hexadecimal digits, and its extensions.
-_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r\n")
+
+@frozen
+class ChunkRules:
+    """What a body in chunks may look like.
+
+    Attributes
+    ----------
+    chunk_line : re.Pattern
+        Line with the size of a chunk, in at most 15 significant hexadecimal digits as
+        the first group, and its extensions.
+    trailer : re.Pattern
+        Line of a trailer.
+    overhead_per_byte : int
+        Bytes of sizes, extensions and line ends for each byte of the content, in
+        addition to `MAX_CHUNK_OVERHEAD_BYTES`.
+    """
+
+    chunk_line: re.Pattern[bytes]
+    trailer: re.Pattern[bytes]
+    overhead_per_byte: int
+
+
+#: Rules for requests, whose trailers are not read.
+REQUEST_CHUNKS = ChunkRules(
+    chunk_line=re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r\n"),
+    trailer=re.compile(rb"[^\n]*:[^\n]*\r\n"),
+    overhead_per_byte=1,
+)
+
+#: Rules for responses, which are those of the protocol. A server may send chunks of one
+#: byte, which take five bytes around each.
+RESPONSE_CHUNKS = ChunkRules(
+    chunk_line=re.compile(
+        rb"0*([0-9A-Fa-f]{1,15})(?:[ \t]*;[^\x00-\x08\x0a-\x1f\x7f]*)?\r\n"
+    ),
+    trailer=re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\x00-\x08\x0a-\x1f\x7f]*\r\n"),
+    overhead_per_byte=5,
+)
 
 
 class UnreadableRequestError(RequestError):
@@ -72,9 +110,17 @@
 
 
 class ChunkedFraming:
-    """Body in chunks, each byte of which is looked at once."""
+    """Body in chunks, each byte of which is looked at once.
+
+    Parameters
+    ----------
+    rules : ChunkRules
+        What the body may look like.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, rules: ChunkRules = REQUEST_CHUNKS) -> None:
+        self._rules = rules
+        self._content_bytes = 0
         self._on_line = self._start_chunk
         self._line = bytearray()
         self._left_bytes = 0
@@ -102,35 +148,35 @@
                 taken_bytes = min(self._left_bytes, len(data) - position)
                 body += memoryview(data)[position : position + taken_bytes]
                 self._left_bytes -= taken_bytes
+                self._content_bytes += taken_bytes
                 position += taken_bytes
                 continue
             end = data.find(b"\n", position) + 1 or len(data)
             self._line += memoryview(data)[position:end]
-            self._count_overhead(end - position, len(body))
+            self._count_overhead(end - position)
             position = end
             if self._line.endswith(b"\n"):
                 line = bytes(self._line)
                 self._line.clear()
                 self._on_line(line)
-                if len(body) + self._left_bytes > max_bytes:
+                if self._content_bytes + self._left_bytes > max_bytes:
                     raise UnreadableRequestError(413, "body too large")
         return position
 
-    def _count_overhead(self, size_bytes: int, body_bytes: int) -> None:
+    def _count_overhead(self, size_bytes: int) -> None:
         if self._on_line == self._read_trailer:
             self._trailer_bytes += size_bytes
             if self._trailer_bytes > MAX_TRAILER_BYTES:
                 raise UnreadableRequestError(431, "trailers too large")
             return
         self._overhead_bytes += size_bytes
-        if (
-            len(self._line) > MAX_CHUNK_LINE_BYTES
-            or self._overhead_bytes > MAX_CHUNK_OVERHEAD_BYTES + body_bytes
-        ):
+        max_bytes = self._rules.overhead_per_byte * self._content_bytes
+        max_bytes += MAX_CHUNK_OVERHEAD_BYTES
+        if len(self._line) > MAX_CHUNK_LINE_BYTES or self._overhead_bytes > max_bytes:
             raise UnreadableRequestError(413, "too many bytes around chunks")
 
     def _start_chunk(self, line: bytes) -> None:
-        match = _CHUNK_LINE.fullmatch(line)
+        match = self._rules.chunk_line.fullmatch(line)
         if match is None:
             raise UnreadableRequestError(400, "malformed chunk size")
         self._left_bytes = int(match[1], 16)
@@ -145,5 +191,5 @@
         # Trailers arrive after the headers were checked, so they are dropped.
         if line == b"\r\n":
             self._is_complete = True
-        elif b":" not in line or not line.endswith(b"\r\n"):
+        elif not self._rules.trailer.fullmatch(line):
             raise UnreadableRequestError(400, "malformed trailer")
--- a/tests/fleet/broken.py
+++ b/tests/fleet/broken.py
@@ -282,3 +282,49 @@
     "colons-in-value": make_response(_OK, b"X-Other: a: b :c", _GOOD),
     "repeated-header": make_response(_OK, b"X-Other: a", b"x-other: b", _GOOD),
 }
+
+
+def _make_chunked(body: bytes) -> bytes:
+    return make_response(_OK, b"Transfer-Encoding: chunked", body=body)
+
+
+#: Responses in chunks that are malformed, or end before the last one.
+UNSOUND_CHUNKS = {
+    name: _make_chunked(body)
+    for name, body in {
+        "size-with-sign": b"+4\r\ngood\r\n0\r\n\r\n",
+        "size-with-prefix": b"0x4\r\nX: good\r\n\r\n",
+        "size-with-letter": b"4g\r\ngood\r\n0\r\n\r\n",
+        "size-before-blank": b"4 \r\ngood\r\n0\r\n\r\n",
+        "size-after-blank": b" 4\r\ngood\r\n0\r\n\r\n",
+        "size-with-underscore": b"0_4\r\ngood\r\n0\r\n\r\n",
+        "size-of-17-digits": b"1" * 17 + b"\r\ngood\r\n0\r\n\r\n",
+        "no-size": b"\r\ngood\r\n0\r\n\r\n",
+        "no-cr": b"4\ngood\n0\n\n",
+        "no-cr-after-size": b"4\ngood\r\n0\r\n\r\n",
+        "no-cr-at-end": b"4\r\ngood\r\n0\r\n\n",
+        "longer-than-size": b"4\r\ngoods\r\n0\r\n\r\n",
+        "shorter-than-size": b"5\r\ngood\r\n0\r\n\r\n",
+        "nul-in-extension": b"4;a\x00\r\ngood\r\n0\r\n\r\n",
+        "cr-in-extension": b"4;a\rb\r\ngood\r\n0\r\n\r\n",
+        "blank-in-name-of-trailer": b"4\r\ngood\r\n0\r\nX Other: a\r\n\r\n",
+        "blank-before-trailer": b"4\r\ngood\r\n0\r\n X-Other: a\r\n\r\n",
+        "control-in-trailer": b"4\r\ngood\r\n0\r\nX-Other: a\x01\r\n\r\n",
+        "no-colon-in-trailer": b"4\r\ngood\r\n0\r\nX-Other\r\n\r\n",
+        "no-last-chunk": b"4\r\ngood\r\n",
+        "no-empty-line": b"4\r\ngood\r\n0\r\n",
+        "no-empty-line-after-trailer": b"4\r\ngood\r\n0\r\nX-Other: a\r\n",
+    }.items()
+}
+UNSOUND_RESPONSES |= UNSOUND_CHUNKS
+
+ODD_RESPONSES |= {
+    name: _make_chunked(body)
+    for name, body in {
+        "chunks-of-one-byte": b"1\r\ng\r\n1\r\no\r\n1\r\no\r\n1\r\nd\r\n0\r\n\r\n",
+        "size-with-zeros": b"00000004\r\ngood\r\n000\r\n\r\n",
+        "extensions": b'4;a;b=c;d="e f"\r\ngood\r\n0;g\r\n\r\n',
+        "trailers": b"4\r\ngood\r\n0\r\nX-Other: a\r\nx-other:\r\n\r\n",
+        "bytes-after-the-end": _CHUNKS + b"HTTP/1.1 500 X\r\n\r\n",
+    }.items()
+}
--- a/tests/test_gateways/test_transfers.py
+++ b/tests/test_gateways/test_transfers.py
@@ -71,3 +71,24 @@
     heads, body, result = transfer(server)
     assert not result.error and body == b"good"
     assert b"".join(heads[0]) == head
+
+
+def test_small_chunks_of_a_sound_target_are_accepted(transfer):
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    server = RawServer(head, then=[b"1\r\nx\r\n" * 10_000] * 10 + [b"0\r\n\r\n"])
+    _, body, result = transfer(server)
+    assert not result.error and body == b"x" * 100_000
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "response", [CHUNKED + b"4\r\ngood\r\n0\r\n\r\n", HEAD + b"good"]
+)
+def test_connection_with_bytes_after_a_response_is_not_used_again(transfer, response):
+    # The second response is that to a second request on the same connection.
+    server = RawServer(response + b"HTTP/1.1 200", HEAD + b"late")
+    for _ in range(2):
+        _, body, result = transfer(server, "GET")
+        assert not result.error and body == b"good"
