cmd: address does not rely on an unsound answer

Operators got addresses from an answer with the status 500 or 600, of HTTP/2.0, with a blank in the name of a header, a coding that curl ignores, or a malformed chunk.

Cause: the command reads the answer of a router with curl by itself, without the checks of the transfers, and did not look at the status.

Change: the command and the transfers set up curl by the same function, which passes heads and chunks to a checker. After an unsound answer the next router is asked. The calls of the fleet for reports, lists, orders and moves share the client of the request path; a test now runs them against each unsound response.

--- a/berylnotch/cmd/commands/address.py
+++ b/berylnotch/cmd/commands/address.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import argparse
-import io
 import json
 from urllib.parse import urlencode
 
@@ -12,8 +11,11 @@
 from berylnotch.cmd.exits import EXIT_FAILURE, EXIT_OK
 from berylnotch.cmd.session import Session
 from berylnotch.control.protocol import ShowRequest, StatusRequest
-from berylnotch.errors import TransportError
+from berylnotch.errors import GatewayError, TransportError
 from berylnotch.fleet.text import parse
+from berylnotch.gateways.errors import InvalidResponseError
+from berylnotch.gateways.http import read_head
+from berylnotch.gateways.response_checker import ResponseChecker, watch_response
 
 HELP = "ask which entry VM a caller should use"
 DESCRIPTION = """\
@@ -22,6 +24,7 @@
 answers."""
 
 _TIMEOUT_S = 5
+_OK = 200
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -62,23 +65,31 @@
     for router in routers:
         try:
             return _ask(f"http://{router}/berylnotch/address?{urlencode(query)}")
-        except (pycurl.error, ValueError) as error:
+        except (GatewayError, ValueError) as error:
             failure = f"{router}: {error}"
     raise TransportError(failure)
 
 
 def _ask(url: str) -> dict:
-    body = io.BytesIO()
+    checker, body, failure = ResponseChecker("GET"), bytearray(), ""
     curl = pycurl.Curl()
     curl.setopt(pycurl.URL, url)
     curl.setopt(pycurl.TIMEOUT, _TIMEOUT_S)
     curl.setopt(pycurl.PROXY, "")
-    curl.setopt(pycurl.WRITEDATA, body)
+    watch_response(curl, checker, body.extend)
     try:
         curl.perform()
+    except pycurl.error as error:
+        failure = str(error)
     finally:
         curl.close()
-    answer = json.loads(body.getvalue())
+    problem = checker.find_problem(failure, is_request_received=True)
+    if problem:
+        raise InvalidResponseError(problem)
+    status = read_head(checker.head_lines, frozenset()).status
+    if status != _OK:
+        raise InvalidResponseError(f"unexpected response status {status}")
+    answer = json.loads(body)
     if not isinstance(answer, dict) or "addresses" not in answer:
         raise ValueError("the answer is not an address answer")
     return answer
--- a/berylnotch/gateways/response_checker.py
+++ b/berylnotch/gateways/response_checker.py
@@ -7,6 +7,9 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable
+
+import pycurl
 
 from berylnotch.net.body_framing import (
     RESPONSE_CHUNKS,
@@ -135,3 +138,43 @@
                 self._chunks = ChunkedFraming(RESPONSE_CHUNKS)
             return
         self._lines.append(line)
+
+
+def watch_response(
+    curl: pycurl.Curl,
+    checker: ResponseChecker,
+    on_content: Callable[[bytes], object],
+    must_pause: Callable[[], bool] = lambda: False,
+) -> None:
+    """Let curl pass a response to a checker.
+
+    Parameters
+    ----------
+    curl : pycurl.Curl
+        Transfer that has not begun.
+    checker : ResponseChecker
+        Checks the response.
+    on_content : callable
+        Called with each part of the decoded body.
+    must_pause : callable
+        Returns whether curl has to pause, and to offer the same bytes again later.
+    """
+
+    # curl ends the transfer if a function returns another number than that of bytes.
+    def on_header(line: bytes) -> int:
+        checker.feed_line(line)
+        return 0 if checker.must_stop else len(line)
+
+    def on_body(data: bytes) -> int:
+        if must_pause():
+            return pycurl.WRITEFUNC_PAUSE
+        content = checker.feed_body(data)
+        if content:
+            on_content(content)
+        return 0 if checker.must_stop else len(data)
+
+    # curl reads chunks leniently: it takes "0x4" for the last one, and "4g" for one of
+    # four bytes.
+    curl.setopt(pycurl.HTTP_TRANSFER_DECODING, 0)
+    curl.setopt(pycurl.HEADERFUNCTION, on_header)
+    curl.setopt(pycurl.WRITEFUNCTION, on_body)
--- a/berylnotch/gateways/transfers.py
+++ b/berylnotch/gateways/transfers.py
@@ -9,7 +9,7 @@
 import pycurl
 from attrs import frozen
 
-from berylnotch.gateways.response_checker import ResponseChecker
+from berylnotch.gateways.response_checker import ResponseChecker, watch_response
 from berylnotch.net.sockets import unacknowledged_bytes
 from berylnotch.util.loop import Loop, Timer
 
@@ -126,17 +126,17 @@
         """Send a request; the callbacks receive its response."""
         transfer = Transfer(request, on_head, on_body, on_end)
         _configure_curl(transfer.curl, request)
-        transfer.curl.setopt(
-            pycurl.HEADERFUNCTION, lambda line: _on_header(transfer, line)
+        watch_response(
+            transfer.curl,
+            transfer._response,
+            lambda content: self._on_content(transfer, content),
+            lambda: _must_pause(transfer),
         )
         if request.body:
             transfer.curl.setopt(
                 pycurl.SOCKOPTFUNCTION,
                 lambda fd, _purpose: self._on_socket_opened(transfer, fd),
             )
-        transfer.curl.setopt(
-            pycurl.WRITEFUNCTION, lambda data: self._on_write(transfer, data)
-        )
         self._transfers[transfer.curl] = transfer
         self._multi.add_handle(transfer.curl)
         # This call starts to connect and send at once; otherwise curl would start when
@@ -172,16 +172,10 @@
         self._uploads_by_fd[fd] = transfer
         return pycurl.SOCKOPT_OK
 
-    def _on_write(self, transfer: Transfer, data: bytes) -> int:
-        if transfer._pending_bytes > _MAX_PENDING_BYTES:
-            transfer._is_curl_paused = True
-            return pycurl.WRITEFUNC_PAUSE
-        content = transfer._response.feed_body(data)
-        if content:
-            transfer._pending_chunks.append(content)
-            transfer._pending_bytes += len(content)
-            self._schedule_delivery(transfer)
-        return 0 if transfer._response.must_stop else len(data)
+    def _on_content(self, transfer: Transfer, content: bytes) -> None:
+        transfer._pending_chunks.append(content)
+        transfer._pending_bytes += len(content)
+        self._schedule_delivery(transfer)
 
     def _schedule_delivery(self, transfer: Transfer) -> None:
         # curl forbids most calls from its callbacks, so delivery is deferred.
@@ -300,10 +294,10 @@
         self._schedule_delivery(transfer)
 
 
-def _on_header(transfer: Transfer, line: bytes) -> int:
-    transfer._response.feed_line(line)
-    # curl ends the transfer if it gets another number than that of the bytes.
-    return 0 if transfer._response.must_stop else len(line)
+def _must_pause(transfer: Transfer) -> bool:
+    is_full = transfer._pending_bytes > _MAX_PENDING_BYTES
+    transfer._is_curl_paused = transfer._is_curl_paused or is_full
+    return is_full
 
 
 def _has_succeeded(transfer: Transfer) -> bool:
@@ -319,9 +313,6 @@
     curl.setopt(pycurl.NOSIGNAL, 1)
     curl.setopt(pycurl.NOPROXY, "*")
     curl.setopt(pycurl.FOLLOWLOCATION, 0)
-    # curl reads chunks leniently: it takes "0x4" for the last one, and "4g" for one of
-    # four bytes.
-    curl.setopt(pycurl.HTTP_TRANSFER_DECODING, 0)
     curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP | pycurl.PROTO_HTTPS)
     if request.method not in _CONNECTION_REUSE_METHODS:
         # curl silently repeats a request if the connection that it reused was closed.
--- a/tests/test_net/test_unsound_responses.py
+++ b/tests/test_net/test_unsound_responses.py
@@ -4,12 +4,15 @@
 get them as an answer, or with a body that the target did not mean.
 """
 
+import threading
+
 import pytest
 
 from berylnotch.net.client import Failure
+from berylnotch.net.fetch import fetch
 from tests.fleet.broken import MARK, ODD_RESPONSES, UNSOUND_RESPONSES
 from tests.test_net.support import RawServer
-from tests.test_net.test_client import loop, send_request
+from tests.test_net.test_client import REQUEST, loop, send_request
 
 __all__ = ["loop"]
 
@@ -34,3 +37,18 @@
 def test_a_sound_response_that_looks_odd_is_complete(loop, kind, size):
     sink, _ = send_request(loop, in_pieces(ODD_RESPONSES[kind], size))
     assert (sink.result, sink.body) == ("complete", b"good")
+
+
+@pytest.mark.parametrize("kind", UNSOUND_RESPONSES)
+def test_a_call_fails_on_an_unsound_response(loop, kind):
+    # Reports, lists of targets, orders and moves are read by such calls.
+    server, results = in_pieces(UNSOUND_RESPONSES[kind], 100_000), []
+    done = threading.Event()
+
+    def on_done(response, reason):
+        results.append((response, reason))
+        done.set()
+
+    loop.call_soon(lambda: fetch(loop, server.address, REQUEST, 5.0, on_done))
+    assert done.wait(5)
+    assert results[0][0] is None and results[0][1]
