tests: unsound answers as event streams

The faulty answers of the tests on processes were plain ones. A stream is passed on event by event, and its head is read by other code, so each unsound and each odd answer comes as a stream too.

--- a/tests/test_daemon/test_broken_answers.py
+++ b/tests/test_daemon/test_broken_answers.py
@@ -7,6 +7,7 @@
 
 from tests.fleet.broken import (
     LONG_BYTES,
+    MARK,
     ODD_RESPONSES,
     UNSOUND_RESPONSES,
     EarlyTarget,
@@ -15,6 +16,7 @@
 )
 from tests.fleet.processes import FleetOfProcesses, configuration
 
+EVENT = b":a\n\n"
 HALF = b"id: 1\ndata: the first of two events\n\n"
 
 
@@ -100,14 +102,29 @@
     assert router.process.poll() is None
 
 
-def test_sound_answers_that_look_odd_are_delivered(fleet, add_target):
+def test_unsound_streams_are_not_delivered(fleet, add_target):
+    kinds = {kind: as_stream(UNSOUND_RESPONSES[kind]) for kind in UNSOUND_RESPONSES}
+    targets = {kind: add_target(kind, RawTarget(kinds[kind])) for kind in kinds}
+    router = start(fleet, *kinds)
+    for kind, target in targets.items():
+        answer = fleet.ask(router, path("chat", kind), f"chat-{kind}")
+        assert target.arrived
+        check_failure(answer)
+    assert router.process.poll() is None
+
+
+@pytest.mark.parametrize("name", ["book", "chat"])
+def test_sound_answers_that_look_odd_are_delivered(fleet, add_target, name):
     kinds = ODD_RESPONSES
+    if name == "chat":
+        kinds = {kind: as_stream(ODD_RESPONSES[kind]) for kind in kinds}
     for kind in kinds:
         add_target(kind, RawTarget(kinds[kind]))
     router = start(fleet, *kinds)
+    body = EVENT if name == "chat" else b"good"
     for kind in kinds:
-        answer = fleet.ask(router, path("book", kind), f"odd-{kind}")
-        assert (answer.body, answer.is_whole) == (b"good", True), kind
+        answer = fleet.ask(router, path(name, kind), f"odd-{kind}")
+        assert (answer.body, answer.is_whole) == (body, True), kind
 
 
 @pytest.mark.parametrize("status", [b"200 OK", b"503 Unavailable"])
@@ -125,6 +142,15 @@
     assert len(target.arrived) == 1
 
 
+def as_stream(response):
+    """Return a response whose body is one event of the same length."""
+    for old, new in zip(b"good", EVENT, strict=True):
+        chunk = b"\r\n1\r\n%c"
+        response = response.replace(chunk % old, chunk % new, 1)
+    response = response.replace(b"good", EVENT)
+    return response.replace(MARK, MARK + b"\r\nContent-Type: text/event-stream")
+
+
 def check_failure(answer):
     """Check that a request that may have run failed, and isn't called not run."""
     assert answer is None or not answer.is_whole or answer.status in (502, 504)
