answers: two different ids are those of no request

Callers got an answer that named another request beside theirs: one with two headers for the id of the request, their own first (fleet) or last (berylnotchd).

Cause: each reader of heads takes one of the headers, the fleet the first and the gateways the last. Which request such an answer belongs to is not certain.

Change: the id of an answer is the list of the different values, which equals no id of a request. An id that is repeated unchanged still passes.

--- a/berylnotch/gateways/http.py
+++ b/berylnotch/gateways/http.py
@@ -120,15 +120,20 @@
     if match is None:
         raise InvalidResponseError("response has a malformed status line")
     fields: dict[str, str] = {}
+    request_ids: list[str] = []
     for line in header_lines:
         name, _, value = line.decode("latin-1").partition(":")
-        fields[name.strip().lower()] = value.strip()
+        name, value = name.strip().lower(), value.strip()
+        fields[name] = value
+        if name == REQUEST_ID_HEADER:
+            request_ids.append(value)
     forwarded_headers = tuple(Header(n, v) for n, v in fields.items() if n in forwarded)
     return ResponseHead(
         status=int(match.group(1)),
         headers=forwarded_headers,
         content_type=fields.get("content-type", "").partition(";")[0].strip().lower(),
-        request_id=fields.get(REQUEST_ID_HEADER, ""),
+        # Two ids do not tell which request the response belongs to.
+        request_id=", ".join(dict.fromkeys(request_ids)),
         weights=fields.get(WEIGHTS_HEADER, ""),
         incarnation=fields.get(INCARNATION_HEADER, ""),
         not_run=fields.get(NOT_RUN_HEADER, "") == "1",
--- a/berylnotch/net/messages.py
+++ b/berylnotch/net/messages.py
@@ -56,6 +56,12 @@
                 return value
         return default
 
+    def joined(self, name: str) -> str:
+        """Return the different values of a header, joined by commas."""
+        name = name.lower()
+        values = [value for header, value in self._pairs if header.lower() == name]
+        return ", ".join(dict.fromkeys(values))
+
     def elements(self, name: str) -> list[str]:
         """Return the elements of a comma-separated list over all its headers."""
         name = name.lower()
--- a/berylnotch/platform/requests.py
+++ b/berylnotch/platform/requests.py
@@ -196,7 +196,8 @@
     """Decode the headers of a target's response."""
     has_refused = bool(headers.get(names.NOT_RUN)) or status == 421
     return AnswerHead(
-        request_id=headers.get(names.REQUEST_ID),
+        # Two ids do not tell which request the response belongs to.
+        request_id=headers.joined(names.REQUEST_ID),
         stamp=headers.get(names.SERVER_STAMP),
         is_not_run=has_refused,
         target_id=headers.get(names.TARGET_ID),
--- a/tests/fleet/broken.py
+++ b/tests/fleet/broken.py
@@ -280,6 +280,7 @@
     "blanks-and-tabs": make_response(_OK, b"X-Other: \t a \t b \t", _GOOD),
     "latin-1-in-value": make_response(_OK, b"X-Other: f\xfcr \x85\xa0", _GOOD),
     "colons-in-value": make_response(_OK, b"X-Other: a: b :c", _GOOD),
+    "repeated-id": make_response(_OK, MARK, _GOOD),
     "repeated-header": make_response(_OK, b"X-Other: a", b"x-other: b", _GOOD),
 }
 
--- a/tests/test_daemon/test_broken_answers.py
+++ b/tests/test_daemon/test_broken_answers.py
@@ -127,6 +127,21 @@
         assert (answer.body, answer.is_whole) == (body, True), kind
 
 
+@pytest.mark.parametrize("status", [b"200 OK", b"404 Not Found"])
+@pytest.mark.parametrize("is_first", [False, True])
+def test_an_answer_with_the_id_of_another_request_is_not_delivered(
+    fleet, add_target, status, is_first
+):
+    other = b"Berylnotch-Request-Id: other"
+    lines = (other, MARK) if is_first else (MARK, other)
+    response = b"\r\n".join([b"HTTP/1.1 " + status, *lines, b"Content-Length: 4"])
+    target = add_target("faulty", RawTarget(response + b"\r\n\r\ngood"))
+    router = start(fleet, "faulty")
+    answer = fleet.ask(router, path("book", "faulty"), "own")
+    assert target.arrived
+    check_failure(answer)
+
+
 @pytest.mark.parametrize("status", [b"200 OK", b"503 Unavailable"])
 def test_trailers_do_not_say_that_a_request_has_not_run(fleet, add_target, status):
     chunks = b"4\r\ngood\r\n0\r\nBerylnotch-Not-Executed: 1\r\n\r\n"
--- a/tests/test_daemon/test_broken_answers_daemon.py
+++ b/tests/test_daemon/test_broken_answers_daemon.py
@@ -10,6 +10,7 @@
 from berylnotch.standins.texts import DOMAINS, SmallFleet, small_fleet_text
 from tests.fleet.broken import (
     LONG_BYTES,
+    MARK,
     ODD_RESPONSES,
     UNSOUND_RESPONSES,
     EarlyTarget,
@@ -94,6 +95,20 @@
     assert answer.headers["x-berylnotch-run"] == "unknown"
 
 
+@pytest.mark.parametrize("is_first", [False, True])
+def test_an_answer_with_the_id_of_another_request_is_not_delivered(
+    add_target, is_first
+):
+    other = b"X-Request-Id: other"
+    lines = (other, MARK) if is_first else (MARK, other)
+    response = b"\r\n".join([b"HTTP/1.1 200 OK", *lines, b"Content-Length: 4"])
+    target = RawTarget(SOUND)
+    client = add_target(target)
+    answer = ask(client, target, response + b"\r\n\r\ngood", "POST")
+    assert answer.status in (502, 504)
+    assert answer.headers["x-berylnotch-run"] == "unknown"
+
+
 def test_sound_answers_that_look_odd_are_delivered(add_target):
     target = RawTarget(SOUND)
     client = add_target(target)
