answers: a success in a content encoding is a failure for both readers

Callers of berylnotchd got the bytes of an encoded body without the header that names the encoding: the router does not pass Content-Encoding on, and no request asks for one. Callers of the fleet got such a body if a second header named the encoding.

Cause: the readers of heads in berylnotchd did not look at the header. The fleet has refused such answers for long, but looked at the first header only.

Evidence: before the change, both new tests on processes failed with status 200.

Change: one function looks at all headers and at each element of their lists, and both readers use it. "identity" passes.

--- a/berylnotch/entry/judging.py
+++ b/berylnotch/entry/judging.py
@@ -14,8 +14,7 @@
 
 def is_encoded(head: ResponseHead) -> bool:
     """Tell whether the body has a content encoding that was not requested."""
-    encoding = head.headers.get("Content-Encoding").lower()
-    return head.status < 300 and encoding not in ("", "identity")
+    return head.status < 300 and head.headers.has_content_encoding()
 
 
 def announced_bytes(method: str, head: ResponseHead) -> int:
--- a/berylnotch/gateways/http.py
+++ b/berylnotch/gateways/http.py
@@ -9,6 +9,7 @@
 from attrs import frozen
 
 from berylnotch.gateways.errors import ForbiddenRequestError, InvalidResponseError
+from berylnotch.net.messages import Headers
 from berylnotch.streams.actions import Header
 from berylnotch.streams.inputs import ResponseHead
 
@@ -22,6 +23,8 @@
 WEIGHTS_HEADER = "x-weights"
 
 _STATUS_LINE = re.compile(rb"HTTP/[0-9.]+ (\d{3})(?: |\r?\n|\Z)")
+#: Lowest status of a response that is no success.
+_MIN_FAILURE_STATUS = 300
 #: Digits of the longest time in seconds that a header may state.
 MAX_SECONDS_DIGITS = 9
 
@@ -113,27 +116,28 @@
     Raises
     ------
     InvalidResponseError
-        If the status line is malformed.
+        If the status line is malformed, or if a success has a content encoding. No
+        request asks for one, and the caller does not learn of it.
     """
     status_line, *header_lines = list(lines) or [b""]
     match = _STATUS_LINE.match(status_line)
     if match is None:
         raise InvalidResponseError("response has a malformed status line")
-    fields: dict[str, str] = {}
-    request_ids: list[str] = []
+    headers = Headers()
     for line in header_lines:
         name, _, value = line.decode("latin-1").partition(":")
-        name, value = name.strip().lower(), value.strip()
-        fields[name] = value
-        if name == REQUEST_ID_HEADER:
-            request_ids.append(value)
+        headers.add(name.strip().lower(), value.strip())
+    fields = dict(headers)
+    status = int(match.group(1))
+    if status < _MIN_FAILURE_STATUS and headers.has_content_encoding():
+        raise InvalidResponseError("response has a content encoding")
     forwarded_headers = tuple(Header(n, v) for n, v in fields.items() if n in forwarded)
     return ResponseHead(
-        status=int(match.group(1)),
+        status=status,
         headers=forwarded_headers,
         content_type=fields.get("content-type", "").partition(";")[0].strip().lower(),
         # Two ids do not tell which request the response belongs to.
-        request_id=", ".join(dict.fromkeys(request_ids)),
+        request_id=headers.joined(REQUEST_ID_HEADER),
         weights=fields.get(WEIGHTS_HEADER, ""),
         incarnation=fields.get(INCARNATION_HEADER, ""),
         not_run=fields.get(NOT_RUN_HEADER, "") == "1",
--- a/berylnotch/net/messages.py
+++ b/berylnotch/net/messages.py
@@ -72,6 +72,11 @@
             for element in value.split(",")
         ]
 
+    def has_content_encoding(self) -> bool:
+        """Tell whether the body is encoded, other than as it is (``identity``)."""
+        encodings = (element.lower() for element in self.elements("Content-Encoding"))
+        return any(encoding not in ("", "identity") for encoding in encodings)
+
     def count(self, name: str) -> int:
         """Return how often a header occurs in the message."""
         name = name.lower()
--- a/tests/test_daemon/test_broken_answers.py
+++ b/tests/test_daemon/test_broken_answers.py
@@ -127,6 +127,18 @@
         assert (answer.body, answer.is_whole) == (body, True), kind
 
 
+def test_an_answer_whose_second_header_names_an_encoding_is_not_delivered(
+    fleet, add_target
+):
+    lines = [b"Content-Encoding: identity", b"Content-Encoding: gzip"]
+    response = make_response(b"HTTP/1.1 200 OK", *lines, b"Content-Length: 4")
+    target = add_target("faulty", RawTarget(response))
+    router = start(fleet, "faulty")
+    answer = fleet.ask(router, path("book", "faulty"), "encoded")
+    assert target.arrived
+    check_failure(answer)
+
+
 @pytest.mark.parametrize("status", [b"200 OK", b"404 Not Found"])
 @pytest.mark.parametrize("is_first", [False, True])
 def test_an_answer_with_the_id_of_another_request_is_not_delivered(
--- a/tests/test_daemon/test_broken_answers_daemon.py
+++ b/tests/test_daemon/test_broken_answers_daemon.py
@@ -109,6 +109,20 @@
     assert answer.headers["x-berylnotch-run"] == "unknown"
 
 
+def test_an_answer_in_an_encoding_is_not_delivered(add_target):
+    # The caller would not learn of the encoding.
+    target = RawTarget(SOUND)
+    client = add_target(target)
+    for encodings in ([b"gzip"], [b"identity, br"], [b"gzip", b"identity"]):
+        lines = [b"Content-Encoding: " + encoding for encoding in encodings]
+        response = SOUND.replace(MARK, b"\r\n".join([MARK, *lines]))
+        answer = ask(client, target, response, "POST")
+        assert answer.status in (502, 504)
+        assert answer.headers["x-berylnotch-run"] == "unknown"
+    identity = SOUND.replace(MARK, MARK + b"\r\nContent-Encoding: Identity")
+    assert ask(client, target, identity, "POST").body == b"good"
+
+
 def test_sound_answers_that_look_odd_are_delivered(add_target):
     target = RawTarget(SOUND)
     client = add_target(target)
