logs: why an answer of a target could not be used

berylnotchd logged that an attempt was lost, and not whether the connection failed or what was unsound about the answer. The event transfer_failed has the reason now.

--- a/berylnotch/server/runner.py
+++ b/berylnotch/server/runner.py
@@ -258,7 +258,8 @@
         try:
             attempt.head = read_head(lines)
             self._accounting.on_head(attempt)
-        except InvalidResponseError:
+        except InvalidResponseError as error:
+            _log_transfer_failure(job, attempt, str(error))
             self._give_up(job, attempt)
             return
         actions = job.exchange.on_response_head(now, attempt.number, attempt.head)
@@ -299,6 +300,8 @@
             self.pause(job, PauseReason.CALLER)
 
     def _on_end(self, job: Job, attempt: Attempt, end: TransferEnd) -> None:
+        if end.error:
+            _log_transfer_failure(job, attempt, end.error)
         upstream_end = UpstreamEnd(complete=not end.error, sent=end.sent)
         if attempt.held is not None:
             if end.error:
@@ -516,3 +519,12 @@
     return Refusal(
         action.status, code, action.message, action.run_status, retry_after_s
     )
+
+
+def _log_transfer_failure(job: Job, attempt: Attempt, reason: str) -> None:
+    logger.info(
+        "event=transfer_failed request={} target={} reason={!r}",
+        job.request.request_id,
+        attempt.target,
+        reason,
+    )
