tests: an early response may be read after the request was received

The target reads on after its response, so a client that is delayed may have sent the whole request when it reads the response; its connection is then free for another request, and closes when the target closes it a moment later. The check asked for the end at once. It waits for it now, which the other cases, where the rest of the request stays unsent, need as well.

--- a/tests/test_net/test_early_responses.py
+++ b/tests/test_net/test_early_responses.py
@@ -10,6 +10,7 @@
 from berylnotch.net.client import ClientConnection, Failure
 from berylnotch.net.messages import Headers, HttpRequest
 from tests.fleet.broken import LONG_BYTES, EarlyTarget
+from tests.fleet.processes import wait_until
 from tests.test_net.test_client import Sink, loop
 
 __all__ = ["loop"]
@@ -70,7 +71,8 @@
 def test_an_early_response_with_a_length_is_complete(loop, add_target, end):
     sink, connection = send_request(loop, add_target(end, WHOLE))
     assert (sink.result, sink.body) == ("complete", b"good")
-    assert connection.is_closed
+    # A target that reads on may have received all when its response is read.
+    wait_until(lambda: connection.is_closed, "the end of the connection")
 
 
 def test_an_early_response_without_a_length_ends_after_the_request(loop, add_target):
