net: responses are read by a class of their own

What reads a response (the callbacks of the parser, the limits, the checks) is ResponseReader now; the connection keeps the socket, the request and the end of the exchange. It behaves as before: the tests of the client and of the request path are unchanged but for imports.

--- a/berylnotch/entry/attempt.py
+++ b/berylnotch/entry/attempt.py
@@ -22,13 +22,9 @@
 from berylnotch.entry.rollout_choice import observe_attempt
 from berylnotch.entry.stream_intake import StreamIntake
 from berylnotch.entry.target_outcome import TargetOutcome
-from berylnotch.net.client import (
-    ClientConnection,
-    Failure,
-    ResponseHead,
-    ResponseSink,
-)
+from berylnotch.net.client import ClientConnection, Failure, ResponseSink
 from berylnotch.net.response_memory import HeldResponse
+from berylnotch.net.response_reader import ResponseHead
 from berylnotch.platform.requests import (
     TargetHeaders,
     decode_answer,
--- a/berylnotch/entry/judging.py
+++ b/berylnotch/entry/judging.py
@@ -4,8 +4,8 @@
 
 import sys
 
-from berylnotch.net.client import ResponseHead
 from berylnotch.net.messages import Headers
+from berylnotch.net.response_reader import ResponseHead
 from berylnotch.platform.requests import AnswerHead
 
 #: Number of digits of a length that are converted.
--- a/berylnotch/net/client.py
+++ b/berylnotch/net/client.py
@@ -10,16 +10,12 @@
 from collections.abc import Callable
 from enum import Enum
 
-import httptools
-from attrs import frozen
-
-from berylnotch.errors import GatewayError
-from berylnotch.net.messages import Headers, HttpRequest
-from berylnotch.net.response_checks import (
-    BodyEnd,
-    UnsoundResponseError,
-    check_status,
-    find_body_end,
+from berylnotch.net.messages import HttpRequest
+from berylnotch.net.response_checks import UnsoundResponseError
+from berylnotch.net.response_reader import (
+    ResponseHead,
+    ResponseLimitError,
+    ResponseReader,
 )
 from berylnotch.net.sockets import connect, is_local_error, unacknowledged_bytes
 from berylnotch.util.address import Address
@@ -28,26 +24,6 @@
 
 _READ_BYTES = 64 * 1024
 
-#: Begin of each response. The parser accepts the names of two other protocols as well.
-_PROTOCOL = b"HTTP/"
-
-#: Maximum overhead of one exchange, in bytes, in addition to the length of the
-#: response's body. Overhead is every received byte outside this body: heads, interim
-#: responses, responses to other requests, chunk sizes and trailers.
-MAX_OVERHEAD_BYTES = 256 * 1024
-
-#: Maximum number of headers and trailers of one exchange, over all its responses. Each
-#: takes much more memory than its bytes.
-MAX_HEADERS = 1000
-
-#: Maximum number of interim responses, and of responses to other requests, in one
-#: exchange.
-MAX_DISCARDED_RESPONSES = 100
-
-
-class ResponseLimitError(GatewayError):
-    """A response exceeds a limit of the client."""
-
 
 class Failure(Enum):
     """Kind of failed exchange, by whether the target may have read the request."""
@@ -60,19 +36,6 @@
     BROKEN = "broken"
 
 
-@frozen
-class ResponseHead:
-    """Status and headers of a response.
-
-    ``is_delimited`` is true if a length or chunked encoding marks the end of the
-    body. Otherwise, the body ends when the target closes the connection.
-    """
-
-    status: int
-    headers: Headers
-    is_delimited: bool
-
-
 class ResponseSink:
     """Callbacks for the response to a request; each does nothing by default.
 
@@ -130,21 +93,9 @@
         self._has_sent = False
         self._has_send_failed = False
         self._request_count = 0
-        self._is_reusable = True
         self._is_paused = False
         self._sink: ResponseSink | None = None
-        self._is_skipping = False
-        self._is_head_read = False
-        self._is_complete = False
-        self._method = "GET"
-        self._received_bytes = 0
-        self._delivered_bytes = 0
-        self._header_count = 0
-        self._discarded_responses = 0
-        self._parser: httptools.HttpResponseParser | None = None
-        self._headers = Headers()
-        self._reason = b""
-        self._first_bytes = b""
+        self._reader: ResponseReader | None = None
         #: Time at which the connection became idle, in seconds since boot.
         self.idle_since = 0.0
         #: Idle timeout in seconds that the target announced in ``Keep-Alive``, if any.
@@ -160,7 +111,7 @@
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent."""
-        return self._is_reusable and not self._is_closed and self._sink is None
+        return not self._is_closed and self._sink is None
 
     def is_quiet(self) -> bool:
         """Tell whether nothing waits in the socket of an idle connection.
@@ -196,12 +147,7 @@
         self._sink = sink
         self._request_count += 1
         self._has_sent = False
-        self._is_skipping = False
-        self._received_bytes = self._delivered_bytes = 0
-        self._header_count = self._discarded_responses = 0
-        self._first_bytes = b""
-        self._method = request.method
-        self._reset_parser()
+        self._reader = ResponseReader(request.method, self._on_head, self._on_body)
         self._output += request.encode()
         if self._sock is None:
             self._loop.call_soon(self._connect)
@@ -241,13 +187,6 @@
         if not self._is_connected:
             self._fail(f"not connected within {self._connect_timeout_s:g} s")
 
-    def _reset_parser(self) -> None:
-        self._parser = httptools.HttpResponseParser(self)
-        self._headers = Headers()
-        self._reason = b""
-        self._is_head_read = False
-        self._is_complete = False
-
     def _on_ready(self, events: int) -> None:
         if events & selectors.EVENT_WRITE:
             self._flush()
@@ -304,56 +243,28 @@
             self._feed(data)
 
     def _feed(self, data: bytes) -> None:
-        while data and self._sink is not None:
-            try:
-                self._parse(data)
-            except ResponseLimitError as error:
-                received_bytes = self._received_bytes + len(data)
-                self._fail(f"{error} in {received_bytes} bytes")
-                return
-            except (
-                UnsoundResponseError,
-                httptools.HttpParserError,
-                httptools.HttpParserUpgrade,
-            ) as error:
-                self._is_reusable = False
-                if not self._is_complete:
-                    self._fail(f"no HTTP answer: {error}")
-                    return
-            self._received_bytes += len(data)
-            data = b""
-            if self._sink is None:
-                # The sink gave up the response while its last bytes were parsed.
-                return
-            if self._is_complete:
-                self._finish_exchange()
-            elif self._received_bytes > MAX_OVERHEAD_BYTES + 2 * self._delivered_bytes:
-                self._is_reusable = False
-                self._fail(f"no whole answer in {self._received_bytes} bytes")
-
-    def _parse(self, data: bytes) -> None:
-        """Pass bytes to the parser, and raise errors of its callbacks as they are."""
-        self._check_protocol(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserCallbackError as error:
-            raise error.__context__ or error from None
-
-    def _check_protocol(self, data: bytes) -> None:
-        """Check that the first bytes of an exchange name the protocol."""
-        if len(self._first_bytes) == len(_PROTOCOL):
+            self._reader.feed(data)
+        except ResponseLimitError as error:
+            self._fail(str(error))
             return
-        if not self._first_bytes:
-            # An empty line may be left from the response before.
-            data = data.lstrip(b"\r\n")
-        self._first_bytes += data[: len(_PROTOCOL) - len(self._first_bytes)]
-        if not _PROTOCOL.startswith(self._first_bytes):
-            raise UnsoundResponseError("response of another protocol")
+        except UnsoundResponseError as error:
+            self._fail(f"no HTTP answer: {error}")
+            return
+        # The sink may have given up the response while its last bytes were read.
+        if self._sink is not None and self._reader.is_complete:
+            self._finish_exchange()
+
+    def _on_head(self, head: ResponseHead) -> bool:
+        return self._sink is None or self._sink.on_head(head)
+
+    def _on_body(self, data: bytes) -> None:
+        if self._sink is not None:
+            self._sink.on_body(data)
 
     def _on_eof(self) -> None:
         sink = self._sink
-        is_close_delimited = self._is_head_read and not self._is_delimited
-        if sink is None or not is_close_delimited or self._is_skipping:
+        if sink is None or not self._reader.ends_with_connection:
             self._fail("closed by the target")
             return
         if self._is_request_cut():
@@ -377,95 +288,16 @@
             or unacknowledged_bytes(self._sock) > 0
         )
 
-    # Callbacks of the parser.
-
-    def on_message_begin(self) -> None:
-        """Prevent reuse if another response begins after the response is complete."""
-        if self._is_complete:
-            self._is_reusable = False
-
-    def on_status(self, reason: bytes) -> None:
-        """Add a part of the reason phrase."""
-        self._reason += reason
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header and drop a trailer; refuse too many of both."""
-        self._header_count += 1
-        if self._header_count > MAX_HEADERS:
-            raise ResponseLimitError(f"over {MAX_HEADERS} headers")
-        # Trailers arrive after the head was checked and passed on.
-        if not self._is_head_read:
-            self._headers.add(
-                name.decode("latin-1"), value.decode("latin-1").strip(" \t")
-            )
-
-    def on_headers_complete(self) -> None:
-        """Check the head, and pass it to the sink unless it is interim (1xx)."""
-        if self._is_complete:
-            return
-        status, version = (
-            self._parser.get_status_code(),
-            self._parser.get_http_version(),
-        )
-        check_status(version, status, self._reason)
-        if status < 200:
-            return
-        headers = self._headers
-        body_end = find_body_end(self._method, version, status, headers)
-        self._is_delimited = body_end is not BodyEnd.CLOSE
-        self._is_head_read = True
-        if not self._is_delimited or not self._parser.should_keep_alive():
-            self._is_reusable = False
-        self._read_keep_alive()
-        head = ResponseHead(status, headers, self._is_delimited)
-        if self._sink is not None and not self._sink.on_head(head):
-            self._is_skipping = True
-            self._is_reusable = False
-        elif self._method == "HEAD":
-            # The parser does not know the method, so it would wait for a body.
-            self._is_complete = True
-
-    def on_body(self, data: bytes) -> None:
-        """Pass a part of the body to the sink."""
-        if self._is_complete:
-            self._is_reusable = False
-        if self._is_complete or self._is_skipping or self._sink is None:
-            return
-        self._delivered_bytes += len(data)
-        self._sink.on_body(data)
-
-    def on_message_complete(self) -> None:
-        """Handle the end of a response; drop an interim or skipped response."""
-        if self._is_head_read and not self._is_skipping:
-            self._is_complete = True
-            return
-        self._discarded_responses += 1
-        if self._discarded_responses > MAX_DISCARDED_RESPONSES:
-            raise ResponseLimitError(
-                f"over {MAX_DISCARDED_RESPONSES} interim or other responses"
-            )
-        # The response to the current request may follow in the same segment.
-        self._headers = Headers()
-        self._reason = b""
-        self._is_head_read = False
-        self._is_skipping = False
-
     def _finish_exchange(self) -> None:
         sink, self._sink = self._sink, None
-        if self._output:
-            # The target responded before the whole request was sent.
-            self._is_reusable = False
         self.idle_since = boot_time()
-        if not self._is_reusable:
+        if self._reader.keep_alive_s is not None:
+            self.keep_alive_s = self._reader.keep_alive_s
+        # The target may have responded before the whole request was sent.
+        if self._output or not self._reader.is_reusable:
             self._close()
         sink.on_complete()
 
-    def _read_keep_alive(self) -> None:
-        for part in self._headers.get("Keep-Alive").split(","):
-            name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.strip().isdecimal():
-                self.keep_alive_s = float(value)
-
     def _fail(self, reason: str, failure: Failure | None = None) -> None:
         if self._is_closed:
             return
--- a/berylnotch/net/fetch.py
+++ b/berylnotch/net/fetch.py
@@ -4,13 +4,9 @@
 
 from collections.abc import Callable
 
-from berylnotch.net.client import (
-    ClientConnection,
-    Failure,
-    ResponseHead,
-    ResponseSink,
-)
+from berylnotch.net.client import ClientConnection, Failure, ResponseSink
 from berylnotch.net.messages import HttpRequest, HttpResponse
+from berylnotch.net.response_reader import ResponseHead
 from berylnotch.util.address import Address
 from berylnotch.util.loop import Loop
 
--- a/tests/test_entry/test_announcements.py
+++ b/tests/test_entry/test_announcements.py
@@ -8,8 +8,8 @@
 from berylnotch.entry.choice import choose, delay_until_usable_s
 from berylnotch.group.messages import LeavingWord, TargetEntry
 from berylnotch.membership.listing import ListedTarget, ModelVersion
-from berylnotch.net.client import ResponseHead
 from berylnotch.net.messages import Headers
+from berylnotch.net.response_reader import ResponseHead
 from berylnotch.util.clock import boot_time
 from tests.test_entry.support import make_exchange, short_request
 
--- a/tests/test_entry/test_attempt_ends.py
+++ b/tests/test_entry/test_attempt_ends.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from berylnotch.net.client import ResponseHead
 from berylnotch.net.messages import Headers
+from berylnotch.net.response_reader import ResponseHead
 from berylnotch.util.clock import boot_time
 from tests.test_entry.support import make_exchange
 
--- a/tests/test_entry/test_expired_attempts.py
+++ b/tests/test_entry/test_expired_attempts.py
@@ -9,8 +9,9 @@
 import pytest
 
 from berylnotch.membership.departure import plan_stop
-from berylnotch.net.client import Failure, ResponseHead
+from berylnotch.net.client import Failure
 from berylnotch.net.messages import Headers
+from berylnotch.net.response_reader import ResponseHead
 from berylnotch.util.clock import boot_time
 from tests.test_entry.support import make_exchange
 
--- a/tests/test_entry/test_late_targets.py
+++ b/tests/test_entry/test_late_targets.py
@@ -8,8 +8,9 @@
 
 from berylnotch.group.messages import TargetEntry
 from berylnotch.membership.listing import ListedTarget
-from berylnotch.net.client import Failure, ResponseHead
+from berylnotch.net.client import Failure
 from berylnotch.net.messages import Headers
+from berylnotch.net.response_reader import ResponseHead
 from berylnotch.util.clock import boot_time
 from tests.test_entry.support import make_exchange
 
--- a/tests/test_entry/test_rollout_evidence.py
+++ b/tests/test_entry/test_rollout_evidence.py
@@ -24,8 +24,9 @@
     RolloutPolicy,
     histogram_bucket,
 )
-from berylnotch.net.client import Failure, ResponseHead
+from berylnotch.net.client import Failure
 from berylnotch.net.messages import Headers
+from berylnotch.net.response_reader import ResponseHead
 from berylnotch.util.clock import boot_time
 from tests.test_entry.support import make_exchange
 
--- a/tests/test_net/test_endless.py
+++ b/tests/test_net/test_endless.py
@@ -8,14 +8,13 @@
 
 import pytest
 
-from berylnotch.net.client import (
+from berylnotch.net.client import ClientConnection, Failure
+from berylnotch.net.fetch import fetch
+from berylnotch.net.response_reader import (
     MAX_DISCARDED_RESPONSES,
     MAX_HEADERS,
     MAX_OVERHEAD_BYTES,
-    ClientConnection,
-    Failure,
 )
-from berylnotch.net.fetch import fetch
 from tests.fleet.processes import wait_until
 from tests.test_net.support import RawServer
 from tests.test_net.test_client import REQUEST, Sink, loop
