--- a/berylnotch/gateways/response_checker.py
+++ b/berylnotch/gateways/response_checker.py
@@ -123,21 +123,23 @@
         if not self._lines:
             self._version, self._status = parse_status_line(text)
         elif text:
-            name, value = parse_field(text)
-            self._headers.add(name, value)
-        elif self._status < 200:
+            self._headers.add(*parse_field(text))
+        else:
+            self._end_head()
+            return
+        self._lines.append(line)
+
+    def _end_head(self) -> None:
+        if self._status < 200:
             # An interim response, which the final one follows.
             self._lines = []
             self._headers = Headers()
             return
-        else:
-            self._body_end = find_body_end(
-                self._method, self._version, self._status, self._headers
-            )
-            if self._body_end is BodyEnd.LAST_CHUNK:
-                self._chunks = ChunkedFraming(RESPONSE_CHUNKS)
-            return
-        self._lines.append(line)
+        self._body_end = find_body_end(
+            self._method, self._version, self._status, self._headers
+        )
+        if self._body_end is BodyEnd.LAST_CHUNK:
+            self._chunks = ChunkedFraming(RESPONSE_CHUNKS)
 
 
 def watch_response(
--- a/berylnotch/net/response_checks.py
+++ b/berylnotch/net/response_checks.py
@@ -34,7 +34,7 @@
 #: Control characters, which neither a reason phrase nor a value may contain.
 _CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
-
+#: Version, status and reason phrase.
 _STATUS_LINE = re.compile(rb"HTTP/(\d\.\d) (\d{3})(?: (.*))?", re.DOTALL)
 
 #: Name of a header: a token of the protocol.
--- a/berylnotch/net/sockets.py
+++ b/berylnotch/net/sockets.py
@@ -62,8 +62,14 @@
 )
 
 
-def unacknowledged_bytes(sock: socket.socket) -> int:
-    """Return how many bytes in the send buffer the peer's kernel has not received."""
+def unacknowledged_bytes(sock: socket.socket | int) -> int:
+    """Return how many sent bytes the peer's kernel has not acknowledged.
+
+    Parameters
+    ----------
+    sock : socket.socket or int
+        TCP socket, or its descriptor.
+    """
     size = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(struct.calcsize("i")))
     return struct.unpack("i", size)[0]
 
