--- a/berylnotch/net/body_framing.py
+++ b/berylnotch/net/body_framing.py
@@ -21,7 +21,7 @@
 #: Longest line with the size and the extensions of a chunk, in bytes.
 MAX_CHUNK_LINE_BYTES = 4096
 
-#: Maximum size of all trailers of a request in bytes, as for its headers by default.
+#: Maximum size of all trailers of a message in bytes, as for its headers by default.
 MAX_TRAILER_BYTES = 16 * 1024
 
 
