tests: a log line that is being written is not read

Cause: the test reads the logs of running processes until a condition holds, and took the last line for a whole one. The kernel shows a write that crosses a page of the file in two steps.

Evidence: the line of the failed run was cut at byte 12288 of the log, three pages of 4096. An unquoted value that is cut would have been taken for another value without any error.

Change: lines are read up to the last line end; a later read has the rest. The list of refused calls in tests/fleet/disks.py read logs in the same way.

--- a/tests/fleet/disks.py
+++ b/tests/fleet/disks.py
@@ -13,7 +13,13 @@
 
 from attrs import define, field
 
-from tests.fleet.processes import FleetProcess, configuration, parse_fields, send_call
+from tests.fleet.processes import (
+    FleetProcess,
+    configuration,
+    parse_fields,
+    read_lines,
+    send_call,
+)
 
 #: Seconds for which an operator waits for an answer before it tries another controller.
 ANSWER_TIMEOUT_S = 1.0
@@ -74,7 +80,7 @@
     """Print the log lines about disks and elections, and the refused calls, by time."""
     lines = []
     for controller in controllers:
-        for text in controller.log.read_text().splitlines():
+        for text in read_lines(controller.log):
             fields = parse_fields(text)
             is_refused = fields.get("status", "200") not in ("200", "307")
             if fields.get("event") in LEADERSHIP_EVENTS or is_refused:
--- a/tests/fleet/processes.py
+++ b/tests/fleet/processes.py
@@ -178,7 +178,16 @@
 
     def lines(self) -> list[dict[str, str]]:
         """Return the lines of the log, each as a dict of its fields."""
-        return [parse_fields(line) for line in self.log.read_text().splitlines()]
+        return [parse_fields(line) for line in read_lines(self.log)]
+
+
+def read_lines(log: Path) -> list[str]:
+    """Return the complete lines of a log.
+
+    A line that is being written can be seen up to the end of a page of the file.
+    """
+    complete, _, _ = log.read_bytes().rpartition(b"\n")
+    return complete.decode().splitlines()
 
 
 def parse_fields(line: str) -> dict[str, str]:
