gateways: headers of a response are checked when its head ends

Cause: the loop of the router had no time for the news of the leader.

Change: headers are parsed at the empty line after them, before any byte of the body is passed on. The status line is checked at once as before. What is refused is the same: the tests of the gateways, of broken answers on processes and of the command address pass.

--- a/berylnotch/gateways/response_checker.py
+++ b/berylnotch/gateways/response_checker.py
@@ -45,7 +45,6 @@
         self._head_bytes = 0
         self._lines: list[bytes] = []
         self._version, self._status = "", 0
-        self._headers = Headers()
         self._body_end: BodyEnd | None = None
         self._chunks: ChunkedFraming | None = None
         self._has_excess = False
@@ -122,21 +121,22 @@
         text = line.removesuffix(b"\n").removesuffix(b"\r")
         if not self._lines:
             self._version, self._status = parse_status_line(text)
-        elif text:
-            self._headers.add(*parse_field(text))
-        else:
+        elif not text:
             self._end_head()
             return
         self._lines.append(line)
 
     def _end_head(self) -> None:
+        # Headers are parsed here, so that heads without end cost little.
+        headers = Headers()
+        for line in self._lines[1:]:
+            headers.add(*parse_field(line.removesuffix(b"\n").removesuffix(b"\r")))
         if self._status < 200:
             # An interim response, which the final one follows.
             self._lines = []
-            self._headers = Headers()
             return
         self._body_end = find_body_end(
-            self._method, self._version, self._status, self._headers
+            self._method, self._version, self._status, headers
         )
         if self._body_end is BodyEnd.LAST_CHUNK:
             self._chunks = ChunkedFraming(RESPONSE_CHUNKS)
