--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -9,11 +9,13 @@
 
 import os
 import re
+import signal
 import socket
 import subprocess
 import tempfile
 import time
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
 
 from tests.fleet.platform import PlatformStandIn
@@ -35,6 +37,9 @@
     "ttl_max_s": "5",
 }
 
+#: Longest run of a script in seconds.
+MAX_RUN_S = 112
+
 #: ``contactMs`` of the sheet in seconds.
 CONTACT_S = 3.0
 
@@ -185,6 +190,15 @@
         )
         return answer is not None and answer.status == 200
 
+    def find_leader(self) -> Process | None:
+        """Return the controller that leads by its metrics, None without one."""
+        port = self._ports["internal"] + 1
+        for controller in self.controllers:
+            answer = send_call(controller.ip, port, "GET", "/metrics", {}, b"", 1.0)
+            if answer is not None and b"\nberylnotch_leader 1" in b"\n" + answer.body:
+                return controller
+        return None
+
     def caller_port(self) -> int:
         """Return the port of all routers for requesters."""
         return self._ports["frontend"]
@@ -226,3 +240,35 @@
             base = 20000 + (base - 20000 + 16) % 12000
         else:
             return {name: base + n for n, name in enumerate(names)}
+
+
+def run_case(folder: Path, play: Callable[[Record, bool], int]) -> int:
+    """Play a case, and return its exit code.
+
+    It is 1 only if the rule was broken. An error of the script, SIGTERM and a run that
+    lasts too long end it with 2; the processes that it started are ended.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder of the case.
+    play : callable
+        Plays the case, with the record and whether to play the disruption, and returns
+        the exit code.
+    """
+    record = Record(folder)
+    signal.signal(signal.SIGTERM, _raise_time_out)
+    signal.signal(signal.SIGALRM, _raise_time_out)
+    signal.alarm(MAX_RUN_S)
+    try:
+        return play(record, os.environ.get("TROUBLE", "1") != "0")
+    except Exception as error:
+        record.write(f"the case couldn't run: {error!r}")
+        return 2
+    finally:
+        signal.alarm(0)
+        record.close()
+
+
+def _raise_time_out(number: int, _frame: object) -> None:
+    raise TimeoutError(f"ended by signal {number}")
--- a/review/lib3/poison.py
+++ b/review/lib3/poison.py
@@ -8,7 +8,6 @@
 
 from review.lib3.config import MODEL_SERVICE, config_body, stream_route, tenant
 from review.lib3.fleet import CONTACT_S, HOST, KEY, MODEL, Deployment, Record
-from tests.fleet.platform import PlatformStandIn
 from tests.fleet.processes import send_call
 
 #: Part that crashes engines, and time until a crashed engine is back in seconds.
@@ -27,27 +26,6 @@
 SOUND_INTERVAL_S = 0.2
 
 
-class CrashingPlatform(PlatformStandIn):
-    """Platform whose engines crash when they run requests with one part."""
-
-    def __init__(self, crash_after_s: float) -> None:
-        super().__init__()
-        self._crash_after_s = crash_after_s
-        self._is_crashing = False
-
-    def start_crashes(self) -> None:
-        """Let the requests with the part crash engines from now on."""
-        self._is_crashing = True
-        if not self._crash_after_s:
-            self.crashing_part = CRASHING_PART
-
-    def _stream(self, target, connection, answer, after) -> None:
-        super()._stream(target, connection, answer, after)
-        is_poison = answer.get("Berylnotch-Request-Id").startswith("poison")
-        if self._is_crashing and self._crash_after_s and is_poison:
-            self.loop.call_later(self._crash_after_s, lambda: self.crash(target))
-
-
 def ask(deployment: Deployment, router, request_id: str, parts: list[str]) -> str:
     """Send one request; return how it ended."""
     # The body of the request that crashes engines is the same each time.
@@ -113,9 +91,7 @@
         self.outcomes[outcome] += 1
 
 
-def run(
-    record: Record, has_trouble: bool, part_count: int, crash_after_s: float = 0.0
-) -> int:
+def run(record: Record, has_trouble: bool, part_count: int) -> int:
     """Play the case; return the exit code.
 
     Parameters
@@ -126,12 +102,9 @@
         Whether the request crashes engines.
     part_count : int
         Parts of the prompt, the last one of which belongs to the request itself.
-    crash_after_s : float, default=0.0
-        Time from the first event of an answer to the crash, in seconds; with 0 the
-        engine crashes instead of writing the first event.
     """
-    platform = CrashingPlatform(crash_after_s)
-    deployment = Deployment(platform=platform)
+    deployment = Deployment()
+    platform = deployment.platform
     sound = SoundRequests(deployment)
     platform.restart_s, platform.relist_s = BACK_S, 2.0
     try:
@@ -149,7 +122,7 @@
             deployment.wait_for(lambda r=router: deployment.is_ready(r), "a router")
         time.sleep(CONTACT_S + 1.0)
         if has_trouble:
-            platform.start_crashes()
+            platform.crashing_part = CRASHING_PART
         record.write(
             f"the request has {part_count} prompt parts; trouble: {has_trouble}"
         )
